Membership by gossip: doubts that heartbeats answer, in bounded messages

Cause: a node counted only the nodes that it heard itself, and each reply carried the whole list. A cut link took a healthy node out of the answers, and 380 nodes would have sent 36 KB/s of heartbeats alone.

Ruled out: leases renewed every 3 s (127 writes/s at 380 nodes), all heartbeats in each message, age of random heartbeats alone (oldest 24.5 s at 380 nodes).

processes_serve_and_one_is_killed failed once here: the shipped caller did not try another node when the first refused the connection, although nothing was sent; a node killed a moment ago is still in the answers. The client now goes on to the next address on a failed connect, and only then.

--- a/src/client/caller.rs
+++ b/src/client/caller.rs
@@ -17,6 +17,8 @@
 
 /// The largest answer, in bytes.
 const LIMIT: usize = 64 << 20;
+/// Nodes that are tried for one call while none can be reached.
+const TRIES: u32 = 8;
 
 /// Why a caller has no whole answer.
 #[derive(Debug, thiserror::Error)]
@@ -70,10 +72,14 @@
         timeout: Duration,
     ) -> Result<Received, CallerError> {
         let path = format!("/v1/services/{service}{path}");
-        let mut request = self.request(&path, body.into(), timeout);
-        if let Some(key) = key.and_then(|k| k.parse().ok()) {
-            request.headers_mut().insert("idempotency-key", key);
-        }
+        let body = body.into();
+        let request = || {
+            let mut request = self.request(&path, body.clone(), timeout);
+            if let Some(key) = key.and_then(|k| k.parse().ok()) {
+                request.headers_mut().insert("idempotency-key", key);
+            }
+            request
+        };
         let (_, response) = self.send(request).await?;
         let status = response.status();
         let body = read(response.into_body(), LIMIT).await;
@@ -90,7 +96,8 @@
         let request = Completion { stream: true, ..request.clone() };
         let bytes =
             serde_json::to_vec(&request).map_err(|e| CallerError::Partial(e.to_string()))?;
-        let request = self.request("/v1/completions", bytes.into(), timeout);
+        let bytes = Bytes::from(bytes);
+        let request = || self.request("/v1/completions", bytes.clone(), timeout);
         let (_, response) = self.send(request).await?;
         let status = response.status();
         if !status.is_success() {
@@ -132,18 +139,27 @@
         request
     }
 
+    /// Sends to a node, or to the next if that one can't be reached: then nothing was sent.
     async fn send(
         &self,
-        mut request: Request<crate::edge::http::Body>,
+        request: impl Fn() -> Request<crate::edge::http::Body>,
     ) -> Result<(SocketAddr, http::Response<hyper::body::Incoming>), CallerError> {
-        let node = self.book.get().await.ok_or(CallerError::NoNode)?;
-        let uri = format!("http://{node}{}", request.uri());
-        *request.uri_mut() = uri.parse().unwrap_or_default();
-        match self.fetch.send(node, request).await {
-            Ok(response) => Ok((node, response)),
-            Err(e) => {
-                self.book.failed(node);
-                Err(e.into())
+        let mut tries = 0;
+        loop {
+            tries += 1;
+            let node = self.book.get().await.ok_or(CallerError::NoNode)?;
+            let mut request = request();
+            let uri = format!("http://{node}{}", request.uri());
+            *request.uri_mut() = uri.parse().unwrap_or_default();
+            match self.fetch.send(node, request).await {
+                Ok(response) => return Ok((node, response)),
+                Err(e) => {
+                    self.book.failed(node);
+                    let unsent = matches!(e, FetchError::Connect { .. });
+                    if !unsent || tries >= TRIES {
+                        return Err(e.into());
+                    }
+                }
             }
         }
     }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -7,6 +7,7 @@
 mod dispatch;
 mod label;
 mod limit;
+pub mod members;
 mod outcome;
 mod queue;
 mod rendezvous;
--- a/src/edge/peer/client.rs
+++ b/src/edge/peer/client.rs
@@ -10,6 +10,7 @@
 use http::StatusCode;
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 use super::codec::{CodecError, VERSION, decode, encode};
 use super::server::{VERSION_HEADER, collect};
@@ -17,6 +18,9 @@
 
 /// How long a connection may take to open.
 const CONNECT: Duration = Duration::from_secs(1);
+/// A connection that was not used for so long is closed: gossip goes to random
+/// nodes, and a connection to each of 380 would take more memory than control may.
+const IDLE: Duration = Duration::from_secs(30);
 
 /// Why a peer did not reply.
 #[derive(Debug, thiserror::Error)]
@@ -61,7 +65,13 @@
 /// The client. Cloning it shares the connections.
 #[derive(Debug, Clone, Default)]
 pub struct PeerClient {
-    open: Arc<Mutex<HashMap<SocketAddr, SendRequest<Bytes>>>>,
+    open: Arc<Mutex<HashMap<SocketAddr, Open>>>,
+}
+
+#[derive(Debug)]
+struct Open {
+    sender: SendRequest<Bytes>,
+    used: Instant,
 }
 
 impl PeerClient {
@@ -108,8 +118,9 @@
     }
 
     async fn connection(&self, to: SocketAddr) -> Result<SendRequest<Bytes>, PeerError> {
-        if let Some(sender) = self.open.lock().get(&to) {
-            return Ok(sender.clone());
+        if let Some(open) = self.open.lock().get_mut(&to) {
+            open.used = Instant::now();
+            return Ok(open.sender.clone());
         }
         let fail = |reason: String| PeerError::Connect { to, reason };
         let stream = tokio::time::timeout(CONNECT, TcpStream::connect(to))
@@ -120,7 +131,11 @@
         let (sender, connection) =
             h2::client::handshake(stream).await.map_err(|e| fail(e.to_string()))?;
         let open = self.open.clone();
-        open.lock().insert(to, sender.clone());
+        {
+            let mut open = open.lock();
+            open.retain(|_, o| o.used.elapsed() < IDLE);
+            open.insert(to, Open { sender: sender.clone(), used: Instant::now() });
+        }
         tokio::spawn(async move {
             let ended = connection.await;
             open.lock().remove(&to);
--- a/src/edge/peer/message.rs
+++ b/src/edge/peer/message.rs
@@ -6,18 +6,7 @@
 
 use crate::Name;
 use crate::bundle::Envelope;
-
-/// Whether a node takes work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum NodeState {
-    /// It is not ready yet.
-    Starting,
-    /// It serves.
-    Serving,
-    /// It finishes what it has and takes nothing new.
-    Draining,
-}
+use crate::decide::members::{Gossip, News, NodeState};
 
 /// What a node says of itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -40,11 +29,62 @@
     pub bundle: u64,
 }
 
+/// Where a node is and how it is reached.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Place {
+    /// Its region.
+    pub region: Name,
+    /// Its availability zone.
+    pub zone: Name,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where peers connect.
+    pub peers: SocketAddr,
+}
+
+impl From<&NodeInfo> for News<Place> {
+    fn from(info: &NodeInfo) -> Self {
+        let NodeInfo { name, region, zone, callers, peers, incarnation, state, bundle } = info;
+        Self {
+            name: name.clone(),
+            incarnation: *incarnation,
+            state: *state,
+            beat: 0,
+            bundle: *bundle,
+            doubted: false,
+            card: Place {
+                region: region.clone(),
+                zone: zone.clone(),
+                callers: *callers,
+                peers: *peers,
+            },
+        }
+    }
+}
+
+impl From<&News<Place>> for NodeInfo {
+    fn from(news: &News<Place>) -> Self {
+        let Place { region, zone, callers, peers } = &news.card;
+        Self {
+            name: news.name.clone(),
+            region: region.clone(),
+            zone: zone.clone(),
+            callers: *callers,
+            peers: *peers,
+            incarnation: news.incarnation,
+            state: news.state,
+            bundle: news.bundle,
+        }
+    }
+}
+
 /// A request between nodes.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Request {
-    /// Who I am; who are you and whom do you know?
-    Hello(NodeInfo),
+    /// What I know; what do you know?
+    Gossip(Gossip<Place>),
+    /// I am new: which nodes do you know, after this name?
+    Join(Option<Name>),
     /// Which bundle is in force at your place?
     Bundle,
     /// A bundle that is later than yours.
@@ -54,8 +94,10 @@
 /// The reply to a request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
-    /// The node itself, first, and those that it knows.
-    Known(Vec<NodeInfo>),
+    /// What the other knows.
+    Gossip(Gossip<Place>),
+    /// A page of the nodes that it knows; empty after the last.
+    Nodes(Vec<News<Place>>),
     /// The bundle in force, if there is one.
     Bundle(Option<Envelope>),
     /// Taken, or not needed.
--- a/src/edge/peer/mod.rs
+++ b/src/edge/peer/mod.rs
@@ -5,7 +5,8 @@
 mod message;
 mod server;
 
+pub use crate::decide::members::NodeState;
 pub use client::{PeerClient, PeerError};
 pub use codec::{CodecError, VERSION, decode, encode};
-pub use message::{NodeInfo, NodeState, Reply, Request};
+pub use message::{NodeInfo, Place, Reply, Request};
 pub use server::{PeerHandler, PeerListener};
--- a/src/node/app.rs
+++ b/src/node/app.rs
@@ -41,7 +41,6 @@
     pub(super) cancel: CancellationToken,
     dispatchers: RwLock<HashMap<Name, Arc<Dispatcher>>>,
     lifecycle: Mutex<(Lifecycle, Phase)>,
-    identity: identity::Identity,
 }
 
 impl App {
@@ -56,13 +55,12 @@
             engines: EngineClient::default(),
             plain: PlainClient,
             bundles: Bundles::new(settings.operators.clone()),
-            members: Members::default(),
+            members: Members::new(&settings.node, &identity),
             upstreams: Upstreams::default(),
             steps: Steps::default(),
             cancel: CancellationToken::new(),
             dispatchers: RwLock::default(),
             lifecycle: Mutex::new((Lifecycle::new(), Phase::Starting)),
-            identity,
             metrics,
             settings,
         }
@@ -81,23 +79,14 @@
         lifecycle.1 = after;
         if before != after {
             tracing::info!(event = "phase", from = ?before, to = ?after);
+            self.members.set_state(after.shown());
         }
         after
     }
 
     /// What this node says of itself now.
     pub(super) fn info(&self) -> NodeInfo {
-        let node = &self.settings.node;
-        NodeInfo {
-            name: node.name.clone(),
-            region: node.region.clone(),
-            zone: node.zone.clone(),
-            callers: self.identity.callers,
-            peers: self.identity.peers,
-            incarnation: self.identity.incarnation,
-            state: self.phase().shown(),
-            bundle: self.bundles.number(),
-        }
+        self.members.own()
     }
 
     /// The bundle in force, or the refusal to a caller who came before it.
@@ -123,6 +112,7 @@
     /// Brings the dispatchers in line with a bundle that has come into force.
     pub(super) fn apply(&self, adopted: &Adopted) {
         self.metrics.bundle.set(adopted.bundle.number as i64);
+        self.members.set_bundle(adopted.bundle.number);
         let mut dispatchers = self.dispatchers.write();
         for (name, service) in &adopted.bundle.services {
             let limits = Limits { queue: service.queue, concurrency: service.concurrency };
--- a/src/node/callers.rs
+++ b/src/node/callers.rs
@@ -106,7 +106,7 @@
 
 fn addresses(app: &App) -> Addresses {
     let now = app.clock.now();
-    let mut nodes = app.members.serving(now);
+    let mut nodes = app.members.reached(now);
     let own = app.info();
     if own.state == crate::edge::peer::NodeState::Serving || nodes.is_empty() {
         nodes.push(own);
--- a/src/node/lifecycle.rs
+++ b/src/node/lifecycle.rs
@@ -28,7 +28,8 @@
         match self {
             Self::Starting => NodeState::Starting,
             Self::Serving => NodeState::Serving,
-            Self::Draining | Self::Closing | Self::Stopped => NodeState::Draining,
+            Self::Draining | Self::Closing => NodeState::Draining,
+            Self::Stopped => NodeState::Gone,
         }
     }
 }
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -1,95 +1,151 @@
-//! The other nodes, as this one sees them.
+//! The other nodes, as this one sees them: the table of the decisions behind a lock.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::time::Duration;
 
-use parking_lot::RwLock;
+use parking_lot::Mutex;
+use tokio::sync::Notify;
 
-use crate::edge::peer::{NodeInfo, NodeState};
+use super::identity::Identity;
+use crate::decide::members::{Gossip, Heard, News, NodeState, Standing};
+use crate::edge::peer::{NodeInfo, Place};
+use crate::settings::NodeSettings;
 use crate::{Moment, Name};
 
-/// A node that was not heard for so long counts as gone.
-const SILENCE: Duration = Duration::from_secs(3);
-/// A node that was not heard for so long is forgotten.
-const FORGET: Duration = Duration::from_secs(60);
+type Table = crate::decide::members::Members<Place>;
 
-#[derive(Debug, Clone)]
-struct Member {
-    info: NodeInfo,
-    heard: Option<Moment>,
-    learned: Moment,
+/// A node to talk to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Target {
+    /// Its name; `None` for a seed of the settings.
+    pub(super) name: Option<Name>,
+    /// Where it listens for peers.
+    pub(super) address: SocketAddr,
 }
 
 /// The other nodes by name.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Members {
-    known: RwLock<BTreeMap<Name, Member>>,
+    table: Mutex<Table>,
+    urgent: Notify,
 }
 
 impl Members {
-    /// A node spoke for itself.
-    pub(super) fn heard(&self, info: NodeInfo, now: Moment) {
-        let mut known = self.known.write();
-        match known.get_mut(&info.name) {
-            Some(member) if later(&info, &member.info) => {
-                *member = Member { info, heard: Some(now), learned: now };
-            }
-            Some(member) if info.incarnation == member.info.incarnation => {
-                member.heard = Some(now);
-                member.learned = now;
-                member.info.bundle = member.info.bundle.max(info.bundle);
-            }
-            Some(_) => {}
-            None => {
-                let member = Member { info: info.clone(), heard: Some(now), learned: now };
-                known.insert(info.name, member);
-            }
+    /// A table that knows only its own node.
+    pub(super) fn new(node: &NodeSettings, identity: &Identity) -> Self {
+        let own = News {
+            name: node.name.clone(),
+            incarnation: identity.incarnation,
+            state: NodeState::Starting,
+            beat: 0,
+            bundle: 0,
+            doubted: false,
+            card: Place {
+                region: node.region.clone(),
+                zone: node.zone.clone(),
+                callers: identity.callers,
+                peers: identity.peers,
+            },
+        };
+        Self { table: Mutex::new(Table::new(own, rand::random())), urgent: Notify::new() }
+    }
+
+    /// What this node says of itself.
+    pub(super) fn own(&self) -> NodeInfo {
+        self.table.lock().own().into()
+    }
+
+    /// This node moves on in its life; peers are told at once.
+    pub(super) fn set_state(&self, state: NodeState) {
+        if self.table.lock().set_state(state) {
+            self.urgent.notify_one();
+        }
+    }
+
+    /// A bundle came into force here; peers are told at once.
+    pub(super) fn set_bundle(&self, number: u64) {
+        self.table.lock().set_bundle(number);
+        self.urgent.notify_one();
+    }
+
+    /// Waits until there is something that peers should know at once.
+    pub(super) async fn urgent(&self) {
+        self.urgent.notified().await;
+    }
+
+    /// A round begins.
+    pub(super) fn beat(&self, now: Moment) {
+        self.table.lock().beat(now);
+    }
+
+    /// Nodes to talk to in this round.
+    pub(super) fn targets(&self, count: usize, now: Moment) -> Vec<Target> {
+        let mut table = self.table.lock();
+        let names = table.targets(count, now).into_iter();
+        let target = |name: Name| {
+            let address = table.get(&name)?.card.peers;
+            Some(Target { name: Some(name), address })
+        };
+        names.filter_map(target).collect()
+    }
+
+    /// The message of a round, with what the other side wants to know.
+    pub(super) fn message(&self, wanted: &[u32]) -> Gossip<Place> {
+        self.table.lock().message(wanted)
+    }
+
+    /// Takes in a message.
+    pub(super) fn receive(&self, gossip: Gossip<Place>, now: Moment) -> Heard {
+        let heard = self.table.lock().receive(gossip, now);
+        if heard.changed {
+            self.urgent.notify_one();
         }
+        heard
     }
 
-    /// Another node, or the platform, told of a node.
-    pub(super) fn told(&self, info: NodeInfo, now: Moment) {
-        let mut known = self.known.write();
-        match known.get_mut(&info.name) {
-            Some(member) if later(&info, &member.info) => {
-                member.info = info;
-                member.learned = now;
-            }
-            Some(_) => {}
-            None => {
-                let member = Member { info: info.clone(), heard: None, learned: now };
-                known.insert(info.name, member);
-            }
+    /// Another node, or the platform, told of some nodes.
+    pub(super) fn told(&self, news: impl IntoIterator<Item = News<Place>>, now: Moment) {
+        let mut table = self.table.lock();
+        for news in news {
+            table.load(news, now);
         }
     }
 
-    /// The nodes that were heard lately.
-    pub(super) fn alive(&self, now: Moment) -> Vec<NodeInfo> {
-        let known = self.known.read();
-        let fresh = |m: &&Member| m.heard.is_some_and(|h| now.saturating_sub(h) < SILENCE);
-        known.values().filter(fresh).map(|m| m.info.clone()).collect()
+    /// This node failed to reach another.
+    pub(super) fn missed(&self, name: &str, now: Moment) {
+        if self.table.lock().missed(name, now) {
+            tracing::info!(event = "node_doubted", node = name);
+            self.urgent.notify_one();
+        }
     }
 
-    /// The nodes that serve now.
-    pub(super) fn serving(&self, now: Moment) -> Vec<NodeInfo> {
-        let alive = self.alive(now).into_iter();
-        alive.filter(|info| info.state == NodeState::Serving).collect()
+    /// A page of the table, for a node that joins.
+    pub(super) fn page(&self, after: Option<&Name>) -> Vec<News<Place>> {
+        self.table.lock().page(after)
     }
 
-    /// Where all known nodes listen for peers.
-    pub(super) fn addresses(&self) -> Vec<SocketAddr> {
-        self.known.read().values().map(|m| m.info.peers).collect()
+    /// Where the node with this short name listens for peers.
+    pub(super) fn find(&self, id: u32) -> Option<SocketAddr> {
+        self.table.lock().find(id).map(|news| news.card.peers)
     }
 
-    /// Forgets nodes that have been silent for long.
-    pub(super) fn forget(&self, now: Moment) {
-        let recent = |m: &Member| now.saturating_sub(m.heard.unwrap_or(m.learned)) < FORGET;
-        self.known.write().retain(|_, m| recent(m));
+    /// The other nodes that are not known to have stopped or failed.
+    pub(super) fn alive(&self, now: Moment) -> Vec<NodeInfo> {
+        self.table.lock().alive(now).map(NodeInfo::from).collect()
+    }
+
+    /// The other nodes that serve now.
+    pub(super) fn serving(&self, now: Moment) -> Vec<NodeInfo> {
+        let table = self.table.lock();
+        let serving = table.alive(now).filter(|news| news.state == NodeState::Serving);
+        serving.map(NodeInfo::from).collect()
     }
-}
 
-/// Whether news of a node replace what is known: a later start, or further in its life.
-fn later(news: &NodeInfo, known: &NodeInfo) -> bool {
-    (news.incarnation, news.state) > (known.incarnation, known.state)
+    /// The nodes that serve now and that nobody fails to reach.
+    pub(super) fn reached(&self, now: Moment) -> Vec<NodeInfo> {
+        let table = self.table.lock();
+        let well = table.view(now).filter(|(news, standing)| {
+            *standing == Standing::Well && news.state == NodeState::Serving
+        });
+        well.map(|(news, _)| NodeInfo::from(news)).collect()
+    }
 }
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -129,6 +129,7 @@
             tracing::error!(event = "drain_cut", left = self.connections.len());
         }
         self.app.advance(Event::Idle);
+        peers::farewell(&self.app).await;
         self.app.cancel.cancel();
         finished
     }
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -4,25 +4,39 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::seq::SliceRandom;
+use rand::Rng;
+use rand::seq::IndexedRandom;
 
 use super::app::App;
+use super::members::Target;
+use crate::Name;
 use crate::bundle::Envelope;
-use crate::edge::peer::{NodeInfo, PeerHandler, Reply, Request};
+use crate::decide::members::{Heard, News};
+use crate::edge::peer::{NodeInfo, PeerError, PeerHandler, Place, Reply, Request};
 use crate::metrics::PlatformUse;
 
 /// Time between two rounds.
 const ROUND: Duration = Duration::from_millis(500);
-/// Nodes that are asked in a round.
-const FANOUT: usize = 3;
+/// Nodes that are asked in a round: two keep heartbeats of 380 nodes fresh and a
+/// failed node noticed, see `members-bench`.
+const FANOUT: usize = 2;
+/// Nodes that are told at once when something changed: three reach 380 in six hops.
+const PUSH: usize = 3;
+/// Changes within this time go out together.
+const GATHER: Duration = Duration::from_millis(20);
 /// How long a node may take to reply.
 const LIMIT: Duration = Duration::from_secs(1);
+/// One round in so many also asks a seed: two sides that forgot each other find
+/// each other again.
+const SEED: u32 = 32;
 /// The prefix of the nodes' own entries at the platform.
 const NODES: &str = "nodes/";
 /// How long an entry outlives its node.
-const ENTRY: Duration = Duration::from_secs(30);
-/// Time between two renewals.
-const RENEW: Duration = Duration::from_secs(10);
+const ENTRY: Duration = Duration::from_secs(180);
+/// Time between two renewals: 380 nodes make 6.3 calls a second of it.
+const RENEW: Duration = Duration::from_secs(60);
+/// Time before a renewal that failed is tried again.
+const RETRY: Duration = Duration::from_secs(5);
 
 /// What answers peers.
 #[derive(Debug)]
@@ -34,12 +48,16 @@
     async fn reply(self: Arc<Self>, request: Request) -> Reply {
         let app = &self.app;
         match request {
-            Request::Hello(info) => {
-                app.members.heard(info, app.clock.now());
-                let mut known = vec![app.info()];
-                known.extend(app.members.alive(app.clock.now()));
-                Reply::Known(known)
+            Request::Gossip(gossip) => {
+                let wanted = gossip.wanted.clone();
+                let heard = app.members.receive(gossip, app.clock.now());
+                let from = heard.sender.and_then(|id| app.members.find(id));
+                if let Some(from) = from {
+                    tokio::spawn(catch_up(app.clone(), from, heard));
+                }
+                Reply::Gossip(app.members.message(&wanted))
             }
+            Request::Join(after) => Reply::Nodes(app.members.page(after.as_ref())),
             Request::Bundle => {
                 let current = app.bundles.current();
                 Reply::Bundle(current.map(|a| a.envelope.as_ref().clone()))
@@ -52,39 +70,126 @@
     }
 }
 
-/// Asks some nodes in each round, until the node stops.
+/// Talks to some nodes in each round, and at once when something changed, until
+/// the node stops.
 pub(super) async fn gossip(app: Arc<App>) {
+    join(&app).await;
     let mut timer = tokio::time::interval(ROUND);
     loop {
-        tokio::select! {
+        let targets = tokio::select! {
             () = app.cancel.cancelled() => return,
-            _ = timer.tick() => {}
+            _ = timer.tick() => round(&app),
+            () = app.members.urgent() => {
+                tokio::time::sleep(GATHER).await;
+                app.members.targets(PUSH, app.clock.now())
+            }
+        };
+        for to in targets {
+            tokio::spawn(exchange(app.clone(), to));
         }
-        app.members.forget(app.clock.now());
-        for to in targets(&app) {
-            tokio::spawn(greet(app.clone(), to));
+    }
+}
+
+/// Tells some nodes of what changed last, and waits until they know or do not answer.
+pub(super) async fn farewell(app: &Arc<App>) {
+    let targets = app.members.targets(PUSH, app.clock.now()).into_iter();
+    let told = targets.map(|to| exchange(app.clone(), to));
+    futures_util::future::join_all(told).await;
+}
+
+fn round(app: &App) -> Vec<Target> {
+    let now = app.clock.now();
+    app.members.beat(now);
+    let mut targets = app.members.targets(FANOUT, now);
+    if targets.is_empty() || rand::rng().random_ratio(1, SEED) {
+        targets.extend(seed(app));
+    }
+    targets
+}
+
+fn seed(app: &App) -> Option<Target> {
+    let own = app.members.own().peers;
+    let others: Vec<&SocketAddr> = app.settings.peers.seeds.iter().filter(|s| **s != own).collect();
+    let address = **others.choose(&mut rand::rng())?;
+    Some(Target { name: None, address })
+}
+
+async fn exchange(app: Arc<App>, to: Target) {
+    let message = Request::Gossip(app.members.message(&[]));
+    match app.peers.ask(to.address, &message, LIMIT).await {
+        Ok(Reply::Gossip(gossip)) => {
+            let heard = app.members.receive(gossip, app.clock.now());
+            catch_up(app, to.address, heard).await;
+        }
+        Ok(Reply::Nodes(_) | Reply::Bundle(_) | Reply::Noted) => {}
+        // It answers, if not in our version: it lives.
+        Err(PeerError::Status { status, .. }) => {
+            tracing::debug!(event = "peer_refuses", to = %to.address, %status);
+        }
+        Err(e) => {
+            tracing::debug!(event = "peer_silent", to = %to.address, error = %e);
+            if let Some(name) = to.name {
+                app.members.missed(&name, app.clock.now());
+            }
         }
     }
 }
 
-/// Keeps this node's entry at the platform, and reads those of the others.
+/// Asks a peer for its bundle if that is later than ours.
+async fn catch_up(app: Arc<App>, from: SocketAddr, heard: Heard) {
+    if heard.bundle <= app.bundles.number() {
+        return;
+    }
+    if let Ok(Reply::Bundle(Some(envelope))) = app.peers.ask(from, &Request::Bundle, LIMIT).await {
+        offered(&app, envelope);
+    }
+}
+
+/// Learns all nodes from a seed, page by page.
+async fn join(app: &App) {
+    for seed in &app.settings.peers.seeds {
+        let mut after: Option<Name> = None;
+        while let Some(page) = page(app, *seed, after.take()).await {
+            after = page.last().map(|news| news.name.clone());
+            app.members.told(page, app.clock.now());
+        }
+    }
+}
+
+async fn page(app: &App, from: SocketAddr, after: Option<Name>) -> Option<Vec<News<Place>>> {
+    match app.peers.ask(from, &Request::Join(after), LIMIT).await {
+        Ok(Reply::Nodes(page)) if !page.is_empty() => Some(page),
+        Ok(_) | Err(_) => None,
+    }
+}
+
+/// Keeps this node's entry at the platform; reads those of the others at first,
+/// and whenever nobody else is known.
 pub(super) async fn announce(app: Arc<App>) {
     let mut lease = None;
-    let mut timer = tokio::time::interval(RENEW);
+    let mut read = false;
     loop {
+        lease = entry(&app, lease).await;
+        if !read || app.members.alive(app.clock.now()).is_empty() {
+            read = others(&app).await;
+        }
+        let pause = if lease.is_some() && read { RENEW } else { RETRY };
+        let jitter = rand::rng().random_range(0.5..1.0);
         tokio::select! {
             () = app.cancel.cancelled() => return,
-            _ = timer.tick() => {}
-        }
-        lease = entry(&app, lease).await;
-        let Ok((kept, _)) = app.platform.list(NODES, PlatformUse::Node).await else { continue };
-        let infos = kept.iter().filter_map(|k| serde_json::from_slice::<NodeInfo>(&k.value).ok());
-        for info in infos.filter(|i| i.name != app.settings.node.name) {
-            app.members.told(info, app.clock.now());
+            () = tokio::time::sleep(pause.mul_f64(jitter)) => {}
         }
     }
 }
 
+async fn others(app: &App) -> bool {
+    let Ok((kept, _)) = app.platform.list(NODES, PlatformUse::Node).await else { return false };
+    let infos = kept.iter().filter_map(|k| serde_json::from_slice::<NodeInfo>(&k.value).ok());
+    let news: Vec<News<Place>> = infos.map(|info| News::from(&info)).collect();
+    app.members.told(news, app.clock.now());
+    true
+}
+
 /// Renews the lease, or opens a new one and writes the entry under it.
 async fn entry(app: &App, lease: Option<i64>) -> Option<i64> {
     if let Some(id) = lease
@@ -100,44 +205,6 @@
     Some(id)
 }
 
-fn targets(app: &App) -> Vec<SocketAddr> {
-    let own = app.info().peers;
-    let mut all = app.members.addresses();
-    all.extend(&app.settings.peers.seeds);
-    all.sort_unstable();
-    all.dedup();
-    all.retain(|a| *a != own);
-    all.shuffle(&mut rand::rng());
-    all.truncate(FANOUT);
-    all
-}
-
-async fn greet(app: Arc<App>, to: SocketAddr) {
-    let asked = app.peers.ask(to, &Request::Hello(app.info()), LIMIT).await;
-    let known = match asked {
-        Ok(Reply::Known(known)) => known,
-        Ok(Reply::Bundle(_) | Reply::Noted) => return,
-        Err(e) => {
-            tracing::debug!(event = "peer_silent", %to, error = %e);
-            return;
-        }
-    };
-    let mut known = known.into_iter();
-    let Some(first) = known.next() else { return };
-    let behind = first.bundle > app.bundles.number();
-    if first.name != app.settings.node.name {
-        app.members.heard(first, app.clock.now());
-    }
-    for info in known.filter(|i| i.name != app.settings.node.name) {
-        app.members.told(info, app.clock.now());
-    }
-    if behind
-        && let Ok(Reply::Bundle(Some(envelope))) = app.peers.ask(to, &Request::Bundle, LIMIT).await
-    {
-        offered(&app, envelope);
-    }
-}
-
 fn offered(app: &App, envelope: Envelope) {
     if let Err(e) = app.bundles.offer(app, envelope) {
         tracing::error!(event = "bundle_rejected", source = "peer", error = %e);
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,3 @@
+//! What several test files need.
+
+pub(crate) mod daemon;
--- /dev/null
+++ b/tests/members.rs
@@ -0,0 +1,329 @@
+//! Membership, without a network: tables that hand each other their messages.
+#![allow(clippy::unwrap_used)]
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use mulberrycourse::Name;
+use mulberrycourse::decide::members::{Members, News, NodeState, Standing};
+use proptest::prelude::*;
+
+const ROUND: Duration = Duration::from_millis(500);
+
+fn news(name: &str, incarnation: u64) -> News<u16> {
+    News {
+        name: name.into(),
+        incarnation,
+        state: NodeState::Serving,
+        beat: 0,
+        bundle: 0,
+        doubted: false,
+        card: 1,
+    }
+}
+
+fn name(index: usize) -> Name {
+    format!("n{index}").into()
+}
+
+/// Tables, and who can reach whom.
+struct Net {
+    tables: Vec<Members<u16>>,
+    frozen: Vec<bool>,
+    cut: Vec<(usize, usize)>,
+    now: Duration,
+}
+
+impl Net {
+    /// Each node knows only the first one.
+    fn new(size: usize) -> Self {
+        let table = |i| {
+            let mut table = Members::new(news(&name(i), 1), i as u64);
+            if i > 0 {
+                table.learn(news("n0", 1), Duration::ZERO);
+            }
+            table
+        };
+        let tables = (0..size).map(table).collect();
+        Self { tables, frozen: vec![false; size], cut: Vec::new(), now: Duration::ZERO }
+    }
+
+    fn reaches(&self, a: usize, b: usize) -> bool {
+        !self.frozen[b] && !self.cut.contains(&(a, b)) && !self.cut.contains(&(b, a))
+    }
+
+    fn round(&mut self) {
+        self.now += ROUND;
+        for from in 0..self.tables.len() {
+            if self.frozen[from] {
+                continue;
+            }
+            self.tables[from].beat(self.now);
+            for target in self.tables[from].targets(2, self.now) {
+                let to: usize = target[1..].parse().unwrap();
+                if !self.reaches(from, to) {
+                    self.tables[from].missed(&target, self.now);
+                    continue;
+                }
+                let message = self.tables[from].message(&[]);
+                let wanted = message.wanted.clone();
+                self.tables[to].receive(message, self.now);
+                let reply = self.tables[to].message(&wanted);
+                self.tables[from].receive(reply, self.now);
+            }
+        }
+    }
+
+    fn run(&mut self, time: Duration) {
+        let until = self.now + time;
+        while self.now < until {
+            self.round();
+        }
+    }
+
+    fn sees(&self, at: usize, whom: usize) -> bool {
+        self.tables[at].alive(self.now).any(|n| n.name == name(whom))
+    }
+
+    /// Each of `at` sees each of `whom`, or none of them does.
+    fn all_see(&self, at: &[usize], whom: &[usize], wanted: bool) -> bool {
+        let pairs = at.iter().flat_map(|a| whom.iter().map(move |w| (*a, *w)));
+        pairs.filter(|(a, w)| a != w).all(|(a, w)| self.sees(a, w) == wanted)
+    }
+}
+
+fn range(from: usize, to: usize) -> Vec<usize> {
+    (from..to).collect()
+}
+
+/// Nodes that know one seed only all find each other; nobody is doubted for long.
+#[test]
+fn nodes_find_each_other_through_one_seed() {
+    let mut net = Net::new(24);
+    net.run(Duration::from_secs(20));
+    assert!(net.all_see(&range(0, 24), &range(0, 24), true));
+    net.run(Duration::from_secs(300));
+    assert!(net.all_see(&range(0, 24), &range(0, 24), true));
+}
+
+/// A link is cut between two nodes that both live: each still hears the other
+/// through the rest, and counts it as alive at every moment.
+#[test]
+fn a_node_that_others_hear_is_alive() {
+    let mut net = Net::new(7);
+    net.run(Duration::from_secs(10));
+    net.cut.push((1, 2));
+    for _ in 0..600 {
+        net.round();
+        assert!(net.sees(1, 2) && net.sees(2, 1), "at {:?}", net.now);
+    }
+}
+
+/// A node is frozen and thawed: the others count it out, and in again without a
+/// restart; the thawed node does not count out the others for its own pause.
+#[test]
+fn a_frozen_node_goes_and_comes_back() {
+    let mut net = Net::new(7);
+    net.run(Duration::from_secs(10));
+    net.frozen[3] = true;
+    net.run(Duration::from_secs(90));
+    assert!(net.all_see(&[0, 1, 2, 4, 5, 6], &[3], false));
+    net.frozen[3] = false;
+    net.round();
+    assert!(net.all_see(&[3], &range(0, 7), true));
+    net.run(Duration::from_secs(20));
+    assert!(net.all_see(&range(0, 7), &range(0, 7), true));
+}
+
+/// A node of a large fleet is frozen for longer than any heartbeat may be old: when
+/// it goes on, it does not count out the others for its own pause.
+#[test]
+fn a_thawed_node_does_not_judge_its_own_pause() {
+    let mut net = Net::new(100);
+    net.run(Duration::from_secs(30));
+    net.frozen[3] = true;
+    net.run(Duration::from_secs(70));
+    net.frozen[3] = false;
+    for _ in 0..16 {
+        net.round();
+        assert!(net.all_see(&[3], &range(0, 100), true), "at {:?}", net.now);
+    }
+}
+
+/// A zone is cut off for an hour: each side counts the other out, keeps its own,
+/// and both find each other again when the cut heals.
+#[test]
+fn a_partition_of_an_hour_heals() {
+    let mut net = Net::new(12);
+    net.run(Duration::from_secs(15));
+    let (left, right) = (range(0, 4), range(4, 12));
+    let links = left.iter().flat_map(|a| right.iter().map(|b| (*a, *b)));
+    net.cut = links.collect();
+    net.run(Duration::from_secs(60));
+    assert!(net.all_see(&left, &right, false) && net.all_see(&right, &left, false));
+    assert!(net.all_see(&left, &left, true) && net.all_see(&right, &right, true));
+    net.run(Duration::from_secs(3540));
+    net.cut.clear();
+    net.run(Duration::from_secs(60));
+    assert!(net.all_see(&range(0, 12), &range(0, 12), true));
+}
+
+/// A node is replaced by one of the same name: news of the old start change
+/// nothing, whatever the order in which they come.
+#[test]
+fn a_later_start_replaces_an_earlier_one() {
+    let mut table = Members::new(news("a", 1), 1);
+    let old = News { state: NodeState::Draining, beat: 99, doubted: true, ..news("b", 5) };
+    let new = news("b", 6);
+    for order in [[&old, &new], [&new, &old]] {
+        for news in order {
+            table.learn(news.clone(), ROUND);
+        }
+        let seen = table.get("b").unwrap();
+        assert_eq!((seen.incarnation, seen.state, seen.doubted), (6, NodeState::Serving, false));
+    }
+}
+
+/// The clock went back between two starts of a node, so that its own older start
+/// looks later: it outbids it and is seen.
+#[test]
+fn a_start_with_an_older_clock_outbids_the_former() {
+    let mut net = Net::new(3);
+    net.run(Duration::from_secs(5));
+    net.tables[2] = Members::new(news("n2", 0), 9);
+    net.tables[2].learn(news("n0", 1), net.now);
+    net.run(Duration::from_secs(10));
+    assert!(net.tables[0].get("n2").unwrap().incarnation > 1);
+    assert!(net.all_see(&range(0, 3), &range(0, 3), true));
+}
+
+/// A node says that it drains: all know it after a few rounds, and old news of
+/// its serving do not bring it back.
+#[test]
+fn a_draining_node_stays_draining() {
+    let mut net = Net::new(12);
+    net.run(Duration::from_secs(10));
+    net.tables[5].set_state(NodeState::Draining);
+    net.run(Duration::from_secs(6));
+    net.tables[0].learn(news("n5", 1), net.now);
+    let states = net.tables.iter().filter_map(|t| t.get("n5")).map(|n| n.state);
+    assert!(states.into_iter().all(|s| s == NodeState::Draining));
+}
+
+/// A doubt about a heartbeat that is not the last one known is answered, not believed.
+#[test]
+fn an_old_doubt_is_answered() {
+    let mut table = Members::new(news("a", 1), 1);
+    table.learn(News { beat: 9, ..news("b", 1) }, ROUND);
+    while !table.message(&[]).news.is_empty() {}
+    table.learn(News { beat: 8, doubted: true, ..news("b", 1) }, ROUND);
+    assert!(table.view(ROUND).all(|(_, standing)| standing == Standing::Well));
+    let answer = table.message(&[]).news;
+    assert_eq!(answer[0].beat, 9);
+}
+
+/// A message stays small whatever the number of nodes, and its news run out.
+#[test]
+fn messages_are_bounded() {
+    let mut table = Members::new(news("a", 1), 1);
+    (0..1024).for_each(|i| {
+        table.learn(news(&name(i), 1), ROUND);
+    });
+    let message = table.message(&[1; 400]);
+    assert!(message.news.len() <= 9 && message.beats.len() <= 25 && message.wanted.len() <= 8);
+    let until = (0..20_000).find(|_| table.message(&[]).news.is_empty());
+    assert!(until.is_some());
+}
+
+/// What a node hears, in any order.
+#[derive(Debug, Clone)]
+enum Step {
+    Learn(News<u16>),
+    Miss(u8),
+    Wait(u16),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let state = prop_oneof![
+        Just(NodeState::Starting),
+        Just(NodeState::Serving),
+        Just(NodeState::Draining),
+        Just(NodeState::Gone)
+    ];
+    let learn = (0..3_u8, 0..3_u64, state, 0..4_u32, any::<bool>());
+    prop_oneof![
+        4 => learn.prop_map(|(n, incarnation, state, beat, doubted)| {
+            let name = name(n.into());
+            Step::Learn(News { state, beat, doubted, ..news(&name, incarnation) })
+        }),
+        1 => (0..3_u8).prop_map(Step::Miss),
+        1 => (0..3000_u16).prop_map(Step::Wait),
+    ]
+}
+
+/// The obvious version: all that was ever heard is kept, and read from the start.
+#[derive(Default)]
+struct Naive {
+    heard: Vec<(News<u16>, Duration)>,
+}
+
+impl Naive {
+    fn read(&self, name: &str, now: Duration) -> Option<(u64, NodeState, u32, bool)> {
+        let of = || self.heard.iter().filter(|(n, _)| &*n.name == name);
+        let incarnation = of().map(|(n, _)| n.incarnation).max()?;
+        let last = || of().filter(move |(n, _)| n.incarnation == incarnation);
+        let state = last().map(|(n, _)| n.state).max()?;
+        let beat = last().map(|(n, _)| n.beat).max()?;
+        let doubt = last().filter(|(n, _)| n.doubted && n.beat == beat).map(|(_, at)| *at).min();
+        let silent = doubt.is_some_and(|at| now - at >= Duration::from_secs(4));
+        Some((incarnation, state, beat, silent))
+    }
+}
+
+proptest! {
+    /// News come in any order, doubled, with contacts that fail in between: the
+    /// table says what a reader of the whole history says.
+    #[test]
+    fn table_equals_the_whole_history(steps in proptest::collection::vec(step(), 0..60)) {
+        let mut table = Members::new(news("own", 1), 1);
+        let mut naive = Naive::default();
+        let mut now = Duration::from_secs(1);
+        for step in steps {
+            match step {
+                Step::Learn(news) => {
+                    // A stopped node is past doubt.
+                    let stopped = naive
+                        .read(&news.name, now)
+                        .is_some_and(|s| s.0 == news.incarnation && s.1 == NodeState::Gone);
+                    let news = News {
+                        doubted: news.doubted && !stopped && news.state != NodeState::Gone,
+                        ..news
+                    };
+                    naive.heard.push((news.clone(), now));
+                    table.learn(news, now);
+                }
+                Step::Miss(n) => {
+                    let name = name(n.into());
+                    table.missed(&name, now);
+                    if let Some((incarnation, state, beat, _)) = naive.read(&name, now)
+                        && state != NodeState::Gone
+                    {
+                        let doubt = News { state, beat, doubted: true, ..news(&name, incarnation) };
+                        naive.heard.push((doubt, now));
+                    }
+                }
+                Step::Wait(ms) => now += Duration::from_millis(ms.into()),
+            }
+            let seen: BTreeMap<Name, _> = table
+                .view(now)
+                .map(|(n, s)| {
+                    let silent = s == Standing::Silent;
+                    (n.name.clone(), (n.incarnation, n.state, n.beat, silent))
+                })
+                .collect();
+            for n in 0..3 {
+                prop_assert_eq!(seen.get(&name(n)).copied(), naive.read(&name(n), now));
+            }
+        }
+    }
+}
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -1,80 +1,32 @@
 //! Nodes as processes of their own, found through the platform.
 #![allow(clippy::unwrap_used)]
 
-use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
-use std::process::{Child, Command, Stdio};
+mod common;
+
 use std::time::Duration;
 
+use common::daemon::{Daemon, Folder};
 use mulberrycourse::client::Caller;
-use mulberrycourse::edge::http::Fetch;
-use mulberrycourse::edge::peer::NodeInfo;
 use standins::engine::EngineSettings;
 use standins::fleet::Fleet;
+use standins::platform::Faults;
 
-/// A `mulberryd` process; killed when dropped.
-struct Daemon {
-    child: Child,
-    callers: SocketAddr,
-    admin: SocketAddr,
-}
+const WAIT: Duration = Duration::from_secs(20);
+/// A guard against a hang; no verdict depends on it.
+const GUARD: Duration = Duration::from_secs(120);
 
-impl Daemon {
-    fn spawn(name: &str, fleet: &Fleet, folder: &std::path::Path) -> Self {
-        let keys = fleet.signers.keys().iter();
-        let keys: String = keys
-            .map(|(n, k)| format!("{n} = {}\n", hex::encode(k.verifying_key().to_bytes())))
-            .collect();
-        let text = format!(
-            "[node]\nname = {name}\nregion = trondheim\nzone = heimdal\n\
-             callers = 127.0.0.1:0\npeers = 127.0.0.1:0\nadmin = 127.0.0.1:0\n\
-             [platform]\naddress = {}\n[drain]\nttl = 200ms\nmargin = 100ms\n\
-             [operators]\n{keys}",
-            fleet.platform.address(),
-        );
-        let path = folder.join(format!("{name}.ini"));
-        std::fs::write(&path, text).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_mulberryd"))
-            .arg("run")
-            .arg(&path)
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
-        let line = lines.by_ref().map(Result::unwrap).find(|l| l.contains("event=listening"));
-        let line = line.unwrap();
-        std::thread::spawn(move || lines.for_each(drop));
-        let field = |key: &str| {
-            let words = line.split(' ').filter_map(|w| w.split_once('='));
-            let (_, value) = words.into_iter().find(|(k, _)| *k == key).unwrap();
-            value.trim_matches('"').parse().unwrap()
-        };
-        Self { callers: field("callers"), admin: field("admin"), child }
-    }
-
-    async fn nodes(&self) -> Vec<NodeInfo> {
-        let fetch = Fetch::default();
-        fetch.get(self.admin, "/v1/state/nodes", Duration::from_secs(5)).await.unwrap_or_default()
-    }
-}
-
-impl Drop for Daemon {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
+async fn fleet() -> Fleet {
+    Fleet::spawn(0, 2, EngineSettings::default()).await.unwrap()
 }
 
 /// Three processes find each other, serve the bundle and a call, and one is killed:
 /// the others go on to answer.
 #[tokio::test(flavor = "multi_thread")]
 async fn processes_serve_and_one_is_killed() {
-    let fleet = Fleet::spawn(0, 2, EngineSettings::default()).await.unwrap();
-    let folder = std::env::temp_dir().join(format!("mulberry-processes-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).unwrap();
-    let mut daemons: Vec<Daemon> =
-        ["a", "b", "c"].iter().map(|n| Daemon::spawn(n, &fleet, &folder)).collect();
-    let wait = Duration::from_secs(20);
+    let fleet = fleet().await;
+    let folder = Folder::new();
+    let spawn = |n: &&str| Daemon::spawn(n, &fleet, &folder, &[]);
+    let mut daemons: Vec<Daemon> = ["a", "b", "c"].iter().map(spawn).collect();
     for daemon in &daemons {
         while daemon.nodes().await.iter().filter(|n| n.bundle == 1).count() < 3 {
             tokio::time::sleep(Duration::from_millis(20)).await;
@@ -82,7 +34,50 @@
     }
     drop(daemons.remove(0));
     let shop = Caller::new("shop".into(), daemons.iter().map(|d| d.callers).collect());
-    let answer = shop.call("stock", "/items/1", "", None, wait).await.unwrap();
+    let answer = shop.call("stock", "/items/1", "", None, WAIT).await.unwrap();
     assert_eq!(answer.body, "ran /items/1 ");
-    std::fs::remove_dir_all(&folder).unwrap();
+    tokio::time::timeout(GUARD, daemons[0].sees(&["b", "c"])).await.unwrap();
+}
+
+/// A process is frozen (SIGSTOP) and thawed: the others count it out and in again,
+/// and it serves as before.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_process_goes_and_comes_back() {
+    let fleet = fleet().await;
+    let folder = Folder::new();
+    let spawn = |n: &&str| Daemon::spawn(n, &fleet, &folder, &[]);
+    let daemons: Vec<Daemon> = ["a", "b", "c"].iter().map(spawn).collect();
+    let all = async {
+        for daemon in &daemons {
+            daemon.sees(&["a", "b", "c"]).await;
+        }
+        daemons[2].signal("STOP");
+        daemons[0].sees(&["a", "b"]).await;
+        daemons[1].sees(&["a", "b"]).await;
+        daemons[2].signal("CONT");
+        for daemon in &daemons {
+            daemon.sees(&["a", "b", "c"]).await;
+        }
+    };
+    tokio::time::timeout(GUARD, all).await.unwrap();
+}
+
+/// A process starts while the platform is down: it finds the others by the seeds of
+/// its settings, gets the bundle from them, and serves.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_process_joins_during_an_outage() {
+    let fleet = fleet().await;
+    let folder = Folder::new();
+    let first = Daemon::spawn("a", &fleet, &folder, &[]);
+    let second = Daemon::spawn("b", &fleet, &folder, &[]);
+    let all = async {
+        first.sees(&["a", "b"]).await;
+        fleet.platform.set_faults(Faults { down: true, ..Faults::default() });
+        let third = Daemon::spawn("c", &fleet, &folder, &[first.peers]);
+        for daemon in [&first, &second, &third] {
+            daemon.sees(&["a", "b", "c"]).await;
+        }
+        third.holds(1).await;
+    };
+    tokio::time::timeout(GUARD, all).await.unwrap();
 }
