Claims: a call under an idempotency key runs at most once across nodes

Cause of the second runs: the key was recorded nowhere. Now the key space has 16 partitions; the home of one (rendezvous hash over the serving nodes) gathers claims and commits them with one compare-and-swap of the partition's head. A new home seals the head first, so the next commit of a paused home fails by the compare. A commit without a reply is sent again unchanged: it takes effect now or conflicts with a head that has its own nonce. Only a claim that is known to be committed is granted; the node that asked keeps the answer for repeats. Ruled out: a lease as fence (its holder may be paused past it), one key a claim (one write a call), reading back the head after a lost reply (an old request may still arrive after the read; sending the same swap again settles both).

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -4,6 +4,7 @@
 //! actions. The daemon turns sockets and timers into events, and actions into I/O.
 
 mod call;
+pub mod claim;
 mod dispatch;
 mod label;
 mod limit;
--- a/src/edge/peer/message.rs
+++ b/src/edge/peer/message.rs
@@ -6,6 +6,7 @@
 
 use crate::Name;
 use crate::bundle::Envelope;
+use crate::decide::claim::{Ask, Attempt, ClaimKey, End, Verdict};
 
 /// Whether a node takes work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -49,6 +50,19 @@
     Bundle,
     /// A bundle that is later than yours.
     Offer(Envelope),
+    /// May I run this call?
+    Claim(Ask),
+    /// A claimed call ended.
+    Ended {
+        /// Its key.
+        key: ClaimKey,
+        /// The attempt.
+        nonce: u64,
+        /// How.
+        end: End,
+    },
+    /// What became of this attempt of yours?
+    Attempt(u64),
 }
 
 /// The reply to a request.
@@ -60,4 +74,10 @@
     Bundle(Option<Envelope>),
     /// Taken, or not needed.
     Noted,
+    /// The answer to a claim.
+    Verdict(Verdict),
+    /// Whether the end is recorded at this node.
+    Recorded(bool),
+    /// What became of the attempt; none if it is not known here.
+    Attempt(Option<Attempt>),
 }
--- a/src/node/app.rs
+++ b/src/node/app.rs
@@ -7,6 +7,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::bundles::Bundles;
+use super::claims::Claims;
 use super::dispatcher::Dispatcher;
 use super::lifecycle::{Event, Lifecycle, Phase};
 use super::members::Members;
@@ -37,6 +38,7 @@
     pub(super) members: Members,
     pub(super) upstreams: Upstreams,
     pub(super) steps: Steps,
+    pub(super) claims: Claims,
     /// Cancelled when the node has stopped: ends every background task.
     pub(super) cancel: CancellationToken,
     dispatchers: RwLock<HashMap<Name, Arc<Dispatcher>>>,
@@ -59,6 +61,7 @@
             members: Members::default(),
             upstreams: Upstreams::default(),
             steps: Steps::default(),
+            claims: Claims::new(&settings.node.name),
             cancel: CancellationToken::new(),
             dispatchers: RwLock::default(),
             lifecycle: Mutex::new((Lifecycle::new(), Phase::Starting)),
--- a/src/node/callers.rs
+++ b/src/node/callers.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::header::{CONTENT_TYPE, HeaderValue};
+use http::header::{CONTENT_TYPE, HeaderName, HeaderValue};
 use http::request::Parts;
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -14,13 +14,14 @@
 use serde_json::json;
 use tokio::sync::mpsc;
 use tokio_util::task::AbortOnDropHandle;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::app::App;
 use super::complete::{Whole, complete};
-use super::{plain, train};
+use super::{claims, plain, train};
 use crate::Name;
 use crate::bundle::Bundle;
+use crate::decide::claim::ClaimKey;
 use crate::decide::{Call, Class, Repeat};
 use crate::edge::http::{
     Aborted, Body, BodySender, Handler, full, json as answer, problem, read, streamed,
@@ -36,6 +37,10 @@
 const TIMEOUT: &str = "mulberry-timeout-ms";
 /// The caller that requests without a name count for.
 const NOBODY: &str = "anonymous";
+/// The longest idempotency key, in bytes.
+const KEY_LIMIT: usize = 255;
+/// The headers of an upstream's answer that are passed on.
+const RETURNED: [HeaderName; 2] = [CONTENT_TYPE, claims::REPLAYED];
 /// Chunks that wait for a slow caller.
 const BUFFER: usize = 64;
 
@@ -228,8 +233,26 @@
     })
 }
 
+/// What a call is claimed under, if it may not be repeated and has a key.
+///
+/// A service whose calls may be repeated needs no claim: a platform that is down
+/// must not keep its calls from being served.
+fn claim_key(call: &Call, service: &str, headers: &HeaderMap) -> Result<Option<ClaimKey>, Refusal> {
+    let Some(key) = headers.get(plain::KEY) else { return Ok(None) };
+    let key = key.to_str().ok().filter(|k| !k.is_empty() && k.len() <= KEY_LIMIT);
+    let bad = || {
+        let detail = format!("{}: 1 to {KEY_LIMIT} visible characters", plain::KEY);
+        Refusal::new(Kind::BadRequest, detail)
+    };
+    let key = ClaimKey::new(service, &call.caller, key.ok_or_else(bad)?);
+    Ok(match call.repeat {
+        Repeat::Idempotent => None,
+        Repeat::Once => Some(key),
+    })
+}
+
 async fn services(
-    app: &App,
+    app: &Arc<App>,
     head: &Parts,
     service: &str,
     rest: &str,
@@ -238,20 +261,35 @@
     let adopted = app.bundle()?;
     let mut call = call_of(app, &adopted.bundle, &head.headers, service)?;
     let dispatcher = app.dispatcher(service)?;
-    call.fingerprint = xxh3_64(&body) ^ xxh3_64(rest.as_bytes());
     let mut path = if rest.is_empty() { "/".to_owned() } else { rest.to_owned() };
     if let Some(query) = head.uri.query() {
         path = format!("{path}?{query}");
     }
-    let whole = plain::call(app, &dispatcher, call, head, &path, body).await?;
+    call.fingerprint = fingerprint(head, &path, &body);
+    let whole = match claim_key(&call, service, &head.headers)? {
+        None => plain::call(app, &dispatcher, call, head, &path, body).await?,
+        Some(key) => {
+            let head = head.clone();
+            let once = claims::OnceCall { key, call, head, path, body };
+            claims::once(app, &dispatcher, once).await?
+        }
+    };
     let mut response = Response::new(full(whole.body));
     *response.status_mut() = whole.status;
-    if let Some(kind) = whole.headers.get(CONTENT_TYPE) {
-        response.headers_mut().insert(CONTENT_TYPE, kind.clone());
+    for name in RETURNED {
+        if let Some(value) = whole.headers.get(&name) {
+            response.headers_mut().insert(name, value.clone());
+        }
     }
     Ok(response)
 }
 
+/// The hash of a call's content: the same when it is sent again, to any node.
+fn fingerprint(head: &Parts, path: &str, body: &[u8]) -> u64 {
+    let line = format!("{} {path}", head.method);
+    xxh3_64_with_seed(body, xxh3_64(line.as_bytes()))
+}
+
 /// The request as the decisions see it, from headers and bundle.
 fn call_of(
     app: &App,
--- /dev/null
+++ b/src/node/claims/ask.rs
@@ -0,0 +1,200 @@
+//! A node asks for a claim, and tells how the call ended.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::serve;
+use crate::Name;
+use crate::decide::claim::{
+    Ask, Attempt, ClaimKey, End, Holder, Kept, Resolution, Verdict, WAIT, Word, resolve,
+};
+use crate::edge::peer::{PeerError, Reply, Request};
+use crate::error::{Kind, Refusal};
+use crate::node::app::App;
+
+/// How long a home may take: its own longest wait, and the way.
+const LIMIT: Duration = Duration::from_millis(WAIT.as_millis() as u64 + 500);
+/// How long a runner may take to say what became of an attempt.
+const WORD: Duration = Duration::from_millis(500);
+/// Nodes that are asked in turn while the home moves, or a holder frees the key.
+const HOPS: usize = 4;
+/// Tries to tell a home of an end.
+const TELLS: u32 = 3;
+
+/// The right to run a call once. Dropped before an end is told, the outcome is unknown.
+#[derive(Debug)]
+pub(in crate::node) struct Claim {
+    app: Arc<App>,
+    key: ClaimKey,
+    nonce: u64,
+    over: bool,
+}
+
+/// How an ask for a claim ended well.
+#[derive(Debug)]
+pub(in crate::node) enum Claimed {
+    /// Run the call.
+    Mine(Claim),
+    /// It ran before; this is its answer.
+    Answered(Kept),
+}
+
+impl Claim {
+    /// Asks the home of `key` until there is a verdict.
+    pub(in crate::node) async fn take(
+        app: &Arc<App>,
+        key: ClaimKey,
+        fingerprint: u64,
+    ) -> Result<Claimed, Refusal> {
+        let unavailable = |why: &str| unavailable(why, WAIT);
+        let mut home = serve::home_of(app, key).ok_or_else(|| unavailable("no node is home"))?;
+        for _ in 0..HOPS {
+            let mut claim = Self { app: app.clone(), key, nonce: rand::random(), over: false };
+            app.claims.attempts.lock().begin(claim.nonce);
+            let runner = app.settings.node.name.clone();
+            let ask = Ask { key, fingerprint, nonce: claim.nonce, runner };
+            match claim.ask(&home, ask).await {
+                Ok(Verdict::Granted) if app.claims.attempts.lock().granted(claim.nonce) => {
+                    return Ok(Claimed::Mine(claim));
+                }
+                Ok(Verdict::Granted) => {
+                    claim.not_run();
+                    return Err(unavailable("the claim came too late"));
+                }
+                Ok(Verdict::Held(holder)) => {
+                    claim.give_up();
+                    match resolve(&holder, word(app, &holder).await) {
+                        Resolution::Answer(kept) => return Ok(Claimed::Answered(kept)),
+                        Resolution::Refuse(refusal) => return Err(refusal),
+                        Resolution::Release => {
+                            tell(app, &home, key, holder.nonce, End::NotRun).await;
+                        }
+                    }
+                }
+                Ok(Verdict::Moved(next)) => {
+                    claim.give_up();
+                    home = next;
+                }
+                Ok(Verdict::Reused) => {
+                    claim.give_up();
+                    return Err(Refusal::new(Kind::KeyReused, "the content differs"));
+                }
+                Ok(Verdict::Unavailable(after)) => {
+                    claim.give_up();
+                    return Err(self::unavailable("the claim can't be recorded", after));
+                }
+                Err(why) => {
+                    // The home may record the claim yet: it is told that nothing ran.
+                    claim.not_run();
+                    return Err(unavailable(&why));
+                }
+            }
+        }
+        Err(unavailable("the home of the key changes"))
+    }
+
+    /// The call ran.
+    pub(in crate::node) fn ran(mut self, answer: Kept) {
+        self.over = true;
+        let now = self.app.clock.now();
+        self.app.claims.attempts.lock().ran(self.nonce, answer, now);
+        self.report(End::Ran);
+    }
+
+    /// The call certainly did not run: the key can be claimed again.
+    pub(in crate::node) fn not_run(mut self) {
+        self.give_up();
+        self.report(End::NotRun);
+    }
+
+    /// The call may or may not have run.
+    pub(in crate::node) fn unknown(mut self) {
+        self.lose();
+        self.report(End::Unknown);
+    }
+
+    async fn ask(&self, home: &Name, ask: Ask) -> Result<Verdict, String> {
+        let app = &self.app;
+        if *home == app.settings.node.name {
+            return Ok(serve::verdict(app, ask).await);
+        }
+        let to = address(app, home).ok_or_else(|| format!("{home} is home and not known here"))?;
+        match app.peers.ask(to, &Request::Claim(ask), LIMIT).await {
+            Ok(Reply::Verdict(verdict)) => Ok(verdict),
+            Ok(_) => Err(format!("{home} did not understand")),
+            Err(e) => Err(e.to_string()),
+        }
+    }
+
+    /// Nothing of this attempt was or will be sent to an upstream.
+    fn give_up(&mut self) {
+        self.over = true;
+        self.app.claims.attempts.lock().not_run(self.nonce, self.app.clock.now());
+    }
+
+    fn lose(&mut self) {
+        self.over = true;
+        self.app.claims.attempts.lock().unknown(self.nonce, self.app.clock.now());
+    }
+
+    fn report(&self, end: End) {
+        let (app, key, nonce) = (self.app.clone(), self.key, self.nonce);
+        self.app.claims.calls.spawn(async move {
+            for _ in 0..TELLS {
+                let Some(home) = serve::home_of(&app, key) else { return };
+                if tell(&app, &home, key, nonce, end).await {
+                    return;
+                }
+                tokio::time::sleep(WAIT).await;
+            }
+        });
+    }
+}
+
+impl Drop for Claim {
+    fn drop(&mut self) {
+        if self.over {
+            return;
+        }
+        let pending = {
+            let attempts = self.app.claims.attempts.lock();
+            matches!(attempts.get(self.nonce), Some(Attempt::Pending))
+        };
+        if pending { self.give_up() } else { self.lose() }
+    }
+}
+
+/// Tells the home how an attempt ended. False if it does not record that.
+async fn tell(app: &App, home: &Name, key: ClaimKey, nonce: u64, end: End) -> bool {
+    if *home == app.settings.node.name {
+        return serve::ended(app, key, nonce, end);
+    }
+    let Some(to) = address(app, home) else { return false };
+    let told = app.peers.ask(to, &Request::Ended { key, nonce, end }, WORD).await;
+    matches!(told, Ok(Reply::Recorded(true)))
+}
+
+/// What the runner says of the attempt that holds a key.
+async fn word(app: &App, holder: &Holder) -> Word {
+    if holder.runner == app.settings.node.name {
+        return serve::attempt(app, holder.nonce).map_or(Word::Forgotten, Word::Known);
+    }
+    let Some(to) = address(app, &holder.runner) else { return Word::Gone };
+    match app.peers.ask(to, &Request::Attempt(holder.nonce), WORD).await {
+        Ok(Reply::Attempt(Some(attempt))) => Word::Known(attempt),
+        Ok(Reply::Attempt(None)) => Word::Forgotten,
+        Ok(_) | Err(PeerError::Connect { .. }) => Word::Gone,
+        Err(_) => Word::Silent,
+    }
+}
+
+fn address(app: &App, node: &Name) -> Option<SocketAddr> {
+    let alive = app.members.alive(app.clock.now());
+    alive.iter().find(|n| n.name == *node).map(|n| n.peers)
+}
+
+fn unavailable(why: &str, after: Duration) -> Refusal {
+    let detail = format!("{why}; this request did not run, an earlier one under the key may have");
+    Refusal::new(Kind::ClaimUnavailable, detail).after(after)
+}
--- /dev/null
+++ b/src/node/claims/claims.rs
@@ -0,0 +1,51 @@
+//! What a node holds for claims.
+
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use parking_lot::Mutex;
+use tokio_util::task::TaskTracker;
+
+use super::shard::Shard;
+use crate::Name;
+use crate::decide::claim::{Attempts, ClaimKey, PARTITIONS};
+use crate::node::app::App;
+
+/// The partitions, as far as this node is home to them, and its own attempts.
+#[derive(Debug)]
+pub(in crate::node) struct Claims {
+    shards: Vec<Shard>,
+    pub(super) attempts: Mutex<Attempts>,
+    /// Claimed calls: they go on when their caller goes away.
+    pub(in crate::node) calls: TaskTracker,
+}
+
+impl Claims {
+    /// Nothing is open yet.
+    pub(in crate::node) fn new(name: &Name) -> Self {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let shard = |partition| Shard::new(partition, name.clone(), since.as_secs());
+        Self {
+            shards: (0..PARTITIONS).map(shard).collect(),
+            attempts: Mutex::default(),
+            calls: TaskTracker::new(),
+        }
+    }
+
+    /// The shard of a key.
+    pub(super) fn shard(&self, key: ClaimKey) -> &Shard {
+        &self.shards[usize::from(key.partition())]
+    }
+
+    /// The shard of a partition.
+    pub(super) fn at(&self, partition: u16) -> &Shard {
+        &self.shards[usize::from(partition)]
+    }
+}
+
+/// Starts the tasks that drive the partitions; they end with the node.
+pub(in crate::node) fn drive(app: &Arc<App>) {
+    for partition in 0..PARTITIONS {
+        tokio::spawn(super::shard::drive(app.clone(), partition));
+    }
+}
--- /dev/null
+++ b/src/node/claims/serve.rs
@@ -0,0 +1,43 @@
+//! What this node answers peers, and itself, about claims.
+
+use std::time::Duration;
+
+use crate::decide::claim::{Ask, Attempt, ClaimKey, End, Verdict, home};
+use crate::node::app::App;
+use crate::{Name, edge::peer::NodeState};
+
+/// When to ask again a node that knows no home.
+const LATER: Duration = Duration::from_millis(500);
+
+/// Answers an ask as home, or names the node that is.
+pub(in crate::node) async fn verdict(app: &App, ask: Ask) -> Verdict {
+    let shard = app.claims.shard(ask.key);
+    if !shard.is_open() {
+        match home_of(app, ask.key) {
+            Some(home) if home == app.settings.node.name => {}
+            Some(home) => return Verdict::Moved(home),
+            None => return Verdict::Unavailable(LATER),
+        }
+    }
+    shard.ask(ask, app.clock.now()).await.unwrap_or(Verdict::Unavailable(LATER))
+}
+
+/// Records the end of a claimed call. False if this node is not home.
+pub(in crate::node) fn ended(app: &App, key: ClaimKey, nonce: u64, end: End) -> bool {
+    app.claims.shard(key).ended(key, nonce, end, app.clock.now())
+}
+
+/// What became of an attempt of this node.
+pub(in crate::node) fn attempt(app: &App, nonce: u64) -> Option<Attempt> {
+    app.claims.attempts.lock().get(nonce).cloned()
+}
+
+/// The home of a key among the nodes that serve, as this node sees them.
+pub(super) fn home_of(app: &App, key: ClaimKey) -> Option<Name> {
+    let own = app.info();
+    let mut serving = app.members.serving(app.clock.now());
+    if own.state == NodeState::Serving {
+        serving.push(own);
+    }
+    home(key.partition(), serving.iter().map(|n| &*n.name)).map(Name::from)
+}
--- /dev/null
+++ b/src/node/claims/shard.rs
@@ -0,0 +1,124 @@
+//! One partition: its journal behind a lock, and the task that does its steps.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use tokio::sync::{Notify, oneshot};
+
+use super::store;
+use crate::decide::claim::{Ask, ClaimKey, End, Journal, Step, Verdict};
+use crate::node::app::App;
+use crate::{Moment, Name};
+
+#[derive(Debug)]
+struct Inner {
+    journal: Journal,
+    waiters: HashMap<u64, oneshot::Sender<Verdict>>,
+}
+
+/// The partition.
+#[derive(Debug)]
+pub(super) struct Shard {
+    partition: u16,
+    inner: Mutex<Inner>,
+    wake: Notify,
+}
+
+impl Shard {
+    pub(super) fn new(partition: u16, name: Name, base: u64) -> Self {
+        let journal = Journal::new(name, base, rand::random());
+        let inner = Inner { journal, waiters: HashMap::new() };
+        Self { partition, inner: Mutex::new(inner), wake: Notify::new() }
+    }
+
+    /// Whether this node is home to the partition, and knows it.
+    pub(super) fn is_open(&self) -> bool {
+        self.inner.lock().journal.is_open()
+    }
+
+    /// Asks the journal. `None` if the node ends first.
+    pub(super) async fn ask(&self, ask: Ask, now: Moment) -> Option<Verdict> {
+        let (sender, receiver) = oneshot::channel();
+        {
+            let mut inner = self.inner.lock();
+            inner.waiters.insert(ask.nonce, sender);
+            inner.journal.ask(ask, now);
+        }
+        self.wake.notify_one();
+        receiver.await.ok()
+    }
+
+    /// Records an end. False if this node is not home.
+    pub(super) fn ended(&self, key: ClaimKey, nonce: u64, end: End, now: Moment) -> bool {
+        let recorded = self.inner.lock().journal.ended(key, nonce, end, now);
+        self.wake.notify_one();
+        recorded
+    }
+
+    /// Tells the journal something.
+    fn tell(&self, event: impl FnOnce(&mut Journal)) {
+        event(&mut self.inner.lock().journal);
+        self.wake.notify_one();
+    }
+
+    /// Lets time pass; answers what is decided, and returns the steps that need
+    /// the platform and the moment of the next tick.
+    fn turn(&self, now: Moment) -> (Vec<Step>, Option<Moment>) {
+        let mut inner = self.inner.lock();
+        inner.journal.tick(now);
+        let mut rest = Vec::new();
+        for step in inner.journal.steps() {
+            match step {
+                Step::Reply { nonce, verdict } => {
+                    if let Some(waiter) = inner.waiters.remove(&nonce) {
+                        let _ = waiter.send(verdict);
+                    }
+                }
+                Step::ReadHead | Step::ReadSegments(_) | Step::Swap { .. } => rest.push(step),
+            }
+        }
+        (rest, inner.journal.due())
+    }
+}
+
+/// Drives a partition until the node stops.
+pub(super) async fn drive(app: Arc<App>, partition: u16) {
+    loop {
+        let shard = app.claims.at(partition);
+        let (steps, due) = shard.turn(app.clock.now());
+        for step in steps {
+            tokio::spawn(perform(app.clone(), partition, step));
+        }
+        let due = async {
+            match due {
+                Some(at) => tokio::time::sleep_until(app.clock.instant(at)).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            () = app.cancel.cancelled() => return,
+            () = shard.wake.notified() => {}
+            () = due => {}
+        }
+    }
+}
+
+async fn perform(app: Arc<App>, partition: u16, step: Step) {
+    let shard = app.claims.at(partition);
+    match step {
+        Step::ReadHead => {
+            let read = store::head(&app.platform, partition).await;
+            shard.tell(|j| j.head_read(read, app.clock.now()));
+        }
+        Step::ReadSegments(range) => {
+            let read = store::segments(&app.platform, partition, range).await;
+            shard.tell(|j| j.segments_read(read, app.clock.now()));
+        }
+        Step::Swap { expected, head, full } => {
+            let swapped = store::swap(&app.platform, partition, expected, &head, full).await;
+            shard.tell(|j| j.swapped(swapped, app.clock.now()));
+        }
+        Step::Reply { .. } => tracing::error!(event = "claim_reply_lost", shard.partition),
+    }
+}
--- /dev/null
+++ b/src/node/claims/store.rs
@@ -0,0 +1,94 @@
+//! Heads and segments at the platform.
+
+use std::ops::Range;
+
+use crate::decide::claim::{FORMAT, Head, RING, Segment, Swapped};
+use crate::edge::peer::{decode, encode};
+use crate::edge::platform::{Kept, Platform, Swap};
+use crate::metrics::PlatformUse;
+
+fn head_key(partition: u16) -> String {
+    format!("claims/{partition:02x}/head")
+}
+
+/// The place of a segment in the ring; 16 neighbours share all but the last digit.
+fn place(partition: u16, number: u64) -> String {
+    format!("claims/{partition:02x}/segment/{:03x}", number % RING)
+}
+
+/// Reads the head, with its revision.
+pub(super) async fn head(platform: &Platform, partition: u16) -> Result<Option<(Head, u64)>, ()> {
+    match platform.get(&head_key(partition), PlatformUse::Claim).await {
+        Ok(None) => Ok(None),
+        Ok(Some(kept)) => parsed(&kept).map(|head| Some((head, kept.revision))),
+        Err(e) => {
+            tracing::warn!(event = "claim_head_unread", partition, error = %e);
+            Err(())
+        }
+    }
+}
+
+/// Reads segments; those that are not there are missing in the result.
+pub(super) async fn segments(
+    platform: &Platform,
+    partition: u16,
+    range: Range<u64>,
+) -> Result<Vec<Segment>, ()> {
+    let mut prefix = place(partition, range.start);
+    prefix.pop();
+    let listed = platform.list(&prefix, PlatformUse::Claim).await;
+    let (kept, _) = listed.map_err(|e| {
+        tracing::warn!(event = "claim_segments_unread", partition, error = %e);
+    })?;
+    let segments = kept.iter().filter_map(|k| decode::<Segment>(&k.value).ok());
+    let mut wanted: Vec<Segment> = segments.filter(|s| range.contains(&s.number)).collect();
+    wanted.sort_by_key(|s| s.number);
+    Ok(wanted)
+}
+
+/// Replaces the head, and writes a full segment with it.
+pub(super) async fn swap(
+    platform: &Platform,
+    partition: u16,
+    expected: u64,
+    head: &Head,
+    full: Option<Segment>,
+) -> Swapped {
+    let also: Result<Vec<_>, _> =
+        full.iter().map(|s| encode(s).map(|bytes| (place(partition, s.number), bytes))).collect();
+    let (Ok(value), Ok(also)) = (encode(head), also) else {
+        tracing::error!(event = "claim_unencodable", partition);
+        return Swapped::Unsent;
+    };
+    let key = head_key(partition);
+    match platform.swap(&key, expected, value, also, PlatformUse::Claim).await {
+        Swap::Done(revision) => Swapped::Done(revision),
+        Swap::Conflict(None) => Swapped::Conflict(None),
+        Swap::Conflict(Some(kept)) => {
+            let found = parsed(&kept).ok().map(|head| (head, kept.revision));
+            Swapped::Conflict(found)
+        }
+        Swap::Unknown(reason) => {
+            tracing::warn!(event = "claim_commit_unknown", partition, reason);
+            Swapped::Unknown
+        }
+        Swap::Unsent(reason) => {
+            tracing::warn!(event = "claim_commit_unsent", partition, reason);
+            Swapped::Unsent
+        }
+    }
+}
+
+fn parsed(kept: &Kept) -> Result<Head, ()> {
+    match decode::<Head>(&kept.value) {
+        Ok(head) if head.format == FORMAT => Ok(head),
+        Ok(head) => {
+            tracing::error!(event = "claim_format", key = kept.key, format = head.format);
+            Err(())
+        }
+        Err(e) => {
+            tracing::error!(event = "claim_head_garbled", key = kept.key, error = %e);
+            Err(())
+        }
+    }
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -4,6 +4,7 @@
 mod app;
 mod bundles;
 mod callers;
+mod claims;
 mod clock;
 mod complete;
 mod dispatcher;
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -13,7 +13,7 @@
 use super::identity::Identity;
 use super::lifecycle::{Event, Phase};
 use super::peers::Peers;
-use super::{bundles, orders, peers, upstreams};
+use super::{bundles, claims, orders, peers, upstreams};
 use crate::edge::http::Listener;
 use crate::edge::peer::PeerListener;
 use crate::settings::Settings;
@@ -75,6 +75,7 @@
         tokio::spawn(peers::announce(app.clone()));
         tokio::spawn(upstreams::follow(app.clone()));
         tokio::spawn(orders::follow(app.clone()));
+        claims::drive(&app);
         tokio::spawn(tick(app.clone()));
         Ok(Self { app, admin: admin_address, accept, connections })
     }
@@ -124,7 +125,11 @@
         }
         self.accept.cancel();
         self.connections.close();
-        let finished = tokio::time::timeout(drain.grace, self.connections.wait()).await.is_ok();
+        // A claimed call goes on without its caller: it counts as in flight too.
+        let calls = &self.app.claims.calls;
+        calls.close();
+        let all = async { tokio::join!(self.connections.wait(), calls.wait()) };
+        let finished = tokio::time::timeout(drain.grace, all).await.is_ok();
         if !finished {
             tracing::error!(event = "drain_cut", left = self.connections.len());
         }
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -7,6 +7,7 @@
 use rand::seq::SliceRandom;
 
 use super::app::App;
+use super::claims;
 use crate::bundle::Envelope;
 use crate::edge::peer::{NodeInfo, PeerHandler, Reply, Request};
 use crate::metrics::PlatformUse;
@@ -48,6 +49,11 @@
                 offered(app, envelope);
                 Reply::Noted
             }
+            Request::Claim(ask) => Reply::Verdict(claims::verdict(app, ask).await),
+            Request::Ended { key, nonce, end } => {
+                Reply::Recorded(claims::ended(app, key, nonce, end))
+            }
+            Request::Attempt(nonce) => Reply::Attempt(claims::attempt(app, nonce)),
         }
     }
 }
@@ -116,7 +122,7 @@
     let asked = app.peers.ask(to, &Request::Hello(app.info()), LIMIT).await;
     let known = match asked {
         Ok(Reply::Known(known)) => known,
-        Ok(Reply::Bundle(_) | Reply::Noted) => return,
+        Ok(_) => return,
         Err(e) => {
             tracing::debug!(event = "peer_silent", %to, error = %e);
             return;
