--- /dev/null
+++ b/tests/claims/golden.rs
@@ -0,0 +1,138 @@
+//! A whole session of one partition, replayed from recorded events.
+
+use std::fmt::Write;
+use std::time::Duration;
+
+use mulberrycourse::decide::claim::{
+    Ask, ClaimKey, End, Entry, Head, Journal, Segment, Step, Swapped,
+};
+use serde::Deserialize;
+
+/// An event as it was recorded, at milliseconds since the start.
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Event {
+    Ask {
+        key: String,
+        body: u64,
+        nonce: u64,
+        runner: String,
+    },
+    Ended {
+        key: String,
+        nonce: u64,
+        end: End,
+    },
+    /// The platform answers the read of the head with what it holds.
+    HeadRead,
+    HeadUnread,
+    SegmentsRead,
+    /// The platform does the last swap, and answers.
+    SwapDone,
+    /// It does the last swap, and the answer is lost.
+    SwapLost,
+    SwapUnsent,
+    /// Another node seals the partition meanwhile.
+    Sealed {
+        by: String,
+    },
+    Tick,
+}
+
+#[derive(Debug, Default)]
+struct Platform {
+    head: Option<(Head, u64)>,
+    segments: Vec<Segment>,
+    asked: Option<(u64, Head, Option<Segment>)>,
+}
+
+impl Platform {
+    fn swap(&mut self) -> Swapped {
+        let (expected, head, full) = self.asked.clone().expect("a swap was asked for");
+        let current = self.head.as_ref().map_or(0, |(_, revision)| *revision);
+        if current != expected {
+            return Swapped::Conflict(self.head.clone());
+        }
+        self.segments.extend(full);
+        self.head = Some((head, current + 1));
+        Swapped::Done(current + 1)
+    }
+}
+
+fn key(key: &str) -> ClaimKey {
+    ClaimKey::new("sync", "shop", key)
+}
+
+fn handle(journal: &mut Journal, platform: &mut Platform, event: Event, now: Duration) {
+    match event {
+        Event::Ask { key: name, body, nonce, runner } => {
+            let ask = Ask { key: key(&name), fingerprint: body, nonce, runner: runner.into() };
+            journal.ask(ask, now);
+        }
+        Event::Ended { key: name, nonce, end } => {
+            journal.ended(key(&name), nonce, end, now);
+        }
+        Event::HeadRead => journal.head_read(Ok(platform.head.clone()), now),
+        Event::HeadUnread => journal.head_read(Err(()), now),
+        Event::SegmentsRead => journal.segments_read(Ok(platform.segments.clone()), now),
+        Event::SwapDone => {
+            let ended = platform.swap();
+            journal.swapped(ended, now);
+        }
+        Event::SwapLost => {
+            platform.swap();
+            journal.swapped(Swapped::Unknown, now);
+        }
+        Event::SwapUnsent => journal.swapped(Swapped::Unsent, now),
+        Event::Sealed { by } => {
+            let (head, revision) = platform.head.as_mut().expect("there is a head");
+            *head = Head { epoch: head.epoch + 1, owner: by.into(), nonce: 0, ..head.clone() };
+            *revision += 1;
+        }
+        Event::Tick => {}
+    }
+    journal.tick(now);
+}
+
+/// One line for each step; nonces of commits are random and left out.
+fn line(step: &Step) -> String {
+    let entry = |e: &Entry| match e {
+        Entry::Claim { ask, .. } => format!("claim {:?} by {} #{}", ask.key, ask.runner, ask.nonce),
+        Entry::End { key, nonce, end } => format!("end {key:?} #{nonce} {end:?}"),
+    };
+    match step {
+        Step::Swap { expected, head, full } => {
+            let tail: Vec<String> = head.tail.iter().map(entry).collect();
+            let Head { epoch, owner, first, next, .. } = head;
+            format!(
+                "swap at {expected}: epoch {epoch} of {owner}, segments {first}..{next}, \
+                 full {}, tail [{}]",
+                full.is_some(),
+                tail.join(", "),
+            )
+        }
+        Step::ReadHead | Step::ReadSegments(_) | Step::Reply { .. } => format!("{step:?}"),
+    }
+}
+
+/// A day of one partition in short: opened, a lost reply, an outage, a repeat, a freed
+/// key, and in the end a successor that fences it.
+#[test]
+fn session() {
+    let recorded = include_str!("session.json");
+    let events: Vec<(u64, Event)> = serde_json::from_str(recorded).expect("the record parses");
+    let mut journal = Journal::new("n0".into(), 1_000_000, 1);
+    let mut platform = Platform::default();
+    let mut text = String::new();
+    for (at, event) in events {
+        let _ = writeln!(text, "{at} ms {event:?}");
+        handle(&mut journal, &mut platform, event, Duration::from_millis(at));
+        for step in journal.steps() {
+            let _ = writeln!(text, "    {}", line(&step));
+            if let Step::Swap { expected, head, full } = step {
+                platform.asked = Some((expected, head, full));
+            }
+        }
+    }
+    insta::assert_snapshot!(text);
+}
--- /dev/null
+++ b/tests/claims/world.rs
@@ -0,0 +1,430 @@
+//! Nodes, askers and a platform as plain data, with a naive map that checks them.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use mulberrycourse::Name;
+use mulberrycourse::decide::claim::{
+    Ask, Attempt, Attempts, ClaimKey, End, Head, Journal, Resolution, Segment, Step, Swapped,
+    Verdict, Word, resolve,
+};
+use mulberrycourse::error::Kind;
+
+use crate::answer;
+
+/// What happens to a call to the platform.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Fate {
+    /// It is done and answered.
+    Good,
+    /// It is done, and the reply is lost.
+    Lost,
+    /// It is refused.
+    Unsent,
+    /// It is lost on the way.
+    Vanished,
+    /// The sender gives up; it may arrive later.
+    Delayed,
+    /// A replica answers that is so many writes behind.
+    Behind(usize),
+}
+
+/// What a caller is told in the end.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Told {
+    Ran,
+    Answer(u8),
+    Reused,
+    Unknown,
+    AlreadyRan,
+    InProgress,
+    Unavailable,
+}
+
+#[derive(Debug, Clone)]
+struct Session {
+    node: usize,
+    home: usize,
+    key: u8,
+    body: u8,
+    nonce: u64,
+    hops: u32,
+}
+
+#[derive(Debug)]
+struct Node {
+    journal: Journal,
+    attempts: Attempts,
+    paused: bool,
+}
+
+/// The naive version: one map from key to body and end; no end while it may run.
+type Naive = BTreeMap<u8, (u8, Option<End>)>;
+
+#[derive(Debug)]
+pub(crate) struct World {
+    now: Duration,
+    nodes: Vec<Node>,
+    calls: Vec<(usize, Step)>,
+    late: Vec<Step>,
+    /// Every head that there was, with its revision.
+    heads: Vec<(Head, u64)>,
+    segments: HashMap<u64, Segment>,
+    sessions: Vec<Session>,
+    running: Vec<Session>,
+    naive: Naive,
+    asked: Vec<(u8, u8)>,
+    told: Vec<(u8, Told)>,
+    next: u64,
+    pub(crate) wrong: Vec<String>,
+}
+
+fn name(index: usize) -> Name {
+    format!("n{index}").into()
+}
+
+fn claim_key(key: u8) -> ClaimKey {
+    ClaimKey::new("sync", "shop", &key.to_string())
+}
+
+impl World {
+    pub(crate) fn new() -> Self {
+        let node = |index| Node {
+            journal: Journal::new(name(index), 1_000_000, index as u64),
+            attempts: Attempts::default(),
+            paused: false,
+        };
+        Self {
+            now: Duration::ZERO,
+            nodes: (0..3).map(node).collect(),
+            calls: vec![],
+            late: vec![],
+            heads: vec![],
+            segments: HashMap::new(),
+            sessions: vec![],
+            running: vec![],
+            naive: BTreeMap::new(),
+            asked: vec![],
+            told: vec![],
+            next: 0,
+            wrong: vec![],
+        }
+    }
+
+    /// What the caller who asked last under a key was told.
+    pub(crate) fn told(&self, key: u8) -> Option<Told> {
+        self.told.iter().rev().find(|(k, _)| *k == key).map(|(_, told)| told.clone())
+    }
+
+    pub(crate) fn ask(&mut self, node: usize, home: usize, key: u8, body: u8) {
+        if self.nodes[node].paused {
+            return;
+        }
+        self.asked.push((key, body));
+        self.send(Session { node, home, key, body, nonce: 0, hops: 0 });
+        self.run();
+    }
+
+    pub(crate) fn pass(&mut self, ms: u64) {
+        self.now += Duration::from_millis(ms);
+        self.run();
+    }
+
+    pub(crate) fn pause(&mut self, node: usize) {
+        self.nodes[node].paused = !self.nodes[node].paused;
+        self.run();
+    }
+
+    pub(crate) fn restart(&mut self, node: usize) {
+        self.next += 1;
+        let journal = Journal::new(name(node), 1_000_000, 1_000 + self.next);
+        self.nodes[node] = Node { journal, attempts: Attempts::default(), paused: false };
+        self.sessions.retain(|s| s.node != node);
+        self.running.retain(|s| s.node != node);
+        // What the old process sent may still arrive, and nobody waits for a reply.
+        let (gone, rest) =
+            std::mem::take(&mut self.calls).into_iter().partition(|(n, _)| *n == node);
+        self.calls = rest;
+        let gone: Vec<(usize, Step)> = gone;
+        self.late.extend(gone.into_iter().map(|(_, step)| step));
+    }
+
+    pub(crate) fn give_up(&mut self, which: usize) {
+        if self.sessions.is_empty() {
+            return;
+        }
+        let session = self.sessions.remove(which % self.sessions.len());
+        self.nodes[session.node].attempts.not_run(session.nonce, self.now);
+        self.tell(&session, Told::Unavailable);
+    }
+
+    /// Ends a granted call: 0 ran, 1 did not run, else unknown.
+    pub(crate) fn finish(&mut self, which: usize, end: u8) {
+        if self.running.is_empty() {
+            return;
+        }
+        let session = self.running.remove(which % self.running.len());
+        let end = [End::Ran, End::NotRun, End::Unknown][usize::from(end)];
+        self.naive.insert(session.key, (session.body, Some(end)));
+        let attempts = &mut self.nodes[session.node].attempts;
+        match end {
+            End::Ran => {
+                let Attempt::Ran(Some(kept)) = answer(session.body) else { unreachable!() };
+                attempts.ran(session.nonce, kept, self.now);
+            }
+            End::NotRun => attempts.not_run(session.nonce, self.now),
+            End::Unknown => attempts.unknown(session.nonce, self.now),
+        }
+        let home = &mut self.nodes[session.home];
+        if !home.paused {
+            home.journal.ended(claim_key(session.key), session.nonce, end, self.now);
+        }
+        self.run();
+    }
+
+    pub(crate) fn platform(&mut self, which: usize, fate: Fate) {
+        let ready: Vec<usize> =
+            (0..self.calls.len()).filter(|i| !self.nodes[self.calls[*i].0].paused).collect();
+        if ready.is_empty() {
+            return;
+        }
+        let (node, step) = self.calls.remove(ready[which % ready.len()]);
+        match step {
+            Step::Swap { .. } => {
+                let ended = self.swap(step, fate);
+                self.nodes[node].journal.swapped(ended, self.now);
+            }
+            Step::ReadHead => {
+                let back = match fate {
+                    Fate::Good => Some(0),
+                    Fate::Behind(back) => Some(back),
+                    Fate::Lost | Fate::Unsent | Fate::Vanished | Fate::Delayed => None,
+                };
+                let read = back.map(|back| self.head(back)).ok_or(());
+                self.nodes[node].journal.head_read(read, self.now);
+            }
+            Step::ReadSegments(range) => {
+                let read = match fate {
+                    Fate::Good => {
+                        Ok(range.filter_map(|n| self.segments.get(&n).cloned()).collect())
+                    }
+                    // The last of them is not there yet.
+                    Fate::Behind(_) => {
+                        let range = range.start..range.end - 1;
+                        Ok(range.filter_map(|n| self.segments.get(&n).cloned()).collect())
+                    }
+                    Fate::Lost | Fate::Unsent | Fate::Vanished | Fate::Delayed => Err(()),
+                };
+                self.nodes[node].journal.segments_read(read, self.now);
+            }
+            Step::Reply { .. } => unreachable!("replies are taken out at once"),
+        }
+        self.run();
+    }
+
+    pub(crate) fn late(&mut self, which: usize) {
+        if !self.late.is_empty() {
+            let step = self.late.remove(which % self.late.len());
+            self.apply(&step);
+        }
+    }
+
+    /// All faults end.
+    pub(crate) fn heal(&mut self) {
+        self.nodes.iter_mut().for_each(|n| n.paused = false);
+        for _ in 0..4 {
+            self.quiet();
+            self.pass(6_000);
+        }
+        self.quiet();
+    }
+
+    /// Lets everything end, without faults. Calls that were granted end as unknown.
+    pub(crate) fn quiet(&mut self) {
+        self.quiet_but_calls();
+        while !self.running.is_empty() {
+            self.finish(0, 2);
+        }
+        self.quiet_but_calls();
+    }
+
+    /// Lets everything but granted calls end, without faults.
+    pub(crate) fn quiet_but_calls(&mut self) {
+        for _ in 0..60 {
+            while !self.calls.is_empty() {
+                self.platform(0, Fate::Good);
+            }
+            self.pass(50);
+        }
+    }
+
+    fn swap(&mut self, step: Step, fate: Fate) -> Swapped {
+        match fate {
+            Fate::Good => match self.apply(&step) {
+                Some(revision) => Swapped::Done(revision),
+                None => Swapped::Conflict(self.head(0)),
+            },
+            Fate::Behind(back) => match self.apply(&step) {
+                Some(revision) => Swapped::Done(revision),
+                None => Swapped::Conflict(self.head(back)),
+            },
+            Fate::Lost => {
+                self.apply(&step);
+                Swapped::Unknown
+            }
+            Fate::Unsent => Swapped::Unsent,
+            Fate::Vanished => Swapped::Unknown,
+            Fate::Delayed => {
+                self.late.push(step);
+                Swapped::Unknown
+            }
+        }
+    }
+
+    /// The platform's transaction: the revision if the compare held.
+    fn apply(&mut self, step: &Step) -> Option<u64> {
+        let Step::Swap { expected, head, full } = step else { return None };
+        let current = self.heads.last().map_or(0, |(_, revision)| *revision);
+        if current != *expected {
+            return None;
+        }
+        if let Some(full) = full {
+            self.segments.insert(full.number, full.clone());
+        }
+        self.heads.push((head.clone(), current + 1));
+        Some(current + 1)
+    }
+
+    fn head(&self, back: usize) -> Option<(Head, u64)> {
+        self.heads.iter().rev().nth(back).cloned()
+    }
+
+    fn send(&mut self, mut session: Session) {
+        self.next += 1;
+        session.nonce = self.next;
+        session.hops += 1;
+        let (node, home) = (session.node, session.home);
+        self.nodes[node].attempts.begin(session.nonce);
+        let ask = Ask {
+            key: claim_key(session.key),
+            fingerprint: session.body.into(),
+            nonce: session.nonce,
+            runner: name(node),
+        };
+        self.sessions.push(session);
+        if !self.nodes[home].paused {
+            self.nodes[home].journal.ask(ask, self.now);
+        }
+    }
+
+    /// Ticks every node that does not stand still, until no more verdicts come.
+    fn run(&mut self) {
+        loop {
+            let mut replies = Vec::new();
+            for (index, node) in self.nodes.iter_mut().enumerate().filter(|(_, n)| !n.paused) {
+                node.journal.tick(self.now);
+                for step in node.journal.steps() {
+                    match step {
+                        Step::Reply { nonce, verdict } => replies.push((nonce, verdict)),
+                        Step::ReadHead | Step::ReadSegments(_) | Step::Swap { .. } => {
+                            self.calls.push((index, step));
+                        }
+                    }
+                }
+            }
+            if replies.is_empty() {
+                return;
+            }
+            for (nonce, verdict) in replies {
+                self.verdict(nonce, verdict);
+            }
+        }
+    }
+
+    fn verdict(&mut self, nonce: u64, verdict: Verdict) {
+        let Some(index) = self.sessions.iter().position(|s| s.nonce == nonce) else { return };
+        let session = self.sessions.remove(index);
+        let runner = &mut self.nodes[session.node].attempts;
+        if verdict == Verdict::Granted {
+            assert!(runner.granted(nonce));
+            self.grant(session);
+            return;
+        }
+        runner.not_run(nonce, self.now);
+        match verdict {
+            Verdict::Granted => {}
+            Verdict::Reused => {
+                if self.asked.iter().all(|(k, b)| *k != session.key || *b == session.body) {
+                    self.wrong.push(format!("{session:?}: told of a reuse that was none"));
+                }
+                self.tell(&session, Told::Reused);
+            }
+            Verdict::Unavailable(_) => self.tell(&session, Told::Unavailable),
+            Verdict::Moved(_) | Verdict::Held(_) if session.hops > 4 => {
+                self.tell(&session, Told::Unavailable);
+            }
+            Verdict::Moved(to) => {
+                let home = (0..3).find(|n| name(*n) == to).unwrap();
+                self.send(Session { home, ..session });
+            }
+            Verdict::Held(holder) => {
+                let runner = (0..3).find(|n| name(*n) == holder.runner).unwrap();
+                let node = &self.nodes[runner];
+                let word = match node.attempts.get(holder.nonce) {
+                    _ if node.paused => Word::Silent,
+                    Some(attempt) => Word::Known(attempt.clone()),
+                    None => Word::Forgotten,
+                };
+                match resolve(&holder, word) {
+                    Resolution::Answer(kept) => self.answered(&session, kept.body[0]),
+                    Resolution::Refuse(refusal) => self.refused(&session, refusal.kind),
+                    Resolution::Release => {
+                        let home = &mut self.nodes[session.home];
+                        if !home.paused {
+                            let key = claim_key(session.key);
+                            home.journal.ended(key, holder.nonce, End::NotRun, self.now);
+                        }
+                        self.send(session);
+                    }
+                }
+            }
+        }
+    }
+
+    fn grant(&mut self, session: Session) {
+        match self.naive.get(&session.key) {
+            None | Some((_, Some(End::NotRun))) => {}
+            Some(held) => self.wrong.push(format!("{session:?} granted over {held:?}")),
+        }
+        self.naive.insert(session.key, (session.body, None));
+        self.tell(&session, Told::Ran);
+        self.running.push(session);
+    }
+
+    fn answered(&mut self, session: &Session, body: u8) {
+        if self.naive.get(&session.key) != Some(&(session.body, Some(End::Ran))) {
+            self.wrong.push(format!("{session:?} got an answer that it has not"));
+        }
+        self.tell(session, Told::Answer(body));
+    }
+
+    fn refused(&mut self, session: &Session, kind: Kind) {
+        let told = match kind {
+            Kind::OutcomeUnknown => Told::Unknown,
+            Kind::InProgress => Told::InProgress,
+            Kind::AlreadyRan => {
+                let ran = matches!(self.naive.get(&session.key), Some((_, Some(End::Ran))));
+                if !ran {
+                    self.wrong.push(format!("{session:?} told that it already ran"));
+                }
+                Told::AlreadyRan
+            }
+            other => panic!("no such refusal: {other}"),
+        };
+        self.tell(session, told);
+    }
+
+    fn tell(&mut self, session: &Session, told: Told) {
+        self.told.push((session.key, told));
+    }
+}
