--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -2,6 +2,7 @@
 //! faults on order. They speak the published protocols and nothing more.
 
 pub mod caller;
+pub mod daemon;
 pub mod engine;
 pub mod fleet;
 pub mod gate;
--- /dev/null
+++ b/tests/claims_processes.rs
@@ -0,0 +1,155 @@
+//! At most once over processes that are frozen (SIGSTOP) and thawed (SIGCONT).
+#![allow(clippy::unwrap_used)]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use mulberrycourse::decide::claim::{ClaimKey, home};
+use mulberrycourse::edge::peer::NodeState;
+use standins::caller::{Answered, send};
+use standins::daemon::Daemon;
+use standins::engine::EngineSettings;
+use standins::fleet::{ANY, Fleet};
+use standins::gate::{Gate, Hold};
+use standins::plain::Faults;
+
+const POLL: Duration = Duration::from_millis(20);
+const NAMES: [&str; 3] = ["a", "b", "c"];
+
+struct Deployment {
+    fleet: Fleet,
+    /// Before the platform, for `a` alone.
+    gate: Gate,
+    daemons: Vec<Daemon>,
+    folder: std::path::PathBuf,
+}
+
+impl Deployment {
+    async fn spawn(test: &str) -> Self {
+        let fleet = Fleet::spawn(0, 0, EngineSettings::default()).await.unwrap();
+        let gate = Gate::bind(ANY, fleet.platform.address()).await.unwrap();
+        let folder = std::env::temp_dir().join(format!("mulberry-{test}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let spawn = |name: &&str| {
+            let platform = if *name == "a" { gate.address() } else { fleet.platform.address() };
+            let exe = env!("CARGO_BIN_EXE_mulberryd");
+            Daemon::spawn(exe, name, &fleet, platform, &folder).unwrap()
+        };
+        let daemons: Vec<Daemon> = NAMES.iter().map(spawn).collect();
+        let deployment = Self { fleet, gate, daemons, folder };
+        for daemon in &deployment.daemons {
+            deployment.sees(daemon, 3).await;
+        }
+        deployment
+    }
+
+    /// Waits until a daemon sees so many serving nodes.
+    async fn sees(&self, daemon: &Daemon, count: usize) {
+        let serves = |nodes: Vec<mulberrycourse::edge::peer::NodeInfo>| {
+            nodes.iter().filter(|n| n.state == NodeState::Serving).count() == count
+        };
+        while !serves(daemon.nodes().await) {
+            tokio::time::sleep(POLL).await;
+        }
+    }
+
+    fn runs(&self, body: &str) -> usize {
+        let entries = self.fleet.sync.iter().flat_map(|p| p.ledger());
+        entries.filter(|e| e.body == body).count()
+    }
+
+    async fn ask(&self, node: usize, key: &str) -> Answered {
+        at(self.daemons[node].callers, key).await
+    }
+
+    async fn settled(&self, node: usize, key: &str) -> Answered {
+        loop {
+            let answer = self.ask(node, key).await;
+            let kind = answer.problem.as_ref().map(|p| p.kind.clone()).unwrap_or_default();
+            if !kind.ends_with("in_progress") && !kind.ends_with("claim_unavailable") {
+                return answer;
+            }
+            tokio::time::sleep(POLL).await;
+        }
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+async fn at(node: SocketAddr, key: &str) -> Answered {
+    send(node, "/sync/count", Some(key), key).await.unwrap()
+}
+
+/// Keys of one partition whose home is `name`, and the key of its head.
+fn homed_at(name: &str) -> (Vec<String>, String) {
+    let partition = (0..16).find(|p| home(*p, NAMES) == Some(name)).unwrap();
+    let keys = (0..).map(|n| format!("key-{n}"));
+    let of = |key: &String| ClaimKey::new("sync", "shop", key).partition() == partition;
+    (keys.filter(of).take(2).collect(), format!("claims/{partition:02x}/head"))
+}
+
+/// The home is frozen after its commit took effect and before it reads the reply; a
+/// successor takes over and the call runs there; then the home is thawed and asked.
+/// One run, and the thawed home gives the answer of that run.
+#[tokio::test(flavor = "multi_thread")]
+async fn frozen_home_is_fenced() {
+    let test = Deployment::spawn("frozen-home").await;
+    let (keys, head) = homed_at("a");
+    assert!(test.settled(1, &keys[0]).await.problem.is_none());
+
+    let before = test.fleet.platform.value(&head);
+    test.gate.set(Hold::Replies);
+    let node = test.daemons[1].callers;
+    let key = keys[1].clone();
+    let asked = tokio::spawn(async move { at(node, &key).await });
+    while test.fleet.platform.value(&head) == before {
+        tokio::time::sleep(POLL).await;
+    }
+    test.daemons[0].freeze().unwrap();
+    test.gate.set(Hold::Nothing);
+    // The entry that changed the head may have been the end of the first call: then
+    // this one was asked of a frozen home. Either way it is not granted.
+    let refused = asked.await.unwrap();
+    assert!(refused.problem.unwrap().kind.ends_with("claim_unavailable"));
+    assert_eq!(test.runs(&keys[1]), 0);
+
+    let answer = test.settled(2, &keys[1]).await;
+    assert_eq!(answer.body, format!("ran /count {}", keys[1]));
+    test.daemons[0].thaw().unwrap();
+    for node in [0, 1, 2, 0] {
+        let again = test.settled(node, &keys[1]).await;
+        assert!(again.replayed, "{again:?}");
+    }
+    assert_eq!(test.runs(&keys[1]), 1);
+}
+
+/// The node that runs the call is frozen in the middle of it: meanwhile the caller is
+/// told that it is under way or unknown, at the other nodes. Thawed, it has the answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn frozen_runner_runs_once() {
+    let test = Deployment::spawn("frozen-runner").await;
+    let (keys, _) = homed_at("b");
+    let slow = Faults { slow_ms: 300, ..Faults::default() };
+    test.fleet.sync.iter().for_each(|p| p.set_faults(slow.clone()));
+    let node = test.daemons[0].callers;
+    let key = keys[0].clone();
+    let asked = tokio::spawn(async move { at(node, &key).await });
+    while test.runs(&keys[0]) == 0 {
+        tokio::time::sleep(POLL).await;
+    }
+    test.daemons[0].freeze().unwrap();
+    for node in [1, 2] {
+        let told = test.ask(node, &keys[0]).await.problem.unwrap();
+        assert_eq!(told.run, mulberrycourse::error::Run::Unknown, "{told:?}");
+    }
+    test.daemons[0].thaw().unwrap();
+    assert!(asked.await.unwrap().problem.is_none());
+    for node in [1, 2] {
+        assert!(test.settled(node, &keys[0]).await.replayed);
+    }
+    assert_eq!(test.runs(&keys[0]), 1);
+}
