Strict settings, control counters, and a bound on callers' connections

The INI parser joined lines that end in a backslash, stripped quotes and escapes, took a line without "=" as the start of the next key and kept the first of two equal keys: an operator's text was altered without a word. A check of each line now makes these errors with file, line, section and key, and values are literal. New errors: two listeners on one port, an address told to others that is every interface, a platform timeout of nothing, a log level that is none, two operators with one key (who could sign off alone), fewer than two operators.

Every refusal kind, retry reason, platform purpose, traffic purpose, control task and kind of state is there at 0 from the start. Bytes and messages of control traffic are counted in and out by purpose, processor time of control tasks by timing their polls, memory and processor time of the process from /proc/self. Ruled out: thread clocks, since tasks share the runtime's threads.

The callers' listener took any number of connections and a client that sent nothing held one for ever, since the head's limit began only once the protocol version was read. Both are bounded now, with a refusal over HTTP that says when to come back. Kind::ALL is a slice, so that a new kind is one line.

--- a/src/bundle/operators.rs
+++ b/src/bundle/operators.rs
@@ -31,6 +31,11 @@
         let mut operators = Self::default();
         for (name, hex) in section.all() {
             let key = parse_key(hex).map_err(|e| section.bad(&name, hex, e.to_string()))?;
+            // Two names with one key would let one operator sign off alone.
+            if let Some(other) = operators.name(&key) {
+                let reason = format!("{other} has the same key");
+                return Err(section.bad(&name, hex, reason));
+            }
             operators.add(name, key);
         }
         section.finish()?;
@@ -42,6 +47,11 @@
         self.keys.insert(name, key);
     }
 
+    /// The operator with a key.
+    pub fn name(&self, key: &VerifyingKey) -> Option<&Name> {
+        self.keys.iter().find(|(_, k)| *k == key).map(|(name, _)| name)
+    }
+
     /// The key of an operator.
     pub fn key(&self, name: &str) -> Option<&VerifyingKey> {
         self.keys.get(name)
--- a/src/edge/http/fetch.rs
+++ b/src/edge/http/fetch.rs
@@ -14,6 +14,7 @@
 use serde::de::DeserializeOwned;
 
 use super::{Body, ReadError, empty, full, read};
+use crate::metrics::Traffic;
 
 /// The largest answer that is read whole, in bytes.
 const ANSWER_LIMIT: usize = 64 << 20;
@@ -73,6 +74,7 @@
 #[derive(Debug, Clone)]
 pub struct Fetch {
     client: Client<HttpConnector, Body>,
+    traffic: Traffic,
 }
 
 impl Default for Fetch {
@@ -84,11 +86,16 @@
             .pool_idle_timeout(IDLE)
             .pool_timer(TokioTimer::new())
             .build(connector);
-        Self { client }
+        Self { client, traffic: Traffic::default() }
     }
 }
 
 impl Fetch {
+    /// A client whose bodies are counted.
+    pub fn counted(traffic: Traffic) -> Self {
+        Self { traffic, ..Self::default() }
+    }
+
     /// Sends a request and returns the answer's head and its open body.
     pub async fn send(
         &self,
@@ -112,6 +119,7 @@
         path: &str,
         limit: Duration,
     ) -> Result<T, FetchError> {
+        self.traffic.sent(0);
         let request = request(to, Method::GET, path, empty());
         self.whole(to, request, limit).await
     }
@@ -127,6 +135,7 @@
     ) -> Result<T, FetchError> {
         let bytes = serde_json::to_vec(value)
             .map_err(|e| FetchError::Garbled { to, reason: e.to_string() })?;
+        self.traffic.sent(bytes.len());
         let request = request(to, method, path, full(bytes));
         self.whole(to, request, limit).await
     }
@@ -140,6 +149,7 @@
     ) -> Result<Incoming, FetchError> {
         let bytes = serde_json::to_vec(value)
             .map_err(|e| FetchError::Garbled { to, reason: e.to_string() })?;
+        self.traffic.sent(bytes.len());
         let response = self.send(to, request(to, Method::POST, path, full(bytes))).await?;
         let status = response.status();
         if status.is_success() {
@@ -177,9 +187,11 @@
         to: SocketAddr,
         response: Response<Incoming>,
     ) -> Result<Bytes, FetchError> {
-        read(response.into_body(), ANSWER_LIMIT)
+        let bytes = read(response.into_body(), ANSWER_LIMIT)
             .await
-            .map_err(|e: ReadError| FetchError::Broken { to, reason: e.to_string() })
+            .map_err(|e: ReadError| FetchError::Broken { to, reason: e.to_string() })?;
+        self.traffic.received(bytes.len());
+        Ok(bytes)
     }
 }
 
--- a/src/edge/http/server.rs
+++ b/src/edge/http/server.rs
@@ -1,9 +1,10 @@
-//! An HTTP listener: one task per connection, closed gracefully.
+//! An HTTP listener: one task per connection, as many as are allowed, closed gracefully.
 
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use http::{Request, Response};
@@ -12,15 +13,22 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use super::Body;
+use super::{Body, problem};
+use crate::error::{Kind, Refusal};
+use crate::settings::Connections;
 
-/// How long a client may take to send the head of a request.
-const HEAD: Duration = Duration::from_secs(10);
 /// Pause after a failed accept, such as when descriptors run out.
 const PAUSE: Duration = Duration::from_millis(50);
+/// Connections over the limit that are told so at the same time; more are cut.
+const TOLD: usize = 64;
+/// How long telling them may take.
+const TELL: Duration = Duration::from_secs(1);
+/// When a refused connection may be tried again.
+const COME_BACK: Duration = Duration::from_secs(1);
 
 /// What answers the requests of a listener.
 pub trait Handler: Send + Sync + 'static {
@@ -30,6 +38,9 @@
         request: Request<Incoming>,
         from: SocketAddr,
     ) -> impl Future<Output = Response<Body>> + Send;
+
+    /// A connection was refused.
+    fn refused(&self, _kind: Kind) {}
 }
 
 /// A listener that is bound but does not accept yet.
@@ -39,6 +50,13 @@
     address: SocketAddr,
 }
 
+/// What all connections of a listener share.
+struct Shared<H> {
+    handler: Arc<H>,
+    limits: Connections,
+    cancel: CancellationToken,
+}
+
 impl Listener {
     /// Binds an address; port 0 takes a free one.
     pub async fn bind(address: SocketAddr) -> std::io::Result<Self> {
@@ -58,54 +76,96 @@
     pub fn spawn<H: Handler>(
         self,
         handler: Arc<H>,
+        limits: Connections,
         connections: &TaskTracker,
         cancel: CancellationToken,
     ) {
-        let tracker = connections.clone();
-        connections.spawn(async move {
-            loop {
-                let accepted = tokio::select! {
-                    () = cancel.cancelled() => return,
-                    accepted = self.socket.accept() => accepted,
-                };
-                match accepted {
-                    Ok((stream, from)) => {
-                        let handler = handler.clone();
-                        tracker.spawn(serve(stream, from, handler, cancel.clone()));
-                    }
-                    Err(e) => {
-                        tracing::warn!(event = "accept_failed", error = %e);
-                        tokio::time::sleep(PAUSE).await;
-                    }
-                }
+        let shared = Arc::new(Shared { handler, limits, cancel });
+        connections.spawn(accept(self.socket, shared, connections.clone()));
+    }
+}
+
+async fn accept<H: Handler>(socket: TcpListener, shared: Arc<Shared<H>>, tracker: TaskTracker) {
+    let open = Arc::new(Semaphore::new(shared.limits.most));
+    let told = Arc::new(Semaphore::new(TOLD));
+    loop {
+        let accepted = tokio::select! {
+            () = shared.cancel.cancelled() => return,
+            accepted = socket.accept() => accepted,
+        };
+        let (stream, from) = match accepted {
+            Ok(accepted) => accepted,
+            Err(e) => {
+                tracing::warn!(event = "accept_failed", error = %e);
+                tokio::time::sleep(PAUSE).await;
+                continue;
             }
-        });
+        };
+        if let Ok(permit) = open.clone().try_acquire_owned() {
+            let task = serve(stream, from, shared.clone());
+            tracker.spawn(async move {
+                task.await;
+                drop(permit);
+            });
+            continue;
+        }
+        shared.handler.refused(Kind::TooManyConnections);
+        tracing::warn!(event = "connection_refused", %from, most = shared.limits.most);
+        if let Ok(permit) = told.clone().try_acquire_owned() {
+            tracker.spawn(async move {
+                let _ = tokio::time::timeout(TELL, refuse(stream)).await;
+                drop(permit);
+            });
+        }
     }
 }
 
-async fn serve<H: Handler>(
-    stream: TcpStream,
-    from: SocketAddr,
-    handler: Arc<H>,
-    cancel: CancellationToken,
-) {
+async fn serve<H: Handler>(stream: TcpStream, from: SocketAddr, shared: Arc<Shared<H>>) {
     let _ = stream.set_nodelay(true);
+    let asked = Arc::new(AtomicBool::new(false));
+    let (handler, begun) = (shared.handler.clone(), asked.clone());
     let service = service_fn(move |request| {
+        begun.store(true, Ordering::Relaxed);
         let handler = handler.clone();
         async move { Ok::<_, Infallible>(handler.answer(request, from).await) }
     });
     let mut builder = auto::Builder::new(TokioExecutor::new());
-    builder.http1().timer(TokioTimer::new()).header_read_timeout(HEAD);
+    builder.http1().timer(TokioTimer::new()).header_read_timeout(shared.limits.head);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
-        () = cancel.cancelled() => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    // hyper's own limit begins once the protocol version is known; this one covers
+    // a client that does not even send that.
+    let first = tokio::time::sleep(shared.limits.head);
+    tokio::pin!(first);
+    let mut waited = false;
+    let ended = loop {
+        tokio::select! {
+            ended = connection.as_mut() => break ended,
+            () = shared.cancel.cancelled() => {
+                connection.as_mut().graceful_shutdown();
+                break connection.await;
+            }
+            () = first.as_mut(), if !waited => {
+                waited = true;
+                if !asked.load(Ordering::Relaxed) {
+                    tracing::info!(event = "head_late", %from);
+                    return;
+                }
+            }
         }
     };
     if let Err(e) = ended {
         tracing::debug!(event = "connection_ended", %from, error = %e);
     }
 }
+
+/// Answers the first request with the refusal, and closes.
+async fn refuse(stream: TcpStream) {
+    let service = service_fn(|_: Request<Incoming>| async {
+        let refusal = Refusal::new(Kind::TooManyConnections, "try another node").after(COME_BACK);
+        Ok::<_, Infallible>(problem(&refusal))
+    });
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder.http1().keep_alive(false);
+    let _ = builder.serve_connection(TokioIo::new(stream), service).await;
+}
--- a/src/edge/peer/client.rs
+++ b/src/edge/peer/client.rs
@@ -14,6 +14,7 @@
 use super::codec::{CodecError, VERSION, decode, encode};
 use super::server::{VERSION_HEADER, collect};
 use super::{Reply, Request};
+use crate::metrics::{Metrics, Traffic};
 
 /// How long a connection may take to open.
 const CONNECT: Duration = Duration::from_secs(1);
@@ -62,9 +63,15 @@
 #[derive(Debug, Clone, Default)]
 pub struct PeerClient {
     open: Arc<Mutex<HashMap<SocketAddr, SendRequest<Bytes>>>>,
+    metrics: Arc<Metrics>,
 }
 
 impl PeerClient {
+    /// A client whose messages are counted.
+    pub fn new(metrics: Arc<Metrics>) -> Self {
+        Self { metrics, ..Self::default() }
+    }
+
     /// Sends a request and waits for the reply.
     pub async fn ask(
         &self,
@@ -73,7 +80,9 @@
         limit: Duration,
     ) -> Result<Reply, PeerError> {
         let bytes = encode(request)?;
-        match tokio::time::timeout(limit, self.exchange(to, bytes)).await {
+        let traffic = self.metrics.traffic(request.purpose());
+        traffic.sent(bytes.len());
+        match tokio::time::timeout(limit, self.exchange(to, bytes, &traffic)).await {
             Ok(Err(e @ PeerError::Broken { .. })) => {
                 self.open.lock().remove(&to);
                 Err(e)
@@ -86,7 +95,12 @@
         }
     }
 
-    async fn exchange(&self, to: SocketAddr, bytes: Vec<u8>) -> Result<Reply, PeerError> {
+    async fn exchange(
+        &self,
+        to: SocketAddr,
+        bytes: Vec<u8>,
+        traffic: &Traffic,
+    ) -> Result<Reply, PeerError> {
         let broken = |e: h2::Error| PeerError::Broken { to, reason: e.to_string() };
         let sender = self.connection(to).await?;
         let mut sender = sender.ready().await.map_err(broken)?;
@@ -104,6 +118,7 @@
             to,
             reason: "the reply broke off or is too large".to_owned(),
         })?;
+        traffic.received(bytes.len());
         Ok(decode(&bytes)?)
     }
 
--- a/src/edge/peer/message.rs
+++ b/src/edge/peer/message.rs
@@ -6,6 +6,7 @@
 
 use crate::Name;
 use crate::bundle::Envelope;
+use crate::metrics::Purpose;
 
 /// Whether a node takes work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -51,6 +52,16 @@
     Offer(Envelope),
 }
 
+impl Request {
+    /// What its bytes, and those of its reply, count for.
+    pub fn purpose(&self) -> Purpose {
+        match self {
+            Self::Hello(_) => Purpose::Hello,
+            Self::Bundle | Self::Offer(_) => Purpose::Bundle,
+        }
+    }
+}
+
 /// The reply to a request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
--- a/src/edge/peer/server.rs
+++ b/src/edge/peer/server.rs
@@ -14,6 +14,7 @@
 
 use super::codec::{MESSAGE_LIMIT, VERSION, decode, encode};
 use super::{Reply, Request};
+use crate::metrics::Metrics;
 
 /// The header that names the protocol version.
 pub(super) const VERSION_HEADER: &str = "mulberry-peer-version";
@@ -22,6 +23,9 @@
 pub trait PeerHandler: Send + Sync + 'static {
     /// Answers one request.
     fn reply(self: Arc<Self>, request: Request) -> impl Future<Output = Reply> + Send;
+
+    /// Where messages are counted.
+    fn metrics(&self) -> &Metrics;
 }
 
 /// A listener that is bound but does not accept yet.
@@ -121,8 +125,12 @@
         respond.send_reset(Reason::ENHANCE_YOUR_CALM);
         return;
     };
-    let reply = match decode::<Request>(&bytes) {
-        Ok(request) => handler.reply(request).await,
+    let (reply, traffic) = match decode::<Request>(&bytes) {
+        Ok(request) => {
+            let traffic = handler.metrics().traffic(request.purpose());
+            traffic.received(bytes.len());
+            (handler.reply(request).await, traffic)
+        }
         Err(e) => {
             tracing::warn!(event = "peer_undecodable", error = %e);
             answer(&mut respond, StatusCode::BAD_REQUEST, Vec::new());
@@ -130,7 +138,10 @@
         }
     };
     match encode(&reply) {
-        Ok(bytes) => answer(&mut respond, StatusCode::OK, bytes),
+        Ok(bytes) => {
+            traffic.sent(bytes.len());
+            answer(&mut respond, StatusCode::OK, bytes);
+        }
         Err(e) => {
             tracing::error!(event = "peer_unencodable", error = %e);
             answer(&mut respond, StatusCode::INTERNAL_SERVER_ERROR, Vec::new());
--- a/src/edge/platform/platform.rs
+++ b/src/edge/platform/platform.rs
@@ -18,7 +18,7 @@
 };
 use super::{Kept, Swap, Vm};
 use crate::edge::http::{Fetch, FetchError};
-use crate::metrics::{Metrics, PlatformUse};
+use crate::metrics::{Metrics, PlatformUse, Purpose};
 
 /// The longest line of a watch: a value of a megabyte in base64, with room.
 const WATCH_LINE: usize = 4 << 20;
@@ -38,7 +38,8 @@
 impl Platform {
     /// A client; nothing is sent yet.
     pub fn new(address: SocketAddr, timeout: Duration, metrics: Arc<Metrics>) -> Self {
-        Self { address, timeout, fetch: Fetch::default(), metrics }
+        let fetch = Fetch::counted(metrics.traffic(Purpose::Platform));
+        Self { address, timeout, fetch, metrics }
     }
 
     /// Reads a key.
@@ -129,7 +130,9 @@
         let codec = LinesCodec::new_with_max_length(WATCH_LINE);
         let lines = FramedRead::new(StreamReader::new(bytes), codec);
         let broken = move |e: String| FetchError::Broken { to, reason: e };
+        let traffic = self.metrics.traffic(Purpose::Platform);
         let changes = lines.flat_map(move |line| {
+            traffic.received(line.as_ref().map_or(0, String::len));
             let message = line
                 .map_err(|e| broken(e.to_string()))
                 .and_then(|l| serde_json::from_str(&l).map_err(|e| broken(e.to_string())));
--- a/src/edge/upstream/engine.rs
+++ b/src/edge/upstream/engine.rs
@@ -13,6 +13,7 @@
 use super::{Chunk, Completion, Failure, Load, Order, OrderReply};
 use crate::decide::Outcome;
 use crate::edge::http::{Fetch, FetchError};
+use crate::metrics::Traffic;
 
 /// The last event of a whole stream.
 const DONE: &str = "[DONE]";
@@ -41,9 +42,15 @@
 #[derive(Debug, Clone, Default)]
 pub struct EngineClient {
     fetch: Fetch,
+    control: Fetch,
 }
 
 impl EngineClient {
+    /// A client whose load reports and orders are counted.
+    pub fn counted(traffic: Traffic) -> Self {
+        Self { fetch: Fetch::default(), control: Fetch::counted(traffic) }
+    }
+
     /// Starts a completion. The engine streams, whatever the caller asked for.
     pub async fn complete(&self, to: SocketAddr, request: &Completion) -> Result<Chunks, Failure> {
         let request = Completion { stream: true, ..request.clone() };
@@ -69,7 +76,7 @@
 
     /// Reads an engine's report of itself.
     pub async fn load(&self, to: SocketAddr, limit: Duration) -> Result<Load, FetchError> {
-        self.fetch.get(to, "/load", limit).await
+        self.control.get(to, "/load", limit).await
     }
 
     /// Gives an order.
@@ -79,7 +86,7 @@
         order: Order,
         limit: Duration,
     ) -> Result<OrderReply, FetchError> {
-        self.fetch.call(to, Method::POST, "/orders", &order, limit).await
+        self.control.call(to, Method::POST, "/orders", &order, limit).await
     }
 }
 
--- a/src/error/answer.rs
+++ b/src/error/answer.rs
@@ -115,6 +115,12 @@
             Self::PeerVersion => {
                 row(S::UPGRADE_REQUIRED, NotRun, false, "the peer speaks another version")
             }
+            Self::TooManyConnections => row(
+                S::SERVICE_UNAVAILABLE,
+                NotRun,
+                true,
+                "the node has as many connections open as it takes",
+            ),
             Self::Internal => row(S::INTERNAL_SERVER_ERROR, Unknown, false, "the node failed"),
         }
     }
--- a/src/error/kind.rs
+++ b/src/error/kind.rs
@@ -59,13 +59,15 @@
     Stale,
     /// The peer speaks another protocol version.
     PeerVersion,
+    /// The node has as many connections open as it takes.
+    TooManyConnections,
     /// The node failed in a way that it has no other word for.
     Internal,
 }
 
 impl Kind {
     /// Every kind, in the order of the list.
-    pub const ALL: [Self; 26] = [
+    pub const ALL: &[Self] = &[
         Self::BadRequest,
         Self::BodyTooLarge,
         Self::UnsupportedMedia,
@@ -91,6 +93,7 @@
         Self::Quarantined,
         Self::Stale,
         Self::PeerVersion,
+        Self::TooManyConnections,
         Self::Internal,
     ];
 
@@ -122,6 +125,7 @@
             Self::Quarantined => "quarantined",
             Self::Stale => "stale",
             Self::PeerVersion => "peer_version",
+            Self::TooManyConnections => "too_many_connections",
             Self::Internal => "internal",
         }
     }
--- /dev/null
+++ b/src/metrics/labels.rs
@@ -0,0 +1,149 @@
+//! What counters are told apart by: closed sets, each with the list of all.
+
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder};
+
+use crate::error::Kind;
+
+/// Why an attempt was made again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum RetryReason {
+    /// The last one was not sent.
+    Unsent,
+    /// The upstream refused the last one.
+    Refused,
+    /// The last one broke off, and the request may be repeated.
+    Unknown,
+}
+
+impl RetryReason {
+    /// Every reason: each is counted from 0 on.
+    pub const ALL: &[Self] = &[Self::Unsent, Self::Refused, Self::Unknown];
+}
+
+/// What a call to the platform was for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum PlatformUse {
+    /// Reading or watching the bundle.
+    Bundle,
+    /// Claims of requests that run at most once.
+    Claim,
+    /// The list of VMs.
+    Vms,
+    /// This node's own entry.
+    Node,
+}
+
+impl PlatformUse {
+    /// Every purpose.
+    pub const ALL: &[Self] = &[Self::Bundle, Self::Claim, Self::Vms, Self::Node];
+}
+
+/// What control traffic was for. Peer messages have a purpose each.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum Purpose {
+    /// Requests to the platform and its answers.
+    Platform,
+    /// Load reports of engines, and orders to them.
+    Order,
+    /// Membership, between nodes.
+    Hello,
+    /// The bundle, between nodes.
+    Bundle,
+}
+
+impl Purpose {
+    /// Every purpose.
+    pub const ALL: &[Self] = &[Self::Platform, Self::Order, Self::Hello, Self::Bundle];
+}
+
+/// Which way bytes went.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum Way {
+    /// To this node.
+    In,
+    /// From this node.
+    Out,
+}
+
+/// What a control task does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum Task {
+    /// Follows the bundle.
+    Bundle,
+    /// Talks with the other nodes.
+    Members,
+    /// Keeps this node's entry at the platform.
+    Announce,
+    /// Follows the list of VMs.
+    Upstreams,
+    /// Gives orders to engines.
+    Orders,
+    /// Gives up on what waited too long.
+    Tick,
+}
+
+impl Task {
+    /// Every task.
+    pub const ALL: &[Self] =
+        &[Self::Bundle, Self::Members, Self::Announce, Self::Upstreams, Self::Orders, Self::Tick];
+}
+
+/// State that a node holds, by kind.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum Entry {
+    /// Other nodes.
+    Member,
+    /// Upstream VMs.
+    Upstream,
+    /// Requests that wait.
+    Waiting,
+    /// Attempts in flight.
+    Running,
+    /// Steps of trainers.
+    Step,
+    /// Open connections of callers.
+    Connection,
+}
+
+impl Entry {
+    /// Every kind.
+    pub const ALL: &[Self] =
+        &[Self::Member, Self::Upstream, Self::Waiting, Self::Running, Self::Step, Self::Connection];
+}
+
+impl EncodeLabelValue for Kind {
+    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> Result<(), std::fmt::Error> {
+        EncodeLabelValue::encode(&self.as_str(), encoder)
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct KindLabel {
+    pub(super) kind: Kind,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct ReasonLabel {
+    pub(super) reason: RetryReason,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct UseLabel {
+    pub(super) purpose: PlatformUse,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct TrafficLabel {
+    pub(super) purpose: Purpose,
+    pub(super) way: Way,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct TaskLabel {
+    pub(super) task: Task,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct EntryLabel {
+    pub(super) kind: Entry,
+}
--- a/src/metrics/metrics.rs
+++ b/src/metrics/metrics.rs
@@ -1,61 +1,20 @@
 //! The counters of one process, for `/metrics`.
 
+use std::future::Future;
 use std::sync::atomic::AtomicI64;
 
 use parking_lot::Mutex;
-use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
+use super::labels::{EntryLabel, KindLabel, ReasonLabel, TaskLabel, TrafficLabel, UseLabel};
+use super::process::Process;
+use super::timed::Seconds;
+use super::{Entry, PlatformUse, Purpose, RetryReason, Task, Timed, Traffic, Way};
 use crate::error::Kind;
 
-/// Why an attempt was made again.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
-pub enum RetryReason {
-    /// The last one was not sent.
-    Unsent,
-    /// The upstream refused the last one.
-    Refused,
-    /// The last one broke off, and the request may be repeated.
-    Unknown,
-}
-
-/// What a call to the platform was for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
-pub enum PlatformUse {
-    /// Reading or watching the bundle.
-    Bundle,
-    /// Claims of requests that run at most once.
-    Claim,
-    /// The list of VMs.
-    Vms,
-    /// This node's own entry.
-    Node,
-}
-
-impl EncodeLabelValue for Kind {
-    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> Result<(), std::fmt::Error> {
-        EncodeLabelValue::encode(&self.as_str(), encoder)
-    }
-}
-
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct KindLabel {
-    kind: Kind,
-}
-
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct ReasonLabel {
-    reason: RetryReason,
-}
-
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct UseLabel {
-    purpose: PlatformUse,
-}
-
 /// Everything that the node counts.
 #[derive(Debug)]
 pub struct Metrics {
@@ -63,6 +22,10 @@
     refusals: Family<KindLabel, Counter>,
     retries: Family<ReasonLabel, Counter>,
     platform: Family<UseLabel, Counter>,
+    traffic: Family<TrafficLabel, Counter>,
+    messages: Family<TrafficLabel, Counter>,
+    control: Family<TaskLabel, Seconds>,
+    entries: Family<EntryLabel, Gauge>,
     /// Number of the bundle in force.
     pub bundle: Gauge<i64, AtomicI64>,
     /// Requests in flight.
@@ -75,38 +38,73 @@
 
 impl Default for Metrics {
     fn default() -> Self {
-        let refusals = Family::<KindLabel, Counter>::default();
-        let retries = Family::<ReasonLabel, Counter>::default();
-        let platform = Family::<UseLabel, Counter>::default();
-        let bundle = Gauge::default();
-        let inflight = Gauge::default();
-        let samples = Counter::default();
-        let discarded = Counter::default();
-        let mut registry = Registry::with_prefix("mulberry");
-        registry.register("refusals", "Final answers that refuse, by kind", refusals.clone());
-        registry.register("retries", "Attempts made again, by reason", retries.clone());
-        registry.register("platform_calls", "Calls to the platform", platform.clone());
-        registry.register("bundle_number", "Number of the bundle in force", bundle.clone());
-        registry.register("inflight", "Requests in flight", inflight.clone());
-        registry.register("samples", "Samples handed over", samples.clone());
-        registry.register("samples_discarded", "Samples not handed over", discarded.clone());
-        for kind in Kind::ALL {
-            drop(refusals.get_or_create(&KindLabel { kind }));
-        }
-        Self {
-            registry: Mutex::new(registry),
-            refusals,
-            retries,
-            platform,
-            bundle,
-            inflight,
-            samples,
-            discarded,
-        }
+        let metrics = Self {
+            registry: Mutex::new(Registry::with_prefix("mulberry")),
+            refusals: Family::default(),
+            retries: Family::default(),
+            platform: Family::default(),
+            traffic: Family::default(),
+            messages: Family::default(),
+            control: Family::default(),
+            entries: Family::default(),
+            bundle: Gauge::default(),
+            inflight: Gauge::default(),
+            samples: Counter::default(),
+            discarded: Counter::default(),
+        };
+        metrics.register();
+        metrics.start_at_zero();
+        metrics
     }
 }
 
 impl Metrics {
+    fn register(&self) {
+        let mut all = self.registry.lock();
+        all.register("refusals", "Final answers that refuse, by kind", self.refusals.clone());
+        all.register("retries", "Attempts made again, by reason", self.retries.clone());
+        let help = "Calls to the platform, by purpose";
+        all.register("platform_calls", help, self.platform.clone());
+        let help = "Bytes of control bodies and messages, by purpose and way";
+        all.register("control_bytes", help, self.traffic.clone());
+        let help = "Control bodies and messages, by purpose and way";
+        all.register("control_messages", help, self.messages.clone());
+        let help = "Processor time of control tasks, in seconds";
+        all.register("control_seconds", help, self.control.clone());
+        all.register("state_entries", "Entries of state held here, by kind", self.entries.clone());
+        all.register("bundle_number", "Number of the bundle in force", self.bundle.clone());
+        all.register("inflight", "Requests in flight", self.inflight.clone());
+        all.register("samples", "Samples handed over", self.samples.clone());
+        all.register("samples_discarded", "Samples not handed over", self.discarded.clone());
+        all.register_collector(Box::new(Process));
+    }
+
+    /// A counter that is missing reads as one that was never watched: each is there from
+    /// the start.
+    fn start_at_zero(&self) {
+        for kind in Kind::ALL.iter().copied() {
+            drop(self.refusals.get_or_create(&KindLabel { kind }));
+        }
+        for reason in RetryReason::ALL.iter().copied() {
+            drop(self.retries.get_or_create(&ReasonLabel { reason }));
+        }
+        for purpose in PlatformUse::ALL.iter().copied() {
+            drop(self.platform.get_or_create(&UseLabel { purpose }));
+        }
+        for purpose in Purpose::ALL.iter().copied() {
+            for way in [Way::In, Way::Out] {
+                drop(self.traffic.get_or_create(&TrafficLabel { purpose, way }));
+                drop(self.messages.get_or_create(&TrafficLabel { purpose, way }));
+            }
+        }
+        for task in Task::ALL.iter().copied() {
+            drop(self.control.get_or_create(&TaskLabel { task }));
+        }
+        for kind in Entry::ALL.iter().copied() {
+            drop(self.entries.get_or_create(&EntryLabel { kind }));
+        }
+    }
+
     /// Counts a refusal.
     pub fn refused(&self, kind: Kind) {
         self.refusals.get_or_create(&KindLabel { kind }).inc();
@@ -122,10 +120,32 @@
         self.platform.get_or_create(&UseLabel { purpose }).inc();
     }
 
+    /// The counters of one purpose of control traffic.
+    pub fn traffic(&self, purpose: Purpose) -> Traffic {
+        let bytes = |way| self.traffic.get_or_create(&TrafficLabel { purpose, way }).clone();
+        let messages = |way| self.messages.get_or_create(&TrafficLabel { purpose, way }).clone();
+        Traffic {
+            sent: bytes(Way::Out),
+            received: bytes(Way::In),
+            messages_out: messages(Way::Out),
+            messages_in: messages(Way::In),
+        }
+    }
+
+    /// Counts the processor time of a control task.
+    pub fn timed<F: Future>(&self, task: Task, future: F) -> Timed<F> {
+        Timed::new(future, self.control.get_or_create(&TaskLabel { task }).clone())
+    }
+
+    /// Sets how many entries of a kind are held.
+    pub fn held(&self, kind: Entry, count: usize) {
+        self.entries.get_or_create(&EntryLabel { kind }).set(count as i64);
+    }
+
     /// Refusals so far, by kind.
     pub fn refusals(&self) -> Vec<(Kind, u64)> {
         let count = |kind| self.refusals.get_or_create(&KindLabel { kind }).get();
-        Kind::ALL.into_iter().map(|kind| (kind, count(kind))).collect()
+        Kind::ALL.iter().map(|kind| (*kind, count(*kind))).collect()
     }
 
     /// The text that `/metrics` answers.
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -1,5 +1,12 @@
 //! What the node counts.
 
+mod labels;
 mod metrics;
+mod process;
+mod timed;
+mod traffic;
 
-pub use metrics::{Metrics, PlatformUse, RetryReason};
+pub use labels::{Entry, PlatformUse, Purpose, RetryReason, Task, Way};
+pub use metrics::Metrics;
+pub use timed::Timed;
+pub use traffic::Traffic;
--- /dev/null
+++ b/src/metrics/timed.rs
@@ -0,0 +1,37 @@
+//! A future that counts the time that its polls take: the processor time of a
+//! task that never blocks.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::atomic::AtomicU64;
+use std::task::{Context, Poll};
+use std::time::Instant;
+
+use prometheus_client::metrics::counter::Counter;
+
+/// Seconds, as they add up.
+pub(super) type Seconds = Counter<f64, AtomicU64>;
+
+/// A future whose polls are timed.
+#[derive(Debug)]
+pub struct Timed<F> {
+    future: Pin<Box<F>>,
+    seconds: Seconds,
+}
+
+impl<F> Timed<F> {
+    pub(super) fn new(future: F, seconds: Seconds) -> Self {
+        Self { future: Box::pin(future), seconds }
+    }
+}
+
+impl<F: Future> Future for Timed<F> {
+    type Output = F::Output;
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<F::Output> {
+        let began = Instant::now();
+        let polled = self.future.as_mut().poll(context);
+        self.seconds.inc_by(began.elapsed().as_secs_f64());
+        polled
+    }
+}
--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -3,9 +3,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use http::header::{CONTENT_TYPE, HeaderValue};
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
+use tokio_util::task::TaskTracker;
 
 use super::app::App;
 use super::lifecycle::Phase;
@@ -13,6 +15,7 @@
 use crate::edge::http::{Body, Handler, full, json, problem};
 use crate::edge::peer::NodeInfo;
 use crate::error::{Kind, Refusal};
+use crate::metrics::Entry;
 
 /// The bundle in force at a node.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -51,6 +54,7 @@
 #[derive(Debug)]
 pub(super) struct Admin {
     pub(super) app: Arc<App>,
+    pub(super) callers: TaskTracker,
 }
 
 impl Handler for Admin {
@@ -62,7 +66,12 @@
         match request.uri().path() {
             "/healthz" => text(StatusCode::OK, "ok\n".to_owned()),
             "/readyz" => ready(app),
-            "/metrics" => text(StatusCode::OK, app.metrics.text()),
+            "/metrics" => {
+                // One of them is the listener itself.
+                let open = self.callers.len().saturating_sub(1);
+                app.metrics.held(Entry::Connection, open);
+                metrics(app)
+            }
             "/v1/state/bundle" => match app.bundles.current() {
                 None => problem(&Refusal::new(Kind::NoBundle, "none is in force")),
                 Some(adopted) => json(
@@ -81,6 +90,21 @@
     }
 }
 
+fn metrics(app: &App) -> Response<Body> {
+    let held = |kind, count| app.metrics.held(kind, count);
+    held(Entry::Member, app.members.held());
+    held(Entry::Upstream, app.upstreams.list().len());
+    held(Entry::Step, app.steps.held());
+    let depths = app.dispatchers().into_iter().map(|(_, d)| d.held());
+    let (waiting, running) = depths.fold((0, 0), |sum, d| (sum.0 + d.0, sum.1 + d.1));
+    held(Entry::Waiting, waiting);
+    held(Entry::Running, running);
+    let kind = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+    let mut response = text(StatusCode::OK, app.metrics.text());
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(kind));
+    response
+}
+
 fn ready(app: &App) -> Response<Body> {
     let phase = app.phase();
     match phase {
--- a/src/node/app.rs
+++ b/src/node/app.rs
@@ -20,7 +20,7 @@
 use crate::edge::platform::Platform;
 use crate::edge::upstream::{EngineClient, PlainClient};
 use crate::error::{Kind, Refusal};
-use crate::metrics::Metrics;
+use crate::metrics::{Metrics, Purpose};
 use crate::settings::Settings;
 
 /// The context of a node.
@@ -52,8 +52,8 @@
         Self {
             clock: Clock::default(),
             platform,
-            peers: PeerClient::default(),
-            engines: EngineClient::default(),
+            peers: PeerClient::new(metrics.clone()),
+            engines: EngineClient::counted(metrics.traffic(Purpose::Order)),
             plain: PlainClient,
             bundles: Bundles::new(settings.operators.clone()),
             members: Members::default(),
--- a/src/node/callers.rs
+++ b/src/node/callers.rs
@@ -34,6 +34,8 @@
 const CALLER: &str = "mulberry-caller";
 /// The header that says how long the caller waits, in milliseconds.
 const TIMEOUT: &str = "mulberry-timeout-ms";
+/// The longest value of a header that we read, in bytes.
+const HEADER_LIMIT: usize = 128;
 /// The caller that requests without a name count for.
 const NOBODY: &str = "anonymous";
 /// Chunks that wait for a slow caller.
@@ -65,6 +67,10 @@
             problem(&refusal)
         })
     }
+
+    fn refused(&self, kind: Kind) {
+        self.app.metrics.refused(kind);
+    }
 }
 
 async fn route(app: &Arc<App>, request: Request<Incoming>) -> Result<Response<Body>, Refusal> {
@@ -262,10 +268,9 @@
     let spec = bundle.services.get(service).ok_or_else(|| {
         Refusal::new(Kind::UnknownService, format!("no service {service} in the bundle"))
     })?;
-    let text = |name| headers.get(name).and_then(|v: &HeaderValue| v.to_str().ok());
-    let caller = text(CALLER).unwrap_or(NOBODY);
+    let caller = one(headers, CALLER)?.unwrap_or(NOBODY);
     let class = bundle.callers.get(caller).map_or(Class::Live, |c| c.class);
-    let wait = match text(TIMEOUT) {
+    let wait = match one(headers, TIMEOUT)? {
         None => spec.deadline,
         Some(ms) => Duration::from_millis(ms.parse().map_err(|_| {
             Refusal::new(Kind::BadRequest, format!("{TIMEOUT}: {ms} is no number"))
@@ -282,6 +287,22 @@
     })
 }
 
+/// The value of a header that may be there once, as text of 1 to 128 characters.
+fn one<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Refusal> {
+    let bad = |what: &str| Refusal::new(Kind::BadRequest, format!("{name}: {what}"));
+    let mut all = headers.get_all(name).iter();
+    let Some(value) = all.next() else { return Ok(None) };
+    if all.next().is_some() {
+        return Err(bad("is there more than once"));
+    }
+    let text = value.to_str().map_err(|_| bad("is no ASCII text"))?.trim();
+    match text.len() {
+        1..=HEADER_LIMIT => Ok(Some(text)),
+        0 => Err(bad("is empty")),
+        _ => Err(bad("is too long")),
+    }
+}
+
 fn method(head: &Parts, wanted: &Method) -> Result<(), Refusal> {
     if head.method == *wanted {
         return Ok(());
--- a/src/node/dispatcher.rs
+++ b/src/node/dispatcher.rs
@@ -91,6 +91,12 @@
         inner.deliver();
     }
 
+    /// Requests that wait, and attempts in flight.
+    pub(super) fn held(&self) -> (usize, usize) {
+        let inner = self.inner.lock();
+        (inner.dispatch.waiting(), inner.dispatch.running())
+    }
+
     async fn turn(
         self: &Arc<Self>,
         ticket: Ticket,
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -77,6 +77,11 @@
         alive.filter(|info| info.state == NodeState::Serving).collect()
     }
 
+    /// How many other nodes are known, heard lately or not.
+    pub(super) fn held(&self) -> usize {
+        self.known.read().len()
+    }
+
     /// Where all known nodes listen for peers.
     pub(super) fn addresses(&self) -> Vec<SocketAddr> {
         self.known.read().values().map(|m| m.info.peers).collect()
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -16,7 +16,8 @@
 use super::{bundles, orders, peers, upstreams};
 use crate::edge::http::Listener;
 use crate::edge::peer::PeerListener;
-use crate::settings::Settings;
+use crate::metrics::Task;
+use crate::settings::{Connections, Settings};
 
 /// Time between two looks at what waits.
 const TICK: Duration = Duration::from_millis(20);
@@ -65,17 +66,21 @@
             peers = %peer.address(),
             admin = %admin_address,
         );
-        callers.spawn(Arc::new(Callers { app: app.clone() }), &connections, accept.clone());
+        let limits = app.settings.connections;
+        let handler = Arc::new(Callers { app: app.clone() });
+        callers.spawn(handler, limits, &connections, accept.clone());
         // Operators and peers are answered until the end, also while the node drains.
         let rest = TaskTracker::new();
-        admin.spawn(Arc::new(Admin { app: app.clone() }), &rest, app.cancel.clone());
+        let handler = Arc::new(Admin { app: app.clone(), callers: connections.clone() });
+        admin.spawn(handler, Connections::default(), &rest, app.cancel.clone());
         peer.spawn(Arc::new(Peers { app: app.clone() }), &rest, app.cancel.clone());
-        tokio::spawn(bundles::follow(app.clone()));
-        tokio::spawn(peers::gossip(app.clone()));
-        tokio::spawn(peers::announce(app.clone()));
-        tokio::spawn(upstreams::follow(app.clone()));
-        tokio::spawn(orders::follow(app.clone()));
-        tokio::spawn(tick(app.clone()));
+        let all = &app.metrics;
+        tokio::spawn(all.timed(Task::Bundle, bundles::follow(app.clone())));
+        tokio::spawn(all.timed(Task::Members, peers::gossip(app.clone())));
+        tokio::spawn(all.timed(Task::Announce, peers::announce(app.clone())));
+        tokio::spawn(all.timed(Task::Upstreams, upstreams::follow(app.clone())));
+        tokio::spawn(all.timed(Task::Orders, orders::follow(app.clone())));
+        tokio::spawn(all.timed(Task::Tick, tick(app.clone())));
         Ok(Self { app, admin: admin_address, accept, connections })
     }
 
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -9,7 +9,7 @@
 use super::app::App;
 use crate::bundle::Envelope;
 use crate::edge::peer::{NodeInfo, PeerHandler, Reply, Request};
-use crate::metrics::PlatformUse;
+use crate::metrics::{Metrics, PlatformUse, Task};
 
 /// Time between two rounds.
 const ROUND: Duration = Duration::from_millis(500);
@@ -50,6 +50,10 @@
             }
         }
     }
+
+    fn metrics(&self) -> &Metrics {
+        &self.app.metrics
+    }
 }
 
 /// Asks some nodes in each round, until the node stops.
@@ -62,7 +66,7 @@
         }
         app.members.forget(app.clock.now());
         for to in targets(&app) {
-            tokio::spawn(greet(app.clone(), to));
+            tokio::spawn(app.metrics.timed(Task::Members, greet(app.clone(), to)));
         }
     }
 }
--- a/src/node/train.rs
+++ b/src/node/train.rs
@@ -68,6 +68,11 @@
 }
 
 impl Steps {
+    /// How many steps are held.
+    pub(super) fn held(&self) -> usize {
+        self.shards.iter().map(|s| s.lock().len()).sum()
+    }
+
     fn shard(&self, key: &Key) -> &Mutex<HashMap<Key, Arc<Held>>> {
         let hash = xxh3_64(key.0.as_bytes()).wrapping_add(key.1);
         &self.shards[hash as usize % SHARDS]
--- a/src/settings/invalid.rs
+++ b/src/settings/invalid.rs
@@ -53,6 +53,18 @@
         /// The key.
         key: String,
     },
+    /// A section with free keys has too few of them.
+    #[error("{file}: [{section}] has {found} entries; at least {needed} are needed")]
+    Few {
+        /// The file.
+        file: Name,
+        /// The section.
+        section: String,
+        /// How many there are.
+        found: usize,
+        /// How many have to be there.
+        needed: usize,
+    },
     /// A key that nothing reads.
     #[error("{file}: [{section}] {key} is unknown; known are: {known}")]
     UnknownKey {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,9 +1,10 @@
 //! INI settings of a process: typed, and every key checked before anything binds.
 
 mod invalid;
+mod lines;
 mod node;
 mod section;
 
 pub use invalid::Invalid;
-pub use node::{Drain, NodeSettings, Peers, PlatformSettings, Settings};
+pub use node::{Connections, Drain, NodeSettings, Peers, PlatformSettings, Settings};
 pub use section::{Document, Section};
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -17,6 +17,17 @@
 /// How long a draining node waits for what is in flight.
 const DRAIN_GRACE: Duration = Duration::from_secs(60);
 
+/// Open connections of callers. At the planned size a node has about 13 requests a second;
+/// streams of a minute make 800 of them at once, and this leaves room for two and a half times
+/// as many.
+const CONNECTIONS: usize = 2_048;
+/// How long a caller may take to send the head of a request.
+const HEAD: Duration = Duration::from_secs(10);
+/// The longest timeout of a platform call: longer ones would hold up a drain.
+const LONGEST: Duration = Duration::from_secs(60);
+/// Operators that have to sign a bundle.
+const SIGNERS: usize = 2;
+
 /// Everything a node reads from its file.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -28,6 +39,8 @@
     pub peers: Peers,
     /// Section `[drain]`.
     pub drain: Drain,
+    /// Section `[connections]`.
+    pub connections: Connections,
     /// Section `[operators]`: who may sign a bundle.
     pub operators: Operators,
     /// `[log] level`: a filter such as `info` or `mulberrycourse=debug`.
@@ -78,6 +91,15 @@
     pub grace: Duration,
 }
 
+/// What callers' connections may take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Connections {
+    /// The most that are open at the callers' listener; more are refused.
+    pub most: usize,
+    /// How long a caller may take to send the head of a request.
+    pub head: Duration,
+}
+
 impl Settings {
     /// Reads and checks a file.
     pub fn open(path: &Path) -> Result<Self, Invalid> {
@@ -86,18 +108,28 @@
 
     /// Checks a parsed text.
     pub fn read(doc: &Document) -> Result<Self, Invalid> {
-        doc.only(&["node", "platform", "peers", "drain", "operators", "log"], &[])?;
+        let known = ["node", "platform", "peers", "drain", "connections", "operators", "log"];
+        doc.only(&known, &[])?;
         Ok(Self {
             node: node(doc.section("node")?)?,
             platform: platform(doc.section("platform")?)?,
             peers: doc.optional("peers").map(peers).transpose()?.unwrap_or_default(),
             drain: doc.optional("drain").map_or(Ok(Drain::default()), drain)?,
-            operators: Operators::read(doc.section("operators")?)?,
+            connections: doc
+                .optional("connections")
+                .map_or(Ok(Connections::default()), connections)?,
+            operators: operators(doc.section("operators")?)?,
             level: doc.optional("log").map_or(Ok("info".to_owned()), level)?,
         })
     }
 }
 
+impl Default for Connections {
+    fn default() -> Self {
+        Self { most: CONNECTIONS, head: HEAD }
+    }
+}
+
 impl Default for Drain {
     fn default() -> Self {
         Self { ttl: ANSWER_TTL, margin: DRAIN_MARGIN, grace: DRAIN_GRACE }
@@ -109,19 +141,73 @@
         name: section.required("name")?.into(),
         region: section.required("region")?.into(),
         zone: section.required("zone")?.into(),
-        callers: section.value("callers")?,
-        peers: section.value("peers")?,
+        callers: told(&section, "callers")?,
+        peers: told(&section, "peers")?,
         admin: section.value("admin")?,
     };
+    distinct(&section, &settings)?;
     section.finish()?;
     Ok(settings)
 }
 
+/// An address that is also told to others, so it has to be one that they can connect to.
+fn told(section: &Section<'_>, key: &str) -> Result<SocketAddr, Invalid> {
+    let address: SocketAddr = section.value(key)?;
+    if address.ip().is_unspecified() {
+        let reason = "expected the address that others connect to, not every interface";
+        return Err(section.bad(key, &address.to_string(), reason.to_owned()));
+    }
+    Ok(address)
+}
+
+/// Two listeners can't share a port; port 0 takes a free one.
+fn distinct(section: &Section<'_>, node: &NodeSettings) -> Result<(), Invalid> {
+    let pairs = [
+        ("peers", node.peers, "callers", node.callers),
+        ("admin", node.admin, "callers", node.callers),
+        ("admin", node.admin, "peers", node.peers),
+    ];
+    for (key, one, other_key, other) in pairs {
+        let same =
+            one.ip() == other.ip() || one.ip().is_unspecified() || other.ip().is_unspecified();
+        if same && one.port() == other.port() && one.port() != 0 {
+            let reason = format!("the port is taken by {other_key}");
+            return Err(section.bad(key, &one.to_string(), reason));
+        }
+    }
+    Ok(())
+}
+
+fn connections(section: Section<'_>) -> Result<Connections, Invalid> {
+    let head = section.duration("head", HEAD)?;
+    let settings = Connections { most: section.within("most", 1..=100_000, CONNECTIONS)?, head };
+    positive(&section, "head", head)?;
+    section.finish()?;
+    Ok(settings)
+}
+
+fn operators(section: Section<'_>) -> Result<Operators, Invalid> {
+    let found = section.all().len();
+    if found < SIGNERS {
+        return Err(section.few(found, SIGNERS));
+    }
+    Operators::read(section)
+}
+
+fn positive(section: &Section<'_>, key: &str, value: Duration) -> Result<(), Invalid> {
+    if value.is_zero() || value > LONGEST {
+        let reason = format!("expected more than 0s and at most {}s", LONGEST.as_secs());
+        return Err(section.bad(key, &format!("{value:?}"), reason));
+    }
+    Ok(())
+}
+
 fn platform(section: Section<'_>) -> Result<PlatformSettings, Invalid> {
     let settings = PlatformSettings {
         address: section.value("address")?,
         timeout: section.duration("timeout", PLATFORM_TIMEOUT)?,
     };
+    positive(&section, "timeout", settings.timeout)?;
     section.finish()?;
     Ok(settings)
 }
@@ -144,6 +230,7 @@
 
 fn level(section: Section<'_>) -> Result<String, Invalid> {
     let level = section.text("level").unwrap_or("info").to_owned();
+    crate::logs::check(&level).map_err(|e| section.bad("level", &level, e.reason))?;
     section.finish()?;
     Ok(level)
 }
--- a/src/settings/section.rs
+++ b/src/settings/section.rs
@@ -8,9 +8,9 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-use ini::{Ini, Properties};
+use ini::{Ini, ParseOption, Properties};
 
-use super::Invalid;
+use super::{Invalid, lines};
 use crate::Name;
 
 /// A parsed INI text.
@@ -31,16 +31,15 @@
     /// Parses a text; `file` names it in errors.
     pub fn parse(file: &str, text: &str) -> Result<Self, Invalid> {
         let file: Name = file.into();
-        let ini = Ini::load_from_str(text).map_err(|e| Invalid::Syntax {
+        lines::check(&file, text)?;
+        // Quotes and backslashes are text: a path or a name means what it says.
+        let literal =
+            ParseOption { enabled_quote: false, enabled_escape: false, ..ParseOption::default() };
+        let ini = Ini::load_from_str_opt(text, literal).map_err(|e| Invalid::Syntax {
             file: file.clone(),
             line: e.line,
             reason: e.msg.to_string(),
         })?;
-        let loose = ini.section(None::<String>).and_then(|p| p.iter().next());
-        if let Some((key, _)) = loose {
-            let reason = format!("key {key} stands before the first section");
-            return Err(Invalid::Syntax { file, line: 1, reason });
-        }
         Ok(Self { file, ini })
     }
 
@@ -184,6 +183,11 @@
         self.keys.iter().map(|(key, value)| (Name::from(key), value.trim())).collect()
     }
 
+    /// The error for a section with too few entries.
+    pub fn few(&self, found: usize, needed: usize) -> Invalid {
+        Invalid::Few { file: self.file.clone(), section: self.name.clone(), found, needed }
+    }
+
     /// The error for a value that does not do.
     pub fn bad(&self, key: &str, value: &str, reason: String) -> Invalid {
         Invalid::BadValue {
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -9,7 +9,9 @@
 use mulberrycourse::cli::{Failure, Store};
 use mulberrycourse::edge::platform::{Vm, VmState};
 use mulberrycourse::node::{Node, Phase, StartError};
-use mulberrycourse::settings::{Drain, NodeSettings, Peers, PlatformSettings, Settings};
+use mulberrycourse::settings::{
+    Connections, Drain, NodeSettings, Peers, PlatformSettings, Settings,
+};
 
 use crate::engine::{Engine, EngineSettings};
 use crate::plain::Plain;
@@ -156,6 +158,7 @@
                 margin: Duration::from_millis(200),
                 grace: Duration::from_secs(20),
             },
+            connections: Connections::default(),
             operators: self.signers.operators(),
             level: "info".to_owned(),
         }
