--- a/standins/src/engine/engine.rs
+++ b/standins/src/engine/engine.rs
@@ -230,10 +230,18 @@
             };
             let reason = (index + 1 == total).then_some("stop");
             let line = self.event(&request, produced, reason);
+            let faults = self.state.lock().faults.clone();
+            if faults.doubled && sender.send_data(line.clone().into()).await.is_err() {
+                return;
+            }
             if sender.send_data(line.into()).await.is_err() {
                 return;
             }
         }
+        if self.state.lock().faults.endless {
+            sender.abort(Aborted);
+            return;
+        }
         let _ = sender.send_data("data: [DONE]\n\n".into()).await;
     }
 
@@ -258,12 +266,19 @@
     }
 
     fn event(&self, request: &Completion, produced: Produced, reason: Option<&str>) -> String {
-        let unlabelled = self.state.lock().faults.unlabelled;
+        let (unlabelled, garbled) = {
+            let state = self.state.lock();
+            (state.faults.unlabelled, state.faults.garbled_at)
+        };
+        if garbled > 0 && produced.index == garbled {
+            return "data: {\"choices\": [{\n\n".to_owned();
+        }
         let text = token(&request.prompt, request.seed, produced.index);
         let mut event = json!({
             "object": "text_completion",
             "choices": [{ "index": 0, "text": text, "finish_reason": reason }],
             "tokens": 1,
+            "offset": produced.index,
         });
         if !unlabelled {
             event["weight_version"] = produced.version.into();
--- a/standins/src/engine/faults.rs
+++ b/standins/src/engine/faults.rs
@@ -16,6 +16,12 @@
     pub unlabelled: bool,
     /// Streams are cut after so many of their own tokens; 0 for never.
     pub cut_after: u32,
+    /// Every chunk is sent twice.
+    pub doubled: bool,
+    /// The end of the stream is lost after the last chunk.
+    pub endless: bool,
+    /// The event of this token is no JSON; 0 for never.
+    pub garbled_at: u32,
     /// A prompt with this text crashes the engine; empty for none.
     pub poison: String,
 }
--- a/standins/src/trainer/mod.rs
+++ b/standins/src/trainer/mod.rs
@@ -1,5 +1,9 @@
 //! A stand-in for a trainer: pulls steps, trains, and counts what it cares about.
 
+mod truth;
+
+pub use truth::{flat, tokens, truth};
+
 use std::time::Duration;
 
 use mulberrycourse::client::{Trainer, TrainerError};
--- /dev/null
+++ b/tests/answers.rs
@@ -0,0 +1,84 @@
+//! Promise 4 over real sockets: the whole answer to the caller's own request.
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use mulberrycourse::client::Caller;
+use mulberrycourse::edge::upstream::{Completion, Prior};
+use standins::caller::{completion, expected};
+use standins::engine::{EngineSettings, Faults, token};
+use standins::fleet::Fleet;
+
+const WAIT: Duration = Duration::from_secs(30);
+
+async fn faulty(faults: &Faults, request: &Completion) -> String {
+    let fleet = Fleet::spawn(1, 2, EngineSettings::default()).await.unwrap();
+    fleet.engines.iter().for_each(|e| e.set_faults(faults.clone()));
+    let shop = Caller::new("shop".into(), fleet.callers());
+    let answer = shop.stream(request, WAIT).await.unwrap();
+    String::from_utf8(answer.body.to_vec()).unwrap()
+}
+
+/// Every chunk comes twice.
+#[tokio::test(flavor = "multi_thread")]
+async fn chunks_come_twice() {
+    let request = completion("double lift", 1, 40);
+    let faults = Faults { doubled: true, ..Faults::default() };
+    assert_eq!(faulty(&faults, &request).await, expected(&request));
+}
+
+/// The last chunk comes and the end of the stream is lost: the answer is whole all the same.
+#[tokio::test(flavor = "multi_thread")]
+async fn end_of_stream_is_lost() {
+    let request = completion("false cut", 2, 40);
+    let faults = Faults { endless: true, ..Faults::default() };
+    assert_eq!(faulty(&faults, &request).await, expected(&request));
+}
+
+/// The upstream body is cut after every 15 tokens: each engine goes on where the last stopped.
+#[tokio::test(flavor = "multi_thread")]
+async fn body_is_truncated() {
+    let request = completion("top change", 3, 60);
+    let faults = Faults { cut_after: 15, ..Faults::default() };
+    assert_eq!(faulty(&faults, &request).await, expected(&request));
+}
+
+/// A caller that has a part of the answer asks for the rest, and the engine that goes on
+/// with it is cut: what the caller has is neither lost nor doubled.
+#[tokio::test(flavor = "multi_thread")]
+async fn rest_of_an_answer_is_cut() {
+    let request = completion("side steal", 4, 60);
+    let prior: String = (0..5).map(|i| token(&request.prompt, request.seed, i)).collect();
+    let rest = expected(&request).strip_prefix(&prior).unwrap().to_owned();
+    let request = Completion { prior: Some(Prior { text: prior, tokens: 5 }), ..request };
+    let faults = Faults { cut_after: 15, ..Faults::default() };
+    assert_eq!(faulty(&faults, &request).await, rest);
+}
+
+/// An event of the engine is no JSON: the tokens before it are kept, another attempt goes on.
+#[tokio::test(flavor = "multi_thread")]
+async fn event_is_garbled() {
+    let fleet = Fleet::spawn(1, 2, EngineSettings::default()).await.unwrap();
+    fleet.engines[0].set_faults(Faults { garbled_at: 7, ..Faults::default() });
+    let shop = Caller::new("shop".into(), fleet.callers());
+    for seed in 0..4 {
+        let request = completion("pass", seed, 40);
+        let answer = shop.stream(&request, WAIT).await.unwrap();
+        assert_eq!(answer.body, expected(&request));
+    }
+}
+
+/// Two callers use the same request id at the same time: each gets its own answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn same_request_id_twice() {
+    let fleet = Fleet::spawn(2, 1, EngineSettings::default()).await.unwrap();
+    let ask = |prompt, seed| {
+        let request = Completion { request_id: "one".into(), ..completion(prompt, seed, 60) };
+        let shop = Caller::new("shop".into(), fleet.callers());
+        async move {
+            let answer = shop.stream(&request, WAIT).await.unwrap();
+            assert_eq!(answer.body, expected(&request));
+        }
+    };
+    tokio::join!(ask("riffle", 1), ask("overhand", 2));
+}
