Labels, answers and steps: what the tests showed is mended

Cause and mend: - A chunk without tokens says nothing of any token: the label passes over it. - Engines say at which token a chunk begins (offset): a copy is dropped, a gap or an overlap fails the attempt, and the next goes on from what is there. - The chunk with the finish reason ends the answer. The test's fault now ends the body in place of cutting it: a cut can take the last chunk along, which is another failure (body_is_truncated).

Steps: have goes as ranges and with the submission too, so a node that never heard of the step makes only what is missing; a node that leaves gives finished samples of unfinished groups along; a step that nobody pulls is dropped after the bundle's time; the trainer's version is the newest that it named in any step; the client judges staleness again on arrival and keeps the first copy of a group, not the second. A sample whose engines are all known to be behind is not begun, and one that has become too old in mid-stream is cut there.

--- a/src/bundle/bundle.rs
+++ b/src/bundle/bundle.rs
@@ -8,6 +8,9 @@
 use crate::decide::{Class, Repeat};
 use crate::settings::{Document, Invalid, Section};
 
+/// How long a step is kept that nobody pulls: four waits of the longest pull.
+const ABANDONED: Duration = Duration::from_secs(120);
+
 /// What the fleet is to do, as one version.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Bundle {
@@ -97,5 +100,6 @@
         service,
         staleness: section.within("staleness", 0..=1_000, 1)?,
         share: section.within("share", 1..=1_000, 1)?,
+        abandoned: section.duration("abandoned", ABANDONED)?,
     })
 }
--- a/src/bundle/spec.rs
+++ b/src/bundle/spec.rs
@@ -60,4 +60,6 @@
     pub staleness: u64,
     /// Its weight against other trainers.
     pub share: u32,
+    /// A step that nobody pulls for so long is dropped.
+    pub abandoned: Duration,
 }
--- a/src/client/addresses.rs
+++ b/src/client/addresses.rs
@@ -6,6 +6,7 @@
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
+use crate::Name;
 use crate::edge::http::{Fetch, FetchError};
 use crate::node::Addresses;
 
@@ -25,12 +26,20 @@
     seeds: Vec<SocketAddr>,
     fetch: Fetch,
     answer: Mutex<Answer>,
+    /// The trainer whose steps are pulled: its home comes first in the answer.
+    trainer: Option<Name>,
 }
 
 impl AddressBook {
     /// A book that asks one of `seeds` first.
     pub fn new(seeds: Vec<SocketAddr>) -> Self {
-        Self { seeds, fetch: Fetch::default(), answer: Mutex::default() }
+        Self { seeds, fetch: Fetch::default(), answer: Mutex::default(), trainer: None }
+    }
+
+    /// A book that stays with the home of a trainer's steps, and goes down the
+    /// order of the answer only when a node does not do.
+    pub fn homed(seeds: Vec<SocketAddr>, trainer: Name) -> Self {
+        Self { trainer: Some(trainer), ..Self::new(seeds) }
     }
 
     /// An address to use now; `None` if no node answers.
@@ -65,6 +74,9 @@
         if answer.until.is_none_or(|until| until <= Instant::now()) {
             return None;
         }
+        if self.trainer.is_some() {
+            return answer.addresses.first().copied();
+        }
         let count = answer.addresses.len().max(1);
         answer.next = (answer.next + 1) % count;
         answer.addresses.get(answer.next).copied()
@@ -77,6 +89,10 @@
     }
 
     async fn ask(&self, node: SocketAddr) -> Result<Addresses, FetchError> {
-        self.fetch.get(node, "/v1/addresses", LIMIT).await
+        let path = match &self.trainer {
+            Some(trainer) => format!("/v1/addresses?trainer={trainer}"),
+            None => "/v1/addresses".to_owned(),
+        };
+        self.fetch.get(node, &path, LIMIT).await
     }
 }
--- a/src/client/caller.rs
+++ b/src/client/caller/caller.rs
@@ -4,36 +4,15 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use eventsource_stream::Eventsource;
-use futures_util::StreamExt;
 use http::{Method, Request, StatusCode};
-use http_body_util::BodyDataStream;
 
-use super::AddressBook;
+use super::error::CallerError;
 use crate::Name;
-use crate::edge::http::{Fetch, FetchError, full, read};
-use crate::edge::upstream::Completion;
-use crate::error::Problem;
+use crate::client::AddressBook;
+use crate::edge::http::{Fetch, full, read};
 
 /// The largest answer, in bytes.
-const LIMIT: usize = 64 << 20;
-
-/// Why a caller has no whole answer.
-#[derive(Debug, thiserror::Error)]
-pub enum CallerError {
-    /// No node answers.
-    #[error("no node answers")]
-    NoNode,
-    /// The service refused.
-    #[error("{}: {} ({})", .0.title, .0.detail, .0.run.as_str())]
-    Refused(Box<Problem>),
-    /// The call failed on the way; it may have run.
-    #[error(transparent)]
-    Failed(#[from] FetchError),
-    /// The answer is not whole.
-    #[error("the answer is not whole: {0}")]
-    Partial(String),
-}
+pub(super) const LIMIT: usize = 64 << 20;
 
 /// A whole answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -81,40 +60,12 @@
         whole(status, body)
     }
 
-    /// Runs a completion as a stream and returns it when it is whole.
-    pub async fn stream(
-        &self,
-        request: &Completion,
-        timeout: Duration,
-    ) -> Result<Received, CallerError> {
-        let request = Completion { stream: true, ..request.clone() };
-        let bytes =
-            serde_json::to_vec(&request).map_err(|e| CallerError::Partial(e.to_string()))?;
-        let request = self.request("/v1/completions", bytes.into(), timeout);
-        let (_, response) = self.send(request).await?;
-        let status = response.status();
-        if !status.is_success() {
-            let body = read(response.into_body(), LIMIT).await;
-            return whole(status, body.map_err(|e| CallerError::Partial(e.to_string()))?);
-        }
-        let mut events = BodyDataStream::new(response.into_body()).eventsource();
-        let mut text = String::new();
-        let mut last = None;
-        while let Some(event) = events.next().await {
-            let event = event.map_err(|e| CallerError::Partial(e.to_string()))?;
-            if event.event == "error" {
-                return Err(refused(&event.data));
-            }
-            if event.data == "[DONE]" {
-                return Ok(Received { status, body: text.into(), last });
-            }
-            last = Some(event.id);
-            text.push_str(&text_of(&event.data));
-        }
-        Err(CallerError::Partial("the stream ended early".to_owned()))
+    /// Which nodes to use.
+    pub(super) fn book(&self) -> &AddressBook {
+        &self.book
     }
 
-    fn request(
+    pub(super) fn request(
         &self,
         path: &str,
         body: Bytes,
@@ -132,7 +83,7 @@
         request
     }
 
-    async fn send(
+    pub(super) async fn send(
         &self,
         mut request: Request<crate::edge::http::Body>,
     ) -> Result<(SocketAddr, http::Response<hyper::body::Incoming>), CallerError> {
@@ -149,25 +100,13 @@
     }
 }
 
-fn whole(status: StatusCode, body: Bytes) -> Result<Received, CallerError> {
+pub(super) fn whole(status: StatusCode, body: Bytes) -> Result<Received, CallerError> {
     if status.is_success() {
         return Ok(Received { status, body, last: None });
     }
     match std::str::from_utf8(&body) {
-        Ok(text) if text.contains("urn:mulberrycourse:") => Err(refused(text)),
+        Ok(text) if text.contains("urn:mulberrycourse:") => Err(CallerError::refused(text)),
         // The upstream's own answer, whatever its status.
         _ => Ok(Received { status, body, last: None }),
     }
 }
-
-fn refused(text: &str) -> CallerError {
-    match serde_json::from_str(text) {
-        Ok(problem) => CallerError::Refused(Box::new(problem)),
-        Err(e) => CallerError::Partial(e.to_string()),
-    }
-}
-
-fn text_of(data: &str) -> String {
-    let value: serde_json::Value = serde_json::from_str(data).unwrap_or_default();
-    value["choices"][0]["text"].as_str().unwrap_or_default().to_owned()
-}
--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -6,4 +6,4 @@
 
 pub use addresses::AddressBook;
 pub use caller::{Caller, CallerError, Received};
-pub use trainer::{StepReport, Trainer, TrainerError};
+pub use trainer::{Pulling, StepReport, Trainer, TrainerError};
--- a/src/client/trainer.rs
+++ b/src/client/trainer.rs
@@ -1,16 +1,21 @@
 //! A client for trainers: submits a step and pulls its groups, each once.
+//!
+//! The groups that the trainer has are its acknowledgement: they go along with
+//! every pull and every submission, so a node that never heard of the step makes
+//! only what is missing. A trainer that restarts goes on with what it kept.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use http::{Method, StatusCode};
 
 use super::AddressBook;
 use crate::Name;
-use crate::decide::{Group, Spec};
+use crate::decide::{Group, Ranges, Spec, floor};
 use crate::edge::http::{Fetch, FetchError};
-use crate::node::{Pull, Pulled};
+use crate::node::{Pull, Pulled, Submit};
 
 /// Groups in one pull.
 const MOST: usize = 64;
@@ -34,13 +39,17 @@
     Refused(#[from] FetchError),
 }
 
-/// A whole step.
-#[derive(Debug, Clone, PartialEq, Eq)]
+/// A step, whole or under way.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct StepReport {
     /// The groups by number.
     pub groups: BTreeMap<u32, Group>,
     /// Groups that came a second time, and were dropped. 0 if all is well.
     pub doubled: u64,
+    /// Groups that came with samples missing, and were dropped. 0 if all is well.
+    pub thin: u64,
+    /// Groups that were too old when they arrived, and were dropped.
+    pub stale: u64,
     /// Calls that failed and were made again.
     pub failures: u64,
 }
@@ -51,108 +60,192 @@
     name: Name,
     book: AddressBook,
     fetch: Fetch,
+    version: AtomicU64,
+}
+
+/// A step that is being pulled.
+#[derive(Debug)]
+pub struct Pulling<'a> {
+    trainer: &'a Trainer,
+    number: u64,
+    spec: &'a Spec,
+    report: StepReport,
+    /// Where the step is held.
+    node: Option<SocketAddr>,
+    /// Samples of unfinished groups that the last node gave along.
+    parts: Vec<Group>,
+    failed: u32,
 }
 
 impl Trainer {
     /// A trainer of that name.
     pub fn new(name: Name, seeds: Vec<SocketAddr>) -> Self {
-        Self { name, book: AddressBook::new(seeds), fetch: Fetch::default() }
+        let book = AddressBook::homed(seeds, name.clone());
+        Self { name, book, fetch: Fetch::default(), version: AtomicU64::new(0) }
+    }
+
+    /// The trainer's weights are at this version now.
+    pub fn advance(&self, version: u64) {
+        self.version.fetch_max(version, Ordering::Relaxed);
     }
 
     /// Submits a step and pulls until every group is there.
     pub async fn step(&self, number: u64, spec: &Spec) -> Result<StepReport, TrainerError> {
-        let mut report = StepReport { groups: BTreeMap::new(), doubled: 0, failures: 0 };
-        let mut failures = 0;
-        let mut node = None;
+        let mut pulling = self.resume(number, spec, BTreeMap::new());
+        while !pulling.next().await?.is_empty() {}
+        Ok(pulling.report)
+    }
+
+    /// Goes on with a step of which these groups were kept; none for a new one.
+    pub fn resume<'a>(
+        &'a self,
+        number: u64,
+        spec: &'a Spec,
+        kept: BTreeMap<u32, Group>,
+    ) -> Pulling<'a> {
+        self.advance(spec.version);
+        let report = StepReport { groups: kept, ..StepReport::default() };
+        Pulling { trainer: self, number, spec, report, node: None, parts: Vec::new(), failed: 0 }
+    }
+
+    fn path(&self, number: u64) -> String {
+        format!("/v1/trainers/{}/steps/{number}", self.name)
+    }
+}
+
+impl Pulling<'_> {
+    /// What came so far.
+    pub fn report(&self) -> &StepReport {
+        &self.report
+    }
+
+    /// The groups that come next; none once the step is whole. They count as
+    /// received with the next call: a trainer that has to survive its own restart
+    /// keeps them first.
+    pub async fn next(&mut self) -> Result<Vec<Group>, TrainerError> {
         loop {
-            let at = match node {
-                Some(at) => at,
-                None => match self.submitted(number, spec).await? {
-                    Some(at) => at,
-                    None => {
-                        count(&mut failures, &mut report).await?;
-                        continue;
-                    }
-                },
+            let Some(node) = self.held().await? else {
+                self.failure().await?;
+                continue;
             };
-            node = Some(at);
-            match self.pull(at, number, spec, &report).await {
+            match self.pull(node).await {
                 Ok(pulled) => {
-                    failures = 0;
-                    take(&mut report, pulled.groups);
-                    if pulled.complete {
-                        return Ok(report);
+                    self.failed = 0;
+                    if pulled.leaving && !pulled.complete {
+                        self.leave(node);
+                    }
+                    let complete = pulled.complete;
+                    let fresh = self.take(pulled);
+                    if complete || !fresh.is_empty() {
+                        return Ok(fresh);
                     }
                 }
                 Err(e) => {
-                    if !gone(&e) {
-                        self.book.failed(at);
+                    if gone(&e) {
+                        self.node = None;
+                    } else {
+                        self.leave(node);
                     }
-                    node = None;
-                    count(&mut failures, &mut report).await?;
+                    self.failure().await?;
                 }
             }
         }
     }
 
-    /// Submits at some node; `None` if it did not answer.
-    async fn submitted(
-        &self,
-        number: u64,
-        spec: &Spec,
-    ) -> Result<Option<SocketAddr>, TrainerError> {
-        let Some(at) = self.book.get().await else { return Ok(None) };
-        let path = format!("/v1/trainers/{}/steps/{number}", self.name);
-        let sent = self.fetch.call::<_, serde_json::Value>(at, Method::PUT, &path, spec, LIMIT);
+    /// The node that holds the step, submitted there if need be; `None` if none answers.
+    async fn held(&mut self) -> Result<Option<SocketAddr>, TrainerError> {
+        if self.node.is_some() {
+            return Ok(self.node);
+        }
+        let Some(at) = self.trainer.book.get().await else { return Ok(None) };
+        let path = self.trainer.path(self.number);
+        let submit = Submit {
+            spec: Spec { version: self.version(), ..self.spec.clone() },
+            have: self.have(),
+            parts: self.parts.clone(),
+        };
+        let fetch = &self.trainer.fetch;
+        let sent = fetch.call::<_, serde_json::Value>(at, Method::PUT, &path, &submit, LIMIT);
         match sent.await {
-            Ok(_) => Ok(Some(at)),
+            Ok(_) => {
+                self.parts.clear();
+                self.node = Some(at);
+                Ok(self.node)
+            }
             Err(FetchError::Status { status, to, text }) if status.is_client_error() => {
                 Err(FetchError::Status { status, to, text }.into())
             }
             Err(_) => {
-                self.book.failed(at);
+                self.trainer.book.failed(at);
                 Ok(None)
             }
         }
     }
 
-    async fn pull(
-        &self,
-        at: SocketAddr,
-        number: u64,
-        spec: &Spec,
-        report: &StepReport,
-    ) -> Result<Pulled, FetchError> {
-        let path = format!("/v1/trainers/{}/steps/{number}/pull", self.name);
+    async fn pull(&self, node: SocketAddr) -> Result<Pulled, FetchError> {
+        let path = format!("{}/pull", self.trainer.path(self.number));
         let pull = Pull {
-            version: spec.version,
-            have: report.groups.keys().copied().collect(),
+            version: self.version(),
+            have: self.have(),
             most: MOST,
             wait_ms: WAIT.as_millis() as u64,
         };
-        self.fetch.call(at, Method::POST, &path, &pull, LIMIT).await
+        self.trainer.fetch.call(node, Method::POST, &path, &pull, LIMIT).await
     }
-}
 
-/// Whether the node answers but does not hold the step.
-fn gone(e: &FetchError) -> bool {
-    matches!(e, FetchError::Status { status: StatusCode::NOT_FOUND, .. })
-}
+    /// Takes what is whole, new and, at this moment, fresh.
+    fn take(&mut self, pulled: Pulled) -> Vec<Group> {
+        let floor = floor(self.version(), pulled.bound);
+        if pulled.leaving {
+            self.parts = pulled.parts;
+        }
+        let mut fresh = Vec::new();
+        for group in pulled.groups {
+            if self.report.groups.contains_key(&group.group) {
+                self.report.doubled += 1;
+            } else if !self.whole(&group) {
+                self.report.thin += 1;
+            } else if group.samples.iter().any(|s| s.oldest().is_some_and(|o| o < floor)) {
+                // Not acknowledged, so the node judges it again and makes it anew.
+                self.report.stale += 1;
+            } else {
+                self.report.groups.insert(group.group, group.clone());
+                fresh.push(group);
+            }
+        }
+        fresh
+    }
+
+    fn whole(&self, group: &Group) -> bool {
+        let Some(prompt) = self.spec.groups.get(group.group as usize) else { return false };
+        group.samples.iter().map(|s| s.index).eq(0..prompt.samples)
+    }
 
-fn take(report: &mut StepReport, groups: Vec<Group>) {
-    for group in groups {
-        if report.groups.insert(group.group, group).is_some() {
-            report.doubled += 1;
+    fn have(&self) -> Ranges {
+        self.report.groups.keys().copied().collect()
+    }
+
+    fn version(&self) -> u64 {
+        self.trainer.version.load(Ordering::Relaxed)
+    }
+
+    fn leave(&mut self, node: SocketAddr) {
+        self.trainer.book.failed(node);
+        self.node = None;
+    }
+
+    async fn failure(&mut self) -> Result<(), TrainerError> {
+        self.failed += 1;
+        self.report.failures += 1;
+        if self.failed >= FAILURES {
+            return Err(TrainerError::NoNode(self.failed));
         }
+        tokio::time::sleep(PAUSE).await;
+        Ok(())
     }
 }
 
-async fn count(failures: &mut u32, report: &mut StepReport) -> Result<(), TrainerError> {
-    *failures += 1;
-    report.failures += 1;
-    if *failures >= FAILURES {
-        return Err(TrainerError::NoNode(*failures));
-    }
-    tokio::time::sleep(PAUSE).await;
-    Ok(())
+/// Whether the node answers but does not hold the step.
+fn gone(e: &FetchError) -> bool {
+    matches!(e, FetchError::Status { status: StatusCode::NOT_FOUND, .. })
 }
--- a/src/decide/label.rs
+++ b/src/decide/label.rs
@@ -33,8 +33,11 @@
 }
 
 impl Label {
-    /// Adds a chunk of `count` tokens.
+    /// Adds a chunk of `count` tokens; one without tokens says nothing of any token.
     pub fn push(&mut self, version: Option<u64>, count: u32) {
+        if count == 0 {
+            return;
+        }
         let from = self.next;
         self.next += count;
         let Some(version) = version else {
@@ -52,6 +55,16 @@
         self.next
     }
 
+    /// The oldest version so far; none before the first token with a version.
+    pub fn oldest(&self) -> Option<u64> {
+        self.spans.iter().map(|s| s.version).min()
+    }
+
+    /// Whether a token came without a version: the label can't be finished any more.
+    pub fn spoiled(&self) -> bool {
+        self.gap.is_some()
+    }
+
     /// The finished label, or the first token without a version.
     pub fn finish(self) -> Result<Vec<Span>, Unlabelled> {
         match self.gap {
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -5,22 +5,28 @@
 
 mod call;
 mod dispatch;
+mod freshness;
 mod label;
 mod limit;
 mod outcome;
 mod queue;
+mod ranges;
 mod rendezvous;
 mod retry;
 mod route;
 mod step;
+mod straggler;
 
 pub use call::{Call, Class, Repeat};
 pub use dispatch::{Action, Dispatch, Limits, Report, Ticket, UpstreamView};
+pub use freshness::{Prospect, Served, floor};
 pub use label::{Label, Span, Unlabelled};
 pub use limit::Limit;
 pub use outcome::Outcome;
 pub use queue::Queue;
+pub use ranges::Ranges;
 pub use rendezvous::{rank, score};
 pub use retry::Budget;
 pub use route::{Candidate, pick};
 pub use step::{Fill, Group, Prompt, Sample, Slot, Spec, Step};
+pub use straggler::{ORDINARY, RAISED, order, priority, window};
--- a/src/decide/step.rs
+++ b/src/decide/step.rs
@@ -4,11 +4,11 @@
 //! slot; the trainer's own list of the groups that it has is the acknowledgement,
 //! so nothing about a handover needs to be written to the platform.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
-use super::Span;
+use super::{Ranges, Span, floor, order, priority};
 use crate::Name;
 
 /// What a trainer asks for in a step.
@@ -58,6 +58,16 @@
     pub fn oldest(&self) -> Option<u64> {
         self.label.iter().map(|s| s.version).min()
     }
+
+    /// Whether its label covers every token from the first on, without a hole.
+    pub fn touching(&self) -> bool {
+        let mut next = 0;
+        self.label.iter().all(|span| {
+            let touches = span.from == next && span.to > span.from;
+            next = span.to;
+            touches
+        })
+    }
 }
 
 /// A whole group, handed over at once.
@@ -87,6 +97,8 @@
     bound: u64,
     version: u64,
     filled: BTreeMap<Slot, Sample>,
+    /// Slots that have not begun, in the order in which they will.
+    waiting: VecDeque<Slot>,
     running: BTreeSet<Slot>,
     taken: BTreeSet<u32>,
 }
@@ -95,8 +107,10 @@
     /// A step with nothing filled. `bound` is the staleness bound in versions.
     pub fn new(spec: Spec, bound: u64) -> Self {
         let version = spec.version;
+        let waiting = slots(&spec.groups).into();
         Self {
             spec,
+            waiting,
             bound,
             version,
             filled: BTreeMap::new(),
@@ -105,15 +119,25 @@
         }
     }
 
-    /// The slots to start now; they count as running from here on.
-    pub fn start(&mut self) -> Vec<Slot> {
-        let slots: Vec<Slot> = self
-            .slots()
-            .filter(|s| !self.taken.contains(&s.group))
-            .filter(|s| !self.filled.contains_key(s) && !self.running.contains(s))
-            .collect();
-        self.running.extend(&slots);
-        slots
+    /// The slots to start now, so that at most `most` run; they count as running
+    /// from here on.
+    pub fn start(&mut self, most: usize) -> Vec<Slot> {
+        let mut begun = Vec::new();
+        while self.running.len() < most
+            && let Some(slot) = self.waiting.pop_front()
+        {
+            if self.wanted(slot) && self.running.insert(slot) {
+                begun.push(slot);
+            }
+        }
+        begun
+    }
+
+    /// The priority of a slot that begins now.
+    pub fn priority(&self, slot: Slot) -> i32 {
+        let size = self.prompt(slot).map_or(1, |p| p.samples);
+        let open = (0..size).filter(|&index| self.wanted(Slot { index, ..slot })).count();
+        priority(open, size as usize, self.waiting.len())
     }
 
     /// The prompt of a slot.
@@ -135,6 +159,48 @@
         Fill::Kept
     }
 
+    /// Takes in samples that another node finished before it let the step go.
+    /// Returns how many were of use.
+    pub fn adopt(&mut self, parts: Vec<Group>) -> usize {
+        let mut adopted = 0;
+        for Group { group, samples } in parts {
+            for sample in samples {
+                let slot = Slot { group, index: sample.index };
+                let known = self.prompt(slot).is_some_and(|p| slot.index < p.samples);
+                if known && sample.touching() && self.fill(slot, sample) == Fill::Kept {
+                    adopted += 1;
+                }
+            }
+        }
+        adopted
+    }
+
+    /// The samples of groups that are not whole, for the node that goes on.
+    pub fn parts(&self) -> Vec<Group> {
+        let groups = 0..self.spec.groups.len() as u32;
+        let part = |group| {
+            let slots = Slot { group, index: 0 }..=Slot { group, index: u32::MAX };
+            let samples: Vec<Sample> =
+                self.filled.range(slots).map(|(_, sample)| sample.clone()).collect();
+            Group { group, samples }
+        };
+        groups
+            .filter(|&group| !self.taken.contains(&group))
+            .map(part)
+            .filter(|part| !part.samples.is_empty())
+            .collect()
+    }
+
+    /// The oldest version that a sample may have now.
+    pub fn floor(&self) -> u64 {
+        floor(self.version, self.bound)
+    }
+
+    /// The staleness bound, in versions.
+    pub fn bound(&self) -> u64 {
+        self.bound
+    }
+
     /// Whether a sample for this slot is still wanted.
     pub fn wanted(&self, slot: Slot) -> bool {
         !self.taken.contains(&slot.group) && !self.filled.contains_key(&slot)
@@ -146,15 +212,18 @@
     }
 
     /// The trainer says where it is: its version, and the groups that it has.
-    pub fn acknowledge(&mut self, version: u64, have: &[u32]) {
+    ///
+    /// Groups that the step does not have count for nothing.
+    pub fn acknowledge(&mut self, version: u64, have: &Ranges) {
         self.version = self.version.max(version);
-        self.taken.extend(have);
+        self.taken.extend(have.below(self.spec.groups.len() as u32));
         let taken = &self.taken;
         self.filled.retain(|slot, _| !taken.contains(&slot.group));
         let stale: Vec<Slot> =
             self.filled.iter().filter(|(_, s)| !self.fresh(s)).map(|(slot, _)| *slot).collect();
         for slot in stale {
             self.filled.remove(&slot);
+            self.waiting.push_front(slot);
         }
     }
 
@@ -181,13 +250,16 @@
     }
 
     fn fresh(&self, sample: &Sample) -> bool {
-        sample.oldest().is_none_or(|oldest| oldest + self.bound >= self.version)
+        sample.oldest().is_none_or(|oldest| oldest >= self.floor())
     }
+}
 
-    fn slots(&self) -> impl Iterator<Item = Slot> + '_ {
-        self.spec.groups.iter().enumerate().flat_map(|(group, prompt)| {
-            let group = group as u32;
-            (0..prompt.samples).map(move |index| Slot { group, index })
-        })
-    }
+/// Every slot of a step, in the order in which they begin.
+fn slots(prompts: &[Prompt]) -> Vec<Slot> {
+    let groups = prompts.iter().zip(0..);
+    let mut slots: Vec<Slot> = groups
+        .flat_map(|(prompt, group)| (0..prompt.samples).map(move |index| Slot { group, index }))
+        .collect();
+    order(&mut slots, prompts);
+    slots
 }
--- a/src/edge/upstream/engine.rs
+++ b/src/edge/upstream/engine.rs
@@ -4,10 +4,11 @@
 use std::pin::Pin;
 use std::time::Duration;
 
-use eventsource_stream::Eventsource;
+use eventsource_stream::{EventStream, Eventsource};
 use futures_util::{Stream, StreamExt};
 use http::Method;
 use http_body_util::BodyDataStream;
+use hyper::body::Incoming;
 use serde::Deserialize;
 
 use super::{Chunk, Completion, Failure, Load, Order, OrderReply};
@@ -28,6 +29,9 @@
     weight_version: Option<u64>,
     #[serde(default)]
     tokens: Option<u32>,
+    /// Index of its first token in the answer, if the engine counts them.
+    #[serde(default)]
+    offset: Option<u32>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -37,6 +41,20 @@
     finish_reason: Option<String>,
 }
 
+/// What an event is to the answer.
+enum Part {
+    /// The next tokens.
+    Next(Chunk),
+    /// Nothing new: a copy of what came before, or no tokens and no end.
+    Nothing,
+}
+
+/// An open stream and the index of the token that comes next.
+struct Reader {
+    events: Pin<Box<EventStream<BodyDataStream<Incoming>>>>,
+    next: u32,
+}
+
 /// The client.
 #[derive(Debug, Clone, Default)]
 pub struct EngineClient {
@@ -51,17 +69,17 @@
             Ok(body) => body,
             Err(e) => return Err(failure(e)),
         };
-        let events = BodyDataStream::new(body).eventsource();
-        let chunks = futures_util::stream::unfold(Some(events), |state| async move {
-            let mut events = state?;
-            match events.next().await {
-                Some(Ok(event)) if event.data == DONE => None,
-                Some(Ok(event)) => match serde_json::from_str::<Event>(&event.data) {
-                    Ok(event) => chunk(event).map(|c| (Ok(c), Some(events))),
-                    Err(e) => Some((Err(broke(e.to_string())), None)),
-                },
-                Some(Err(e)) => Some((Err(broke(e.to_string())), None)),
-                None => Some((Err(broke("the stream ended early".to_owned())), None)),
+        let events = Box::pin(BodyDataStream::new(body).eventsource());
+        let next = request.prior.map_or(0, |prior| prior.tokens);
+        let reader = Reader { events, next };
+        let chunks = futures_util::stream::unfold(Some(reader), |state| async move {
+            let mut reader = state?;
+            match reader.chunk().await {
+                // The chunk with the reason is the last: what follows adds nothing.
+                Ok(Some(chunk)) if chunk.finish.is_some() => Some((Ok(chunk), None)),
+                Ok(Some(chunk)) => Some((Ok(chunk), Some(reader))),
+                Ok(None) => None,
+                Err(failure) => Some((Err(failure), None)),
             }
         });
         Ok(Box::pin(chunks))
@@ -83,15 +101,49 @@
     }
 }
 
-fn chunk(event: Event) -> Option<Chunk> {
-    let choice = event.choices.into_iter().next()?;
-    let tokens = event.tokens.unwrap_or(u32::from(!choice.text.is_empty()));
-    Some(Chunk {
-        text: choice.text,
-        tokens,
-        version: event.weight_version,
-        finish: choice.finish_reason,
-    })
+impl Reader {
+    /// The next chunk with something new; none after the engine's last event.
+    async fn chunk(&mut self) -> Result<Option<Chunk>, Failure> {
+        loop {
+            let event = match self.events.next().await {
+                None => return Err(broke("the stream ended early".to_owned())),
+                Some(Err(e)) => return Err(broke(e.to_string())),
+                Some(Ok(event)) => event,
+            };
+            if event.data == DONE {
+                return Ok(None);
+            }
+            let event: Event =
+                serde_json::from_str(&event.data).map_err(|e| broke(e.to_string()))?;
+            match self.part(event)? {
+                Part::Next(chunk) => return Ok(Some(chunk)),
+                Part::Nothing => {}
+            }
+        }
+    }
+
+    /// Puts an event in its place; a copy is dropped, a gap is a failure.
+    fn part(&mut self, event: Event) -> Result<Part, Failure> {
+        let Some(choice) = event.choices.into_iter().next() else { return Ok(Part::Nothing) };
+        let counted = event.tokens;
+        let tokens = counted.unwrap_or(u32::from(!choice.text.is_empty()));
+        let offset = event.offset.unwrap_or(self.next);
+        if offset < self.next && offset + tokens <= self.next {
+            return Ok(Part::Nothing);
+        }
+        if offset != self.next {
+            let reason = format!("token {offset} came where {} was due", self.next);
+            return Err(broke(reason));
+        }
+        self.next += tokens;
+        Ok(Part::Next(Chunk {
+            text: choice.text,
+            tokens,
+            // Without a count, the version can't be said of a certain number of tokens.
+            version: counted.and(event.weight_version),
+            finish: choice.finish_reason,
+        }))
+    }
 }
 
 fn broke(reason: String) -> Failure {
--- a/src/node/app.rs
+++ b/src/node/app.rs
@@ -15,7 +15,7 @@
 use super::{Clock, identity};
 use crate::Name;
 use crate::bundle::Adopted;
-use crate::decide::Limits;
+use crate::decide::{Limits, Served};
 use crate::edge::peer::{NodeInfo, PeerClient};
 use crate::edge::platform::Platform;
 use crate::edge::upstream::{EngineClient, PlainClient};
@@ -37,6 +37,8 @@
     pub(super) members: Members,
     pub(super) upstreams: Upstreams,
     pub(super) steps: Steps,
+    /// The versions that engines were last seen to serve.
+    pub(super) served: Mutex<Served>,
     /// Cancelled when the node has stopped: ends every background task.
     pub(super) cancel: CancellationToken,
     dispatchers: RwLock<HashMap<Name, Arc<Dispatcher>>>,
@@ -59,6 +61,7 @@
             members: Members::default(),
             upstreams: Upstreams::default(),
             steps: Steps::default(),
+            served: Mutex::default(),
             cancel: CancellationToken::new(),
             dispatchers: RwLock::default(),
             lifecycle: Mutex::new((Lifecycle::new(), Phase::Starting)),
--- a/src/node/callers.rs
+++ b/src/node/callers.rs
@@ -12,20 +12,15 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
-use tokio::sync::mpsc;
-use tokio_util::task::AbortOnDropHandle;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::app::App;
-use super::complete::{Whole, complete};
+use super::stream::completions;
 use super::{plain, train};
 use crate::Name;
 use crate::bundle::Bundle;
-use crate::decide::{Call, Class, Repeat};
-use crate::edge::http::{
-    Aborted, Body, BodySender, Handler, full, json as answer, problem, read, streamed,
-};
-use crate::edge::upstream::{Chunk, Completion};
+use crate::decide::{Call, Class, rank};
+use crate::edge::http::{Body, Handler, full, json as answer, problem, read};
 use crate::error::{Kind, Refusal};
 
 /// The largest request body, in bytes.
@@ -36,8 +31,6 @@
 const TIMEOUT: &str = "mulberry-timeout-ms";
 /// The caller that requests without a name count for.
 const NOBODY: &str = "anonymous";
-/// Chunks that wait for a slow caller.
-const BUFFER: usize = 64;
 
 /// The addresses that a caller may use.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -74,7 +67,11 @@
     match segments.as_slice() {
         ["v1", "addresses"] => {
             method(&head, &Method::GET)?;
-            Ok(answer(StatusCode::OK, &addresses(app)))
+            let found = match trainer(head.uri.query()) {
+                Some(trainer) => homes(app, trainer),
+                None => addresses(app),
+            };
+            Ok(answer(StatusCode::OK, &found))
         }
         ["v1", "completions"] => {
             method(&head, &Method::POST)?;
@@ -89,8 +86,8 @@
         ["v1", "trainers", trainer, "steps", step] => {
             method(&head, &Method::PUT)?;
             let number = number(step)?;
-            let spec = parsed(&head, body).await?;
-            train::submit(app, Name::from(*trainer), number, spec)?;
+            let submit = parsed(&head, body).await?;
+            train::submit(app, Name::from(*trainer), number, submit)?;
             Ok(answer(StatusCode::OK, &json!({ "step": number })))
         }
         ["v1", "trainers", trainer, "steps", step, "pull"] => {
@@ -104,6 +101,25 @@
     }
 }
 
+/// The trainer that `?trainer=NAME` names.
+fn trainer(query: Option<&str>) -> Option<&str> {
+    query?.split('&').find_map(|pair| pair.strip_prefix("trainer="))
+}
+
+/// The addresses for a trainer: the home of its steps first, then its successors.
+/// Every node answers alike, so a step that moves finds its next home again.
+fn homes(app: &App, trainer: &str) -> Addresses {
+    let mut nodes = app.members.serving(app.clock.now());
+    let own = app.info();
+    if own.state == crate::edge::peer::NodeState::Serving || nodes.is_empty() {
+        nodes.push(own);
+    }
+    let names = rank(trainer, nodes.iter().map(|n| &*n.name));
+    let address = |name: &str| nodes.iter().find(|n| &*n.name == name).map(|n| n.callers);
+    let addresses = names.into_iter().filter_map(address).collect();
+    Addresses { addresses, ttl_ms: app.settings.drain.ttl.as_millis() as u64 }
+}
+
 fn addresses(app: &App) -> Addresses {
     let now = app.clock.now();
     let mut nodes = app.members.serving(now);
@@ -116,118 +132,6 @@
     Addresses { addresses, ttl_ms: app.settings.drain.ttl.as_millis() as u64 }
 }
 
-async fn completions(
-    app: &Arc<App>,
-    head: &Parts,
-    mut request: Completion,
-) -> Result<Response<Body>, Refusal> {
-    let adopted = app.bundle()?;
-    let service = request.model.clone();
-    let mut call = call_of(app, &adopted.bundle, &head.headers, &service)?;
-    let dispatcher = app.dispatcher(&service)?;
-    if adopted.bundle.services.get(&*service).is_some_and(|s| s.engine.is_none()) {
-        return Err(Refusal::new(Kind::BadRequest, format!("{service} is no model")));
-    }
-    call.cost = request.max_tokens;
-    call.fingerprint = xxh3_64(request.prompt.as_bytes());
-    call.prefix = Some(call.fingerprint);
-    call.repeat = Repeat::Idempotent;
-    request.request_id = format!("{:016x}", rand::random::<u64>());
-    if !request.stream {
-        let id = request.request_id.clone();
-        let whole = complete(app, &dispatcher, call, request, None).await?;
-        return Ok(answer(StatusCode::OK, &completion(&id, whole)));
-    }
-    let (sink, chunks) = mpsc::channel(BUFFER);
-    let id = request.request_id.clone();
-    let shared = app.clone();
-    let task =
-        tokio::spawn(
-            async move { complete(&shared, &dispatcher, call, request, Some(sink)).await },
-        );
-    stream(app.clone(), id, chunks, AbortOnDropHandle::new(task)).await
-}
-
-type Task = AbortOnDropHandle<Result<Whole, Refusal>>;
-
-/// Answers with a stream once the first chunk is there; a refusal before it has
-/// its own status.
-async fn stream(
-    app: Arc<App>,
-    id: String,
-    mut chunks: mpsc::Receiver<Chunk>,
-    task: Task,
-) -> Result<Response<Body>, Refusal> {
-    let Some(first) = chunks.recv().await else {
-        let lost = |e| Refusal::new(Kind::Internal, format!("the task ended: {e}"));
-        task.await.map_err(lost)??;
-        return Err(Refusal::new(Kind::Truncated, "the engine sent no token"));
-    };
-    let (sender, body) = streamed(BUFFER);
-    tokio::spawn(relay(app, id, first, chunks, task, sender));
-    let mut response = Response::new(body);
-    let kind = HeaderValue::from_static("text/event-stream");
-    response.headers_mut().insert(CONTENT_TYPE, kind);
-    Ok(response)
-}
-
-async fn relay(
-    app: Arc<App>,
-    id: String,
-    first: Chunk,
-    mut chunks: mpsc::Receiver<Chunk>,
-    task: Task,
-    mut sender: BodySender,
-) {
-    let mut next = Some(first);
-    let mut index = 0;
-    while let Some(chunk) = next {
-        index += chunk.tokens;
-        let event = event(&id, index, &chunk);
-        if sender.send_data(event.into()).await.is_err() {
-            return;
-        }
-        next = chunks.recv().await;
-    }
-    let last = match task.await {
-        Ok(Ok(_)) => "data: [DONE]\n\n".to_owned(),
-        Ok(Err(refusal)) => {
-            app.metrics.refused(refusal.kind);
-            let problem = serde_json::to_string(&refusal.problem()).unwrap_or_default();
-            format!("event: error\ndata: {problem}\n\n")
-        }
-        Err(_) => {
-            sender.abort(Aborted);
-            return;
-        }
-    };
-    let _ = sender.send_data(last.into()).await;
-}
-
-/// One event of a stream; its id is the request and the index of the next token.
-fn event(id: &str, index: u32, chunk: &Chunk) -> String {
-    let data = json!({
-        "id": id,
-        "object": "text_completion",
-        "choices": [{ "index": 0, "text": chunk.text, "finish_reason": chunk.finish }],
-        "tokens": chunk.tokens,
-        "weight_version": chunk.version,
-    });
-    format!("id: {id}/{index}\ndata: {data}\n\n")
-}
-
-fn completion(id: &str, whole: Whole) -> serde_json::Value {
-    let tokens = whole.label.tokens();
-    let label = whole.label.finish().ok();
-    json!({
-        "id": id,
-        "object": "text_completion",
-        "choices": [{ "index": 0, "text": whole.text, "finish_reason": whole.finish }],
-        "usage": { "completion_tokens": tokens },
-        "label": label,
-    })
-}
-
 async fn services(
     app: &App,
     head: &Parts,
@@ -253,7 +157,7 @@
 }
 
 /// The request as the decisions see it, from headers and bundle.
-fn call_of(
+pub(super) fn call_of(
     app: &App,
     bundle: &Bundle,
     headers: &HeaderMap,
--- a/src/node/complete.rs
+++ b/src/node/complete.rs
@@ -4,6 +4,7 @@
 //! are there; the label keeps which version made which.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use futures_util::StreamExt;
@@ -18,10 +19,14 @@
 
 /// An engine that sends nothing for so long counts as failed.
 const STALL: Duration = Duration::from_secs(3);
+/// Pause before a sample that would be stale is tried again: an engine's swap
+/// takes seconds, a trainer's step minutes.
+const STALE_PAUSE: Duration = Duration::from_millis(250);
 
 /// A whole completion.
 #[derive(Debug)]
 pub(super) struct Whole {
+    /// Without what the caller had already.
     pub(super) text: String,
     pub(super) label: Label,
     pub(super) finish: String,
@@ -29,34 +34,98 @@
 }
 
 /// What is there of a completion so far.
-#[derive(Debug, Default)]
-struct Progress {
+#[derive(Debug, Clone, Default)]
+pub(super) struct Progress {
+    /// What the caller had already; its label is not known here.
+    given: Prior,
     text: String,
-    label: Label,
+    /// Of the tokens that came here.
+    pub(super) label: Label,
     finish: Option<String>,
+    /// Attempts so far.
+    parts: u32,
+}
+
+impl Progress {
+    /// Goes on after what the caller has.
+    pub(super) fn after(given: Prior) -> Self {
+        Self { given, ..Self::default() }
+    }
+
+    fn prior(&self) -> Option<Prior> {
+        let tokens = self.given.tokens + self.label.tokens();
+        let text = || format!("{}{}", self.given.text, self.text);
+        (tokens > 0).then(|| Prior { text: text(), tokens })
+    }
+
+    fn push(&mut self, chunk: &Chunk) {
+        self.text.push_str(&chunk.text);
+        self.label.push(chunk.version, chunk.tokens);
+        self.finish.clone_from(&chunk.finish);
+    }
+
+    /// Each attempt has its own id at the engines, in the order of the attempts.
+    fn part(&mut self, id: &str) -> String {
+        self.parts += 1;
+        format!("{id}/{}", self.parts)
+    }
+}
+
+/// What is to be completed.
+#[derive(Debug)]
+pub(super) struct Job<'a> {
+    pub(super) call: Call,
+    pub(super) request: Completion,
+    /// The oldest version that may still be in the answer; it rises in mid-stream.
+    pub(super) floor: Option<&'a AtomicU64>,
+    /// Where each chunk goes as well.
+    pub(super) sink: Option<mpsc::Sender<Chunk>>,
+}
+
+impl Job<'_> {
+    fn too_old(&self, version: u64) -> bool {
+        self.floor.is_some_and(|floor| version < floor.load(Ordering::Relaxed))
+    }
 }
 
-/// Runs a completion; each chunk also goes to `sink`, if there is one.
+/// How an attempt ended without a failure.
+enum End {
+    Finished(String),
+    /// The answer would be thrown away: this version in it is too old.
+    Stale(u64),
+}
+
+/// Runs a completion. What is there stays in `progress`, also after a refusal.
 pub(super) async fn complete(
     app: &App,
     dispatcher: &Arc<Dispatcher>,
-    call: Call,
-    request: Completion,
-    sink: Option<mpsc::Sender<Chunk>>,
+    job: Job<'_>,
+    progress: &mut Progress,
 ) -> Result<Whole, Refusal> {
-    let deadline = app.clock.instant(call.deadline);
-    let mut progress = Progress::default();
-    let mut turn = dispatcher.acquire(call).await?;
+    let deadline = app.clock.instant(job.call.deadline);
+    let mut turn = dispatcher.acquire(job.call.clone()).await?;
     loop {
-        let attempt = attempt(app, &turn, &request, &mut progress, sink.as_ref());
-        let ended = tokio::time::timeout_at(deadline, attempt).await;
-        match ended {
-            Ok(Ok(finish)) => {
+        if let Some(floor) = job.floor
+            && app.served.lock().behind(
+                &turn.upstream,
+                floor.load(Ordering::Relaxed),
+                app.clock.now(),
+            )
+        {
+            // Dropping the turn gives it back: nothing was sent.
+            return Err(stale("the upstream serves weights that are too old"));
+        }
+        let attempt = attempt(app, &turn, &job, progress);
+        match tokio::time::timeout_at(deadline, attempt).await {
+            Ok(Ok(End::Finished(finish))) => {
                 let upstream = turn.upstream.clone();
                 turn.done();
-                let Progress { text, label, .. } = progress;
+                let Progress { text, label, .. } = std::mem::take(progress);
                 return Ok(Whole { text, label, finish, upstream });
             }
+            Ok(Ok(End::Stale(version))) => {
+                return Err(stale(&format!("version {version} is too old by now")));
+            }
             Ok(Err(failure)) => {
                 tracing::info!(
                     event = "attempt_failed",
@@ -64,9 +133,9 @@
                     outcome = ?failure.outcome,
                     reason = %failure.reason,
                 );
-                turn = next(turn, &failure, &progress).await?;
+                turn = next(turn, &failure, progress).await?;
             }
-            Err(_) => return Err(late(&progress)),
+            Err(_) => return Err(late(progress)),
         }
     }
 }
@@ -79,42 +148,60 @@
     })
 }
 
+fn stale(detail: &str) -> Refusal {
+    Refusal::new(Kind::Stale, detail).after(STALE_PAUSE)
+}
+
 fn late(progress: &Progress) -> Refusal {
     let detail = format!("{} tokens were there at the deadline", progress.label.tokens());
     Refusal::new(Kind::OutcomeUnknown, detail)
 }
 
+/// One attempt. Returning early drops the engine's stream, which cancels its work there.
 async fn attempt(
     app: &App,
     turn: &Turn,
-    request: &Completion,
+    job: &Job<'_>,
     progress: &mut Progress,
-    sink: Option<&mpsc::Sender<Chunk>>,
-) -> Result<String, Failure> {
-    let mut request = request.clone();
-    if progress.label.tokens() > 0 {
-        let prior = Prior { text: progress.text.clone(), tokens: progress.label.tokens() };
-        request.prior = Some(prior);
-    }
+) -> Result<End, Failure> {
+    let mut request = job.request.clone();
+    request.prior = progress.prior();
+    request.request_id = progress.part(&job.request.request_id);
     let started = app.engines.complete(turn.address, &request);
     let mut chunks = within(started).await??;
+    let mut version = None;
     while let Some(chunk) = within(chunks.next()).await? {
         let chunk = chunk?;
-        progress.text.push_str(&chunk.text);
-        progress.label.push(chunk.version, chunk.tokens);
-        progress.finish.clone_from(&chunk.finish);
-        if let Some(sink) = sink
+        if chunk.version != version {
+            version = chunk.version;
+            noted(app, turn, version);
+        }
+        progress.push(&chunk);
+        if let Some(sink) = &job.sink
             && sink.send(chunk).await.is_err()
         {
             break;
         }
+        if let Some(oldest) = progress.label.oldest().filter(|v| job.too_old(*v)) {
+            return Ok(End::Stale(oldest));
+        }
+        if let Some(finish) = progress.finish.take() {
+            return Ok(End::Finished(finish));
+        }
     }
-    progress.finish.take().ok_or_else(|| Failure {
+    Err(Failure {
         outcome: Outcome::Unknown,
         reason: "the stream ended without a last chunk".to_owned(),
     })
 }
 
+/// Only the engine knows what it serves: each chunk says so.
+fn noted(app: &App, turn: &Turn, version: Option<u64>) {
+    if let Some(version) = version {
+        app.served.lock().note(&turn.upstream, version, app.clock.now());
+    }
+}
+
 async fn within<T>(step: impl Future<Output = T>) -> Result<T, Failure> {
     tokio::time::timeout(STALL, step).await.map_err(|_| Failure {
         outcome: Outcome::Unknown,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -14,6 +14,7 @@
 mod orders;
 mod peers;
 mod plain;
+mod stream;
 mod train;
 mod upstreams;
 
@@ -23,4 +24,4 @@
 pub use clock::Clock;
 pub use lifecycle::Phase;
 pub use node::{Node, StartError};
-pub use train::{Pull, Pulled};
+pub use train::{Pull, Pulled, Submit};
--- /dev/null
+++ b/src/node/train/mod.rs
@@ -0,0 +1,10 @@
+//! The steps of trainers that this node holds.
+
+mod fill;
+mod held;
+mod message;
+mod pull;
+
+pub(super) use held::{Steps, submit};
+pub use message::{Pull, Pulled, Submit};
+pub(super) use pull::pull;
--- /dev/null
+++ b/src/node/train/pull.rs
@@ -0,0 +1,71 @@
+//! Handing groups over to a trainer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::fill;
+use super::held::{Held, leaving};
+use super::message::{Pull, Pulled};
+use crate::Name;
+use crate::error::{Kind, Refusal};
+use crate::node::app::App;
+
+/// The longest that a pull waits.
+const LONGEST: Duration = Duration::from_secs(30);
+/// A waiting pull looks so often whether the node leaves.
+const LOOK: Duration = Duration::from_millis(250);
+
+/// Hands over whole groups, or waits until there is one.
+pub(in crate::node) async fn pull(
+    app: &Arc<App>,
+    trainer: Name,
+    number: u64,
+    pull: Pull,
+) -> Result<Pulled, Refusal> {
+    let key = (trainer, number);
+    let unknown = || Refusal::new(Kind::UnknownStep, format!("step {number} is not held here"));
+    let held = app.steps.get(&key).ok_or_else(unknown)?;
+    let until = Instant::now() + Duration::from_millis(pull.wait_ms).min(LONGEST);
+    loop {
+        let filled = held.filled.notified();
+        tokio::pin!(filled);
+        filled.as_mut().enable();
+        held.touch();
+        let pulled = look(app, &held, &pull);
+        if pulled.complete || pulled.leaving {
+            app.steps.release(&held);
+        }
+        let over = Instant::now() >= until;
+        if pulled.complete || pulled.leaving || over || !pulled.groups.is_empty() {
+            let samples: usize = pulled.groups.iter().map(|g| g.samples.len()).sum();
+            app.metrics.samples.inc_by(samples as u64);
+            return Ok(pulled);
+        }
+        let look = (Instant::now() + LOOK).min(until);
+        let _ = tokio::time::timeout_at(look, filled).await;
+    }
+}
+
+/// Judges what is there against the trainer's present version, at this moment.
+fn look(app: &Arc<App>, held: &Arc<Held>, pull: &Pull) -> Pulled {
+    let version = app.steps.version(&held.trainer, pull.version);
+    held.acknowledge(version, &pull.have);
+    let leaving = leaving(app);
+    let step = held.step.lock();
+    // What is whole goes along at once when the node leaves: there is no next pull.
+    let most = if leaving { usize::MAX } else { pull.most.max(1) };
+    let pulled = Pulled {
+        groups: step.ready(most),
+        complete: step.complete(),
+        bound: step.bound(),
+        leaving,
+        parts: if leaving { step.parts() } else { Vec::new() },
+    };
+    drop(step);
+    if !leaving {
+        fill::start(app, held);
+    }
+    pulled
+}
--- a/standins/src/engine/engine.rs
+++ b/standins/src/engine/engine.rs
@@ -239,7 +239,6 @@
             }
         }
         if self.state.lock().faults.endless {
-            sender.abort(Aborted);
             return;
         }
         let _ = sender.send_data("data: [DONE]\n\n".into()).await;
--- a/tests/step.rs
+++ b/tests/step.rs
@@ -1,7 +1,7 @@
 //! A trainer's step, without sockets.
 #![allow(clippy::unwrap_used)]
 
-use mulberrycourse::decide::{Fill, Prompt, Sample, Slot, Span, Spec, Step};
+use mulberrycourse::decide::{Fill, Prompt, Ranges, Sample, Slot, Span, Spec, Step};
 
 fn step(groups: u32, samples: u32, bound: u64) -> Step {
     let prompt = Prompt { prompt: "deal".to_owned(), samples, max_tokens: 4 };
@@ -17,9 +17,9 @@
 #[test]
 fn unknown_groups_complete_nothing() {
     let mut step = step(2, 1, 1);
-    step.acknowledge(5, &[7, 8]);
+    step.acknowledge(5, &Ranges::from_iter([7, 8]));
     assert!(!step.complete());
-    assert_eq!(step.start().len(), 2);
+    assert_eq!(step.start(usize::MAX).len(), 2);
 }
 
 /// The trainer moves on between two deliveries: what was fresh is taken back and begun again.
@@ -27,21 +27,21 @@
 fn second_delivery_is_judged_again() {
     let mut step = step(1, 1, 1);
     let slot = Slot { group: 0, index: 0 };
-    assert_eq!(step.start(), [slot]);
+    assert_eq!(step.start(usize::MAX), [slot]);
     assert_eq!(step.fill(slot, sample(0, 4)), Fill::Kept);
-    step.acknowledge(5, &[]);
+    step.acknowledge(5, &Ranges::from_iter([]));
     assert_eq!(step.ready(1).len(), 1);
-    step.acknowledge(6, &[]);
+    step.acknowledge(6, &Ranges::from_iter([]));
     assert_eq!(step.ready(1).len(), 0);
-    assert_eq!(step.start(), [slot]);
+    assert_eq!(step.start(usize::MAX), [slot]);
 }
 
 /// The trainer moves on while a sample is under way.
 #[test]
 fn sample_is_judged_as_it_arrives() {
     let mut step = step(1, 2, 1);
-    step.start();
-    step.acknowledge(7, &[]);
+    step.start(usize::MAX);
+    step.acknowledge(7, &Ranges::from_iter([]));
     let slot = Slot { group: 0, index: 0 };
     assert_eq!(step.fill(slot, sample(0, 5)), Fill::Stale);
     assert_eq!(step.fill(slot, sample(0, 6)), Fill::Kept);
