A call goes to the next node when one takes no connection; a retry avoids the upstream that failed

Cause: after a node's death callers kept its address for up to their time to keep an answer, and the client gave the refused connection to its user; seen in processes_serve_and_one_is_killed, one run in three. A retry drew among all upstreams and so could spend its attempts at the one that just failed; seen in event_is_garbled.

Ruled out: taking the dead node out of the address answers sooner, which helps nobody who keeps one; retrying after a broken connection, since the request may have run.

Before: dead_node_in_a_kept_answer fails (connection refused).

Conclusion: only a refused connection is tried elsewhere by the client itself.

--- a/src/client/caller/caller.rs
+++ b/src/client/caller/caller.rs
@@ -9,11 +9,15 @@
 use super::error::CallerError;
 use crate::Name;
 use crate::client::AddressBook;
-use crate::edge::http::{Fetch, full, read};
+use crate::edge::http::{Fetch, FetchError, full, read};
 
 /// The largest answer, in bytes.
 pub(super) const LIMIT: usize = 64 << 20;
 
+/// Nodes that are tried for one request: more than can be gone from one kept answer
+/// without the service being gone.
+const NODES: u32 = 8;
+
 /// A whole answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Received {
@@ -65,13 +69,8 @@
         &self.book
     }
 
-    pub(super) fn request(
-        &self,
-        path: &str,
-        body: Bytes,
-        timeout: Duration,
-    ) -> Request<crate::edge::http::Body> {
-        let mut request = Request::new(full(body));
+    pub(super) fn request(&self, path: &str, body: Bytes, timeout: Duration) -> Request<Bytes> {
+        let mut request = Request::new(body);
         *request.method_mut() = Method::POST;
         *request.uri_mut() = path.parse().unwrap_or_default();
         let headers = request.headers_mut();
@@ -83,20 +82,27 @@
         request
     }
 
+    /// Sends a request to a node. One that takes no connection got nothing of the
+    /// request, so the next one is tried; any other failure is the caller's to judge.
     pub(super) async fn send(
         &self,
-        mut request: Request<crate::edge::http::Body>,
+        request: Request<Bytes>,
     ) -> Result<(SocketAddr, http::Response<hyper::body::Incoming>), CallerError> {
-        let node = self.book.get().await.ok_or(CallerError::NoNode)?;
-        let uri = format!("http://{node}{}", request.uri());
-        *request.uri_mut() = uri.parse().unwrap_or_default();
-        match self.fetch.send(node, request).await {
-            Ok(response) => Ok((node, response)),
-            Err(e) => {
-                self.book.failed(node);
-                Err(e.into())
+        for _ in 0..NODES {
+            let node = self.book.get().await.ok_or(CallerError::NoNode)?;
+            let mut request = request.clone().map(full);
+            let uri = format!("http://{node}{}", request.uri());
+            *request.uri_mut() = uri.parse().unwrap_or_default();
+            match self.fetch.send(node, request).await {
+                Ok(response) => return Ok((node, response)),
+                Err(FetchError::Connect { .. }) => self.book.failed(node),
+                Err(e) => {
+                    self.book.failed(node);
+                    return Err(e.into());
+                }
             }
         }
+        Err(CallerError::NoNode)
     }
 }
 
--- a/src/decide/dispatch.rs
+++ b/src/decide/dispatch.rs
@@ -83,6 +83,8 @@
     call: Call,
     attempts: u32,
     at: Option<UpstreamKey>,
+    /// Where the last attempt failed: the next goes elsewhere if it can.
+    failed: Option<UpstreamKey>,
 }
 
 /// The state of one service at this node.
@@ -116,7 +118,7 @@
         self.budget.earn();
         let class = call.class;
         let late = call.deadline <= now;
-        let ticket = self.pending.insert(Pending { call, attempts: 0, at: None });
+        let ticket = self.pending.insert(Pending { call, attempts: 0, at: None, failed: None });
         if late {
             self.refuse(ticket, Kind::DeadlineUnreachable, "the deadline has passed");
         } else if self.queue.len(class) >= self.limits.queue {
@@ -142,6 +144,7 @@
     pub fn ended(&mut self, ticket: Ticket, report: Report, now: Moment) {
         let Some(pending) = self.pending.get_mut(ticket) else { return };
         if let Some(key) = pending.at.take() {
+            pending.failed = Some(key);
             self.release(key);
         }
         match report.outcome {
@@ -229,8 +232,14 @@
 
     fn pump(&mut self, now: Moment) {
         while !self.queue.is_empty() {
-            let Some(key) = self.choose() else { return };
             let Some(ticket) = self.queue.pop() else { return };
+            let class = self.pending.get(ticket).map(|p| p.call.class);
+            let Some(key) = self.choose(self.pending.get(ticket).and_then(|p| p.failed)) else {
+                if let Some(class) = class {
+                    self.queue.push_front(class, ticket);
+                }
+                return;
+            };
             let Some(pending) = self.pending.get_mut(ticket) else { continue };
             if pending.call.deadline <= now {
                 self.refuse(ticket, Kind::DeadlinePassed, "it waited until its deadline");
@@ -245,14 +254,15 @@
         }
     }
 
-    fn choose(&mut self) -> Option<UpstreamKey> {
+    fn choose(&mut self, avoid: Option<UpstreamKey>) -> Option<UpstreamKey> {
         let candidates: Vec<Candidate<UpstreamKey>> = self
             .upstreams
             .iter()
             .filter(|(_, u)| u.view.open && u.limit.open())
             .map(|(key, u)| Candidate { key, load: f64::from(u.limit.running()) })
             .collect();
-        pick(&candidates, &mut self.rng)
+        let others: Vec<_> = candidates.iter().filter(|c| Some(c.key) != avoid).copied().collect();
+        pick(&others, &mut self.rng).or_else(|| pick(&candidates, &mut self.rng))
     }
 
     fn release(&mut self, key: UpstreamKey) {
--- a/src/node/callers.rs
+++ b/src/node/callers.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::header::{CONTENT_TYPE, HeaderValue};
+use http::header::CONTENT_TYPE;
 use http::request::Parts;
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -5,7 +5,9 @@
 
 use mulberrycourse::client::{Caller, CallerError, Trainer};
 use mulberrycourse::decide::{Prompt, Spec};
+use mulberrycourse::edge::http::Fetch;
 use mulberrycourse::error::Run;
+use mulberrycourse::node::Addresses;
 use standins::caller::{completion, expected};
 use standins::engine::EngineSettings;
 use standins::fleet::{Fleet, bundle};
@@ -58,3 +60,26 @@
     assert!(problem.retry_after_ms.is_some());
     assert!(fleet.sync.iter().all(|p| p.ledger().is_empty()));
 }
+
+/// A node dies while callers keep its address: no call of theirs fails for it, since
+/// nothing was sent when the connection was refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn dead_node_in_a_kept_answer() {
+    let mut fleet = Fleet::spawn(2, 1, EngineSettings::default()).await.unwrap();
+    let first = fleet.callers()[0];
+    let fetch = Fetch::default();
+    while fetch.get::<Addresses>(first, "/v1/addresses", WAIT).await.unwrap().addresses.len() < 2 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let shop = Caller::new("shop".into(), vec![first]);
+    shop.call("stock", "/items/1", "", None, WAIT).await.unwrap();
+    let dead = fleet.nodes.pop().unwrap();
+    let address = dead.callers();
+    drop(dead);
+    while tokio::net::TcpStream::connect(address).await.is_ok() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    for _ in 0..4 {
+        shop.call("sync", "/count", "1", None, WAIT).await.unwrap();
+    }
+}
