--- a/src/edge/http/body.rs
+++ b/src/edge/http/body.rs
@@ -86,6 +86,10 @@
     B: hyper::body::Body<Data = Bytes>,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
+    // A body that says how large it is needs not be read to be refused.
+    if body.size_hint().lower() > limit as u64 {
+        return Err(ReadError::TooLarge(limit));
+    }
     match Limited::new(body, limit).collect().await {
         Ok(collected) => Ok(collected.to_bytes()),
         Err(e) if e.is::<LengthLimitError>() => Err(ReadError::TooLarge(limit)),
