Operators' client: rollout, completions, JSON errors, settled writes

A lost reply was settled only if the key still held our very write: a sign-off that came on top made a good proposal look like a conflict, and a write that had not taken effect yet was told as "nothing was changed". Now a write that compares is sent again, one that another was built upon counts as done, an applied bundle is looked for in the history, and what can't be read back is told as unknown (status 7). Two operators who sign the same text at once both stand; proposing or applying the same bundle again changes nothing. With the settling by nonce taken out, lost_replies_are_settled fails at its first write.

Also: `rollout` follows nodes and engines (each engine is asked itself, since a node knows only the load reports of those that it owns), `completions`, errors in JSON with kind and status, conflicts with winner and unified diff (crate similar; ruled out: the set of lines from before, which lost order and doubled lines).

--- a/src/bin/mulberryctl.rs
+++ b/src/bin/mulberryctl.rs
@@ -1,13 +1,15 @@
 //! The operators' client.
 
+use std::io::IsTerminal;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use clap::{Parser, Subcommand, ValueEnum};
+use clap::{CommandFactory, Parser, Subcommand, ValueEnum};
+use clap_complete::Shell;
 use mulberrycourse::Name;
 use mulberrycourse::bundle::{Envelope, Operators};
-use mulberrycourse::cli::{Failure, Store, commands, queries};
+use mulberrycourse::cli::{Failure, Rollout, Store, commands, follow, queries};
 use mulberrycourse::edge::peer::NodeInfo;
 use mulberrycourse::node::{RefusalCount, UpstreamState};
 use mulberrycourse::settings::Document;
@@ -52,6 +54,23 @@
         #[arg(long)]
         node: SocketAddr,
     },
+    /// Follow a rollout until every node has the bundle and every engine the version.
+    Rollout {
+        /// A node's admin address.
+        #[arg(long)]
+        node: SocketAddr,
+        /// The bundle to wait for; without it, the latest that a node has.
+        #[arg(long)]
+        number: Option<u64>,
+        /// How long to wait, such as 30s; 0s looks once.
+        #[arg(long, default_value = "60s")]
+        wait: humantime::Duration,
+    },
+    /// Print the completions for a shell.
+    Completions {
+        /// The shell.
+        shell: Shell,
+    },
     /// Count the refusals, by kind.
     Refusals {
         /// A node's admin address.
@@ -132,10 +151,11 @@
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> ExitCode {
     let args = Args::parse();
+    let output = args.output;
     match run(args).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(failure) => {
-            report(&failure);
+            report(output, &failure);
             ExitCode::from(failure.status())
         }
     }
@@ -157,6 +177,15 @@
             let upstreams: Vec<UpstreamState> = queries::state(node, "upstreams").await?;
             print(output, &upstreams, |all| lines(all, upstream_line));
         }
+        Command::Rollout { node, number, wait } => {
+            let rollout = follow(node, number, wait.into(), progress).await;
+            end_progress();
+            print(output, &rollout?, Rollout::line);
+        }
+        Command::Completions { shell } => {
+            let mut command = Args::command();
+            clap_complete::generate(shell, &mut command, "mulberryctl", &mut std::io::stdout());
+        }
         Command::Refusals { node } => {
             let counts: Vec<RefusalCount> = queries::state(node, "refusals").await?;
             print(output, &counts, |all| lines(all, |c| format!("{} {}", c.kind, c.count)));
@@ -226,8 +255,10 @@
 }
 
 fn upstream_line(upstream: &UpstreamState) -> String {
-    let UpstreamState { name, service, zone, address, open } = upstream;
-    format!("{name} {service} {zone} {address} {}", if *open { "open" } else { "closed" })
+    let UpstreamState { name, service, zone, address, open, wanted } = upstream;
+    let open = if *open { "open" } else { "closed" };
+    let wanted = wanted.map(|v| format!(" wanted version {v}")).unwrap_or_default();
+    format!("{name} {service} {zone} {address} {open}{wanted}")
 }
 
 fn lines<T>(all: &[T], line: impl Fn(&T) -> String) -> String {
@@ -242,7 +273,27 @@
     }
 }
 
+/// A line that is written over, for people who watch; not in a file or a pipe.
 #[allow(clippy::print_stderr)]
-fn report(failure: &Failure) {
-    eprintln!("mulberryctl: {failure}");
+fn progress(rollout: &Rollout) {
+    if std::io::stderr().is_terminal() {
+        eprint!("\r\x1b[2K{}", rollout.line());
+    }
+}
+
+#[allow(clippy::print_stderr)]
+fn end_progress() {
+    if std::io::stderr().is_terminal() {
+        eprintln!();
+    }
+}
+
+#[allow(clippy::print_stderr)]
+fn report(output: Output, failure: &Failure) {
+    match output {
+        Output::Text => eprintln!("mulberryctl: {failure}"),
+        Output::Json => {
+            eprintln!("{}", serde_json::to_string_pretty(&failure.report()).unwrap_or_default());
+        }
+    }
 }
--- a/src/cli/commands.rs
+++ b/src/cli/commands.rs
@@ -48,6 +48,13 @@
         signatures: Vec::new(),
     };
     envelope.signatures.push(sign(author, key, &envelope.digest()));
+    // The same proposal made again changes nothing.
+    if let (Some(found), _) = store.proposed(envelope.number).await?
+        && found.author == envelope.author
+        && found.digest() == envelope.digest()
+    {
+        return Ok(found);
+    }
     store.propose(&envelope, 0).await?;
     Ok(envelope)
 }
@@ -59,14 +66,21 @@
     operator: Name,
     key: &SigningKey,
 ) -> Result<Envelope, Failure> {
-    let (found, revision) = store.proposed(number).await?;
-    let mut envelope = found.ok_or_else(|| Failure::NoBundle(number.to_string()))?;
-    envelope.check()?;
-    envelope.signatures.retain(|s| s.operator != operator);
-    envelope.signatures.push(sign(operator, key, &envelope.digest()));
-    envelope.nonce = rand::random();
-    store.propose(&envelope, revision).await?;
-    Ok(envelope)
+    let mut digest = None;
+    loop {
+        let (found, revision) = store.proposed(number).await?;
+        let mut envelope = found.ok_or_else(|| Failure::NoBundle(number.to_string()))?;
+        envelope.check()?;
+        let first = *digest.get_or_insert(envelope.digest());
+        envelope.signatures.retain(|s| s.operator != operator);
+        envelope.signatures.push(sign(operator.clone(), key, &envelope.digest()));
+        envelope.nonce = rand::random();
+        match store.propose(&envelope, revision).await {
+            // Another operator signed the same text meanwhile: both sign-offs are to stand.
+            Err(Failure::Conflict { digest, .. }) if digest == hex::encode(first) => {}
+            done => return done.map(|()| envelope),
+        }
+    }
 }
 
 /// Puts a signed-off bundle into force.
@@ -79,6 +93,9 @@
     if let Some(current) = current
         && current.order() >= envelope.order()
     {
+        if current.order() == envelope.order() {
+            return Ok(current);
+        }
         return Err(Rejected::Lower { current: current.number, offered: number }.into());
     }
     store.apply(&envelope, revision).await?;
--- a/src/cli/failure.rs
+++ b/src/cli/failure.rs
@@ -1,5 +1,7 @@
 //! Why an operator's command failed, and the exit status of each.
 
+use serde::{Deserialize, Serialize};
+
 use crate::bundle::Rejected;
 use crate::edge::http::FetchError;
 use crate::settings::Invalid;
@@ -31,17 +33,42 @@
         winner: String,
         /// The number of that bundle.
         number: u64,
+        /// Its digest, in hex.
+        digest: String,
         /// The lines that differ.
         difference: String,
     },
     /// The platform or a node did not answer: nothing was changed.
     #[error("nothing was changed: {0}")]
     Unavailable(String),
+    /// A rollout was not done in time.
+    #[error("not done in time: {0}")]
+    Late(String),
     /// The write may or may not have taken effect.
     #[error("the write may have taken effect; look with `bundle show`: {0}")]
     Unknown(String),
 }
 
+/// A failure in JSON.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FailureReport {
+    /// Its kind.
+    pub error: String,
+    /// The exit status.
+    pub status: u8,
+    /// For people.
+    pub message: String,
+    /// For a conflict: who was first.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub winner: Option<String>,
+    /// For a conflict: the number of that bundle.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub number: Option<u64>,
+    /// For a conflict: the difference, as a unified diff.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub difference: Option<String>,
+}
+
 impl Failure {
     /// The exit status: documented in docs/OPERATORS.md.
     pub fn status(&self) -> u8 {
@@ -52,6 +79,45 @@
             Self::NoBundle(_) => 5,
             Self::Unavailable(_) => 6,
             Self::Unknown(_) => 7,
+            Self::Late(_) => 8,
+        }
+    }
+
+    /// The failure's name in JSON.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Invalid(_) => "invalid",
+            Self::File { .. } => "file",
+            Self::Rejected(_) => "rejected",
+            Self::Conflict { .. } => "conflict",
+            Self::NoBundle(_) => "no_bundle",
+            Self::Unavailable(_) => "unavailable",
+            Self::Unknown(_) => "unknown",
+            Self::Late(_) => "late",
+        }
+    }
+
+    /// What `--output json` prints on standard error.
+    pub fn report(&self) -> FailureReport {
+        let (winner, number, difference) = match self {
+            Self::Conflict { winner, number, difference, .. } => {
+                (Some(winner.clone()), Some(*number), Some(difference.clone()))
+            }
+            Self::Invalid(_)
+            | Self::Rejected(_)
+            | Self::File { .. }
+            | Self::NoBundle(_)
+            | Self::Unavailable(_)
+            | Self::Unknown(_)
+            | Self::Late(_) => (None, None, None),
+        };
+        FailureReport {
+            error: self.kind().to_owned(),
+            status: self.status(),
+            message: self.to_string(),
+            winner,
+            number,
+            difference,
         }
     }
 }
--- a/src/cli/store.rs
+++ b/src/cli/store.rs
@@ -11,6 +11,8 @@
 
 /// How long one call to the platform may take.
 const TIMEOUT: Duration = Duration::from_secs(5);
+/// How often a write is sent whose reply was lost and that has not taken effect.
+const WRITES: u32 = 3;
 
 /// The platform's bundles.
 #[derive(Debug)]
@@ -58,6 +60,8 @@
         }
     }
 
+    /// Writes, and settles what a lost reply leaves open: the write compares, so the same
+    /// write may be sent again.
     async fn write(
         &self,
         key: &str,
@@ -66,24 +70,65 @@
         also: Vec<(String, Vec<u8>)>,
     ) -> Result<(), Failure> {
         let value = encode(envelope)?;
-        match self.platform.swap(key, expected, value, also, PlatformUse::Bundle).await {
-            Swap::Done(_) => Ok(()),
-            Swap::Conflict(kept) => Err(conflict(kept.as_ref(), envelope)),
-            Swap::Unsent(reason) => Err(Failure::Unavailable(reason)),
-            Swap::Unknown(reason) => self.settle(key, envelope, reason).await,
+        let mut unsure = None;
+        for _ in 0..WRITES {
+            let write =
+                self.platform.swap(key, expected, value.clone(), also.clone(), PlatformUse::Bundle);
+            match write.await {
+                Swap::Done(_) => return Ok(()),
+                Swap::Conflict(kept) if unsure.is_some() => {
+                    return self.settled(kept.as_ref(), envelope, &also).await;
+                }
+                Swap::Conflict(kept) => return Err(conflict(kept.as_ref(), envelope)),
+                // Not sent now says nothing of the attempt before.
+                Swap::Unsent(reason) => {
+                    return Err(unsure.map_or(Failure::Unavailable(reason), Failure::Unknown));
+                }
+                Swap::Unknown(reason) => {
+                    let Ok(kept) = self.platform.get(key, PlatformUse::Bundle).await else {
+                        return Err(Failure::Unknown(reason));
+                    };
+                    if kept.as_ref().map_or(0, |k| k.revision) != expected {
+                        return self.settled(kept.as_ref(), envelope, &also).await;
+                    }
+                    unsure = Some(reason);
+                }
+            }
         }
+        Err(Failure::Unknown(unsure.unwrap_or_default()))
     }
 
-    /// The reply was lost: what is there tells whether the write took effect.
-    async fn settle(&self, key: &str, envelope: &Envelope, reason: String) -> Result<(), Failure> {
-        match self.platform.get(key, PlatformUse::Bundle).await {
-            Ok(Some(kept)) if parse(&kept)?.nonce == envelope.nonce => Ok(()),
-            Ok(kept) => Err(conflict(kept.as_ref(), envelope)),
-            Err(_) => Err(Failure::Unknown(reason)),
+    /// The reply was lost, and the key was written since: by this write, or by another.
+    async fn settled(
+        &self,
+        kept: Option<&Kept>,
+        ours: &Envelope,
+        also: &[(String, Vec<u8>)],
+    ) -> Result<(), Failure> {
+        if kept.and_then(|k| parse(k).ok()).is_some_and(|theirs| holds(&theirs, ours)) {
+            return Ok(());
+        }
+        // A later write may have covered this one; the history tells.
+        for (key, _) in also {
+            match self.platform.get(key, PlatformUse::Bundle).await {
+                Ok(Some(kept)) if parse(&kept).is_ok_and(|e| e.nonce == ours.nonce) => {
+                    return Ok(());
+                }
+                Ok(_) => {}
+                Err(e) => return Err(Failure::Unknown(e.to_string())),
+            }
         }
+        Err(conflict(kept, ours))
     }
 }
 
+/// Whether what is kept is our write, or one that was built upon it.
+fn holds(theirs: &Envelope, ours: &Envelope) -> bool {
+    let built_upon = theirs.digest() == ours.digest()
+        && ours.signatures.iter().all(|s| theirs.signatures.contains(s));
+    theirs.nonce == ours.nonce || built_upon
+}
+
 fn key(prefix: &str, number: u64) -> String {
     format!("{prefix}{number:020}")
 }
@@ -105,17 +150,13 @@
     Failure::Conflict {
         winner: theirs.author.to_string(),
         number: theirs.number,
+        digest: hex::encode(theirs.digest()),
         difference: difference(&theirs.text, &ours.text),
     }
 }
 
-/// The lines that only one of two texts has: `-` for the first, `+` for the second.
+/// How the second text differs from the first, as a unified diff.
 pub(super) fn difference(first: &str, second: &str) -> String {
-    let only = |a: &str, b: &str, sign: char| -> Vec<String> {
-        let theirs: Vec<&str> = b.lines().collect();
-        a.lines().filter(|l| !theirs.contains(l)).map(|l| format!("{sign} {l}")).collect()
-    };
-    let mut lines = only(first, second, '-');
-    lines.extend(only(second, first, '+'));
-    lines.join("\n")
+    let diff = similar::TextDiff::from_lines(first, second);
+    diff.unified_diff().context_radius(1).to_string()
 }
--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -39,6 +39,9 @@
     pub address: SocketAddr,
     /// Whether it gets new work.
     pub open: bool,
+    /// For an engine, the weight version that the bundle states.
+    #[serde(default)]
+    pub wanted: Option<u64>,
 }
 
 /// How often a kind was refused.
@@ -124,12 +127,18 @@
 
 fn upstreams(app: &App) -> Vec<UpstreamState> {
     let list = app.upstreams.list();
+    let current = app.bundles.current();
+    let wanted = |service: &Name| {
+        let spec = current.as_ref()?.bundle.services.get(service)?;
+        spec.engine.as_ref().map(|e| e.version)
+    };
     let one = |vm: &crate::edge::platform::Vm| UpstreamState {
         name: vm.name.clone(),
         service: vm.service.clone(),
         zone: vm.zone.clone(),
         address: vm.address,
         open: vm.state == crate::edge::platform::VmState::Live,
+        wanted: wanted(&vm.service),
     };
     list.iter().map(one).collect()
 }
--- a/standins/src/platform/faults.rs
+++ b/standins/src/platform/faults.rs
@@ -14,6 +14,8 @@
     pub slow_ms: u64,
     /// So many of the next writes take effect, but their replies are lost.
     pub lose_replies: u32,
+    /// Reads of keys are cut; writes go on to take effect.
+    pub unreadable: bool,
     /// Reads answer as of this many revisions ago.
     pub behind: u64,
     /// Most writes in a second, 0 for no limit; more are refused.
--- a/standins/src/platform/server.rs
+++ b/standins/src/platform/server.rs
@@ -285,7 +285,8 @@
         }
         let (down, slow) = {
             let faults = &self.inner.lock().faults;
-            (faults.down, faults.slow())
+            let unreadable = faults.unreadable && path == "/v3/kv/range";
+            (faults.down || unreadable, faults.slow())
         };
         if down {
             return Err(Cut);
