--- a/src/edge/peer/message.rs
+++ b/src/edge/peer/message.rs
@@ -7,6 +7,7 @@
 use crate::Name;
 use crate::bundle::Envelope;
 use crate::decide::claim::{Ask, Attempt, ClaimKey, End, Verdict};
+use crate::metrics::Purpose;
 
 /// Whether a node takes work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -65,6 +66,17 @@
     Attempt(u64),
 }
 
+impl Request {
+    /// What its bytes, and those of its reply, count for.
+    pub fn purpose(&self) -> Purpose {
+        match self {
+            Self::Hello(_) => Purpose::Hello,
+            Self::Bundle | Self::Offer(_) => Purpose::Bundle,
+            Self::Claim(_) | Self::Ended { .. } | Self::Attempt(_) => Purpose::Claim,
+        }
+    }
+}
+
 /// The reply to a request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
--- a/src/node/callers.rs
+++ b/src/node/callers.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::header::{CONTENT_TYPE, HeaderName, HeaderValue};
+use http::header::CONTENT_TYPE;
 use http::request::Parts;
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -12,21 +12,15 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
-use tokio::sync::mpsc;
-use tokio_util::task::AbortOnDropHandle;
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::app::App;
-use super::complete::{Whole, complete};
+use super::claims::OnceCall;
+use super::stream::completions;
 use super::{claims, plain, train};
 use crate::Name;
 use crate::bundle::Bundle;
-use crate::decide::claim::ClaimKey;
-use crate::decide::{Call, Class, Repeat};
-use crate::edge::http::{
-    Aborted, Body, BodySender, Handler, full, json as answer, problem, read, streamed,
-};
-use crate::edge::upstream::{Chunk, Completion};
+use crate::decide::{Call, Class, rank};
+use crate::edge::http::{Body, Handler, json as answer, problem, read};
 use crate::error::{Kind, Refusal};
 
 /// The largest request body, in bytes.
@@ -35,14 +29,10 @@
 const CALLER: &str = "mulberry-caller";
 /// The header that says how long the caller waits, in milliseconds.
 const TIMEOUT: &str = "mulberry-timeout-ms";
+/// The longest value of a header that we read, in bytes.
+const HEADER_LIMIT: usize = 128;
 /// The caller that requests without a name count for.
 const NOBODY: &str = "anonymous";
-/// The longest idempotency key, in bytes.
-const KEY_LIMIT: usize = 255;
-/// The headers of an upstream's answer that are passed on.
-const RETURNED: [HeaderName; 2] = [CONTENT_TYPE, claims::REPLAYED];
-/// Chunks that wait for a slow caller.
-const BUFFER: usize = 64;
 
 /// The addresses that a caller may use.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -70,6 +60,10 @@
             problem(&refusal)
         })
     }
+
+    fn refused(&self, kind: Kind) {
+        self.app.metrics.refused(kind);
+    }
 }
 
 async fn route(app: &Arc<App>, request: Request<Incoming>) -> Result<Response<Body>, Refusal> {
@@ -79,7 +73,11 @@
     match segments.as_slice() {
         ["v1", "addresses"] => {
             method(&head, &Method::GET)?;
-            Ok(answer(StatusCode::OK, &addresses(app)))
+            let found = match trainer(head.uri.query()) {
+                Some(trainer) => homes(app, trainer),
+                None => addresses(app),
+            };
+            Ok(answer(StatusCode::OK, &found))
         }
         ["v1", "completions"] => {
             method(&head, &Method::POST)?;
@@ -94,8 +92,8 @@
         ["v1", "trainers", trainer, "steps", step] => {
             method(&head, &Method::PUT)?;
             let number = number(step)?;
-            let spec = parsed(&head, body).await?;
-            train::submit(app, Name::from(*trainer), number, spec)?;
+            let submit = parsed(&head, body).await?;
+            train::submit(app, Name::from(*trainer), number, submit)?;
             Ok(answer(StatusCode::OK, &json!({ "step": number })))
         }
         ["v1", "trainers", trainer, "steps", step, "pull"] => {
@@ -109,6 +107,25 @@
     }
 }
 
+/// The trainer that `?trainer=NAME` names.
+fn trainer(query: Option<&str>) -> Option<&str> {
+    query?.split('&').find_map(|pair| pair.strip_prefix("trainer="))
+}
+
+/// The addresses for a trainer: the home of its steps first, then its successors.
+/// Every node answers alike, so a step that moves finds its next home again.
+fn homes(app: &App, trainer: &str) -> Addresses {
+    let mut nodes = app.members.serving(app.clock.now());
+    let own = app.info();
+    if own.state == crate::edge::peer::NodeState::Serving || nodes.is_empty() {
+        nodes.push(own);
+    }
+    let names = rank(trainer, nodes.iter().map(|n| &*n.name));
+    let address = |name: &str| nodes.iter().find(|n| &*n.name == name).map(|n| n.callers);
+    let addresses = names.into_iter().filter_map(address).collect();
+    Addresses { addresses, ttl_ms: app.settings.drain.ttl.as_millis() as u64 }
+}
+
 fn addresses(app: &App) -> Addresses {
     let now = app.clock.now();
     let mut nodes = app.members.serving(now);
@@ -121,136 +138,6 @@
     Addresses { addresses, ttl_ms: app.settings.drain.ttl.as_millis() as u64 }
 }
 
-async fn completions(
-    app: &Arc<App>,
-    head: &Parts,
-    mut request: Completion,
-) -> Result<Response<Body>, Refusal> {
-    let adopted = app.bundle()?;
-    let service = request.model.clone();
-    let mut call = call_of(app, &adopted.bundle, &head.headers, &service)?;
-    let dispatcher = app.dispatcher(&service)?;
-    if adopted.bundle.services.get(&*service).is_some_and(|s| s.engine.is_none()) {
-        return Err(Refusal::new(Kind::BadRequest, format!("{service} is no model")));
-    }
-    call.cost = request.max_tokens;
-    call.fingerprint = xxh3_64(request.prompt.as_bytes());
-    call.prefix = Some(call.fingerprint);
-    call.repeat = Repeat::Idempotent;
-    request.request_id = format!("{:016x}", rand::random::<u64>());
-    if !request.stream {
-        let id = request.request_id.clone();
-        let whole = complete(app, &dispatcher, call, request, None).await?;
-        return Ok(answer(StatusCode::OK, &completion(&id, whole)));
-    }
-    let (sink, chunks) = mpsc::channel(BUFFER);
-    let id = request.request_id.clone();
-    let shared = app.clone();
-    let task =
-        tokio::spawn(
-            async move { complete(&shared, &dispatcher, call, request, Some(sink)).await },
-        );
-    stream(app.clone(), id, chunks, AbortOnDropHandle::new(task)).await
-}
-
-type Task = AbortOnDropHandle<Result<Whole, Refusal>>;
-
-/// Answers with a stream once the first chunk is there; a refusal before it has
-/// its own status.
-async fn stream(
-    app: Arc<App>,
-    id: String,
-    mut chunks: mpsc::Receiver<Chunk>,
-    task: Task,
-) -> Result<Response<Body>, Refusal> {
-    let Some(first) = chunks.recv().await else {
-        let lost = |e| Refusal::new(Kind::Internal, format!("the task ended: {e}"));
-        task.await.map_err(lost)??;
-        return Err(Refusal::new(Kind::Truncated, "the engine sent no token"));
-    };
-    let (sender, body) = streamed(BUFFER);
-    tokio::spawn(relay(app, id, first, chunks, task, sender));
-    let mut response = Response::new(body);
-    let kind = HeaderValue::from_static("text/event-stream");
-    response.headers_mut().insert(CONTENT_TYPE, kind);
-    Ok(response)
-}
-
-async fn relay(
-    app: Arc<App>,
-    id: String,
-    first: Chunk,
-    mut chunks: mpsc::Receiver<Chunk>,
-    task: Task,
-    mut sender: BodySender,
-) {
-    let mut next = Some(first);
-    let mut index = 0;
-    while let Some(chunk) = next {
-        index += chunk.tokens;
-        let event = event(&id, index, &chunk);
-        if sender.send_data(event.into()).await.is_err() {
-            return;
-        }
-        next = chunks.recv().await;
-    }
-    let last = match task.await {
-        Ok(Ok(_)) => "data: [DONE]\n\n".to_owned(),
-        Ok(Err(refusal)) => {
-            app.metrics.refused(refusal.kind);
-            let problem = serde_json::to_string(&refusal.problem()).unwrap_or_default();
-            format!("event: error\ndata: {problem}\n\n")
-        }
-        Err(_) => {
-            sender.abort(Aborted);
-            return;
-        }
-    };
-    let _ = sender.send_data(last.into()).await;
-}
-
-/// One event of a stream; its id is the request and the index of the next token.
-fn event(id: &str, index: u32, chunk: &Chunk) -> String {
-    let data = json!({
-        "id": id,
-        "object": "text_completion",
-        "choices": [{ "index": 0, "text": chunk.text, "finish_reason": chunk.finish }],
-        "tokens": chunk.tokens,
-        "weight_version": chunk.version,
-    });
-    format!("id: {id}/{index}\ndata: {data}\n\n")
-}
-
-fn completion(id: &str, whole: Whole) -> serde_json::Value {
-    let tokens = whole.label.tokens();
-    let label = whole.label.finish().ok();
-    json!({
-        "id": id,
-        "object": "text_completion",
-        "choices": [{ "index": 0, "text": whole.text, "finish_reason": whole.finish }],
-        "usage": { "completion_tokens": tokens },
-        "label": label,
-    })
-}
-
-/// What a call is claimed under, if it may not be repeated and has a key.
-///
-/// A service whose calls may be repeated needs no claim: a platform that is down
-/// must not keep its calls from being served.
-fn claim_key(call: &Call, service: &str, headers: &HeaderMap) -> Result<Option<ClaimKey>, Refusal> {
-    let Some(key) = headers.get(plain::KEY) else { return Ok(None) };
-    let key = key.to_str().ok().filter(|k| !k.is_empty() && k.len() <= KEY_LIMIT);
-    let bad = || {
-        let detail = format!("{}: 1 to {KEY_LIMIT} visible characters", plain::KEY);
-        Refusal::new(Kind::BadRequest, detail)
-    };
-    let key = ClaimKey::new(service, &call.caller, key.ok_or_else(bad)?);
-    Ok(match call.repeat {
-        Repeat::Idempotent => None,
-        Repeat::Once => Some(key),
-    })
-}
-
 async fn services(
     app: &Arc<App>,
     head: &Parts,
@@ -265,33 +152,19 @@
     if let Some(query) = head.uri.query() {
         path = format!("{path}?{query}");
     }
-    call.fingerprint = fingerprint(head, &path, &body);
-    let whole = match claim_key(&call, service, &head.headers)? {
+    call.fingerprint = plain::fingerprint(head, &path, &body);
+    let whole = match plain::claim_key(&call, service, &head.headers)? {
         None => plain::call(app, &dispatcher, call, head, &path, body).await?,
         Some(key) => {
-            let head = head.clone();
-            let once = claims::OnceCall { key, call, head, path, body };
+            let once = OnceCall { key, call, head: head.clone(), path, body };
             claims::once(app, &dispatcher, once).await?
         }
     };
-    let mut response = Response::new(full(whole.body));
-    *response.status_mut() = whole.status;
-    for name in RETURNED {
-        if let Some(value) = whole.headers.get(&name) {
-            response.headers_mut().insert(name, value.clone());
-        }
-    }
-    Ok(response)
-}
-
-/// The hash of a call's content: the same when it is sent again, to any node.
-fn fingerprint(head: &Parts, path: &str, body: &[u8]) -> u64 {
-    let line = format!("{} {path}", head.method);
-    xxh3_64_with_seed(body, xxh3_64(line.as_bytes()))
+    Ok(plain::response(whole))
 }
 
 /// The request as the decisions see it, from headers and bundle.
-fn call_of(
+pub(super) fn call_of(
     app: &App,
     bundle: &Bundle,
     headers: &HeaderMap,
@@ -300,10 +173,9 @@
     let spec = bundle.services.get(service).ok_or_else(|| {
         Refusal::new(Kind::UnknownService, format!("no service {service} in the bundle"))
     })?;
-    let text = |name| headers.get(name).and_then(|v: &HeaderValue| v.to_str().ok());
-    let caller = text(CALLER).unwrap_or(NOBODY);
+    let caller = one(headers, CALLER)?.unwrap_or(NOBODY);
     let class = bundle.callers.get(caller).map_or(Class::Live, |c| c.class);
-    let wait = match text(TIMEOUT) {
+    let wait = match one(headers, TIMEOUT)? {
         None => spec.deadline,
         Some(ms) => Duration::from_millis(ms.parse().map_err(|_| {
             Refusal::new(Kind::BadRequest, format!("{TIMEOUT}: {ms} is no number"))
@@ -320,6 +192,22 @@
     })
 }
 
+/// The value of a header that may be there once, as text of 1 to 128 characters.
+pub(super) fn one<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Refusal> {
+    let bad = |what: &str| Refusal::new(Kind::BadRequest, format!("{name}: {what}"));
+    let mut all = headers.get_all(name).iter();
+    let Some(value) = all.next() else { return Ok(None) };
+    if all.next().is_some() {
+        return Err(bad("is there more than once"));
+    }
+    let text = value.to_str().map_err(|_| bad("is no ASCII text"))?.trim();
+    match text.len() {
+        1..=HEADER_LIMIT => Ok(Some(text)),
+        0 => Err(bad("is empty")),
+        _ => Err(bad("is too long")),
+    }
+}
+
 fn method(head: &Parts, wanted: &Method) -> Result<(), Refusal> {
     if head.method == *wanted {
         return Ok(());
--- a/src/node/claims/ask.rs
+++ b/src/node/claims/ask.rs
@@ -1,6 +1,5 @@
 //! A node asks for a claim, and tells how the call ended.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -119,7 +118,7 @@
         if *home == app.settings.node.name {
             return Ok(serve::verdict(app, ask).await);
         }
-        let to = address(app, home).ok_or_else(|| format!("{home} is home and not known here"))?;
+        let to = app.members.address(home).ok_or_else(|| format!("{home} is home and not known here"))?;
         match app.peers.ask(to, &Request::Claim(ask), LIMIT).await {
             Ok(Reply::Verdict(verdict)) => Ok(verdict),
             Ok(_) => Err(format!("{home} did not understand")),
@@ -170,7 +169,7 @@
     if *home == app.settings.node.name {
         return serve::ended(app, key, nonce, end);
     }
-    let Some(to) = address(app, home) else { return false };
+    let Some(to) = app.members.address(home) else { return false };
     let told = app.peers.ask(to, &Request::Ended { key, nonce, end }, WORD).await;
     matches!(told, Ok(Reply::Recorded(true)))
 }
@@ -180,18 +179,18 @@
     if holder.runner == app.settings.node.name {
         return serve::attempt(app, holder.nonce).map_or(Word::Forgotten, Word::Known);
     }
-    let Some(to) = address(app, &holder.runner) else { return Word::Gone };
+    let Some(to) = app.members.address(&holder.runner) else { return Word::Gone };
     match app.peers.ask(to, &Request::Attempt(holder.nonce), WORD).await {
         Ok(Reply::Attempt(Some(attempt))) => Word::Known(attempt),
         Ok(Reply::Attempt(None)) => Word::Forgotten,
         Ok(_) | Err(PeerError::Connect { .. }) => Word::Gone,
-        Err(_) => Word::Silent,
+        Err(_) if alive(app, &holder.runner) => Word::Silent,
+        Err(_) => Word::Gone,
     }
 }
 
-fn address(app: &App, node: &Name) -> Option<SocketAddr> {
-    let alive = app.members.alive(app.clock.now());
-    alive.iter().find(|n| n.name == *node).map(|n| n.peers)
+fn alive(app: &App, node: &Name) -> bool {
+    app.members.alive(app.clock.now()).iter().any(|n| n.name == *node)
 }
 
 fn unavailable(why: &str, after: Duration) -> Refusal {
--- a/src/node/claims/claims.rs
+++ b/src/node/claims/claims.rs
@@ -9,6 +9,7 @@
 use super::shard::Shard;
 use crate::Name;
 use crate::decide::claim::{Attempts, ClaimKey, PARTITIONS};
+use crate::metrics::Task;
 use crate::node::app::App;
 
 /// The partitions, as far as this node is home to them, and its own attempts.
@@ -32,6 +33,16 @@
         }
     }
 
+    /// Keys that are held as home.
+    pub(in crate::node) fn held(&self) -> usize {
+        self.shards.iter().map(Shard::len).sum()
+    }
+
+    /// Claimed calls that are remembered as runner.
+    pub(in crate::node) fn attempts(&self) -> usize {
+        self.attempts.lock().len()
+    }
+
     /// The shard of a key.
     pub(super) fn shard(&self, key: ClaimKey) -> &Shard {
         &self.shards[usize::from(key.partition())]
@@ -46,6 +57,7 @@
 /// Starts the tasks that drive the partitions; they end with the node.
 pub(in crate::node) fn drive(app: &Arc<App>) {
     for partition in 0..PARTITIONS {
-        tokio::spawn(super::shard::drive(app.clone(), partition));
+        let shard = super::shard::drive(app.clone(), partition);
+        tokio::spawn(app.metrics.timed(Task::Claims, shard));
     }
 }
--- a/src/node/claims/shard.rs
+++ b/src/node/claims/shard.rs
@@ -8,6 +8,7 @@
 
 use super::store;
 use crate::decide::claim::{Ask, ClaimKey, End, Journal, Step, Verdict};
+use crate::metrics::Task;
 use crate::node::app::App;
 use crate::{Moment, Name};
 
@@ -37,6 +38,11 @@
         self.inner.lock().journal.is_open()
     }
 
+    /// Keys that are held as home.
+    pub(super) fn len(&self) -> usize {
+        self.inner.lock().journal.len()
+    }
+
     /// Asks the journal. `None` if the node ends first.
     pub(super) async fn ask(&self, ask: Ask, now: Moment) -> Option<Verdict> {
         let (sender, receiver) = oneshot::channel();
@@ -88,7 +94,8 @@
         let shard = app.claims.at(partition);
         let (steps, due) = shard.turn(app.clock.now());
         for step in steps {
-            tokio::spawn(perform(app.clone(), partition, step));
+            let step = perform(app.clone(), partition, step);
+            tokio::spawn(app.metrics.timed(Task::Claims, step));
         }
         let due = async {
             match due {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -15,6 +15,7 @@
 mod orders;
 mod peers;
 mod plain;
+mod stream;
 mod train;
 mod upstreams;
 
@@ -24,4 +25,4 @@
 pub use clock::Clock;
 pub use lifecycle::Phase;
 pub use node::{Node, StartError};
-pub use train::{Pull, Pulled};
+pub use train::{Pull, Pulled, Submit};
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -10,7 +10,7 @@
 use super::claims;
 use crate::bundle::Envelope;
 use crate::edge::peer::{NodeInfo, PeerHandler, Reply, Request};
-use crate::metrics::PlatformUse;
+use crate::metrics::{Metrics, PlatformUse, Task};
 
 /// Time between two rounds.
 const ROUND: Duration = Duration::from_millis(500);
@@ -56,6 +56,10 @@
             Request::Attempt(nonce) => Reply::Attempt(claims::attempt(app, nonce)),
         }
     }
+
+    fn metrics(&self) -> &Metrics {
+        &self.app.metrics
+    }
 }
 
 /// Asks some nodes in each round, until the node stops.
@@ -68,7 +72,7 @@
         }
         app.members.forget(app.clock.now());
         for to in targets(&app) {
-            tokio::spawn(greet(app.clone(), to));
+            tokio::spawn(app.metrics.timed(Task::Members, greet(app.clone(), to)));
         }
     }
 }
