--- a/src/node/claims/ask.rs
+++ b/src/node/claims/ask.rs
@@ -118,7 +118,10 @@
         if *home == app.settings.node.name {
             return Ok(serve::verdict(app, ask).await);
         }
-        let to = app.members.address(home).ok_or_else(|| format!("{home} is home and not known here"))?;
+        let to = app
+            .members
+            .address(home)
+            .ok_or_else(|| format!("{home} is home and not known here"))?;
         match app.peers.ask(to, &Request::Claim(ask), LIMIT).await {
             Ok(Reply::Verdict(verdict)) => Ok(verdict),
             Ok(_) => Err(format!("{home} did not understand")),
