--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -2,8 +2,10 @@
 //! faults on order. They speak the published protocols and nothing more.
 
 pub mod caller;
+pub mod daemon;
 pub mod engine;
 pub mod fleet;
+pub mod gate;
 pub mod plain;
 pub mod platform;
 pub mod server;
