--- a/src/edge/peer/client.rs
+++ b/src/edge/peer/client.rs
@@ -15,6 +15,7 @@
 use super::codec::{CodecError, VERSION, decode, encode};
 use super::server::{VERSION_HEADER, collect};
 use super::{Reply, Request};
+use crate::metrics::{Metrics, Traffic};
 
 /// How long a connection may take to open.
 const CONNECT: Duration = Duration::from_secs(1);
@@ -66,6 +67,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct PeerClient {
     open: Arc<Mutex<HashMap<SocketAddr, Open>>>,
+    metrics: Arc<Metrics>,
 }
 
 #[derive(Debug)]
@@ -75,6 +77,11 @@
 }
 
 impl PeerClient {
+    /// A client whose messages are counted.
+    pub fn new(metrics: Arc<Metrics>) -> Self {
+        Self { metrics, ..Self::default() }
+    }
+
     /// Sends a request and waits for the reply.
     pub async fn ask(
         &self,
@@ -83,7 +90,9 @@
         limit: Duration,
     ) -> Result<Reply, PeerError> {
         let bytes = encode(request)?;
-        match tokio::time::timeout(limit, self.exchange(to, bytes)).await {
+        let traffic = self.metrics.traffic(request.purpose());
+        traffic.sent(bytes.len());
+        match tokio::time::timeout(limit, self.exchange(to, bytes, &traffic)).await {
             Ok(Err(e @ PeerError::Broken { .. })) => {
                 self.open.lock().remove(&to);
                 Err(e)
@@ -96,7 +105,12 @@
         }
     }
 
-    async fn exchange(&self, to: SocketAddr, bytes: Vec<u8>) -> Result<Reply, PeerError> {
+    async fn exchange(
+        &self,
+        to: SocketAddr,
+        bytes: Vec<u8>,
+        traffic: &Traffic,
+    ) -> Result<Reply, PeerError> {
         let broken = |e: h2::Error| PeerError::Broken { to, reason: e.to_string() };
         let sender = self.connection(to).await?;
         let mut sender = sender.ready().await.map_err(broken)?;
@@ -114,6 +128,7 @@
             to,
             reason: "the reply broke off or is too large".to_owned(),
         })?;
+        traffic.received(bytes.len());
         Ok(decode(&bytes)?)
     }
 
--- a/src/node/app.rs
+++ b/src/node/app.rs
@@ -7,6 +7,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::bundles::Bundles;
+use super::claims::Claims;
 use super::dispatcher::Dispatcher;
 use super::lifecycle::{Event, Lifecycle, Phase};
 use super::members::Members;
@@ -15,12 +16,12 @@
 use super::{Clock, identity};
 use crate::Name;
 use crate::bundle::Adopted;
-use crate::decide::Limits;
+use crate::decide::{Limits, Served};
 use crate::edge::peer::{NodeInfo, PeerClient};
 use crate::edge::platform::Platform;
 use crate::edge::upstream::{EngineClient, PlainClient};
 use crate::error::{Kind, Refusal};
-use crate::metrics::Metrics;
+use crate::metrics::{Metrics, Purpose};
 use crate::settings::Settings;
 
 /// The context of a node.
@@ -37,6 +38,9 @@
     pub(super) members: Members,
     pub(super) upstreams: Upstreams,
     pub(super) steps: Steps,
+    pub(super) claims: Claims,
+    /// The versions that engines were last seen to serve.
+    pub(super) served: Mutex<Served>,
     /// Cancelled when the node has stopped: ends every background task.
     pub(super) cancel: CancellationToken,
     dispatchers: RwLock<HashMap<Name, Arc<Dispatcher>>>,
@@ -51,13 +55,15 @@
         Self {
             clock: Clock::default(),
             platform,
-            peers: PeerClient::default(),
-            engines: EngineClient::default(),
+            peers: PeerClient::new(metrics.clone()),
+            engines: EngineClient::counted(metrics.traffic(Purpose::Order)),
             plain: PlainClient,
             bundles: Bundles::new(settings.operators.clone()),
             members: Members::new(&settings.node, &identity),
             upstreams: Upstreams::default(),
             steps: Steps::default(),
+            claims: Claims::new(&settings.node.name),
+            served: Mutex::default(),
             cancel: CancellationToken::new(),
             dispatchers: RwLock::default(),
             lifecycle: Mutex::new((Lifecycle::new(), Phase::Starting)),
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -148,4 +148,14 @@
         });
         well.map(|(news, _)| NodeInfo::from(news)).collect()
     }
+
+    /// How many other nodes are known, silent or not.
+    pub(super) fn held(&self) -> usize {
+        self.table.lock().view(Moment::ZERO).count()
+    }
+
+    /// Where a node listens for peers, also if it was not heard lately.
+    pub(super) fn address(&self, name: &str) -> Option<SocketAddr> {
+        self.table.lock().get(name).map(|news| news.card.peers)
+    }
 }
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -8,12 +8,13 @@
 use rand::seq::IndexedRandom;
 
 use super::app::App;
+use super::claims;
 use super::members::Target;
 use crate::Name;
 use crate::bundle::Envelope;
 use crate::decide::members::{Heard, News};
 use crate::edge::peer::{NodeInfo, PeerError, PeerHandler, Place, Reply, Request};
-use crate::metrics::PlatformUse;
+use crate::metrics::{Metrics, PlatformUse, Task};
 
 /// Time between two rounds.
 const ROUND: Duration = Duration::from_millis(500);
@@ -66,8 +67,17 @@
                 offered(app, envelope);
                 Reply::Noted
             }
+            Request::Claim(ask) => Reply::Verdict(claims::verdict(app, ask).await),
+            Request::Ended { key, nonce, end } => {
+                Reply::Recorded(claims::ended(app, key, nonce, end))
+            }
+            Request::Attempt(nonce) => Reply::Attempt(claims::attempt(app, nonce)),
         }
     }
+
+    fn metrics(&self) -> &Metrics {
+        &self.app.metrics
+    }
 }
 
 /// Talks to some nodes in each round, and at once when something changed, until
@@ -85,7 +95,7 @@
             }
         };
         for to in targets {
-            tokio::spawn(exchange(app.clone(), to));
+            tokio::spawn(app.metrics.timed(Task::Members, exchange(app.clone(), to)));
         }
     }
 }
@@ -121,7 +131,7 @@
             let heard = app.members.receive(gossip, app.clock.now());
             catch_up(app, to.address, heard).await;
         }
-        Ok(Reply::Nodes(_) | Reply::Bundle(_) | Reply::Noted) => {}
+        Ok(_) => {}
         // It answers, if not in our version: it lives.
         Err(PeerError::Status { status, .. }) => {
             tracing::debug!(event = "peer_refuses", to = %to.address, %status);
--- a/src/node/plain.rs
+++ b/src/node/plain.rs
@@ -6,19 +6,59 @@
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HOST, HeaderName};
 use http::request::Parts;
-use http::{HeaderMap, Request};
+use http::{HeaderMap, Request, Response};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::app::App;
+use super::callers::one;
+use super::claims;
 use super::dispatcher::Dispatcher;
-use crate::decide::{Call, Outcome};
-use crate::edge::http::full;
+use crate::decide::claim::ClaimKey;
+use crate::decide::{Call, Outcome, Repeat};
+use crate::edge::http::{Body, full};
 use crate::edge::upstream::{Failure, PlainAnswer};
 use crate::error::{Kind, Refusal};
 
 /// The headers that are passed on.
 const PASSED: [HeaderName; 2] = [CONTENT_TYPE, http::header::ACCEPT];
 /// The header of the idempotency key.
-pub(super) const KEY: &str = "idempotency-key";
+const KEY: &str = "idempotency-key";
+/// The headers of an upstream's answer that are passed on.
+const RETURNED: [HeaderName; 2] = [CONTENT_TYPE, claims::REPLAYED];
+
+/// What a call is claimed under, if it may not be repeated and has a key.
+///
+/// A service whose calls may be repeated needs no claim: a platform that is down
+/// must not keep its calls from being served.
+pub(super) fn claim_key(
+    call: &Call,
+    service: &str,
+    headers: &HeaderMap,
+) -> Result<Option<ClaimKey>, Refusal> {
+    let key = one(headers, KEY)?.map(|key| ClaimKey::new(service, &call.caller, key));
+    Ok(match call.repeat {
+        Repeat::Idempotent => None,
+        Repeat::Once => key,
+    })
+}
+
+/// The hash of a call's content: the same when it is sent again, to any node.
+pub(super) fn fingerprint(head: &Parts, path: &str, body: &[u8]) -> u64 {
+    let line = format!("{} {path}", head.method);
+    xxh3_64_with_seed(body, xxh3_64(line.as_bytes()))
+}
+
+/// The answer to the caller.
+pub(super) fn response(whole: PlainAnswer) -> Response<Body> {
+    let mut response = Response::new(full(whole.body));
+    *response.status_mut() = whole.status;
+    for name in RETURNED {
+        if let Some(value) = whole.headers.get(&name) {
+            response.headers_mut().insert(name, value.clone());
+        }
+    }
+    response
+}
 
 /// Makes a call, with as many attempts as are allowed.
 pub(super) async fn call(
@@ -60,7 +100,7 @@
     head: &Parts,
     path: &str,
     body: Bytes,
-) -> Result<Request<crate::edge::http::Body>, Refusal> {
+) -> Result<Request<Body>, Refusal> {
     let mut headers = HeaderMap::new();
     let key = HeaderName::from_static(KEY);
     for name in PASSED.iter().chain([&key]) {
