--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -9,6 +9,7 @@
 mod freshness;
 mod label;
 mod limit;
+pub mod members;
 mod outcome;
 mod queue;
 mod ranges;
