"Not run" is told only if no attempt may have run

Cause: the refusal that ends a request spoke of the last attempt. A turn now carries the history of all attempts, and each refusal after one passes it. Refusal::run is private: the table of kinds sets it, and it can only become less certain. The plain client asks hyper whether the request was handed back, and tells a deadline while connecting from one in the exchange. Ruled out: a flag in dispatch alone, since the shell refuses too (an upstream that left as the turn came).

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -23,7 +23,7 @@
 pub use freshness::{Prospect, Served, floor};
 pub use label::{Label, Span, Unlabelled};
 pub use limit::Limit;
-pub use outcome::Outcome;
+pub use outcome::{History, Outcome};
 pub use queue::Queue;
 pub use ranges::Ranges;
 pub use rendezvous::{rank, score};
--- a/src/edge/http/body.rs
+++ b/src/edge/http/body.rs
@@ -73,7 +73,7 @@
     let bytes = serde_json::to_vec(&refusal.problem()).unwrap_or_default();
     let mut response = with_type(status, "application/problem+json", bytes);
     let headers = response.headers_mut();
-    headers.insert("mulberry-run", HeaderValue::from_static(refusal.run.as_str()));
+    headers.insert("mulberry-run", HeaderValue::from_static(refusal.run().as_str()));
     if let Some(after) = refusal.after {
         headers.insert(RETRY_AFTER, HeaderValue::from(after.as_millis().div_ceil(1_000) as u64));
     }
--- a/src/edge/upstream/plain.rs
+++ b/src/edge/upstream/plain.rs
@@ -1,5 +1,11 @@
 //! The client of plain services: a fresh connection for each attempt, so that it
 //! is certain whether anything was sent.
+//!
+//! A connection that is used again may be closed by the upstream just as the next
+//! request is written; then nobody can tell whether it was read. A fresh one costs
+//! a round trip and leaves three certain cases: it does not open; it closes before
+//! the request is taken off the queue to be written, which hyper tells by handing
+//! the request back; or the request was written, in part at least, and may have run.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -9,6 +15,8 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
+use tokio_util::task::AbortOnDropHandle;
 
 use crate::decide::Outcome;
 use crate::edge::http::{Body, read};
@@ -44,36 +52,56 @@
 pub struct PlainClient;
 
 impl PlainClient {
-    /// Makes one attempt and reads the whole answer.
+    /// Makes one attempt and reads the whole answer, until the deadline.
     pub async fn send(
         &self,
         to: SocketAddr,
         request: Request<Body>,
+        deadline: Instant,
     ) -> Result<PlainAnswer, Failure> {
-        let unsent = |reason: String| Failure { outcome: Outcome::Unsent, reason };
-        let unknown = |reason: String| Failure { outcome: Outcome::Unknown, reason };
-        let stream = tokio::time::timeout(CONNECT, TcpStream::connect(to))
-            .await
-            .map_err(|_| unsent(format!("{to} did not accept within {CONNECT:?}")))?
-            .map_err(|e| unsent(format!("can't connect to {to}: {e}")))?;
-        let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|e| unsent(format!("can't open HTTP to {to}: {e}")))?;
-        let connection = tokio::spawn(connection);
-        let response = sender.send_request(request).await;
-        let answer = match response {
-            Err(e) => Err(unknown(format!("{to} did not answer: {e}"))),
-            Ok(response) => {
-                let (head, body) = response.into_parts();
-                match read(body, ANSWER_LIMIT).await {
-                    Ok(body) => {
-                        Ok(PlainAnswer { status: head.status, headers: head.headers, body })
-                    }
-                    Err(e) => Err(unknown(format!("the answer of {to} is not whole: {e}"))),
-                }
-            }
-        };
-        connection.abort();
-        answer
+        let stream = connect(to, deadline).await?;
+        match tokio::time::timeout_at(deadline, exchange(to, stream, request)).await {
+            Ok(ended) => ended,
+            Err(_) => Err(unknown(format!("{to} gave no whole answer before the deadline"))),
+        }
     }
 }
+
+/// Opens the connection. No byte of the request is there to be sent yet.
+async fn connect(to: SocketAddr, deadline: Instant) -> Result<TcpStream, Failure> {
+    let limit = deadline.min(Instant::now() + CONNECT);
+    tokio::time::timeout_at(limit, TcpStream::connect(to))
+        .await
+        .map_err(|_| unsent(format!("{to} did not accept in time")))?
+        .map_err(|e| unsent(format!("can't connect to {to}: {e}")))
+}
+
+async fn exchange(
+    to: SocketAddr,
+    stream: TcpStream,
+    request: Request<Body>,
+) -> Result<PlainAnswer, Failure> {
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|e| unsent(format!("can't open HTTP to {to}: {e}")))?;
+    // Ends with this attempt, also when that is dropped.
+    let _connection = AbortOnDropHandle::new(tokio::spawn(connection));
+    let response = sender.try_send_request(request).await.map_err(|mut e| {
+        let handed_back = e.take_message().is_some();
+        let reason = format!("{to} did not answer: {}", e.into_error());
+        if handed_back { unsent(reason) } else { unknown(reason) }
+    })?;
+    let (head, body) = response.into_parts();
+    let body = read(body, ANSWER_LIMIT)
+        .await
+        .map_err(|e| unknown(format!("the answer of {to} is not whole: {e}")))?;
+    Ok(PlainAnswer { status: head.status, headers: head.headers, body })
+}
+
+fn unsent(reason: String) -> Failure {
+    Failure { outcome: Outcome::Unsent, reason }
+}
+
+fn unknown(reason: String) -> Failure {
+    Failure { outcome: Outcome::Unknown, reason }
+}
--- a/src/error/refusal.rs
+++ b/src/error/refusal.rs
@@ -7,13 +7,26 @@
 use super::{Kind, Run};
 
 /// A final answer that is not the one asked for.
+///
+/// Whether the request ran is the kind's to say. It can be made less certain by
+/// [`Refusal::unsure`]; nothing makes it more certain:
+///
+/// ```compile_fail
+/// use mulberrycourse::error::{Kind, Refusal, Run};
+/// let mut refusal = Refusal::new(Kind::OutcomeUnknown, "the connection broke");
+/// refusal.run = Run::NotRun;
+/// ```
+/// ```compile_fail
+/// use mulberrycourse::error::{Kind, Refusal, Run};
+/// let sure = Refusal::new(Kind::RetriesSpent, "no attempt ran");
+/// let refusal = Refusal { kind: Kind::Truncated, run: Run::NotRun, ..sure };
+/// ```
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("{kind}: {detail}")]
 pub struct Refusal {
     /// Why.
     pub kind: Kind,
-    /// What is known about whether the request ran. Defaults to the kind's.
-    pub run: Run,
+    run: Run,
     /// What exactly, for people.
     pub detail: String,
     /// When to come back, if that helps.
@@ -26,6 +39,16 @@
         Self { kind, run: kind.answer().run, detail: detail.into(), after: None }
     }
 
+    /// What is known about whether the request ran.
+    pub fn run(&self) -> Run {
+        self.run
+    }
+
+    /// The request may have run after all, which the kind is to say.
+    pub fn unsure(self, kind: Kind) -> Self {
+        Self { kind, run: Run::Unknown, ..self }
+    }
+
     /// Says when to come back.
     pub fn after(mut self, after: Duration) -> Self {
         self.after = Some(after);
--- a/src/node/claims/run.rs
+++ b/src/node/claims/run.rs
@@ -58,7 +58,7 @@
     let ended = plain::call(app, dispatcher, call, &head, &path, body).await;
     match &ended {
         Ok(answer) => claim.ran(kept(answer)),
-        Err(refusal) => match refusal.run {
+        Err(refusal) => match refusal.run() {
             Run::NotRun => claim.not_run(),
             Run::Unknown | Run::Ran => claim.unknown(),
         },
--- a/src/node/complete.rs
+++ b/src/node/complete.rs
@@ -15,7 +15,7 @@
 use crate::Name;
 use crate::decide::{Call, Label, Outcome};
 use crate::edge::upstream::{Chunk, Completion, Failure, Prior};
-use crate::error::{Kind, Refusal, Run};
+use crate::error::{Kind, Refusal};
 
 /// An engine that sends nothing for so long counts as failed.
 const STALL: Duration = Duration::from_secs(3);
@@ -144,7 +144,7 @@
     // What already has tokens has run in part, whatever the last attempt says.
     turn.again(failure.outcome).await.map_err(|refusal| match progress.label.tokens() {
         0 => refusal,
-        _ => Refusal { kind: Kind::Truncated, run: Run::Unknown, ..refusal },
+        _ => refusal.unsure(Kind::Truncated),
     })
 }
 
--- a/src/node/dispatcher.rs
+++ b/src/node/dispatcher.rs
@@ -9,7 +9,9 @@
 use tokio::sync::oneshot;
 
 use super::Clock;
-use crate::decide::{Action, Call, Dispatch, Limits, Outcome, Report, Ticket, UpstreamView};
+use crate::decide::{
+    Action, Call, Dispatch, History, Limits, Outcome, Report, Ticket, UpstreamView,
+};
 use crate::error::{Kind, Refusal};
 use crate::metrics::{Metrics, RetryReason};
 use crate::{Moment, Name};
@@ -38,6 +40,7 @@
     ticket: Ticket,
     started: Moment,
     ended: bool,
+    history: History,
     /// The upstream's name.
     pub(super) upstream: Name,
     /// The upstream's address.
@@ -114,7 +117,8 @@
         };
         let dispatcher = self.clone();
         let started = self.clock.now();
-        Ok(Turn { dispatcher, ticket, started, ended: false, upstream, address })
+        let history = History::new();
+        Ok(Turn { dispatcher, ticket, started, ended: false, history, upstream, address })
     }
 
     fn withdraw(&self, ticket: Ticket) {
@@ -170,7 +174,11 @@
         };
         let (sender, receiver) = oneshot::channel();
         self.report(outcome, Some(sender));
-        let turn = self.dispatcher.turn(self.ticket, receiver).await?;
+        let mut history = self.history;
+        history.note(outcome);
+        let turn = self.dispatcher.turn(self.ticket, receiver).await;
+        let mut turn = turn.map_err(|refusal| history.judge(refusal))?;
+        turn.history = history;
         self.dispatcher.metrics.retried(reason);
         Ok(turn)
     }
--- a/src/node/plain.rs
+++ b/src/node/plain.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HOST, HeaderName};
 use http::request::Parts;
-use http::{HeaderMap, Request, Response};
+use http::{HeaderMap, Request, Response, Uri};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::app::App;
@@ -14,9 +14,9 @@
 use super::claims;
 use super::dispatcher::Dispatcher;
 use crate::decide::claim::ClaimKey;
-use crate::decide::{Call, Outcome, Repeat};
+use crate::decide::{Call, Repeat};
 use crate::edge::http::{Body, full};
-use crate::edge::upstream::{Failure, PlainAnswer};
+use crate::edge::upstream::PlainAnswer;
 use crate::error::{Kind, Refusal};
 
 /// The headers that are passed on.
@@ -70,20 +70,17 @@
     body: Bytes,
 ) -> Result<PlainAnswer, Refusal> {
     let deadline = app.clock.instant(call.deadline);
+    let uri: Uri =
+        path.parse().map_err(|e| Refusal::new(Kind::BadRequest, format!("path {path}: {e}")))?;
     let mut turn = dispatcher.acquire(call).await?;
     loop {
-        let request = request(turn.address, head, path, body.clone())?;
-        let attempt = app.plain.send(turn.address, request);
-        let failure = match tokio::time::timeout_at(deadline, attempt).await {
-            Ok(Ok(answer)) => {
+        let request = request(turn.address, head, &uri, body.clone());
+        let failure = match app.plain.send(turn.address, request, deadline).await {
+            Ok(answer) => {
                 turn.done();
                 return Ok(answer);
             }
-            Ok(Err(failure)) => failure,
-            Err(_) => Failure {
-                outcome: Outcome::Unknown,
-                reason: "no whole answer before the deadline".to_owned(),
-            },
+            Err(failure) => failure,
         };
         tracing::info!(
             event = "attempt_failed",
@@ -95,12 +92,7 @@
     }
 }
 
-fn request(
-    to: SocketAddr,
-    head: &Parts,
-    path: &str,
-    body: Bytes,
-) -> Result<Request<Body>, Refusal> {
+fn request(to: SocketAddr, head: &Parts, uri: &Uri, body: Bytes) -> Request<Body> {
     let mut headers = HeaderMap::new();
     let key = HeaderName::from_static(KEY);
     for name in PASSED.iter().chain([&key]) {
@@ -108,12 +100,13 @@
             headers.insert(name.clone(), value.clone());
         }
     }
-    let bad = |reason: String| Refusal::new(Kind::BadRequest, reason);
-    let host = to.to_string().parse().map_err(|_| bad(format!("no host {to}")))?;
-    headers.insert(HOST, host);
+    // A socket address is always a valid header value.
+    if let Ok(host) = to.to_string().parse() {
+        headers.insert(HOST, host);
+    }
     let mut request = Request::new(full(body));
     *request.method_mut() = head.method.clone();
-    *request.uri_mut() = path.parse().map_err(|e| bad(format!("path {path}: {e}")))?;
+    *request.uri_mut() = uri.clone();
     *request.headers_mut() = headers;
-    Ok(request)
+    request
 }
--- a/tests/not_run.rs
+++ b/tests/not_run.rs
@@ -4,8 +4,9 @@
 
 use std::time::Duration;
 
+use mulberrycourse::decide::{History, Outcome};
 use mulberrycourse::edge::platform::{Vm, VmState};
-use mulberrycourse::error::Run;
+use mulberrycourse::error::{Kind, Refusal, Run};
 use standins::caller::{Answered, complete, send, send_within};
 use standins::engine::{EngineSettings, Faults};
 use standins::fleet::{ANY, Fleet};
@@ -126,3 +127,24 @@
     let runs: usize = fleet.sync.iter().map(|p| p.ledger().len()).sum();
     assert_eq!(runs, 1);
 }
+
+/// Whatever the order of the attempts, one that may have run makes every later refusal
+/// say so; and no kind can be told as not run once that is known.
+#[test]
+fn history_never_forgets() {
+    let all = [Outcome::Unsent, Outcome::Refused, Outcome::Unknown, Outcome::Answered];
+    for first in all {
+        for second in all {
+            let mut history = History::new();
+            history.note(first);
+            history.note(second);
+            let certain = [first, second].iter().all(|o| o.run() == Run::NotRun);
+            for kind in Kind::ALL.iter().copied() {
+                let refusal = history.judge(Refusal::new(kind, "x"));
+                assert!(certain || refusal.run() != Run::NotRun, "{kind} {first:?} {second:?}");
+            }
+        }
+    }
+    let untouched = History::new().judge(Refusal::new(Kind::QueueFull, "x"));
+    assert_eq!((untouched.kind, untouched.run()), (Kind::QueueFull, Run::NotRun));
+}
