Weight rollout in chains, without a leader; orders that nobody holds up

Cause: each node let as many of its own engines swap as the bundle allows for all together, so six nodes could take down six times that; engines were looked at one after the other, so a frozen one held up the rest of the round; an engine that left the wanted version was neither told apart nor counted.

Now: the engines of a service stand in floor(engines x swapping / 100) chains, by hash and alike at every node; in each chain one swaps at a time. An owner looks at the chain of an engine that is behind, and orders it when those before it have arrived. A failed engine is ordered at once, since it serves nobody. A chain in which nothing moves for 10 s goes on past what holds it up. Each owner keeps to its share of the weight store's rate (bundle key loads). Every look and order is a task of its own, silent engines are looked at less often, and engines that refuse old orders less often than those that take them. /v1/state/rollout says what each engine is to serve, what it reports, where it is and who owns it.

Ruled out: a quota of swaps per owner (with 9 engines, 6 nodes and one swap at a time, five owners have a quota of none); waves by time (a slow swap overlaps the next wave); a lease at the platform for each swap (1,100 writes a rollout).

Seen failing with a mechanism taken out, in tests/rollout.rs: without the look for swapping engines and without the settling time floor_on_capacity_holds fails, without passing dead_engine_holds_nothing_up_for_good fails.

--- a/src/bundle/bundle.rs
+++ b/src/bundle/bundle.rs
@@ -66,6 +66,7 @@
             version: section.value("version")?,
             fenced: section.value_or("fenced", true)?,
             swapping: section.within("swapping", 1..=100, 34)?,
+            loads: section.within("loads", 1..=100_000, 100)?,
         }),
     };
     Ok(ServiceSpec {
--- a/src/bundle/spec.rs
+++ b/src/bundle/spec.rs
@@ -23,6 +23,8 @@
     pub fenced: bool,
     /// The most upstreams that may swap at the same time, in percent.
     pub swapping: u32,
+    /// Versions that the weight store hands out in a second, to all upstreams together.
+    pub loads: u32,
 }
 
 /// A service: `[service NAME]`.
--- a/src/metrics/metrics.rs
+++ b/src/metrics/metrics.rs
@@ -9,6 +9,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
+use crate::decide::Cause;
 use crate::error::Kind;
 
 /// Why an attempt was made again.
@@ -35,6 +36,29 @@
     Node,
 }
 
+/// Why an engine was ordered, or was not.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum OrderCause {
+    /// It was behind the bundle.
+    Rollout,
+    /// A swap had failed partway.
+    Repair,
+    /// It had left the wanted version.
+    Correction,
+    /// It refused: it had taken a later order.
+    Fenced,
+}
+
+impl From<Cause> for OrderCause {
+    fn from(cause: Cause) -> Self {
+        match cause {
+            Cause::Rollout => Self::Rollout,
+            Cause::Repair => Self::Repair,
+            Cause::Correction => Self::Correction,
+        }
+    }
+}
+
 impl EncodeLabelValue for Kind {
     fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> Result<(), std::fmt::Error> {
         EncodeLabelValue::encode(&self.as_str(), encoder)
@@ -56,6 +80,11 @@
     purpose: PlatformUse,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CauseLabel {
+    cause: OrderCause,
+}
+
 /// Everything that the node counts.
 #[derive(Debug)]
 pub struct Metrics {
@@ -63,6 +92,7 @@
     refusals: Family<KindLabel, Counter>,
     retries: Family<ReasonLabel, Counter>,
     platform: Family<UseLabel, Counter>,
+    orders: Family<CauseLabel, Counter>,
     /// Number of the bundle in force.
     pub bundle: Gauge<i64, AtomicI64>,
     /// Requests in flight.
@@ -78,6 +108,7 @@
         let refusals = Family::<KindLabel, Counter>::default();
         let retries = Family::<ReasonLabel, Counter>::default();
         let platform = Family::<UseLabel, Counter>::default();
+        let orders = Family::<CauseLabel, Counter>::default();
         let bundle = Gauge::default();
         let inflight = Gauge::default();
         let samples = Counter::default();
@@ -86,6 +117,7 @@
         registry.register("refusals", "Final answers that refuse, by kind", refusals.clone());
         registry.register("retries", "Attempts made again, by reason", retries.clone());
         registry.register("platform_calls", "Calls to the platform", platform.clone());
+        registry.register("orders", "Orders to engines, by cause", orders.clone());
         registry.register("bundle_number", "Number of the bundle in force", bundle.clone());
         registry.register("inflight", "Requests in flight", inflight.clone());
         registry.register("samples", "Samples handed over", samples.clone());
@@ -98,6 +130,7 @@
             refusals,
             retries,
             platform,
+            orders,
             bundle,
             inflight,
             samples,
@@ -117,6 +150,16 @@
         self.retries.get_or_create(&ReasonLabel { reason }).inc();
     }
 
+    /// Counts an order to an engine.
+    pub fn ordered(&self, cause: OrderCause) {
+        self.orders.get_or_create(&CauseLabel { cause }).inc();
+    }
+
+    /// Orders so far, of one cause.
+    pub fn orders(&self, cause: OrderCause) -> u64 {
+        self.orders.get_or_create(&CauseLabel { cause }).get()
+    }
+
     /// Counts a call to the platform.
     pub fn platform_call(&self, purpose: PlatformUse) {
         self.platform.get_or_create(&UseLabel { purpose }).inc();
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -2,4 +2,4 @@
 
 mod metrics;
 
-pub use metrics::{Metrics, PlatformUse, RetryReason};
+pub use metrics::{Metrics, OrderCause, PlatformUse, RetryReason};
--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -9,6 +9,7 @@
 
 use super::app::App;
 use super::lifecycle::Phase;
+use super::orders::states;
 use crate::Name;
 use crate::edge::http::{Body, Handler, full, json, problem};
 use crate::edge::peer::NodeInfo;
@@ -75,6 +76,7 @@
             },
             "/v1/state/nodes" => json(StatusCode::OK, &nodes(app)),
             "/v1/state/upstreams" => json(StatusCode::OK, &upstreams(app)),
+            "/v1/state/rollout" => json(StatusCode::OK, &states(app)),
             "/v1/state/refusals" => json(StatusCode::OK, &refusals(app)),
             path => problem(&Refusal::new(Kind::UnknownPath, path)),
         }
--- a/src/node/app.rs
+++ b/src/node/app.rs
@@ -10,6 +10,7 @@
 use super::dispatcher::Dispatcher;
 use super::lifecycle::{Event, Lifecycle, Phase};
 use super::members::Members;
+use super::orders::Orders;
 use super::train::Steps;
 use super::upstreams::Upstreams;
 use super::{Clock, identity};
@@ -37,6 +38,7 @@
     pub(super) members: Members,
     pub(super) upstreams: Upstreams,
     pub(super) steps: Steps,
+    pub(super) orders: Orders,
     /// The versions that engines were last seen to serve.
     pub(super) served: Mutex<Served>,
     /// Cancelled when the node has stopped: ends every background task.
@@ -61,6 +63,7 @@
             members: Members::default(),
             upstreams: Upstreams::default(),
             steps: Steps::default(),
+            orders: Orders::default(),
             served: Mutex::default(),
             cancel: CancellationToken::new(),
             dispatchers: RwLock::default(),
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -24,4 +24,5 @@
 pub use clock::Clock;
 pub use lifecycle::Phase;
 pub use node::{Node, StartError};
+pub use orders::EngineState;
 pub use train::{Pull, Pulled, Submit};
--- a/src/node/train/pull.rs
+++ b/src/node/train/pull.rs
@@ -44,7 +44,10 @@
             return Ok(pulled);
         }
         let look = (Instant::now() + LOOK).min(until);
-        let _ = tokio::time::timeout_at(look, filled).await;
+        tokio::select! {
+            () = held.cancel.cancelled() => return Err(unknown()),
+            _ = tokio::time::timeout_at(look, filled) => {}
+        }
     }
 }
 
