Steps: exactly once, fresh, and whole under lost replies, dead homes and drains

Each failure is brought about over real sockets.

The address book puts a node that did not do behind the others for 5 s: a node that is asked may not have heard yet that another leaves, and named it again.

--- a/src/client/addresses.rs
+++ b/src/client/addresses.rs
@@ -12,12 +12,30 @@
 
 /// How long a node may take to answer.
 const LIMIT: Duration = Duration::from_secs(2);
+/// How long a node that did not do comes last: past the time in which all nodes
+/// hear that one has gone.
+const AVOID: Duration = Duration::from_secs(5);
 
 #[derive(Debug, Default)]
 struct Answer {
     addresses: Vec<SocketAddr>,
     until: Option<Instant>,
     next: usize,
+    /// Nodes that did not do, and when.
+    failed: Vec<(SocketAddr, Instant)>,
+}
+
+impl Answer {
+    /// Puts the nodes that did not do lately behind the others: a node that was asked
+    /// may not have heard yet that another leaves.
+    fn take(&mut self, mut addresses: Vec<SocketAddr>, ttl: Duration) {
+        let now = Instant::now();
+        self.failed.retain(|(_, at)| now - *at < AVOID);
+        addresses.sort_by_key(|a| self.failed.iter().any(|(failed, _)| failed == a));
+        self.addresses = addresses;
+        self.until = Some(now + ttl);
+        self.next = 0;
+    }
 }
 
 /// The addresses that the service gave.
@@ -51,9 +69,7 @@
             if let Ok(addresses) = self.ask(node).await {
                 let ttl = Duration::from_millis(addresses.ttl_ms);
                 let mut answer = self.answer.lock();
-                answer.addresses = addresses.addresses;
-                answer.until = Some(Instant::now() + ttl);
-                answer.next = 0;
+                answer.take(addresses.addresses, ttl);
                 return answer.addresses.first().copied();
             }
         }
@@ -63,6 +79,7 @@
     /// The address did not do: the next one is used, or asked for.
     pub fn failed(&self, address: SocketAddr) {
         let mut answer = self.answer.lock();
+        answer.failed.push((address, Instant::now()));
         answer.addresses.retain(|a| *a != address);
         if answer.addresses.is_empty() {
             answer.until = None;
--- a/standins/src/engine/engine.rs
+++ b/standins/src/engine/engine.rs
@@ -129,6 +129,11 @@
         self.shared.state.lock().started
     }
 
+    /// How many requests run now.
+    pub fn running(&self) -> u32 {
+        self.shared.state.lock().running
+    }
+
     /// How often it crashed.
     pub fn crashes(&self) -> u64 {
         self.shared.state.lock().crashes
--- /dev/null
+++ b/tests/steps.rs
@@ -0,0 +1,338 @@
+//! Promises 2 and 3 over real sockets: every sample once, none too old, groups whole.
+#![allow(clippy::unwrap_used)]
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::Method;
+use mulberrycourse::client::{AddressBook, StepReport, Trainer};
+use mulberrycourse::decide::{Group, Prompt, Ranges, Spec};
+use mulberrycourse::edge::http::{Fetch, FetchError};
+use mulberrycourse::node::{Pull, Pulled, Submit};
+use standins::engine::EngineSettings;
+use standins::fleet::{Fleet, bundle};
+
+/// Guards a test against hanging; no verdict depends on it.
+const GUARD: Duration = Duration::from_secs(30);
+const POLL: Duration = Duration::from_millis(10);
+
+fn slow() -> EngineSettings {
+    EngineSettings { token_time: Duration::from_millis(5), ..EngineSettings::default() }
+}
+
+fn spec(groups: u32, samples: u32, max_tokens: u32) -> Spec {
+    let prompt = |g| Prompt { prompt: format!("count {g}"), samples, max_tokens };
+    Spec { version: 1, groups: (0..groups).map(prompt).collect() }
+}
+
+fn whole(report: &StepReport, spec: &Spec) {
+    assert_eq!(report.doubled, 0);
+    assert_eq!(report.thin, 0);
+    assert!(report.groups.keys().copied().eq(0..spec.groups.len() as u32));
+    for (number, group) in &report.groups {
+        let samples = spec.groups[*number as usize].samples;
+        assert!(group.samples.iter().map(|s| s.index).eq(0..samples));
+    }
+}
+
+/// How many samples were begun at the engines, by slot.
+fn begun(fleet: &Fleet) -> BTreeMap<String, usize> {
+    let mut begun = BTreeMap::new();
+    for id in fleet.engines.iter().flat_map(|e| e.ledger().into_keys()) {
+        let slot = id.rsplitn(3, '/').last().unwrap_or_default().to_owned();
+        *begun.entry(slot).or_default() += 1;
+    }
+    begun
+}
+
+/// The home of the trainer's steps, once every node names the same.
+async fn home(fleet: &Fleet) -> SocketAddr {
+    let wait = async {
+        loop {
+            let mut homes = Vec::new();
+            for node in fleet.callers() {
+                homes.push(AddressBook::homed(vec![node], "coach".into()).get().await.unwrap());
+            }
+            if homes.iter().all(|home| *home == homes[0]) {
+                return homes[0];
+            }
+            tokio::time::sleep(POLL).await;
+        }
+    };
+    tokio::time::timeout(GUARD, wait).await.unwrap()
+}
+
+async fn send<T: serde::de::DeserializeOwned>(
+    at: SocketAddr,
+    method: Method,
+    path: &str,
+    value: &impl serde::Serialize,
+) -> Result<T, FetchError> {
+    let path = format!("/v1/trainers/coach/steps/{path}");
+    Fetch::default().call(at, method, &path, value, GUARD).await
+}
+
+async fn submit(at: SocketAddr, step: u64, spec: &Spec, have: Ranges) {
+    let submit = Submit { spec: spec.clone(), have, parts: Vec::new() };
+    let _: serde_json::Value = send(at, Method::PUT, &step.to_string(), &submit).await.unwrap();
+}
+
+async fn pull(at: SocketAddr, step: u64, version: u64, have: &[u32]) -> Pulled {
+    let have = have.iter().copied().collect();
+    let pull = Pull { version, have, most: 64, wait_ms: 10_000 };
+    send(at, Method::POST, &format!("{step}/pull"), &pull).await.unwrap()
+}
+
+/// Pulls without acknowledging until this many groups are there.
+async fn unacknowledged(at: SocketAddr, step: u64, groups: usize) -> Vec<Group> {
+    loop {
+        let pulled = pull(at, step, 1, &[]).await;
+        if pulled.groups.len() >= groups {
+            return pulled.groups;
+        }
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+/// Nodes that have just met may name different homes; soon all name the same, and when it
+/// stops they agree on its successor.
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_agree_on_the_home() {
+    let mut fleet = Fleet::spawn(3, 2, EngineSettings::default()).await.unwrap();
+    let first = home(&fleet).await;
+    let node = fleet.nodes.iter().find(|n| n.callers() == first).unwrap();
+    assert!(node.stop().await);
+    fleet.nodes.retain(|n| n.callers() != first);
+    assert_ne!(home(&fleet).await, first);
+}
+
+/// The reply with the groups is lost: they come again, the same ones, until they are
+/// acknowledged, and then no more.
+#[tokio::test(flavor = "multi_thread")]
+async fn reply_is_lost() {
+    let fleet = Fleet::spawn(2, 2, EngineSettings::default()).await.unwrap();
+    let at = home(&fleet).await;
+    let spec = spec(2, 2, 16);
+    submit(at, 1, &spec, Ranges::default()).await;
+    let lost = unacknowledged(at, 1, 2).await;
+    let again = pull(at, 1, 1, &[]).await;
+    assert_eq!(again.groups, lost);
+    assert_eq!(pull(at, 1, 1, &[0]).await.groups, lost[1..]);
+    let last = pull(at, 1, 1, &[0, 1]).await;
+    assert!(last.complete && last.groups.is_empty());
+    assert!(begun(&fleet).values().all(|count| *count == 1));
+}
+
+/// The node that holds the step dies after it handed groups over, before they were
+/// acknowledged to it: the trainer goes on at another node, which makes only the rest.
+#[tokio::test(flavor = "multi_thread")]
+async fn home_dies_after_handover() {
+    let mut fleet = Fleet::spawn(3, 2, slow()).await.unwrap();
+    let at = home(&fleet).await;
+    let trainer = Trainer::new("coach".into(), fleet.callers());
+    let spec = spec(6, 2, 60);
+    let mut pulling = trainer.resume(1, &spec, BTreeMap::new());
+    let first = pulling.next().await.unwrap();
+    assert!(!first.is_empty());
+    fleet.nodes.retain(|n| n.callers() != at);
+    let before = begun(&fleet);
+    while !pulling.next().await.unwrap().is_empty() {}
+    whole(pulling.report(), &spec);
+    for group in first {
+        let slot = format!("coach/1/{}/0", group.group);
+        assert_eq!(begun(&fleet)[&slot], before[&slot], "{slot} was made again");
+    }
+}
+
+/// Two nodes hold the step and both finish it, and the trainer asks the one and the other.
+#[tokio::test(flavor = "multi_thread")]
+async fn two_nodes_finish_the_step() {
+    let fleet = Fleet::spawn(2, 2, EngineSettings::default()).await.unwrap();
+    let [one, other] = [fleet.nodes[0].callers(), fleet.nodes[1].callers()];
+    let spec = spec(3, 2, 16);
+    submit(one, 1, &spec, Ranges::default()).await;
+    submit(other, 1, &spec, Ranges::default()).await;
+    unacknowledged(one, 1, 3).await;
+    unacknowledged(other, 1, 3).await;
+    let mut have = Vec::new();
+    for at in [one, other, one] {
+        let pulled = pull(at, 1, 1, &have).await;
+        assert!(pulled.groups.iter().all(|g| !have.contains(&g.group)));
+        have.extend(pulled.groups.first().map(|g| g.group));
+    }
+    assert_eq!(have, [0, 1, 2]);
+    assert!(pull(one, 1, 1, &have).await.complete);
+    assert!(pull(other, 1, 1, &have).await.complete);
+}
+
+/// The trainer restarts in the middle of a step, with the groups that it kept.
+#[tokio::test(flavor = "multi_thread")]
+async fn trainer_restarts() {
+    let fleet = Fleet::spawn(2, 2, slow()).await.unwrap();
+    home(&fleet).await;
+    let spec = spec(6, 2, 60);
+    let kept = {
+        let trainer = Trainer::new("coach".into(), fleet.callers());
+        let mut pulling = trainer.resume(1, &spec, BTreeMap::new());
+        let groups = pulling.next().await.unwrap();
+        groups.into_iter().map(|g| (g.group, g)).collect::<BTreeMap<u32, Group>>()
+    };
+    let trainer = Trainer::new("coach".into(), fleet.callers());
+    let mut pulling = trainer.resume(1, &spec, kept.clone());
+    while !pulling.next().await.unwrap().is_empty() {}
+    whole(pulling.report(), &spec);
+    let groups = &pulling.report().groups;
+    assert!(kept.iter().all(|(number, group)| groups[number] == *group));
+    assert!(begun(&fleet).values().all(|count| *count == 1));
+}
+
+/// The node that holds the step is stopped as planned: what it finished goes along to the
+/// next, whole groups and parts of groups.
+#[tokio::test(flavor = "multi_thread")]
+async fn home_drains() {
+    let fleet = Fleet::spawn(3, 2, slow()).await.unwrap();
+    let at = home(&fleet).await;
+    let trainer = Trainer::new("coach".into(), fleet.callers());
+    // One long sample in each group: most of a group is finished long before it is whole.
+    let spec = spec(4, 6, 120);
+    let node = fleet.nodes.iter().find(|n| n.callers() == at).unwrap();
+    let drain = async {
+        let finished = || fleet.engines.iter().any(|e| e.ledger().values().any(|l| l.len() > 60));
+        while !finished() {
+            tokio::time::sleep(POLL).await;
+        }
+        assert!(node.stop().await);
+    };
+    let both = async { tokio::join!(trainer.step(1, &spec), drain) };
+    let (report, ()) = tokio::time::timeout(GUARD, both).await.unwrap();
+    let report = report.unwrap();
+    whole(&report, &spec);
+    assert_eq!(report.failures, 0, "the step moved without a failed call");
+}
+
+/// Parts of groups that a leaving node gave along are kept: only the rest is made.
+#[tokio::test(flavor = "multi_thread")]
+async fn parts_go_along() {
+    let fleet = Fleet::spawn(1, 1, EngineSettings::default()).await.unwrap();
+    let at = fleet.nodes[0].callers();
+    let spec = spec(2, 3, 16);
+    submit(at, 1, &spec, Ranges::default()).await;
+    let mut parts = unacknowledged(at, 1, 2).await;
+    parts.iter_mut().for_each(|group| drop(group.samples.remove(1)));
+    let submitted = Submit { spec: spec.clone(), have: Ranges::default(), parts: parts.clone() };
+    let _: serde_json::Value = send(at, Method::PUT, "2", &submitted).await.unwrap();
+    let made = unacknowledged(at, 2, 2).await;
+    for (group, part) in made.iter().zip(&parts) {
+        assert_eq!([&group.samples[0], &group.samples[2]], [&part.samples[0], &part.samples[1]]);
+    }
+    let begun = begun(&fleet).into_keys().filter(|slot| slot.starts_with("coach/2/"));
+    assert_eq!(begun.collect::<Vec<_>>(), ["coach/2/0/1", "coach/2/1/1"]);
+}
+
+/// Nobody pulls a step any more: it is dropped, and its work at the engines ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn abandoned_step_is_dropped() {
+    let fleet = Fleet::spawn(1, 1, slow()).await.unwrap();
+    let text = bundle(2, 1).replace("staleness = 2", "staleness = 2\nabandoned = 300ms");
+    fleet.apply(2, &text).await.unwrap();
+    fleet.settled(2).await;
+    let at = fleet.nodes[0].callers();
+    submit(at, 1, &spec(1, 1, 100_000), Ranges::default()).await;
+    let held = async || {
+        let pull = Pull { version: 1, have: Ranges::default(), most: 1, wait_ms: 0 };
+        send::<Pulled>(at, Method::POST, "1/pull", &pull).await.is_ok()
+    };
+    assert!(held().await);
+    let dropped = async {
+        // Longer than the bundle's time: a look is a pull.
+        while held().await {
+            tokio::time::sleep(Duration::from_millis(500)).await;
+        }
+        while fleet.engines[0].running() > 0 {
+            tokio::time::sleep(POLL).await;
+        }
+    };
+    tokio::time::timeout(GUARD, dropped).await.unwrap();
+}
+
+/// The trainer moves on between two deliveries of the same group: the second is made anew,
+/// with weights that are fresh.
+#[tokio::test(flavor = "multi_thread")]
+async fn trainer_moves_on_between_deliveries() {
+    let fleet = Fleet::spawn(1, 2, EngineSettings::default()).await.unwrap();
+    let at = fleet.nodes[0].callers();
+    submit(at, 1, &spec(1, 2, 16), Ranges::default()).await;
+    let first = unacknowledged(at, 1, 1).await;
+    assert!(first[0].samples.iter().all(|s| s.oldest() == Some(1)));
+    // Bound 2: at version 4 nothing older than 2 is fresh.
+    fleet.apply(2, &bundle(2, 4)).await.unwrap();
+    let second = loop {
+        let pulled = pull(at, 1, 4, &[]).await;
+        if !pulled.groups.is_empty() {
+            break pulled.groups;
+        }
+    };
+    assert!(second[0].samples.iter().all(|s| s.oldest() >= Some(2)), "{second:?}");
+}
+
+/// A pull that was under way while the trainer moved on comes in late, with the old version:
+/// it is judged by the newest that the trainer named.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_pull_is_judged_by_the_newest_version() {
+    let fleet = Fleet::spawn(1, 1, EngineSettings::default()).await.unwrap();
+    let at = fleet.nodes[0].callers();
+    submit(at, 1, &spec(1, 1, 16), Ranges::default()).await;
+    unacknowledged(at, 1, 1).await;
+    let newer = Spec { version: 9, ..spec(1, 1, 16) };
+    submit(at, 2, &newer, Ranges::default()).await;
+    let pull = Pull { version: 1, have: Ranges::default(), most: 1, wait_ms: 0 };
+    let late: Pulled = send(at, Method::POST, "1/pull", &pull).await.unwrap();
+    assert!(late.groups.is_empty(), "{late:?}");
+}
+
+/// The trainer moves on while the samples are under way and the engines follow: what has
+/// become too old is cut at the engine and begun again, none is handed over.
+#[tokio::test(flavor = "multi_thread")]
+async fn trainer_moves_on_under_way() {
+    let fleet = Fleet::spawn(2, 2, slow()).await.unwrap();
+    let trainer = Trainer::new("coach".into(), fleet.callers());
+    let spec = spec(2, 2, 200);
+    let moves = async {
+        while !fleet.engines.iter().all(|e| e.ledger().values().any(|l| l.len() > 10)) {
+            tokio::time::sleep(POLL).await;
+        }
+        trainer.advance(4);
+        fleet.apply(2, &bundle(2, 4)).await.unwrap();
+    };
+    let (report, ()) = tokio::join!(trainer.step(1, &spec), moves);
+    let report = report.unwrap();
+    whole(&report, &spec);
+    let samples = report.groups.values().flat_map(|g| &g.samples);
+    assert!(samples.into_iter().all(|s| s.oldest() >= Some(2)));
+}
+
+/// Every engine is known to serve weights that are too old: nothing is begun there until one
+/// has caught up.
+#[tokio::test(flavor = "multi_thread")]
+async fn stale_on_arrival_is_not_started() {
+    let fleet = Fleet::spawn(1, 1, EngineSettings::default()).await.unwrap();
+    let at = fleet.nodes[0].callers();
+    // A sample shows the node which version the engine serves.
+    submit(at, 1, &spec(1, 1, 4), Ranges::default()).await;
+    unacknowledged(at, 1, 1).await;
+    let before = fleet.engines[0].started();
+    submit(at, 2, &Spec { version: 5, ..spec(1, 4, 16) }, Ranges::default()).await;
+    let pull = Pull { version: 5, have: Ranges::default(), most: 1, wait_ms: 1_000 };
+    let pulled: Pulled = send(at, Method::POST, "2/pull", &pull).await.unwrap();
+    assert!(pulled.groups.is_empty());
+    assert_eq!(fleet.engines[0].started(), before);
+    fleet.apply(2, &bundle(2, 5)).await.unwrap();
+    let made = loop {
+        let pulled: Pulled = send(at, Method::POST, "2/pull", &pull).await.unwrap();
+        if !pulled.groups.is_empty() {
+            break pulled.groups;
+        }
+    };
+    assert!(made[0].samples.iter().all(|s| s.oldest() == Some(5)));
+}
