--- a/src/node/orders/follow.rs
+++ b/src/node/orders/follow.rs
@@ -12,7 +12,7 @@
 use crate::decide::{Rollout, Sight, Stage, Turn};
 use crate::edge::http::FetchError;
 use crate::edge::upstream::{Load, Order, OrderReply};
-use crate::metrics::OrderCause;
+use crate::metrics::{OrderCause, Task};
 use crate::node::app::App;
 
 /// Time between two looks at what is due.
@@ -106,20 +106,20 @@
     if calls.len() >= CALLS || !looking.insert(engine.clone()) {
         return;
     }
-    let (app, service) = (app.clone(), service.clone());
-    calls.spawn(async move {
-        let result = app.engines.load(address, LIMIT).await;
+    let (engines, service) = (app.engines.clone(), service.clone());
+    calls.spawn(app.metrics.timed(Task::Orders, async move {
+        let result = engines.load(address, LIMIT).await;
         Ended::Look { service, engine, result }
-    });
+    }));
 }
 
 fn give(app: &Arc<App>, engine: Name, order: Order, calls: &mut JoinSet<Ended>) {
     let Some(address) = address(app, &engine) else { return };
-    let app = app.clone();
-    calls.spawn(async move {
-        let result = app.engines.order(address, order, LIMIT).await;
+    let engines = app.engines.clone();
+    calls.spawn(app.metrics.timed(Task::Orders, async move {
+        let result = engines.order(address, order, LIMIT).await;
         Ended::Order { engine, result }
-    });
+    }));
 }
 
 fn address(app: &App, engine: &str) -> Option<SocketAddr> {
--- a/src/node/orders/state.rs
+++ b/src/node/orders/state.rs
@@ -4,7 +4,7 @@
 
 use super::orders::{fleets, wanted};
 use crate::Name;
-use crate::decide::{Sight, Stage};
+use crate::decide::{Rollout, Sight, Stage};
 use crate::node::app::App;
 
 /// An engine on its way to the wanted version, as this node sees it.
@@ -37,6 +37,9 @@
     let mut states = Vec::new();
     for fleet in fleets(app, &adopted.bundle).iter() {
         let rollout = rollouts.get(&fleet.service);
+        // The stage is judged against what the rollout was last told, not against a bundle
+        // that came into force a moment ago.
+        let wanted = rollout.map_or(wanted(&adopted.bundle, &fleet.engine), Rollout::wanted);
         for (name, owner) in &fleet.owners {
             let last = rollout.and_then(|r| r.last(name));
             let reported = match last {
@@ -47,7 +50,7 @@
                 name: name.clone(),
                 service: fleet.service.clone(),
                 owner: owner.clone(),
-                wanted: wanted(&adopted.bundle, &fleet.engine).version,
+                wanted: wanted.version,
                 reported,
                 stage: rollout.map_or(Stage::Unknown, |r| r.stage(name)),
                 looked_ms: last.map(|(_, at)| now.saturating_sub(at).as_millis() as u64),
--- a/src/node/train/held.rs
+++ b/src/node/train/held.rs
@@ -67,6 +67,11 @@
 }
 
 impl Steps {
+    /// How many steps are held.
+    pub(in crate::node) fn held(&self) -> usize {
+        self.shards.iter().map(|s| s.lock().len()).sum()
+    }
+
     fn shard(&self, key: &Key) -> &Mutex<HashMap<Key, Arc<Held>>> {
         let hash = xxh3_64(key.0.as_bytes()).wrapping_add(key.1);
         &self.shards[hash as usize % SHARDS]
