--- a/src/node/app.rs
+++ b/src/node/app.rs
@@ -7,6 +7,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::bundles::Bundles;
+use super::claims::Claims;
 use super::dispatcher::Dispatcher;
 use super::lifecycle::{Event, Lifecycle, Phase};
 use super::members::Members;
@@ -39,6 +40,7 @@
     pub(super) upstreams: Upstreams,
     pub(super) steps: Steps,
     pub(super) orders: Orders,
+    pub(super) claims: Claims,
     /// The versions that engines were last seen to serve.
     pub(super) served: Mutex<Served>,
     /// Cancelled when the node has stopped: ends every background task.
@@ -64,6 +66,7 @@
             upstreams: Upstreams::default(),
             steps: Steps::default(),
             orders: Orders::default(),
+            claims: Claims::new(&settings.node.name),
             served: Mutex::default(),
             cancel: CancellationToken::new(),
             dispatchers: RwLock::default(),
--- a/src/node/callers.rs
+++ b/src/node/callers.rs
@@ -12,15 +12,15 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::app::App;
+use super::claims::OnceCall;
 use super::stream::completions;
-use super::{plain, train};
+use super::{claims, plain, train};
 use crate::Name;
 use crate::bundle::Bundle;
 use crate::decide::{Call, Class, rank};
-use crate::edge::http::{Body, Handler, full, json as answer, problem, read};
+use crate::edge::http::{Body, Handler, json as answer, problem, read};
 use crate::error::{Kind, Refusal};
 
 /// The largest request body, in bytes.
@@ -139,7 +139,7 @@
 }
 
 async fn services(
-    app: &App,
+    app: &Arc<App>,
     head: &Parts,
     service: &str,
     rest: &str,
@@ -148,18 +148,19 @@
     let adopted = app.bundle()?;
     let mut call = call_of(app, &adopted.bundle, &head.headers, service)?;
     let dispatcher = app.dispatcher(service)?;
-    call.fingerprint = xxh3_64(&body) ^ xxh3_64(rest.as_bytes());
     let mut path = if rest.is_empty() { "/".to_owned() } else { rest.to_owned() };
     if let Some(query) = head.uri.query() {
         path = format!("{path}?{query}");
     }
-    let whole = plain::call(app, &dispatcher, call, head, &path, body).await?;
-    let mut response = Response::new(full(whole.body));
-    *response.status_mut() = whole.status;
-    if let Some(kind) = whole.headers.get(CONTENT_TYPE) {
-        response.headers_mut().insert(CONTENT_TYPE, kind.clone());
-    }
-    Ok(response)
+    call.fingerprint = plain::fingerprint(head, &path, &body);
+    let whole = match plain::claim_key(&call, service, &head.headers)? {
+        None => plain::call(app, &dispatcher, call, head, &path, body).await?,
+        Some(key) => {
+            let once = OnceCall { key, call, head: head.clone(), path, body };
+            claims::once(app, &dispatcher, once).await?
+        }
+    };
+    Ok(plain::response(whole))
 }
 
 /// The request as the decisions see it, from headers and bundle.
@@ -192,7 +193,7 @@
 }
 
 /// The value of a header that may be there once, as text of 1 to 128 characters.
-fn one<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Refusal> {
+pub(super) fn one<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Refusal> {
     let bad = |what: &str| Refusal::new(Kind::BadRequest, format!("{name}: {what}"));
     let mut all = headers.get_all(name).iter();
     let Some(value) = all.next() else { return Ok(None) };
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -82,6 +82,11 @@
         self.known.read().len()
     }
 
+    /// Where a node listens for peers, also if it was not heard lately.
+    pub(super) fn address(&self, name: &str) -> Option<SocketAddr> {
+        self.known.read().get(name).map(|m| m.info.peers)
+    }
+
     /// Where all known nodes listen for peers.
     pub(super) fn addresses(&self) -> Vec<SocketAddr> {
         self.known.read().values().map(|m| m.info.peers).collect()
