Fair queueing, deadlines in order, limits that find their level, routing by expected time

Cause: a tick scanned all that waits, a choice built a list of all upstreams, live requests could starve training, one caller could take the whole queue, and a refusal named a fixed time to come back. A refusal after an attempt that may have run could say that nothing ran, when a later attempt was refused: the worst outcome of all attempts decides now. Ruled out: a scan at a lower rate (its cost still grows with the backlog). The existing tests pass.

--- a/src/bundle/bundle.rs
+++ b/src/bundle/bundle.rs
@@ -5,7 +5,7 @@
 
 use super::{CallerSpec, Engine, Flavour, ServiceSpec, TrainerSpec};
 use crate::Name;
-use crate::decide::{Class, Repeat};
+use crate::decide::{Class, Repeat, Shares};
 use crate::settings::{Document, Invalid, Section};
 
 /// What the fleet is to do, as one version.
@@ -38,6 +38,13 @@
         let trainers = read(&doc, "trainer", |_, s| trainer(s, &known))?;
         Ok(Self { number, idle_weight, services, callers, trainers })
     }
+
+    /// The weights of callers and trainers. One name that is both has the trainer's.
+    pub fn shares(&self) -> Shares {
+        let callers = self.callers.iter().map(|(name, c)| (name.clone(), c.share));
+        let trainers = self.trainers.iter().map(|(name, t)| (name.clone(), t.share));
+        Shares { weights: callers.chain(trainers).collect() }
+    }
 }
 
 fn read<T>(
@@ -71,6 +78,7 @@
         repeat: section.choice("repeat", &repeats, Repeat::Idempotent)?,
         queue: section.within("queue", 1..=100_000, 1_000)?,
         concurrency: section.within("concurrency", 1..=10_000, 16)?,
+        floor: section.within("training_floor", 0..=90, 10)?,
         deadline: section.duration("deadline", Duration::from_secs(30))?,
     })
 }
--- a/src/bundle/spec.rs
+++ b/src/bundle/spec.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::Name;
-use crate::decide::{Class, Repeat};
+use crate::decide::{Class, Limits, Repeat};
 
 /// What kind of upstream a service has.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -38,10 +38,19 @@
     pub queue: usize,
     /// Attempts in flight from one node at one upstream.
     pub concurrency: u32,
+    /// The part of the work that training keeps while live requests wait, in percent.
+    pub floor: u32,
     /// How long a caller waits when it does not say.
     pub deadline: Duration,
 }
 
+impl ServiceSpec {
+    /// The limits as dispatch takes them.
+    pub fn limits(&self) -> Limits {
+        Limits { queue: self.queue, concurrency: self.concurrency, floor: self.floor }
+    }
+}
+
 /// A caller: `[caller NAME]`.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CallerSpec {
--- a/src/decide/limit.rs
+++ b/src/decide/limit.rs
@@ -1,23 +1,74 @@
-//! The concurrency limit of one upstream.
+//! The concurrency limit of one upstream, which finds its own level.
+//!
+//! Load pattern: an upstream gets slow, or is smaller than the bundle says. With a
+//! fixed limit, requests pile up inside it, where they can neither be refused nor moved,
+//! and every answer comes late. The level rises while answers come at the usual pace
+//! and falls when they take twice as long, or when the upstream refuses.
+//!
+//! The rule is that of TCP congestion avoidance with a delay signal (Brakmo and
+//! Peterson, "TCP Vegas", 1995): doubling up to a threshold, then one more each round,
+//! and a multiplicative decrease at most once a round, so that one slow spell counts once.
 
 use serde::{Deserialize, Serialize};
 
+/// Level of an upstream that is new or has come back (slow start; TCP's initial window
+/// is of this order, RFC 6928).
+const START: f64 = 4.0;
+/// Answers may take so many times the usual pace: sharing a batch up to twofold is
+/// what continuous batching is for, more is a queue.
+const TOLERANCE: f64 = 2.0;
+/// What a decrease leaves.
+const KEEP: f64 = 0.7;
+/// Weight of one answer in the recent pace.
+const GAIN: f64 = 0.1;
+/// How fast the usual pace follows a recent one that is lower.
+const FALL: f64 = 0.05;
+/// How fast it follows one that is higher: about 1,000 answers for a lasting change.
+const RISE: f64 = 0.001;
+/// Live requests may go so far above the level: they need not wait for
+/// long rollouts to end.
+const LIVE: f64 = 1.25;
+
 /// How many attempts may be in flight at one upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Limit {
     ceiling: u32,
     running: u32,
+    level: f64,
+    threshold: f64,
+    usual: Option<f64>,
+    recent: f64,
+    round: u32,
 }
 
 impl Limit {
     /// A limit with the ceiling that the bundle sets.
     pub fn new(ceiling: u32) -> Self {
-        Self { ceiling, running: 0 }
+        let ceiling = ceiling.max(1);
+        let top = f64::from(ceiling);
+        Self {
+            ceiling,
+            running: 0,
+            level: START.min(top),
+            threshold: top,
+            usual: None,
+            recent: 0.0,
+            round: 0,
+        }
     }
 
     /// Changes the ceiling; what is in flight stays.
     pub fn set_ceiling(&mut self, ceiling: u32) {
-        self.ceiling = ceiling;
+        self.ceiling = ceiling.max(1);
+        self.threshold = f64::from(self.ceiling);
+        self.level = self.level.min(self.threshold);
+    }
+
+    /// The upstream has come back: starts low again.
+    pub fn restart(&mut self) {
+        let fresh = Self::new(self.ceiling);
+        *self = Self { running: self.running, usual: self.usual, ..fresh };
+        self.recent = self.usual.unwrap_or_default();
     }
 
     /// Attempts in flight.
@@ -25,9 +76,20 @@
         self.running
     }
 
-    /// Whether one more fits.
+    /// Attempts that it takes now, between 1 and the ceiling.
+    pub fn level(&self) -> u32 {
+        (self.level as u32).clamp(1, self.ceiling)
+    }
+
+    /// Whether one more training request fits.
     pub fn open(&self) -> bool {
-        self.running < self.ceiling
+        self.running < self.level()
+    }
+
+    /// Whether one more live request fits.
+    pub fn open_live(&self) -> bool {
+        let most = (f64::from(self.level()) * LIVE).ceil() as u32;
+        self.running < most.min(self.ceiling)
     }
 
     /// Counts one attempt in.
@@ -39,4 +101,41 @@
     pub fn end(&mut self) {
         self.running = self.running.saturating_sub(1);
     }
+
+    /// An answer came at this pace, in seconds per unit of cost. Call before [`Limit::end`].
+    pub fn answered(&mut self, pace: f64) {
+        let usual = *self.usual.get_or_insert(pace);
+        if self.recent == 0.0 {
+            self.recent = pace;
+        }
+        self.recent += GAIN * (pace - self.recent);
+        let follow = if self.recent < usual { FALL } else { RISE };
+        self.usual = Some(usual + follow * (self.recent - usual));
+        self.round = self.round.saturating_sub(1);
+        if self.recent > TOLERANCE * usual {
+            self.decrease();
+        } else if self.running >= self.level() {
+            self.increase();
+        }
+    }
+
+    /// The upstream refused, or an attempt at it was given up as too slow.
+    pub fn refused(&mut self) {
+        self.round = self.round.saturating_sub(1);
+        self.decrease();
+    }
+
+    fn increase(&mut self) {
+        let step = if self.level < self.threshold { 1.0 } else { 1.0 / self.level };
+        self.level = (self.level + step).min(f64::from(self.ceiling));
+    }
+
+    fn decrease(&mut self) {
+        if self.round > 0 {
+            return;
+        }
+        self.round = self.level();
+        self.threshold = (self.level * KEEP).max(1.0);
+        self.level = self.threshold;
+    }
 }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -3,24 +3,40 @@
 //! Each takes its state, an event and the present moment, and returns typed
 //! actions. The daemon turns sockets and timers into events, and actions into I/O.
 
+mod admission;
 mod call;
+mod deadlines;
 mod dispatch;
+mod eject;
 mod label;
 mod limit;
+mod open;
 mod outcome;
+mod pace;
 mod queue;
 mod rendezvous;
 mod retry;
+mod ring;
 mod route;
 mod step;
+mod turns;
 
+pub use admission::{Outlook, Returns};
 pub use call::{Call, Class, Repeat};
-pub use dispatch::{Action, Dispatch, Limits, Report, Ticket, UpstreamView};
+pub use deadlines::Deadlines;
+pub use dispatch::{
+    Action, Dispatch, Limits, LoadReport, Report, Shares, Ticket, UpstreamKey, UpstreamView,
+};
+pub use eject::{Failures, most_out};
 pub use label::{Label, Span, Unlabelled};
 pub use limit::Limit;
+pub use open::Open;
 pub use outcome::Outcome;
-pub use queue::Queue;
+pub use pace::{Pace, per_cost};
+pub use queue::{Place, Queue};
 pub use rendezvous::{rank, score};
 pub use retry::Budget;
-pub use route::{Candidate, pick};
+pub use ring::Ring;
+pub use route::{Others, bounded, expected, two};
 pub use step::{Fill, Group, Prompt, Sample, Slot, Spec, Step};
+pub use turns::Turns;
--- a/src/node/app.rs
+++ b/src/node/app.rs
@@ -15,7 +15,6 @@
 use super::{Clock, identity};
 use crate::Name;
 use crate::bundle::Adopted;
-use crate::decide::Limits;
 use crate::edge::peer::{NodeInfo, PeerClient};
 use crate::edge::platform::Platform;
 use crate::edge::upstream::{EngineClient, PlainClient};
@@ -125,14 +124,13 @@
         self.metrics.bundle.set(adopted.bundle.number as i64);
         let mut dispatchers = self.dispatchers.write();
         for (name, service) in &adopted.bundle.services {
-            let limits = Limits { queue: service.queue, concurrency: service.concurrency };
-            match dispatchers.get(name) {
-                Some(dispatcher) => dispatcher.set_limits(limits),
-                None => {
-                    let dispatcher = Dispatcher::new(limits, self.clock, self.metrics.clone());
-                    dispatchers.insert(name.clone(), Arc::new(dispatcher));
-                }
-            }
+            let limits = service.limits();
+            let dispatcher = dispatchers.entry(name.clone()).or_insert_with(|| {
+                let zone = self.settings.node.zone.clone();
+                Arc::new(Dispatcher::new(limits, zone, self.clock, self.metrics.clone()))
+            });
+            dispatcher.set_limits(limits);
+            dispatcher.set_shares(adopted.bundle.shares());
         }
         dispatchers.retain(|name, _| adopted.bundle.services.contains_key(name));
         drop(dispatchers);
--- a/src/node/dispatcher.rs
+++ b/src/node/dispatcher.rs
@@ -9,7 +9,9 @@
 use tokio::sync::oneshot;
 
 use super::Clock;
-use crate::decide::{Action, Call, Dispatch, Limits, Outcome, Report, Ticket, UpstreamView};
+use crate::decide::{
+    Action, Call, Dispatch, Limits, LoadReport, Outcome, Report, Shares, Ticket, UpstreamView,
+};
 use crate::error::{Kind, Refusal};
 use crate::metrics::{Metrics, RetryReason};
 use crate::{Moment, Name};
@@ -46,9 +48,14 @@
 
 impl Dispatcher {
     /// A dispatcher without upstreams.
-    pub(super) fn new(limits: Limits, clock: Clock, metrics: Arc<Metrics>) -> Self {
+    pub(super) fn new(
+        limits: Limits,
+        zone: Name,
+        clock: Clock,
+        metrics: Arc<Metrics>,
+    ) -> Self {
         let inner = Inner {
-            dispatch: Dispatch::new(limits, rand::random()),
+            dispatch: Dispatch::new(limits, zone, rand::random()),
             waiters: SecondaryMap::new(),
             addresses: HashMap::new(),
         };
@@ -84,6 +91,17 @@
         inner.deliver();
     }
 
+    /// The bundle changed the weights of callers and trainers.
+    pub(super) fn set_shares(&self, shares: Shares) {
+        self.inner.lock().dispatch.set_shares(shares);
+    }
+
+    /// An upstream said how many requests it has, all nodes together.
+    pub(super) fn load_report(&self, upstream: &str, total: u32) {
+        let report = LoadReport { total, at: self.clock.now() };
+        self.inner.lock().dispatch.load_report(upstream, report);
+    }
+
     /// Time passed.
     pub(super) fn tick(&self) {
         let mut inner = self.inner.lock();
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -36,6 +36,11 @@
         let total = app.upstreams.of(&service.name).len();
         let most = (total * engine.swapping as usize).div_ceil(100).max(1);
         let mut swapping = loads.iter().filter(|(_, load)| load.swapping).count();
+        if let Ok(dispatcher) = app.dispatcher(&service.name) {
+            for (vm, load) in &loads {
+                dispatcher.load_report(&vm.name, load.running + load.waiting);
+            }
+        }
         for (vm, load) in loads {
             let settled = load.swapping || load.version == Some(engine.version);
             if settled || swapping >= most {
