Experiment tool: the decisions on virtual time against a model of upstreams

Cause: no decision had been measured. First trials found: training got nothing at all while live callers wanted everything (its floor had no place to use), the level of an engine rose far past its batch, and rollouts filled batches until live answers came late. Mended here: training takes a live place for its floor; the level holds once answers take 1.25 times the usual pace.

--- /dev/null
+++ b/benches/dispatch.rs
@@ -0,0 +1,59 @@
+//! What one decision costs, by the number of upstreams.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use std::time::Duration;
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use mulberrycourse::decide::{
+    Action, Call, Class, Dispatch, Limits, Outcome, Repeat, Report, UpstreamView,
+};
+
+fn dispatch(upstreams: usize) -> Dispatch {
+    let limits = Limits { queue: 1_000, concurrency: 16, floor: 10 };
+    let mut dispatch = Dispatch::new(limits, "a".into(), 1);
+    let zones = ["a", "b", "c"];
+    let views: Vec<UpstreamView> = (0..upstreams)
+        .map(|i| UpstreamView {
+            name: format!("u{i}").into(),
+            zone: zones[i % 3].into(),
+            open: true,
+        })
+        .collect();
+    dispatch.set_upstreams(&views, Duration::ZERO);
+    dispatch
+}
+
+fn decisions(c: &mut Criterion) {
+    let mut group = c.benchmark_group("offer_send_end");
+    for upstreams in [9, 32, 128, 1_100] {
+        let mut dispatch = dispatch(upstreams);
+        let mut turn = 0_u64;
+        let caller = "shop".into();
+        let call = Call {
+            caller,
+            class: Class::Live,
+            repeat: Repeat::Idempotent,
+            cost: 64,
+            deadline: Duration::MAX,
+            fingerprint: 0,
+            prefix: None,
+        };
+        group.bench_function(BenchmarkId::from_parameter(upstreams), |b| {
+            b.iter(|| {
+                turn += 1;
+                let now = Duration::from_millis(turn);
+                let prefix = Some(turn.wrapping_mul(0x9E37_79B9_7F4A_7C15));
+                let deadline = now + Duration::from_secs(30);
+                let ticket = dispatch.offer(Call { prefix, deadline, ..call.clone() }, now);
+                let sent = matches!(dispatch.actions().as_slice(), [Action::Send { .. }]);
+                assert!(sent);
+                let report = Report { outcome: Outcome::Answered, took: Duration::from_secs(1) };
+                dispatch.ended(ticket, report, now);
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, decisions);
+criterion_main!(benches);
--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -51,6 +51,11 @@
         let needed = (self.wait().as_secs_f64() + self.service) * MARGIN;
         now.as_secs_f64() + needed <= deadline.as_secs_f64()
     }
+
+    /// Whether the answer would be there by the deadline if it were sent now.
+    pub fn in_time_now(&self, now: Moment, deadline: Moment) -> bool {
+        Self { ahead: 0.0, ..*self }.in_time(now, deadline)
+    }
 }
 
 /// The schedule of those who were told to come back.
@@ -69,7 +74,8 @@
         rng: &mut R,
     ) -> Duration {
         let first = now + outlook.wait().clamp(SHORTEST, LONGEST);
-        let step = if outlook.rate > 0.0 { f64::from(cost) / (outlook.rate * RETURNS) } else { 0.0 };
+        let step =
+            if outlook.rate > 0.0 { f64::from(cost) / (outlook.rate * RETURNS) } else { 0.0 };
         let step = Duration::from_secs_f64(step.min(LONGEST.as_secs_f64()));
         self.next = (self.next.max(first) + step).min(now + LONGEST);
         let spread = rng.random_range(1.0 - SPREAD..1.0 + SPREAD);
--- a/src/decide/dispatch/dispatch.rs
+++ b/src/decide/dispatch/dispatch.rs
@@ -168,35 +168,35 @@
     }
 
     fn pump(&mut self, now: Moment) {
-        while let Some(ticket) = self.next() {
+        while let Some((ticket, room)) = self.next() {
             let pending = &self.pending[ticket];
             let deadline = pending.call.deadline;
             if deadline <= now {
                 self.refuse(ticket, Kind::DeadlinePassed, "it waited until its deadline", now);
                 continue;
             }
-            if self.service(&pending.call) > (deadline - now).as_secs_f64() {
+            if !self.outlook(&pending.call).in_time_now(now, deadline) {
                 let detail = "less time is left than it takes";
                 self.refuse(ticket, Kind::DeadlineUnreachable, detail, now);
                 continue;
             }
-            let chosen = self.pool.choose(&pending.call, pending.avoid, now, &mut self.rng);
+            let chosen = self.pool.choose(&pending.call, room, pending.avoid, now, &mut self.rng);
             let Some(key) = chosen else { return };
             self.send(ticket, key, now);
         }
     }
 
-    /// The next request that an upstream has room for.
-    fn next(&self) -> Option<Ticket> {
-        let class = self.queue.class()?;
-        if self.pool.has_room(class) {
-            return self.queue.peek(class);
+    /// The next request that an upstream has room for, and the class whose room it uses.
+    fn next(&self) -> Option<(Ticket, Class)> {
+        // Training takes a live place for its floor, or live requests would fill
+        // each place as it comes free.
+        if self.queue.floor_due() && self.pool.has_room(Class::Live) {
+            return Some((self.queue.peek(Class::Training)?, Class::Live));
         }
-        let other = match class {
-            Class::Live => Class::Training,
-            Class::Training => Class::Live,
-        };
-        if self.pool.has_room(other) { self.queue.peek(other) } else { None }
+        [Class::Live, Class::Training].into_iter().find_map(|class| {
+            let ticket = self.queue.peek(class)?;
+            self.pool.has_room(class).then_some((ticket, class))
+        })
     }
 
     fn send(&mut self, ticket: Ticket, key: UpstreamKey, now: Moment) {
--- a/src/decide/dispatch/pool.rs
+++ b/src/decide/dispatch/pool.rs
@@ -120,19 +120,20 @@
         self.typical().map_or(0.0, |pace| f64::from(self.slots) / pace.max(f64::MIN_POSITIVE))
     }
 
-    /// The upstream for an attempt, if one has room.
+    /// The upstream for an attempt, if one has room of this class.
     pub(super) fn choose(
         &self,
         call: &Call,
+        room: Class,
         avoid: Option<UpstreamKey>,
         now: Moment,
         rng: &mut SmallRng,
     ) -> Option<UpstreamKey> {
         let typical = self.typical().unwrap_or_default();
-        if let Some(home) = self.home(call, avoid, typical, now) {
+        if let Some(home) = self.home(call, room, avoid, typical, now) {
             return Some(home);
         }
-        let open = self.open_of(call.class);
+        let open = self.open_of(room);
         let mut best: Option<(bool, f64, UpstreamKey)> = None;
         for _ in 0..DRAWS {
             let (first, second) = two(open.len(), rng)?;
@@ -179,7 +180,8 @@
                     return;
                 }
                 Some(Outcome::Refused) => u.limit.refused(),
-                Some(Outcome::Unsent | Outcome::Unknown) => u.failures.failed(),
+                Some(Outcome::Unsent) => u.failures.unreachable(),
+                Some(Outcome::Unknown) => u.failures.failed(),
                 None => {}
             }
             u.pace.record_least(cost, took, now);
@@ -194,13 +196,14 @@
     fn home(
         &self,
         call: &Call,
+        room: Class,
         avoid: Option<UpstreamKey>,
         typical: f64,
         now: Moment,
     ) -> Option<UpstreamKey> {
         let prefix = call.prefix?;
         let mean = f64::from(self.running) / self.names.len().max(1) as f64;
-        let open = self.open_of(call.class);
+        let open = self.open_of(room);
         self.ring.from(prefix).take(HOMES).find(|key| {
             let upstream = &self.upstreams[*key];
             let fine = open.contains(*key) && Some(*key) != avoid;
--- a/src/decide/eject.rs
+++ b/src/decide/eject.rs
@@ -44,6 +44,11 @@
         self.row += 1;
     }
 
+    /// A connection could not be opened: that needs no second sign.
+    pub fn unreachable(&mut self) {
+        self.row = self.row.max(FAILURES);
+    }
+
     /// Whether it has failed often enough to be left out.
     pub fn over(&self) -> bool {
         self.row >= FAILURES
--- a/src/decide/limit.rs
+++ b/src/decide/limit.rs
@@ -11,18 +11,25 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Level of an upstream that is new or has come back (slow start; TCP's initial window
-/// is of this order, RFC 6928).
+/// Level of an upstream that has come back (slow start; TCP's initial window is of this
+/// order, RFC 6928).
 const START: f64 = 4.0;
+/// A new one starts at this part of the ceiling, if that is more.
+const NEW: f64 = 0.25;
 /// Answers may take so many times the usual pace: sharing a batch up to twofold is
 /// what continuous batching is for, more is a queue.
 const TOLERANCE: f64 = 2.0;
-/// What a decrease leaves.
-const KEEP: f64 = 0.7;
+/// Past so many times the usual pace, the level rises no more and training starts nothing:
+/// past the point where a batch is full it would only slow the live requests in it.
+const EASY: f64 = 1.25;
+/// What a decrease leaves: in proportion to the excess, from here up to [`MOST`].
+const LEAST: f64 = 0.5;
+/// The smallest decrease.
+const MOST: f64 = 0.9;
 /// Weight of one answer in the recent pace.
-const GAIN: f64 = 0.1;
+const GAIN: f64 = 0.05;
 /// How fast the usual pace follows a recent one that is lower.
-const FALL: f64 = 0.05;
+const FALL: f64 = 0.03;
 /// How fast it follows one that is higher: about 1,000 answers for a lasting change.
 const RISE: f64 = 0.001;
 /// Live requests may go so far above the level: they need not wait for
@@ -49,7 +56,7 @@
         Self {
             ceiling,
             running: 0,
-            level: START.min(top),
+            level: START.max(NEW * top).min(top),
             threshold: top,
             usual: None,
             recent: 0.0,
@@ -67,7 +74,8 @@
     /// The upstream has come back: starts low again.
     pub fn restart(&mut self) {
         let fresh = Self::new(self.ceiling);
-        *self = Self { running: self.running, usual: self.usual, ..fresh };
+        let level = START.min(f64::from(self.ceiling));
+        *self = Self { running: self.running, usual: self.usual, level, ..fresh };
         self.recent = self.usual.unwrap_or_default();
     }
 
@@ -83,7 +91,9 @@
 
     /// Whether one more training request fits.
     pub fn open(&self) -> bool {
-        self.running < self.level()
+        // Half of the level is always there, or a slow spell that nobody sees end would last.
+        let most = if self.easy() { self.level() } else { self.level().div_ceil(2) };
+        self.running < most
     }
 
     /// Whether one more live request fits.
@@ -113,8 +123,8 @@
         self.usual = Some(usual + follow * (self.recent - usual));
         self.round = self.round.saturating_sub(1);
         if self.recent > TOLERANCE * usual {
-            self.decrease();
-        } else if self.running >= self.level() {
+            self.decrease((TOLERANCE * usual / self.recent).clamp(LEAST, MOST));
+        } else if self.easy() && self.running >= self.level() {
             self.increase();
         }
     }
@@ -122,7 +132,11 @@
     /// The upstream refused, or an attempt at it was given up as too slow.
     pub fn refused(&mut self) {
         self.round = self.round.saturating_sub(1);
-        self.decrease();
+        self.decrease(MOST);
+    }
+
+    fn easy(&self) -> bool {
+        self.usual.is_none_or(|usual| self.recent <= EASY * usual)
     }
 
     fn increase(&mut self) {
@@ -130,12 +144,12 @@
         self.level = (self.level + step).min(f64::from(self.ceiling));
     }
 
-    fn decrease(&mut self) {
+    fn decrease(&mut self, keep: f64) {
         if self.round > 0 {
             return;
         }
         self.round = self.level();
-        self.threshold = (self.level * KEEP).max(1.0);
+        self.threshold = (self.level * keep).max(1.0);
         self.level = self.threshold;
     }
 }
--- a/src/decide/queue.rs
+++ b/src/decide/queue.rs
@@ -78,15 +78,9 @@
         self.insert(call, weight, self.front, item)
     }
 
-    /// The class whose turn it is, of those with something waiting.
-    pub fn class(&self) -> Option<Class> {
-        match (self.live.len > 0, self.training.len > 0) {
-            (false, false) => None,
-            (true, false) => Some(Class::Live),
-            (false, true) => Some(Class::Training),
-            (true, true) if self.credit > 0.0 => Some(Class::Training),
-            (true, true) => Some(Class::Live),
-        }
+    /// Whether training is behind its floor while both classes wait.
+    pub fn floor_due(&self) -> bool {
+        self.live.len > 0 && self.training.len > 0 && self.credit > 0.0
     }
 
     /// The next request of a class; it stays.
--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -7,8 +7,8 @@
 
 /// Tokens that one fresh request adds: retries add at most a tenth of the load.
 const EARN: f64 = 0.1;
-/// Tokens that may be saved up, so that a quiet service can still retry.
-const CEILING: f64 = 10.0;
+/// Tokens that may be saved up: about what one upstream has in flight when it dies.
+const CEILING: f64 = 100.0;
 
 /// A token bucket that fresh requests fill and retries drain.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
--- a/src/node/dispatcher.rs
+++ b/src/node/dispatcher.rs
@@ -48,12 +48,7 @@
 
 impl Dispatcher {
     /// A dispatcher without upstreams.
-    pub(super) fn new(
-        limits: Limits,
-        zone: Name,
-        clock: Clock,
-        metrics: Arc<Metrics>,
-    ) -> Self {
+    pub(super) fn new(limits: Limits, zone: Name, clock: Clock, metrics: Arc<Metrics>) -> Self {
         let inner = Inner {
             dispatch: Dispatch::new(limits, zone, rand::random()),
             waiters: SecondaryMap::new(),
--- /dev/null
+++ b/standins/src/experiment/scenario.rs
@@ -0,0 +1,274 @@
+//! A scenario, read from INI.
+
+use std::path::Path;
+use std::time::Duration;
+
+use mulberrycourse::Name;
+use mulberrycourse::decide::{Class, Limits, Repeat, Shares};
+use mulberrycourse::settings::{Document, Invalid, Section};
+
+use super::Model;
+
+/// The size of a deployment.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Deployment {
+    /// Its name.
+    pub name: Name,
+    /// Availability zones.
+    pub zones: usize,
+    /// Model engines.
+    pub engines: usize,
+    /// Replicas of the plain service.
+    pub plain: usize,
+}
+
+/// Requests that arrive at random.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Flow {
+    /// The caller.
+    pub name: Name,
+    /// Its class.
+    pub class: Class,
+    /// Whether its requests may be repeated.
+    pub repeat: Repeat,
+    /// Work that it asks for, as a part of the service's capacity.
+    pub load: f64,
+    /// Whether the scenario's scale multiplies its load.
+    pub scaled: bool,
+    /// Mean cost of a request.
+    pub cost: u32,
+    /// How long it waits for an answer.
+    pub deadline: Duration,
+    /// Its weight.
+    pub share: u32,
+    /// Prompt prefixes that it uses.
+    pub keys: u64,
+    /// Part of its requests that use the first prefix.
+    pub hot: f64,
+    /// Times that a refused request is sent again.
+    pub returns: u32,
+    /// Whether its requests crash the upstream that runs them.
+    pub poison: bool,
+}
+
+/// A trainer: steps of samples, one after the other.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TrainerFlow {
+    /// Its name.
+    pub name: Name,
+    /// Samples in a step.
+    pub samples: u32,
+    /// Samples in a group; they share a prefix.
+    pub group: u32,
+    /// Mean cost of a sample.
+    pub cost: u32,
+    /// How long the trainer works on a step.
+    pub train: Duration,
+    /// Its weight.
+    pub share: u32,
+    /// Part of the next step that is started before the weights that it is for.
+    pub ahead: f64,
+}
+
+/// What changes in the course of a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ChangeKind {
+    /// Upstreams take `factor` times as long.
+    Slow,
+    /// Upstreams take requests and run nothing.
+    Frozen,
+    /// Upstreams die; the list says so two seconds later.
+    Down,
+    /// A flow's load is multiplied by `factor`.
+    Load,
+    /// One upstream after the other leaves, is replaced and comes back.
+    Replace,
+    /// A third of the upstreams after the other stops to load weights.
+    Swap,
+}
+
+/// A change.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Change {
+    /// What.
+    pub kind: ChangeKind,
+    /// From when.
+    pub at: Duration,
+    /// Until when.
+    pub until: Duration,
+    /// How many upstreams.
+    pub upstreams: usize,
+    /// All upstreams of this zone, in place of a number.
+    pub zone: Option<usize>,
+    /// By how much.
+    pub factor: f64,
+    /// Which flow.
+    pub flow: Name,
+}
+
+/// A scenario.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Scenario {
+    /// Its name: that of its file.
+    pub name: Name,
+    /// How long requests arrive.
+    pub length: Duration,
+    /// What arrives before is not counted.
+    pub warmup: Duration,
+    /// Whether the upstreams are engines.
+    pub engine: bool,
+    /// The loads are run at each of these multiples.
+    pub scales: Vec<f64>,
+    /// What the bundle would say.
+    pub limits: Limits,
+    /// Flows.
+    pub flows: Vec<Flow>,
+    /// Trainers.
+    pub trainers: Vec<TrainerFlow>,
+    /// Changes.
+    pub changes: Vec<Change>,
+}
+
+impl Scenario {
+    /// Reads a file.
+    pub fn open(path: &Path) -> Result<Self, Invalid> {
+        let doc = Document::open(path)?;
+        let name = path.file_stem().map(|s| s.to_string_lossy().into_owned()).unwrap_or_default();
+        Self::read(&name, &doc)
+    }
+
+    /// Reads a text.
+    pub fn parse(name: &str, text: &str) -> Result<Self, Invalid> {
+        Self::read(name, &Document::parse(name, text)?)
+    }
+
+    fn read(name: &str, doc: &Document) -> Result<Self, Invalid> {
+        doc.only(&["scenario"], &["flow", "trainer", "change"])?;
+        let head = doc.section("scenario")?;
+        let kinds = [("engine", true), ("plain", false)];
+        let mut scales = head.list("scales")?;
+        if scales.is_empty() {
+            scales.push(1.0);
+        }
+        let engine = head.choice("service", &kinds, true)?;
+        let scenario = Self {
+            name: name.into(),
+            length: head.duration("length", Duration::from_secs(60))?,
+            warmup: head.duration("warmup", Duration::from_secs(10))?,
+            engine,
+            scales,
+            limits: Limits {
+                queue: head.within("queue", 1..=100_000, 1_000)?,
+                concurrency: head.within(
+                    "concurrency",
+                    1..=10_000,
+                    if engine { 64 } else { 32 },
+                )?,
+                floor: head.within("training_floor", 0..=90, 10)?,
+            },
+            flows: all(doc, "flow", flow)?,
+            trainers: all(doc, "trainer", trainer)?,
+            changes: all(doc, "change", |_, section| change(section))?,
+        };
+        head.finish()?;
+        Ok(scenario)
+    }
+
+    /// The model of the upstreams.
+    pub fn model(&self) -> Model {
+        if self.engine { Model::ENGINE } else { Model::PLAIN }
+    }
+
+    /// The weights of callers and trainers.
+    pub fn shares(&self) -> Shares {
+        let flows = self.flows.iter().map(|f| (f.name.clone(), f.share));
+        let trainers = self.trainers.iter().map(|t| (t.name.clone(), t.share));
+        Shares { weights: flows.chain(trainers).collect() }
+    }
+}
+
+impl Deployment {
+    /// Reads the deployments of a file.
+    pub fn open(path: &Path) -> Result<Vec<Self>, Invalid> {
+        let doc = Document::open(path)?;
+        doc.only(&[], &["deployment"])?;
+        all(&doc, "deployment", |name, section| {
+            Ok(Self {
+                name,
+                zones: section.within("zones", 1..=100, 3)?,
+                engines: section.within("engines", 1..=10_000, 9)?,
+                plain: section.within("plain", 1..=10_000, 3)?,
+            })
+        })
+    }
+
+    /// The number of upstreams of a service.
+    pub fn upstreams(&self, engine: bool) -> usize {
+        if engine { self.engines } else { self.plain }
+    }
+}
+
+fn all<T>(
+    doc: &Document,
+    kind: &str,
+    one: impl Fn(Name, &Section<'_>) -> Result<T, Invalid>,
+) -> Result<Vec<T>, Invalid> {
+    let mut items = Vec::new();
+    for (name, section) in doc.named(kind) {
+        items.push(one(name, &section)?);
+        section.finish()?;
+    }
+    Ok(items)
+}
+
+fn flow(name: Name, section: &Section<'_>) -> Result<Flow, Invalid> {
+    let classes = [("live", Class::Live), ("training", Class::Training)];
+    let repeats = [("idempotent", Repeat::Idempotent), ("once", Repeat::Once)];
+    Ok(Flow {
+        name,
+        class: section.choice("class", &classes, Class::Live)?,
+        repeat: section.choice("repeat", &repeats, Repeat::Idempotent)?,
+        load: section.within("load", 0.0..=100.0, 0.5)?,
+        scaled: section.value_or("scaled", true)?,
+        cost: section.within("cost", 1..=100_000, 1)?,
+        deadline: section.duration("deadline", Duration::from_secs(5))?,
+        share: section.within("share", 1..=1_000, 1)?,
+        keys: section.within("keys", 0..=1_000_000, 0)?,
+        hot: section.within("hot", 0.0..=1.0, 0.0)?,
+        returns: section.within("returns", 0..=10, 0)?,
+        poison: section.value_or("poison", false)?,
+    })
+}
+
+fn trainer(name: Name, section: &Section<'_>) -> Result<TrainerFlow, Invalid> {
+    Ok(TrainerFlow {
+        name,
+        samples: section.within("samples", 1..=100_000, 256)?,
+        group: section.within("group", 1..=1_000, 8)?,
+        cost: section.within("cost", 1..=100_000, 256)?,
+        train: section.duration("train", Duration::from_secs(10))?,
+        share: section.within("share", 1..=1_000, 1)?,
+        ahead: section.within("ahead", 0.0..=1.0, 0.0)?,
+    })
+}
+
+fn change(section: &Section<'_>) -> Result<Change, Invalid> {
+    let kinds = [
+        ("slow", ChangeKind::Slow),
+        ("frozen", ChangeKind::Frozen),
+        ("down", ChangeKind::Down),
+        ("load", ChangeKind::Load),
+        ("replace", ChangeKind::Replace),
+        ("swap", ChangeKind::Swap),
+    ];
+    let zone = section.text("zone").is_some();
+    Ok(Change {
+        kind: section.choice("kind", &kinds, ChangeKind::Slow)?,
+        at: section.duration("at", Duration::from_secs(20))?,
+        until: section.duration("until", Duration::from_secs(40))?,
+        upstreams: section.within("upstreams", 0..=10_000, 1)?,
+        zone: if zone { Some(section.value("zone")?) } else { None },
+        factor: section.within("factor", 0.0..=1_000.0, 10.0)?,
+        flow: section.text("flow").unwrap_or_default().into(),
+    })
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod caller;
 pub mod engine;
+pub mod experiment;
 pub mod fleet;
 pub mod plain;
 pub mod platform;
--- /dev/null
+++ b/tests/load_overload.rs
@@ -0,0 +1,89 @@
+//! More arrives than the upstreams can do: what callers and trainers receive.
+#![allow(clippy::unwrap_used)]
+
+use mulberrycourse::decide::Class;
+use standins::experiment::{Deployment, FlowResult, PolicyKind, RunResult, Scenario, run};
+
+const SCENARIO: &str = "
+[scenario]
+length = 100s
+[flow shop]
+load = 0.5
+cost = 64
+deadline = 6s
+keys = 100
+[flow lookup]
+load = 0.5
+cost = 64
+deadline = 6s
+keys = 100
+[trainer coach]
+samples = 512
+cost = 256
+train = 5s
+";
+
+fn measure(scale: f64, policy: PolicyKind, seed: u64) -> RunResult {
+    let scenario = Scenario::parse("overload", SCENARIO).unwrap();
+    let deployment = Deployment { name: "small".into(), zones: 3, engines: 4, plain: 3 };
+    run(&scenario, &deployment, scale, policy, seed)
+}
+
+/// At two and five times the capacity, live callers receive at least 95% of the answers that
+/// they receive at once the capacity, none after its deadline.
+#[test]
+fn live_goodput_holds() {
+    for seed in 1..=3 {
+        let base = measure(1.0, PolicyKind::Ours, seed).goodput(Class::Live);
+        for scale in [2.0, 5.0] {
+            let result = measure(scale, PolicyKind::Ours, seed);
+            let goodput = result.goodput(Class::Live);
+            assert!(goodput >= 0.95 * base, "seed {seed}, {scale}: {goodput} of {base}");
+            let live = result.flows.iter().filter(|f| f.class == Class::Live);
+            assert!(live.map(|f| f.quantile(0.99)).all(|ms| ms <= 6_000.0));
+        }
+    }
+}
+
+/// Nearly all that is not answered is told so before its deadline, with a time to come back.
+#[test]
+fn refused_early() {
+    for seed in 1..=3 {
+        let result = measure(5.0, PolicyKind::Ours, seed);
+        for flow in result.flows.iter().filter(|f| f.class == Class::Live) {
+            let refused: u64 = flow.refused.values().sum();
+            assert!(flow.late * 100 <= refused, "seed {seed}: {} late", flow.late);
+        }
+    }
+}
+
+/// Training keeps its floor, a tenth of the useful work, while live callers want everything.
+#[test]
+fn training_keeps_its_floor() {
+    for seed in 1..=3 {
+        let result = measure(5.0, PolicyKind::Ours, seed);
+        let (live, training) = (result.work(Class::Live), result.work(Class::Training));
+        let part = training / (live + training);
+        assert!(part >= 0.09, "seed {seed}: {part}");
+        assert!(result.trainers.iter().all(|t| t.doubled == 0));
+    }
+}
+
+/// Two callers of the same weight receive the same.
+#[test]
+fn equal_callers_receive_the_same() {
+    for seed in 1..=3 {
+        let result = measure(5.0, PolicyKind::Ours, seed);
+        let work = |name: &str| result.flow(name).map(|f: &FlowResult| f.work).unwrap();
+        let ratio = work("shop") / work("lookup");
+        assert!((0.9..=1.1).contains(&ratio), "seed {seed}: {ratio}");
+    }
+}
+
+/// The naive version answers next to nothing at five times the capacity: the load is real.
+#[test]
+fn naive_collapses() {
+    let base = measure(1.0, PolicyKind::Ours, 1).goodput(Class::Live);
+    let naive = measure(5.0, PolicyKind::Naive, 1).goodput(Class::Live);
+    assert!(naive < 0.2 * base, "{naive} of {base}");
+}
--- /dev/null
+++ b/tests/load_patterns.rs
@@ -0,0 +1,265 @@
+//! Bursts, hot callers and keys, slow upstreams, long jobs among short ones: what callers
+//! receive, ours against the naive version.
+#![allow(clippy::unwrap_used)]
+
+use mulberrycourse::decide::Class;
+use standins::experiment::{Deployment, FlowResult, PolicyKind, RunResult, Scenario, run};
+
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=3;
+
+fn measure(text: &str, scale: f64, policy: PolicyKind, seed: u64) -> RunResult {
+    let scenario = Scenario::parse("pattern", text).unwrap();
+    let deployment = Deployment { name: "small".into(), zones: 3, engines: 4, plain: 4 };
+    run(&scenario, &deployment, scale, policy, seed)
+}
+
+fn part(flow: &FlowResult) -> f64 {
+    flow.answered as f64 / flow.offered as f64
+}
+
+/// A caller sends ten times its usual load for three seconds.
+#[test]
+fn burst() {
+    let text = "
+[scenario]
+length = 30s
+warmup = 5s
+[flow shop]
+load = 0.3
+cost = 64
+deadline = 6s
+keys = 100
+[change burst]
+kind = load
+flow = shop
+at = 10s
+until = 13s
+factor = 10
+";
+    for seed in SEEDS {
+        let ours = measure(text, 1.0, PolicyKind::Ours, seed);
+        let naive = measure(text, 1.0, PolicyKind::Naive, seed);
+        let (ours, naive) = (ours.flow("shop").unwrap(), naive.flow("shop").unwrap());
+        assert!(part(ours) > part(naive) + 0.1, "seed {seed}: {} {}", part(ours), part(naive));
+        // Who isn't answered is told so; hardly anyone waits for nothing.
+        assert!(ours.late * 50 <= ours.offered, "seed {seed}: {} late", ours.late);
+    }
+}
+
+const HOT: &str = "
+[scenario]
+length = 30s
+warmup = 5s
+[flow a]
+scaled = false
+load = 0.2
+cost = 64
+deadline = 6s
+keys = 100
+[flow b]
+scaled = false
+load = 0.2
+cost = 64
+deadline = 6s
+keys = 100
+[flow hot]
+load = 3
+cost = 64
+deadline = 6s
+keys = 100
+";
+
+/// A caller that asks for three times the capacity costs the others at most 5%.
+#[test]
+fn hot_caller() {
+    for seed in SEEDS {
+        let result = measure(HOT, 1.0, PolicyKind::Ours, seed);
+        for name in ["a", "b"] {
+            let part = part(result.flow(name).unwrap());
+            assert!(part >= 0.95, "seed {seed}, {name}: {part}");
+        }
+        let naive = measure(HOT, 1.0, PolicyKind::Naive, seed);
+        assert!(part(naive.flow("a").unwrap()) < 0.5);
+    }
+}
+
+/// The hot caller gets what the others leave: nothing is held back from it.
+#[test]
+fn hot_caller_gets_the_rest() {
+    for seed in SEEDS {
+        let result = measure(HOT, 1.0, PolicyKind::Ours, seed);
+        let hot = result.flow("hot").unwrap();
+        let share = hot.work / result.counted.as_secs_f64() / result.capacity;
+        assert!(share >= 0.25, "seed {seed}: {share}");
+    }
+}
+
+/// A key that is asked for far too often costs the other keys of the same caller little.
+#[test]
+fn hot_key() {
+    let text = "
+[scenario]
+length = 30s
+warmup = 5s
+[flow shop]
+load = 2
+cost = 64
+deadline = 6s
+keys = 20
+hot = 0.9
+[flow even]
+load = 0.3
+cost = 64
+deadline = 6s
+keys = 20
+";
+    for seed in SEEDS {
+        let ours = measure(text, 1.0, PolicyKind::Ours, seed);
+        let even = part(ours.flow("even").unwrap());
+        assert!(even >= 0.95, "seed {seed}: {even}");
+        let naive = measure(text, 1.0, PolicyKind::Naive, seed);
+        assert!(part(naive.flow("even").unwrap()) < 0.5);
+    }
+}
+
+/// An upstream that gets ten times slower costs at most its own share of the capacity and 5%.
+#[test]
+fn slow_upstream() {
+    let text = "
+[scenario]
+length = 40s
+warmup = 5s
+[flow shop]
+load = 0.7
+cost = 64
+deadline = 6s
+keys = 100
+[change slow]
+kind = slow
+at = 10s
+until = 30s
+factor = 10
+";
+    for seed in SEEDS {
+        let ours = measure(text, 1.0, PolicyKind::Ours, seed);
+        let shop = ours.flow("shop").unwrap();
+        assert!(part(shop) >= 0.95, "seed {seed}: {}", part(shop));
+        let naive = measure(text, 1.0, PolicyKind::Naive, seed);
+        assert!(part(shop) > part(naive.flow("shop").unwrap()), "seed {seed}");
+    }
+}
+
+/// An upstream that takes connections and answers nothing gets hardly any work.
+#[test]
+fn frozen_upstream() {
+    let text = "
+[scenario]
+length = 40s
+warmup = 5s
+[flow shop]
+load = 0.6
+cost = 64
+deadline = 6s
+keys = 100
+[change frozen]
+kind = frozen
+at = 10s
+until = 30s
+";
+    for seed in SEEDS {
+        let ours = measure(text, 1.0, PolicyKind::Ours, seed);
+        let shop = ours.flow("shop").unwrap();
+        assert!(part(shop) >= 0.95, "seed {seed}: {}", part(shop));
+        let naive = measure(text, 1.0, PolicyKind::Naive, seed);
+        assert!(part(shop) > part(naive.flow("shop").unwrap()), "seed {seed}");
+    }
+}
+
+/// Short requests are answered although long ones want more than there is.
+#[test]
+fn long_among_short() {
+    let text = "
+[scenario]
+length = 60s
+[flow short]
+load = 0.2
+cost = 16
+deadline = 3s
+keys = 50
+[flow long]
+load = 1.2
+cost = 800
+deadline = 60s
+keys = 50
+";
+    for seed in SEEDS {
+        let ours = measure(text, 1.0, PolicyKind::Ours, seed);
+        let short = part(ours.flow("short").unwrap());
+        assert!(short >= 0.9, "seed {seed}: {short}");
+        assert!(ours.flow("long").unwrap().answered > 0);
+        let naive = measure(text, 1.0, PolicyKind::Naive, seed);
+        assert!(part(naive.flow("short").unwrap()) < short, "seed {seed}");
+    }
+}
+
+/// New weights on all engines, a third at a time: live callers hardly notice.
+#[test]
+fn weights_under_load() {
+    let text = "
+[scenario]
+length = 40s
+warmup = 5s
+[flow shop]
+load = 0.4
+cost = 64
+deadline = 6s
+keys = 100
+[trainer coach]
+samples = 128
+cost = 256
+train = 5s
+[change weights]
+kind = swap
+at = 15s
+upstreams = 100
+";
+    for seed in SEEDS {
+        let ours = measure(text, 1.0, PolicyKind::Ours, seed);
+        let shop = part(ours.flow("shop").unwrap());
+        assert!(shop >= 0.95, "seed {seed}: {shop}");
+    }
+}
+
+/// All upstreams are away for five seconds, then everyone comes back: no storm of retries, and
+/// nothing that may not be repeated ran twice.
+#[test]
+fn retry_storm() {
+    let text = "
+[scenario]
+service = plain
+length = 40s
+warmup = 5s
+[flow shop]
+load = 0.6
+deadline = 500ms
+returns = 3
+[flow sync]
+load = 0.1
+deadline = 500ms
+repeat = once
+returns = 3
+[change outage]
+kind = down
+upstreams = 100
+at = 15s
+until = 20s
+";
+    for seed in SEEDS {
+        let ours = measure(text, 1.0, PolicyKind::Ours, seed);
+        for flow in ours.flows.iter().filter(|f| f.class == Class::Live) {
+            let extra = flow.attempts - flow.tried;
+            assert!(extra * 10 <= flow.offered, "seed {seed}: {extra}");
+            assert_eq!(flow.doubled, 0, "seed {seed}");
+        }
+    }
+}
