--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod caller;
 pub mod daemon;
 pub mod engine;
+pub mod experiment;
 pub mod fleet;
 pub mod gate;
 pub mod plain;
