A node that lets a stream go names the nodes to go on at

Cause: a client knew only its first seeds and its last address answer.

Ruled out: more retries (the addresses stay dead) and asking for addresses during a stream (a call each time to live, from each stream).

The event 'moved' carries an address answer, and the client also asks those that its last answer named before its seeds.

--- a/src/client/addresses.rs
+++ b/src/client/addresses.rs
@@ -21,6 +21,8 @@
     addresses: Vec<SocketAddr>,
     until: Option<Instant>,
     next: usize,
+    /// All that the last answer named, also those that failed since: whom to ask next.
+    heard: Vec<SocketAddr>,
     /// Nodes that did not do, and when.
     failed: Vec<(SocketAddr, Instant)>,
 }
@@ -32,6 +34,7 @@
         let now = Instant::now();
         self.failed.retain(|(_, at)| now - *at < AVOID);
         addresses.sort_by_key(|a| self.failed.iter().any(|(failed, _)| failed == a));
+        self.heard.clone_from(&addresses);
         self.addresses = addresses;
         self.until = Some(now + ttl);
         self.next = 0;
@@ -67,15 +70,19 @@
         }
         for node in self.known() {
             if let Ok(addresses) = self.ask(node).await {
-                let ttl = Duration::from_millis(addresses.ttl_ms);
-                let mut answer = self.answer.lock();
-                answer.take(addresses.addresses, ttl);
-                return answer.addresses.first().copied();
+                self.learn(addresses);
+                return self.answer.lock().addresses.first().copied();
             }
         }
         None
     }
 
+    /// Takes an answer, also one that came unasked from a node that lets a stream go.
+    pub fn learn(&self, addresses: Addresses) {
+        let ttl = Duration::from_millis(addresses.ttl_ms);
+        self.answer.lock().take(addresses.addresses, ttl);
+    }
+
     /// The address did not do: the next one is used, or asked for.
     pub fn failed(&self, address: SocketAddr) {
         let mut answer = self.answer.lock();
@@ -100,7 +107,9 @@
     }
 
     fn known(&self) -> Vec<SocketAddr> {
-        let mut known = self.answer.lock().addresses.clone();
+        let answer = self.answer.lock();
+        let mut known = answer.addresses.clone();
+        known.extend(answer.heard.iter().filter(|a| !answer.addresses.contains(a)));
         known.extend(&self.seeds);
         known
     }
--- a/src/client/caller/stream.rs
+++ b/src/client/caller/stream.rs
@@ -5,7 +5,6 @@
 //! two parts meet. Each event carries the index of the next token, and the rest
 //! is asked for from there.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use eventsource_stream::Eventsource;
@@ -20,6 +19,7 @@
 use super::error::CallerError;
 use crate::edge::http::{FetchError, read};
 use crate::edge::upstream::{Completion, Prior};
+use crate::node::Addresses;
 
 /// Failures in a row, without a new token, after which a stream is given up.
 const FAILURES: u32 = 8;
@@ -57,8 +57,8 @@
     Whole(StatusCode),
     /// With an answer that is no stream.
     Other(Received),
-    /// The node lets it go.
-    Moved,
+    /// The node lets it go, and names others.
+    Moved(Addresses),
 }
 
 impl Caller {
@@ -79,7 +79,7 @@
                 Err(_) => return Err(CallerError::Partial(format!("no end in {timeout:?}"))),
                 Ok(Ok(End::Whole(status))) => return Ok(part.received(status)),
                 Ok(Ok(End::Other(received))) => return Ok(received),
-                Ok(Ok(End::Moved)) => CallerError::Partial("every node let it go".to_owned()),
+                Ok(Ok(End::Moved(_))) => CallerError::Partial("every node let it go".to_owned()),
                 Ok(Err(error)) => error,
             };
             failures = if part.prior.tokens > before { 0 } else { failures + 1 };
@@ -110,14 +110,14 @@
         let ended = part.read(response).await;
         match &ended {
             Ok(End::Whole(_) | End::Other(_)) => {}
-            Ok(End::Moved) | Err(_) => self.left(node),
+            Ok(End::Moved(others)) => {
+                self.book().learn(others.clone());
+                self.book().failed(node);
+            }
+            Err(_) => self.book().failed(node),
         }
         ended
     }
-
-    fn left(&self, node: SocketAddr) {
-        self.book().failed(node);
-    }
 }
 
 impl Part {
@@ -146,7 +146,7 @@
                 .map_err(|e| CallerError::Partial(e.to_string()))?;
             match event.event.as_str() {
                 "error" => return Err(CallerError::refused(&event.data)),
-                "moved" => return Ok(End::Moved),
+                "moved" => return others(&event.data).map(End::Moved),
                 _ if event.data == "[DONE]" => return Ok(End::Whole(status)),
                 _ => self.take(&event.id, &event.data)?,
             }
@@ -171,6 +171,10 @@
     }
 }
 
+fn others(data: &str) -> Result<Addresses, CallerError> {
+    serde_json::from_str(data).map_err(|e| CallerError::Partial(e.to_string()))
+}
+
 /// Whether another node may still bring the answer.
 fn again(error: &CallerError) -> bool {
     match error {
--- a/src/node/callers.rs
+++ b/src/node/callers.rs
@@ -126,7 +126,7 @@
     Addresses { addresses, ttl_ms: app.settings.drain.ttl.as_millis() as u64 }
 }
 
-fn addresses(app: &App) -> Addresses {
+pub(super) fn addresses(app: &App) -> Addresses {
     let now = app.clock.now();
     let mut nodes = app.members.reached(now);
     let own = app.info();
--- a/src/node/stream.rs
+++ b/src/node/stream.rs
@@ -16,7 +16,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::app::App;
-use super::callers::call_of;
+use super::callers::{Addresses, addresses, call_of};
 use super::complete::{Job, Progress, Whole, complete};
 use super::lifecycle::Phase;
 use crate::decide::Repeat;
@@ -184,11 +184,14 @@
         format!("id: {id}/{index}\ndata: {data}\n\n")
     }
 
-    /// Tells the caller to go on elsewhere from the last event.
+    /// Tells the caller to go on elsewhere from the last event, and where: over a long
+    /// stream all that it knew of may have gone.
     fn moved(&self) -> String {
         let Place { id, index } = &self.place;
         tracing::info!(event = "stream_moved", %id, index);
-        let data = json!({ "last_event_id": format!("{id}/{index}") });
+        let Addresses { addresses, ttl_ms } = addresses(&self.app);
+        let last = format!("{id}/{index}");
+        let data = json!({ "last_event_id": last, "addresses": addresses, "ttl_ms": ttl_ms });
         format!("event: moved\ndata: {data}\n\n")
     }
 
