A tool that measures slopes and writes the tables of the capacity page

Each measure is fitted by a constant, a line or a power, with its error, and extrapolated; `slope page` writes the tables between marks.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod plain;
 pub mod platform;
 pub mod server;
+pub mod slope;
 pub mod trainer;
 pub mod weights;
--- /dev/null
+++ b/standins/src/slope/page.rs
@@ -0,0 +1,92 @@
+//! Writes the measured tables into a page, between marks.
+
+use std::path::Path;
+
+use super::{Fit, Table};
+
+/// The beginning of a mark; the mechanism, the phase and the target size follow.
+const BEGIN: &str = "<!-- slope ";
+/// The end of a table.
+const END: &str = "<!-- end -->";
+
+/// Why a page was not written.
+#[derive(Debug, thiserror::Error)]
+pub enum PageError {
+    /// A file can't be read or written.
+    #[error("{0}: {1}")]
+    File(String, std::io::Error),
+    /// A mark is not as it should be.
+    #[error("{0}: expected {BEGIN}MECHANISM PHASE TARGET -->, and {END} after it")]
+    Mark(String),
+}
+
+/// Replaces each table of a page by what the files in `folder` say.
+pub fn refresh(page: &Path, folder: &Path) -> Result<(), PageError> {
+    let fail = |path: &Path| {
+        let path = path.display().to_string();
+        move |e| PageError::File(path, e)
+    };
+    let text = std::fs::read_to_string(page).map_err(fail(page))?;
+    let mut out = String::new();
+    let mut rest = text.as_str();
+    while let Some((before, after)) = rest.split_once(BEGIN) {
+        let bad = || PageError::Mark(after.lines().next().unwrap_or_default().to_owned());
+        let (mark, body) = after.split_once(" -->").ok_or_else(bad)?;
+        let (_, tail) = body.split_once(END).ok_or_else(bad)?;
+        let words: Vec<&str> = mark.split(' ').collect();
+        let [mechanism, phase, target] = words[..] else { return Err(bad()) };
+        let target: f64 = target.parse().map_err(|_| bad())?;
+        let path = folder.join(format!("{mechanism}.csv"));
+        let table = Table::read(&path).map_err(fail(&path))?;
+        let table = rows(&table, mechanism, phase, target);
+        out.push_str(&format!("{before}{BEGIN}{mark} -->\n{table}{END}"));
+        rest = tail;
+    }
+    out.push_str(rest);
+    std::fs::write(page, out).map_err(fail(page))
+}
+
+fn rows(table: &Table, mechanism: &str, phase: &str, target: f64) -> String {
+    let series = table.series();
+    let of_phase = series.iter().filter(|((p, _), _)| p == phase);
+    let mut sizes: Vec<u32> =
+        table.rows.iter().filter(|r| r.phase == phase).map(|r| r.size).collect();
+    sizes.sort_unstable();
+    sizes.dedup();
+    let heads: Vec<String> = sizes.iter().map(|s| format!("at {s}")).collect();
+    let mut out = format!(
+        "`slope {mechanism}` at commit {}\n\n| measure | {} | law | slope | error | at {target}, \
+         extrapolated |\n|{}\n",
+        table.commit,
+        heads.join(" | "),
+        " --- |".repeat(sizes.len() + 5),
+    );
+    for ((_, name), points) in of_phase {
+        let cell = |size: &u32| {
+            let found = points.iter().find(|p| p.0 == f64::from(*size));
+            found.map_or("-".to_owned(), |p| short(p.1))
+        };
+        let cells: Vec<String> = sizes.iter().map(cell).collect();
+        let (law, slope, error, at) = match Fit::of(points) {
+            None => ("-", "-".to_owned(), "-".to_owned(), "-".to_owned()),
+            Some(fit) => (
+                fit.law.as_str(),
+                short(fit.slope),
+                format!("{:.0}%", fit.error * 100.0),
+                short(fit.at(target)),
+            ),
+        };
+        let cells = cells.join(" | ");
+        out.push_str(&format!("| {name} | {cells} | {law} | {slope} | {error} | {at} |\n"));
+    }
+    out
+}
+
+/// A number with three digits that matter.
+fn short(value: f64) -> String {
+    if value == 0.0 {
+        return "0".to_owned();
+    }
+    let digits = 2 - value.abs().log10().floor() as i32;
+    if digits <= 0 { format!("{value:.0}") } else { format!("{value:.*}", digits.min(6) as usize) }
+}
