--- a/standins/src/bin/standin.rs
+++ b/standins/src/bin/standin.rs
@@ -6,14 +6,19 @@
 
 use clap::{Parser, Subcommand};
 use mulberrycourse::Name;
-use mulberrycourse::client::Trainer;
+use mulberrycourse::client::{Caller, Received, Trainer};
 use mulberrycourse::decide::Prompt;
+use mulberrycourse::edge::platform::{Vm, VmState};
+use standins::caller::completion;
 use standins::engine::{Engine, EngineSettings};
 use standins::plain::Plain;
 use standins::platform::Platform;
 use standins::trainer;
 use standins::weights::WeightStore;
 
+/// How long a caller waits.
+const WAIT: Duration = Duration::from_secs(10);
+
 /// A stand-in for one of the systems around mulberrycourse.
 #[derive(Debug, Parser)]
 #[command(version, about)]
@@ -28,6 +33,24 @@
     Platform {
         /// Where it listens.
         listen: SocketAddr,
+        /// The upstream VMs in its list, as SERVICE=ADDRESS; may be given several times.
+        #[arg(long)]
+        vm: Vec<Listed>,
+    },
+    /// A caller: makes one call and prints the answer.
+    Call {
+        /// Its name in the bundle.
+        name: Name,
+        /// Nodes to ask first.
+        #[arg(long, required = true, value_delimiter = ',')]
+        nodes: Vec<SocketAddr>,
+        /// The service; a model is asked for a completion of the path.
+        service: String,
+        /// The path.
+        path: String,
+        /// The idempotency key.
+        #[arg(long)]
+        key: Option<String>,
     },
     /// A model engine.
     Engine {
@@ -83,6 +106,36 @@
 
 type Failure = Box<dyn std::error::Error>;
 
+/// An upstream VM on the command line.
+#[derive(Debug, Clone)]
+struct Listed {
+    service: Name,
+    address: SocketAddr,
+}
+
+impl std::str::FromStr for Listed {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let (service, address) = text.split_once('=').ok_or("expected SERVICE=ADDRESS")?;
+        let address = address.parse().map_err(|e| format!("{address}: {e}"))?;
+        Ok(Self { service: service.into(), address })
+    }
+}
+
+fn vms(listed: &[Listed]) -> Vec<Vm> {
+    let zones = ["gloshaugen", "elgeseter", "heimdal"];
+    let vm = |(index, Listed { service, address }): (usize, &Listed)| Vm {
+        name: format!("{service}-{index}").into(),
+        service: service.clone(),
+        zone: zones[index % zones.len()].into(),
+        address: *address,
+        incarnation: 1,
+        state: VmState::Live,
+    };
+    listed.iter().enumerate().map(vm).collect()
+}
+
 #[tokio::main]
 #[allow(clippy::print_stdout, clippy::print_stderr)]
 async fn main() -> ExitCode {
@@ -97,8 +150,9 @@
 
 async fn run(command: Command) -> Result<(), Failure> {
     match command {
-        Command::Platform { listen } => {
+        Command::Platform { listen, vm } => {
             let platform = Platform::bind(listen).await?;
+            platform.set_vms(vms(&vm));
             serve(platform.address()).await
         }
         Command::Engine { listen, version, store, unfenced, token_ms } => {
@@ -120,6 +174,15 @@
             let store = WeightStore::bind(listen, rate).await?;
             serve(store.address()).await
         }
+        Command::Call { name, nodes, service, path, key } => {
+            let caller = Caller::new(name, nodes);
+            let answer = match service.as_str() {
+                "patter" => caller.stream(&completion(&path, 1, 24), WAIT).await?,
+                plain => caller.call(plain, &path, "", key.as_deref(), WAIT).await?,
+            };
+            say(&answer);
+            Ok(())
+        }
         Command::Trainer { name, nodes, first, steps, groups, samples } => {
             let prompt = Prompt { prompt: format!("{name} practises"), samples, max_tokens: 32 };
             let client = Trainer::new(name, nodes);
@@ -139,6 +202,11 @@
     Ok(())
 }
 
+#[allow(clippy::print_stdout)]
+fn say(answer: &Received) {
+    println!("{} {}", answer.status.as_u16(), String::from_utf8_lossy(&answer.body));
+}
+
 #[allow(clippy::print_stdout)]
 fn print(tally: &trainer::Tally) {
     println!(
