--- a/src/edge/peer/message.rs
+++ b/src/edge/peer/message.rs
@@ -6,6 +6,7 @@
 
 use crate::Name;
 use crate::bundle::Envelope;
+use crate::decide::claim::{Ask, Attempt, ClaimKey, End, Verdict};
 use crate::metrics::Purpose;
 
 /// Whether a node takes work.
@@ -50,6 +51,19 @@
     Bundle,
     /// A bundle that is later than yours.
     Offer(Envelope),
+    /// May I run this call?
+    Claim(Ask),
+    /// A claimed call ended.
+    Ended {
+        /// Its key.
+        key: ClaimKey,
+        /// The attempt.
+        nonce: u64,
+        /// How.
+        end: End,
+    },
+    /// What became of this attempt of yours?
+    Attempt(u64),
 }
 
 impl Request {
@@ -58,6 +72,7 @@
         match self {
             Self::Hello(_) => Purpose::Hello,
             Self::Bundle | Self::Offer(_) => Purpose::Bundle,
+            Self::Claim(_) | Self::Ended { .. } | Self::Attempt(_) => Purpose::Claim,
         }
     }
 }
@@ -71,4 +86,10 @@
     Bundle(Option<Envelope>),
     /// Taken, or not needed.
     Noted,
+    /// The answer to a claim.
+    Verdict(Verdict),
+    /// Whether the end is recorded at this node.
+    Recorded(bool),
+    /// What became of the attempt; none if it is not known here.
+    Attempt(Option<Attempt>),
 }
--- a/src/metrics/labels.rs
+++ b/src/metrics/labels.rs
@@ -49,11 +49,13 @@
     Hello,
     /// The bundle, between nodes.
     Bundle,
+    /// Claims of calls that run at most once, between nodes.
+    Claim,
 }
 
 impl Purpose {
     /// Every purpose.
-    pub const ALL: &[Self] = &[Self::Platform, Self::Order, Self::Hello, Self::Bundle];
+    pub const ALL: &[Self] = &[Self::Platform, Self::Order, Self::Hello, Self::Bundle, Self::Claim];
 }
 
 /// Which way bytes went.
@@ -80,12 +82,21 @@
     Orders,
     /// Gives up on what waited too long.
     Tick,
+    /// Commits claims and answers who asks for them.
+    Claims,
 }
 
 impl Task {
     /// Every task.
-    pub const ALL: &[Self] =
-        &[Self::Bundle, Self::Members, Self::Announce, Self::Upstreams, Self::Orders, Self::Tick];
+    pub const ALL: &[Self] = &[
+        Self::Bundle,
+        Self::Members,
+        Self::Announce,
+        Self::Upstreams,
+        Self::Orders,
+        Self::Tick,
+        Self::Claims,
+    ];
 }
 
 /// State that a node holds, by kind.
@@ -103,12 +114,24 @@
     Step,
     /// Open connections of callers.
     Connection,
+    /// Idempotency keys that are held as home.
+    Claim,
+    /// Claimed calls that are remembered as runner.
+    Attempt,
 }
 
 impl Entry {
     /// Every kind.
-    pub const ALL: &[Self] =
-        &[Self::Member, Self::Upstream, Self::Waiting, Self::Running, Self::Step, Self::Connection];
+    pub const ALL: &[Self] = &[
+        Self::Member,
+        Self::Upstream,
+        Self::Waiting,
+        Self::Running,
+        Self::Step,
+        Self::Connection,
+        Self::Claim,
+        Self::Attempt,
+    ];
 }
 
 impl EncodeLabelValue for Kind {
--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -98,6 +98,8 @@
     held(Entry::Member, app.members.held());
     held(Entry::Upstream, app.upstreams.list().len());
     held(Entry::Step, app.steps.held());
+    held(Entry::Claim, app.claims.held());
+    held(Entry::Attempt, app.claims.attempts());
     let depths = app.dispatchers().into_iter().map(|(_, d)| d.held());
     let (waiting, running) = depths.fold((0, 0), |sum, d| (sum.0 + d.0, sum.1 + d.1));
     held(Entry::Waiting, waiting);
--- a/src/node/app.rs
+++ b/src/node/app.rs
@@ -7,6 +7,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::bundles::Bundles;
+use super::claims::Claims;
 use super::dispatcher::Dispatcher;
 use super::lifecycle::{Event, Lifecycle, Phase};
 use super::members::Members;
@@ -37,6 +38,7 @@
     pub(super) members: Members,
     pub(super) upstreams: Upstreams,
     pub(super) steps: Steps,
+    pub(super) claims: Claims,
     /// The versions that engines were last seen to serve.
     pub(super) served: Mutex<Served>,
     /// Cancelled when the node has stopped: ends every background task.
@@ -61,6 +63,7 @@
             members: Members::default(),
             upstreams: Upstreams::default(),
             steps: Steps::default(),
+            claims: Claims::new(&settings.node.name),
             served: Mutex::default(),
             cancel: CancellationToken::new(),
             dispatchers: RwLock::default(),
