--- a/standins/src/bin/mulberry-demo.rs
+++ b/standins/src/bin/mulberry-demo.rs
@@ -44,6 +44,7 @@
     println!("3 nodes serve bundle 1, with 4 engines and 2 plain services");
     let shop = Caller::new("shop".into(), fleet.callers());
     let answer = shop.call("stock", "/items/7", "", None, WAIT).await?;
+    check(answer.body == "ran /items/7 ", "the stock answer is not whole".to_owned())?;
     println!("shop, stock lookup: {}", String::from_utf8_lossy(&answer.body));
     let sync = shop.call("sync", "/count", "7 wands", Some("sync-1"), WAIT).await?;
     println!("shop, inventory sync: {}", String::from_utf8_lossy(&sync.body));
@@ -73,6 +74,12 @@
     check(samples.len() == 32, format!("{} of 32 samples", samples.len()))?;
     check(report.doubled == 0, format!("{} groups came twice", report.doubled))?;
     println!("trainer, step 1: 8 groups, 32 samples, {mixed} made by two weight versions");
+    for sample in &samples {
+        let made = sample.text.split_whitespace().count();
+        let named: u32 = sample.label.iter().map(|s| s.to - s.from).sum();
+        let what = format!("a label names {named} of {made} tokens");
+        check(made > 0 && named as usize == made, what)?;
+    }
     let longest = samples.iter().max_by_key(|s| s.label.len());
     if let Some(sample) = longest {
         println!("one label: {:?}", sample.label);
