--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -1,25 +1,43 @@
 //! Nodes as processes of their own, found through the platform.
 #![allow(clippy::unwrap_used)]
 
+use std::path::Path;
 use std::time::Duration;
 
 use mulberrycourse::client::Caller;
-use standins::daemon::Daemon;
+use standins::daemon::{Daemon, Folder};
 use standins::engine::EngineSettings;
 use standins::fleet::Fleet;
+use standins::platform::Faults;
+
+const WAIT: Duration = Duration::from_secs(20);
+/// A guard against a hang; no verdict depends on it.
+const GUARD: Duration = Duration::from_secs(120);
+const EXE: &str = env!("CARGO_BIN_EXE_mulberryd");
+
+async fn fleet() -> Fleet {
+    Fleet::spawn(0, 2, EngineSettings::default()).await.unwrap()
+}
+
+fn spawn(fleet: &Fleet, folder: &Path, names: &[&str]) -> Vec<Daemon> {
+    let platform = fleet.platform.address();
+    let one = |name: &&str| Daemon::spawn(EXE, name, fleet, platform, folder).unwrap();
+    names.iter().map(one).collect()
+}
+
+async fn settle(daemons: &[Daemon], names: &[&str]) {
+    for daemon in daemons {
+        daemon.sees(names).await;
+    }
+}
 
 /// Three processes find each other, serve the bundle and a call, and one is killed:
 /// the others go on to answer.
 #[tokio::test(flavor = "multi_thread")]
 async fn processes_serve_and_one_is_killed() {
-    let fleet = Fleet::spawn(0, 2, EngineSettings::default()).await.unwrap();
-    let folder = std::env::temp_dir().join(format!("mulberry-processes-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).unwrap();
-    let exe = env!("CARGO_BIN_EXE_mulberryd");
-    let platform = fleet.platform.address();
-    let spawn = |name: &&str| Daemon::spawn(exe, name, &fleet, platform, &folder).unwrap();
-    let mut daemons: Vec<Daemon> = ["a", "b", "c"].iter().map(spawn).collect();
-    let wait = Duration::from_secs(20);
+    let fleet = fleet().await;
+    let folder = Folder::open().unwrap();
+    let mut daemons = spawn(&fleet, folder.path(), &["a", "b", "c"]);
     for daemon in &daemons {
         while daemon.nodes().await.iter().filter(|n| n.bundle == 1).count() < 3 {
             tokio::time::sleep(Duration::from_millis(20)).await;
@@ -27,7 +45,45 @@
     }
     drop(daemons.remove(0));
     let shop = Caller::new("shop".into(), daemons.iter().map(|d| d.callers).collect());
-    let answer = shop.call("stock", "/items/1", "", None, wait).await.unwrap();
+    let answer = shop.call("stock", "/items/1", "", None, WAIT).await.unwrap();
     assert_eq!(answer.body, "ran /items/1 ");
-    std::fs::remove_dir_all(&folder).unwrap();
+    tokio::time::timeout(GUARD, settle(&daemons, &["b", "c"])).await.unwrap();
+}
+
+/// A process is frozen (SIGSTOP) and thawed: the others count it out and in again,
+/// and it serves as before.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_process_goes_and_comes_back() {
+    let fleet = fleet().await;
+    let folder = Folder::open().unwrap();
+    let daemons = spawn(&fleet, folder.path(), &["a", "b", "c"]);
+    let all = async {
+        settle(&daemons, &["a", "b", "c"]).await;
+        daemons[2].freeze().unwrap();
+        settle(&daemons[..2], &["a", "b"]).await;
+        daemons[2].thaw().unwrap();
+        settle(&daemons, &["a", "b", "c"]).await;
+    };
+    tokio::time::timeout(GUARD, all).await.unwrap();
+}
+
+/// A process starts while the platform is down: it finds the others by the seeds of
+/// its settings, gets the bundle from them, and serves.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_process_joins_during_an_outage() {
+    let fleet = fleet().await;
+    let folder = Folder::open().unwrap();
+    let mut daemons = spawn(&fleet, folder.path(), &["a", "b"]);
+    let all = async {
+        settle(&daemons, &["a", "b"]).await;
+        fleet.platform.set_faults(Faults { down: true, ..Faults::default() });
+        let platform = fleet.platform.address();
+        let seeds = [daemons[0].peers];
+        let third =
+            Daemon::spawn_seeded(EXE, "c", &fleet, platform, folder.path(), &seeds).unwrap();
+        daemons.push(third);
+        settle(&daemons, &["a", "b", "c"]).await;
+        daemons[2].holds(1).await;
+    };
+    tokio::time::timeout(GUARD, all).await.unwrap();
 }
