--- a/standins/src/bin/slope.rs
+++ b/standins/src/bin/slope.rs
@@ -1,7 +1,7 @@
 //! Measures a mechanism at several sizes: `slope MECHANISM` writes
 //! `bench/results/slopes/MECHANISM.csv`, `slope page` brings docs/CAPACITY.md up to date.
 
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -92,11 +92,11 @@
     }
     let own = args.mechanism.sizes().to_vec();
     let sizes = if args.sizes.is_empty() { own } else { args.sizes.clone() };
-    let program = program()?;
+    let exe = program()?;
     let mut table = Table { commit: args.commit.clone(), rows: Vec::new() };
     for size in sizes {
         let began = std::time::Instant::now();
-        one(&args, &program, size, &mut table).await?;
+        one(&args, &exe, size, &mut table).await?;
         println!("{} at {size}: {:.1} s", args.mechanism.name(), began.elapsed().as_secs_f64());
     }
     std::fs::create_dir_all(&args.results)?;
@@ -104,12 +104,12 @@
     Ok(())
 }
 
-async fn one(args: &Args, program: &Path, size: u32, table: &mut Table) -> Result<(), Failure> {
+async fn one(args: &Args, exe: &str, size: u32, table: &mut Table) -> Result<(), Failure> {
     match args.mechanism {
-        Mechanism::Fleet => fleet(program, size, Duration::from_secs(args.seconds), table).await?,
-        Mechanism::Entry => entry(program, size, table).await?,
-        Mechanism::Claims => claims(program, size, table).await?,
-        Mechanism::Handover => handover(program, size, table).await?,
+        Mechanism::Fleet => fleet(exe, size, Duration::from_secs(args.seconds), table).await?,
+        Mechanism::Entry => entry(exe, size, table).await?,
+        Mechanism::Claims => claims(exe, size, table).await?,
+        Mechanism::Handover => handover(exe, size, table).await?,
         Mechanism::Bundle => bundle(size, table),
         Mechanism::Page => {}
     }
@@ -117,10 +117,10 @@
 }
 
 /// The `mulberryd` that was built beside this program.
-fn program() -> Result<PathBuf, Failure> {
+fn program() -> Result<String, Failure> {
     let program = std::env::current_exe()?.with_file_name("mulberryd");
     match program.exists() {
-        true => Ok(program),
+        true => Ok(program.display().to_string()),
         false => Err("build mulberryd first: cargo build --release --workspace".into()),
     }
 }
--- a/standins/src/slope/nodes.rs
+++ b/standins/src/slope/nodes.rs
@@ -2,23 +2,24 @@
 //! what control costs a node while nothing is asked of it, at each phase.
 
 use std::collections::BTreeMap;
-use std::path::Path;
 use std::time::Duration;
 
-use mulberrycourse::edge::http::Fetch;
+use mulberrycourse::edge::http::{Fetch, FetchError};
 use mulberrycourse::edge::peer::NodeInfo;
 use mulberrycourse::node::BundleState;
+use serde::de::DeserializeOwned;
 use tokio::time::Instant;
 
-use super::{Daemon, DaemonError, Scrape, Table};
+use super::{Scrape, Table};
+use crate::daemon::{Daemon, Folder};
 use crate::engine::EngineSettings;
 use crate::fleet::{Fleet, FleetError, bundle};
 use crate::platform::Faults;
 
 /// Upstreams a node: 1,100 replicas before 380 nodes.
 const REPLICAS: u32 = 3;
-/// Availability zones.
-const ZONES: [&str; 3] = ["gloshaugen", "elgeseter", "heimdal"];
+/// The part of the nodes that goes with an availability zone, as a divisor.
+const ZONES: usize = 3;
 /// Pause between two looks at a condition.
 const POLL: Duration = Duration::from_millis(25);
 /// The longest wait for a condition: a size that does not settle is an error.
@@ -55,15 +56,15 @@
 /// Why a size was not measured.
 #[derive(Debug, thiserror::Error)]
 pub enum NodesError {
-    /// A node is missing.
+    /// A node does not answer.
     #[error(transparent)]
-    Daemon(#[from] DaemonError),
+    Fetch(#[from] FetchError),
     /// A stand-in is missing.
     #[error(transparent)]
     Fleet(#[from] FleetError),
-    /// The folder can't be used.
+    /// A daemon or its folder is missing.
     #[error(transparent)]
-    Folder(#[from] std::io::Error),
+    Start(#[from] std::io::Error),
     /// A condition was not met.
     #[error("{0} nodes: {1} not within {SETTLE:?}")]
     Unsettled(u32, &'static str),
@@ -80,33 +81,19 @@
 
 /// Measures one size through every phase.
 pub async fn fleet(
-    program: &Path,
-    size: u32,
-    window: Duration,
-    table: &mut Table,
-) -> Result<(), NodesError> {
-    let folder = std::env::temp_dir().join(format!("mulberry-slope-{}", std::process::id()));
-    std::fs::create_dir_all(&folder)?;
-    let result = measured(program, &folder, size, window, table).await;
-    std::fs::remove_dir_all(&folder)?;
-    result
-}
-
-async fn measured(
-    program: &Path,
-    folder: &Path,
+    exe: &str,
     size: u32,
     window: Duration,
     table: &mut Table,
 ) -> Result<(), NodesError> {
+    let folder = Folder::open()?;
     let engines = EngineSettings::default();
     let fleet = Fleet::spawn(0, (size * REPLICAS) as usize, engines).await?;
-    let mut daemons = Vec::new();
-    for index in 0..size {
-        let name = format!("node-{index}");
-        daemons.push(Daemon::spawn(program, folder, &name, &settings(&fleet, index))?);
-    }
-    let mut nodes = Nodes { size, fleet, daemons, fetch: Fetch::default(), window };
+    let platform = fleet.platform.address();
+    let names = (0..size).map(|index| format!("node-{index}"));
+    let daemons: Result<Vec<Daemon>, _> =
+        names.map(|name| Daemon::spawn(exe, &name, &fleet, platform, folder.path())).collect();
+    let mut nodes = Nodes { size, fleet, daemons: daemons?, fetch: Fetch::default(), window };
     let began = Instant::now();
     nodes.until("membership", Nodes::complete).await?;
     table.add("start", size, "seconds until all know all", began.elapsed().as_secs_f64());
@@ -132,7 +119,7 @@
     nodes.window(Phase::Return, table).await?;
 
     let began = Instant::now();
-    let lost = nodes.daemons.len().div_ceil(ZONES.len());
+    let lost = nodes.daemons.len().div_ceil(ZONES);
     nodes.daemons.truncate(nodes.daemons.len() - lost);
     nodes.until("loss", Nodes::complete).await?;
     let name = "seconds until the loss is known to all";
@@ -140,20 +127,7 @@
     nodes.window(Phase::Zone, table).await
 }
 
-pub(super) fn settings(fleet: &Fleet, index: u32) -> String {
-    let keys = fleet.signers.keys().iter();
-    let key = |k: &ed25519_dalek::SigningKey| hex::encode(k.verifying_key().to_bytes());
-    let operators: String = keys.map(|(n, k)| format!("{n} = {}\n", key(k))).collect();
-    let zone = ZONES[index as usize % ZONES.len()];
-    format!(
-        "[node]\nname = node-{index}\nregion = trondheim\nzone = {zone}\n\
-         callers = 127.0.0.1:0\npeers = 127.0.0.1:0\nadmin = 127.0.0.1:0\n\
-         [platform]\naddress = {}\n[operators]\n{operators}",
-        fleet.platform.address(),
-    )
-}
-
-type Look<'a> = std::pin::Pin<Box<dyn Future<Output = Result<bool, DaemonError>> + 'a>>;
+type Look<'a> = std::pin::Pin<Box<dyn Future<Output = Result<bool, FetchError>> + 'a>>;
 
 impl Nodes {
     /// Waits until a condition holds at every node.
@@ -173,16 +147,21 @@
         Ok(())
     }
 
+    async fn state<T: DeserializeOwned>(&self, at: &Daemon, what: &str) -> Result<T, FetchError> {
+        let path = format!("/v1/state/{what}");
+        self.fetch.get(at.admin, &path, Duration::from_secs(5)).await
+    }
+
     /// Whether a node sees all nodes alive, and none that is gone.
     fn complete<'a>(&'a self, at: &'a Daemon) -> Look<'a> {
         Box::pin(async move {
-            let seen: Vec<NodeInfo> = at.state(&self.fetch, "nodes").await?;
+            let seen: Vec<NodeInfo> = self.state(at, "nodes").await?;
             Ok(seen.len() == self.daemons.len() && seen.iter().all(|n| n.bundle > 0))
         })
     }
 
-    async fn in_force(&self, at: &Daemon, number: u64) -> Result<bool, DaemonError> {
-        let state: BundleState = at.state(&self.fetch, "bundle").await?;
+    async fn in_force(&self, at: &Daemon, number: u64) -> Result<bool, FetchError> {
+        let state: BundleState = self.state(at, "bundle").await?;
         Ok(state.number >= number)
     }
 
@@ -225,23 +204,23 @@
         (sum(false), sum(true))
     }
 
-    async fn scrapes(&self) -> Result<Vec<Scrape>, DaemonError> {
+    async fn scrapes(&self) -> Result<Vec<Scrape>, FetchError> {
         let mut all = Vec::new();
         for daemon in &self.daemons {
-            all.push(daemon.scrape(&self.fetch).await?);
+            all.push(Scrape::of(daemon.admin, &self.fetch).await?);
         }
         Ok(all)
     }
 
     /// The size of an address answer and of `/metrics`.
-    async fn answers(&self, table: &mut Table) -> Result<(), DaemonError> {
+    async fn answers(&self, table: &mut Table) -> Result<(), FetchError> {
         let Some(first) = self.daemons.first() else { return Ok(()) };
         let limit = Duration::from_secs(5);
         let answer: serde_json::Value =
             self.fetch.get(first.callers, "/v1/addresses", limit).await?;
         let bytes = answer.to_string().len();
         table.add("steady", self.size, "bytes of an address answer", bytes as f64);
-        let bytes = first.scrape(&self.fetch).await?.bytes;
+        let bytes = Scrape::of(first.admin, &self.fetch).await?.bytes;
         table.add("steady", self.size, "bytes of /metrics", bytes as f64);
         Ok(())
     }
--- a/standins/src/slope/serving.rs
+++ b/standins/src/slope/serving.rs
@@ -1,6 +1,5 @@
 //! What a request, a claim, a sample and a bundle cost one node.
 
-use std::path::Path;
 use std::time::Duration;
 
 use futures_util::StreamExt;
@@ -9,9 +8,9 @@
 use mulberrycourse::edge::http::Fetch;
 use tokio::time::Instant;
 
-use super::nodes::{NodesError, settings};
-use super::{Daemon, Table};
+use super::{NodesError, Scrape, Table};
 use crate::caller::completion;
+use crate::daemon::{Daemon, Folder};
 use crate::engine::EngineSettings;
 use crate::fleet::{Fleet, Signers, bundle as text};
 use crate::trainer;
@@ -35,16 +34,11 @@
 }
 
 impl One {
-    async fn spawn(
-        program: &Path,
-        engines: usize,
-        each: EngineSettings,
-    ) -> Result<Self, NodesError> {
-        let folder = std::env::temp_dir().join(format!("mulberry-one-{}", std::process::id()));
-        std::fs::create_dir_all(&folder)?;
+    async fn spawn(exe: &str, engines: usize, each: EngineSettings) -> Result<Self, NodesError> {
+        let folder = Folder::open()?;
         let fleet = Fleet::spawn(0, engines, each).await?;
-        let daemon = Daemon::spawn(program, &folder, "node", &settings(&fleet, 0))?;
-        std::fs::remove_dir_all(&folder)?;
+        let platform = fleet.platform.address();
+        let daemon = Daemon::spawn(exe, "node", &fleet, platform, folder.path())?;
         let one = Self { fleet, daemon, fetch: Fetch::default() };
         let caller = one.caller();
         while caller.call("stock", "/", "", None, WAIT).await.is_err() {
@@ -59,16 +53,16 @@
 
     /// Processor time of the node so far, in seconds, and its memory, in bytes.
     async fn spent(&self) -> Result<(f64, f64), NodesError> {
-        let scrape = self.daemon.scrape(&self.fetch).await?;
+        let scrape = Scrape::of(self.daemon.admin, &self.fetch).await?;
         let seconds = scrape.get("mulberry_processor_seconds_total");
         Ok((seconds, scrape.get("mulberry_resident_bytes")))
     }
 }
 
 /// Processor time of a plain call and of a streamed token, by the number of upstreams.
-pub async fn entry(program: &Path, size: u32, table: &mut Table) -> Result<(), NodesError> {
+pub async fn entry(exe: &str, size: u32, table: &mut Table) -> Result<(), NodesError> {
     let engines = EngineSettings { token_time: Duration::from_millis(1), ..Default::default() };
-    let one = One::spawn(program, size as usize, engines).await?;
+    let one = One::spawn(exe, size as usize, engines).await?;
     let caller = one.caller();
     let (before, _) = one.spent().await?;
     let calls = (0..CALLS).map(|_| caller.call("stock", "/items/1", "", None, WAIT));
@@ -103,8 +97,8 @@
 
 /// Platform writes and processor time of a call under an idempotency key, by the number of
 /// calls in flight together.
-pub async fn claims(program: &Path, size: u32, table: &mut Table) -> Result<(), NodesError> {
-    let one = One::spawn(program, 1, EngineSettings::default()).await?;
+pub async fn claims(exe: &str, size: u32, table: &mut Table) -> Result<(), NodesError> {
+    let one = One::spawn(exe, 1, EngineSettings::default()).await?;
     let caller = one.caller();
     let writes = || {
         let calls = one.fleet.platform.calls();
@@ -136,13 +130,13 @@
 }
 
 /// Memory and processor time of a trainer's step, by the number of its samples.
-pub async fn handover(program: &Path, size: u32, table: &mut Table) -> Result<(), NodesError> {
+pub async fn handover(exe: &str, size: u32, table: &mut Table) -> Result<(), NodesError> {
     let engines = EngineSettings {
         token_time: Duration::from_micros(500),
         batch: 64,
         ..EngineSettings::default()
     };
-    let one = One::spawn(program, 16, engines).await?;
+    let one = One::spawn(exe, 16, engines).await?;
     let (before, at_rest) = one.spent().await?;
     let client = Trainer::new("coach".into(), vec![one.daemon.callers]);
     let prompt = Prompt { prompt: "force card".to_owned(), samples: GROUP, max_tokens: 8 };
