--- a/src/metrics/labels.rs
+++ b/src/metrics/labels.rs
@@ -2,6 +2,7 @@
 
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder};
 
+use crate::decide::Cause;
 use crate::error::Kind;
 
 /// Why an attempt was made again.
@@ -38,6 +39,34 @@
     pub const ALL: &[Self] = &[Self::Bundle, Self::Claim, Self::Vms, Self::Node];
 }
 
+/// Why an engine was ordered, or was not.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum OrderCause {
+    /// It was behind the bundle.
+    Rollout,
+    /// A swap had failed partway.
+    Repair,
+    /// It had left the wanted version.
+    Correction,
+    /// It refused: it had taken a later order.
+    Fenced,
+}
+
+impl OrderCause {
+    /// Every cause.
+    pub const ALL: &[Self] = &[Self::Rollout, Self::Repair, Self::Correction, Self::Fenced];
+}
+
+impl From<Cause> for OrderCause {
+    fn from(cause: Cause) -> Self {
+        match cause {
+            Cause::Rollout => Self::Rollout,
+            Cause::Repair => Self::Repair,
+            Cause::Correction => Self::Correction,
+        }
+    }
+}
+
 /// What control traffic was for. Peer messages have a purpose each.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum Purpose {
@@ -170,3 +199,8 @@
 pub(super) struct EntryLabel {
     pub(super) kind: Entry,
 }
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct CauseLabel {
+    pub(super) cause: OrderCause,
+}
--- a/src/metrics/metrics.rs
+++ b/src/metrics/metrics.rs
@@ -9,10 +9,12 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
-use super::labels::{EntryLabel, KindLabel, ReasonLabel, TaskLabel, TrafficLabel, UseLabel};
+use super::labels::{
+    CauseLabel, EntryLabel, KindLabel, ReasonLabel, TaskLabel, TrafficLabel, UseLabel,
+};
 use super::process::Process;
 use super::timed::Seconds;
-use super::{Entry, PlatformUse, Purpose, RetryReason, Task, Timed, Traffic, Way};
+use super::{Entry, OrderCause, PlatformUse, Purpose, RetryReason, Task, Timed, Traffic, Way};
 use crate::error::Kind;
 
 /// Everything that the node counts.
@@ -22,6 +24,7 @@
     refusals: Family<KindLabel, Counter>,
     retries: Family<ReasonLabel, Counter>,
     platform: Family<UseLabel, Counter>,
+    orders: Family<CauseLabel, Counter>,
     traffic: Family<TrafficLabel, Counter>,
     messages: Family<TrafficLabel, Counter>,
     control: Family<TaskLabel, Seconds>,
@@ -43,6 +46,7 @@
             refusals: Family::default(),
             retries: Family::default(),
             platform: Family::default(),
+            orders: Family::default(),
             traffic: Family::default(),
             messages: Family::default(),
             control: Family::default(),
@@ -65,6 +69,7 @@
         all.register("retries", "Attempts made again, by reason", self.retries.clone());
         let help = "Calls to the platform, by purpose";
         all.register("platform_calls", help, self.platform.clone());
+        all.register("orders", "Orders to engines, by cause", self.orders.clone());
         let help = "Bytes of control bodies and messages, by purpose and way";
         all.register("control_bytes", help, self.traffic.clone());
         let help = "Control bodies and messages, by purpose and way";
@@ -91,6 +96,9 @@
         for purpose in PlatformUse::ALL.iter().copied() {
             drop(self.platform.get_or_create(&UseLabel { purpose }));
         }
+        for cause in OrderCause::ALL.iter().copied() {
+            drop(self.orders.get_or_create(&CauseLabel { cause }));
+        }
         for purpose in Purpose::ALL.iter().copied() {
             for way in [Way::In, Way::Out] {
                 drop(self.traffic.get_or_create(&TrafficLabel { purpose, way }));
@@ -120,6 +128,11 @@
         self.platform.get_or_create(&UseLabel { purpose }).inc();
     }
 
+    /// Counts an order to an engine.
+    pub fn ordered(&self, cause: OrderCause) {
+        self.orders.get_or_create(&CauseLabel { cause }).inc();
+    }
+
     /// The counters of one purpose of control traffic.
     pub fn traffic(&self, purpose: Purpose) -> Traffic {
         let bytes = |way| self.traffic.get_or_create(&TrafficLabel { purpose, way }).clone();
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -6,7 +6,7 @@
 mod timed;
 mod traffic;
 
-pub use labels::{Entry, PlatformUse, Purpose, RetryReason, Task, Way};
+pub use labels::{Entry, OrderCause, PlatformUse, Purpose, RetryReason, Task, Way};
 pub use metrics::Metrics;
 pub use timed::Timed;
 pub use traffic::Traffic;
