--- a/src/metrics/traffic.rs
+++ b/src/metrics/traffic.rs
@@ -12,6 +12,11 @@
 }
 
 impl Traffic {
+    /// Bytes received so far.
+    pub fn bytes_received(&self) -> u64 {
+        self.received.get()
+    }
+
     /// Counts a message of so many bytes that this node sent.
     pub fn sent(&self, bytes: usize) {
         self.messages_out.inc();
