--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod plain;
 pub mod platform;
 pub mod server;
+pub mod slope;
 pub mod trainer;
 pub mod weights;
