Steps against a naive trainer, and golden files of a training and a stream session

step_against_a_naive_trainer takes any order of ends, pulls, versions and moves. Looking at it, parts() was seen to name whole groups too, which the reply hands over already: their bytes went twice. It names only groups that are not whole now.

--- a/src/decide/step.rs
+++ b/src/decide/step.rs
@@ -175,7 +175,8 @@
         adopted
     }
 
-    /// The samples of groups that are not whole, for the node that goes on.
+    /// The samples of groups that are not whole, for the node that goes on: those of
+    /// whole groups go to the trainer.
     pub fn parts(&self) -> Vec<Group> {
         let groups = 0..self.spec.groups.len() as u32;
         let part = |group| {
@@ -185,7 +186,7 @@
             Group { group, samples }
         };
         groups
-            .filter(|&group| !self.taken.contains(&group))
+            .filter(|&group| !self.taken.contains(&group) && self.whole(group).is_none())
             .map(part)
             .filter(|part| !part.samples.is_empty())
             .collect()
--- a/tests/sessions.rs
+++ b/tests/sessions.rs
@@ -66,11 +66,7 @@
     let fleet = Fleet::spawn(1, 1, slow()).await.unwrap();
     let at = fleet.nodes[0].callers();
     let request = completion("long con", 3, 300);
-    let mut sent = http::Request::new(full(serde_json::to_vec(&request).unwrap()));
-    *sent.method_mut() = Method::POST;
-    *sent.uri_mut() = format!("http://{at}/v1/completions").parse().unwrap();
-    sent.headers_mut().insert("content-type", "application/json".parse().unwrap());
-    let response = Fetch::default().send(at, sent).await.unwrap();
+    let response = opened(at, &request, None).await;
     assert_eq!(response.status(), StatusCode::OK);
     let (finished, body) = tokio::join!(fleet.nodes[0].stop(), read(response.into_body(), 1 << 20));
     assert!(finished);
@@ -111,13 +107,57 @@
     let text = token(&request.prompt, request.seed, 0);
     let request = Completion { prior: Some(Prior { text, tokens: 1 }), ..request };
     for last in ["00000000000000aa/2", "nothing", "00000000000000aa/one", "x y/1"] {
-        let mut sent = http::Request::new(full(serde_json::to_vec(&request).unwrap()));
-        *sent.method_mut() = Method::POST;
-        *sent.uri_mut() = format!("http://{at}/v1/completions").parse().unwrap();
-        sent.headers_mut().insert("content-type", "application/json".parse().unwrap());
-        sent.headers_mut().insert("last-event-id", last.parse().unwrap());
-        let response = Fetch::default().send(at, sent).await.unwrap();
+        let response = opened(at, &request, Some(last)).await;
         assert_eq!(response.status(), StatusCode::BAD_REQUEST, "{last}");
     }
     assert_eq!(fleet.engines[0].started(), 0);
 }
+
+/// One request of a stream, as a caller without our client makes it.
+async fn opened(
+    at: std::net::SocketAddr,
+    request: &Completion,
+    last: Option<&str>,
+) -> http::Response<hyper::body::Incoming> {
+    let mut sent = http::Request::new(full(serde_json::to_vec(request).unwrap()));
+    *sent.method_mut() = Method::POST;
+    *sent.uri_mut() = format!("http://{at}/v1/completions").parse().unwrap();
+    sent.headers_mut().insert("content-type", "application/json".parse().unwrap());
+    if let Some(last) = last {
+        sent.headers_mut().insert("last-event-id", last.parse().unwrap());
+    }
+    Fetch::default().send(at, sent).await.unwrap()
+}
+
+/// A whole stream session, byte for byte but for the stream's id: a stream whose engine is cut,
+/// which the caller leaves in the middle and resumes at another node from its last event.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_session() {
+    let fleet = Fleet::spawn(2, 2, EngineSettings::default()).await.unwrap();
+    let cut = Faults { cut_after: 3, ..Faults::default() };
+    fleet.engines.iter().for_each(|e| e.set_faults(cut.clone()));
+    let request = completion("cull", 5, 40);
+    let mut log = format!("> {}\n", serde_json::to_string(&request).unwrap());
+    let response = opened(fleet.nodes[0].callers(), &request, None).await;
+    let mut body = http_body_util::BodyDataStream::new(response.into_body());
+    let mut got = String::new();
+    while got.matches("\n\n").count() < 4 {
+        let data = futures_util::StreamExt::next(&mut body).await.unwrap().unwrap();
+        got.push_str(std::str::from_utf8(&data).unwrap());
+    }
+    drop(body);
+    let events: Vec<&str> = got.split_inclusive("\n\n").take(4).collect();
+    let last = events[3].lines().next().unwrap().trim_start_matches("id: ").to_owned();
+    let id = last.split('/').next().unwrap().to_owned();
+    log.push_str(&events.concat());
+    let text = (0..4).map(|i| token(&request.prompt, request.seed, i)).collect();
+    let rest = Completion { prior: Some(Prior { text, tokens: 4 }), ..request };
+    log.push_str(&format!(
+        "> last-event-id: {last}\n> {}\n",
+        serde_json::to_string(&rest).unwrap()
+    ));
+    let response = opened(fleet.nodes[1].callers(), &rest, Some(&last)).await;
+    let bytes = read(response.into_body(), 1 << 20).await.unwrap();
+    log.push_str(std::str::from_utf8(&bytes).unwrap());
+    insta::assert_snapshot!(log.replace(&id, "STREAM"));
+}
--- a/tests/step.rs
+++ b/tests/step.rs
@@ -1,6 +1,11 @@
 //! A trainer's step, without sockets.
 #![allow(clippy::unwrap_used)]
 
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Write;
+
+use proptest::prelude::*;
+
 use mulberrycourse::decide::{Fill, Prompt, Ranges, Sample, Slot, Span, Spec, Step};
 
 fn step(groups: u32, samples: u32, bound: u64) -> Step {
@@ -46,3 +51,160 @@
     assert_eq!(step.fill(slot, sample(0, 5)), Fill::Stale);
     assert_eq!(step.fill(slot, sample(0, 6)), Fill::Kept);
 }
+
+/// Long samples begin first, and a group together; the last of a group is raised.
+#[test]
+fn long_prompts_begin_first() {
+    let prompt = |max_tokens| Prompt { prompt: "deal".to_owned(), samples: 2, max_tokens };
+    let spec = Spec { version: 1, groups: vec![prompt(4), prompt(90), prompt(30)] };
+    let mut step = Step::new(spec, 1);
+    let begun: Vec<u32> = step.start(5).iter().map(|slot| slot.group).collect();
+    assert_eq!(begun, [1, 1, 2, 2, 0]);
+    assert_eq!(step.start(5), []);
+    assert_eq!(step.priority(Slot { group: 1, index: 0 }), 0);
+    assert_eq!(step.start(6).len(), 1);
+    // Nothing is left to begin: what runs now is what the trainer waits for.
+    assert_eq!(step.priority(Slot { group: 1, index: 0 }), 1);
+}
+
+/// What may happen to a step, and to the naive one.
+#[derive(Debug, Clone)]
+enum Event {
+    /// The oldest of these attempts ends, with a sample of that version.
+    Fill(usize, u64),
+    /// The trainer is at this version and takes so many of the groups that it is handed.
+    Pull(u64, usize),
+    /// The step goes on at another node, which is told what the trainer has.
+    Move,
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        6 => (0_usize..4, 3_u64..9).prop_map(|(which, version)| Event::Fill(which, version)),
+        3 => (5_u64..9, 0_usize..3).prop_map(|(version, takes)| Event::Pull(version, takes)),
+        1 => Just(Event::Move),
+    ]
+}
+
+proptest! {
+    /// Any order of ends, pulls, versions and moves, against a naive trainer that keeps a list:
+    /// nothing is handed over that it has, that is too old or that is not whole; what it takes
+    /// stays taken; and what is left can always be begun or is under way.
+    #[test]
+    fn step_against_a_naive_trainer(events in prop::collection::vec(event(), 1..80)) {
+        const BOUND: u64 = 2;
+        let (groups, samples) = (3, 2);
+        let mut step = step(groups, samples, BOUND);
+        let mut running: Vec<Slot> = step.start(4);
+        let mut taken: BTreeMap<u32, Vec<u64>> = BTreeMap::new();
+        let mut version = 5;
+        for event in events {
+            match event {
+                Event::Fill(which, made) if which < running.len() => {
+                    let slot = running[which];
+                    let fill = step.fill(slot, sample(slot.index, made));
+                    let stale = made + BOUND < version && !taken.contains_key(&slot.group);
+                    prop_assert_eq!(fill == Fill::Stale, stale);
+                    if fill != Fill::Stale {
+                        running.remove(which);
+                    }
+                }
+                Event::Fill(..) => {}
+                Event::Pull(at, takes) => {
+                    version = version.max(at);
+                    step.acknowledge(version, &taken.keys().copied().collect());
+                    for group in step.ready(takes) {
+                        let fresh = group.samples.iter().all(|s| s.oldest() >= Some(version - BOUND));
+                        prop_assert!(fresh);
+                        prop_assert_eq!(group.samples.len() as u32, samples);
+                        let made = group.samples.iter().filter_map(|s| s.oldest()).collect();
+                        prop_assert!(taken.insert(group.group, made).is_none(), "doubled");
+                    }
+                }
+                Event::Move => {
+                    step.acknowledge(version, &taken.keys().copied().collect());
+                    for group in step.ready(usize::MAX) {
+                        let made = group.samples.iter().filter_map(|s| s.oldest()).collect();
+                        prop_assert!(taken.insert(group.group, made).is_none(), "doubled");
+                    }
+                    let parts = step.parts();
+                    prop_assert!(parts.iter().all(|part| !taken.contains_key(&part.group)));
+                    let spec = Spec { version, ..step.spec().clone() };
+                    step = Step::new(spec, BOUND);
+                    step.acknowledge(version, &taken.keys().copied().collect());
+                    let kept: usize = parts.iter().map(|g| g.samples.len()).sum();
+                    prop_assert_eq!(step.adopt(parts), kept);
+                    running.clear();
+                }
+            }
+            step.acknowledge(version, &taken.keys().copied().collect());
+            running.extend(step.start(4));
+            let open: BTreeSet<Slot> = running.iter().copied().collect();
+            prop_assert_eq!(open.len(), running.len(), "a slot runs twice");
+            let left = (0..groups).filter(|g| !taken.contains_key(g)).count();
+            prop_assert_eq!(step.complete(), left == 0);
+            let ready = step.ready(usize::MAX).len();
+            prop_assert!(ready == left || !running.is_empty(), "nothing runs and groups are missing");
+        }
+    }
+
+    /// Ranges name what a list would, below the number of groups.
+    #[test]
+    fn ranges_are_the_list(numbers in prop::collection::btree_set(0_u32..40, 0..30), end in 0_u32..50) {
+        let ranges: Ranges = numbers.iter().copied().collect();
+        let below: Vec<u32> = ranges.below(end).collect();
+        let naive: Vec<u32> = numbers.iter().copied().filter(|n| *n < end).collect();
+        prop_assert_eq!(below, naive);
+    }
+}
+
+/// A whole training session, event by event: a step of two groups with stragglers, a trainer
+/// that moves on in the middle, a lost reply, a late sample and a move to another node.
+#[test]
+fn training_session() {
+    let mut log = String::new();
+    let prompt = |samples, max_tokens| Prompt { prompt: "deal".to_owned(), samples, max_tokens };
+    let spec = Spec { version: 5, groups: vec![prompt(2, 8), prompt(2, 64)] };
+    let mut step = Step::new(spec.clone(), 1);
+    let at = |group, index| Slot { group, index };
+    writeln!(log, "submitted at 5: starts {:?}", names(&step.start(3))).unwrap();
+    writeln!(log, "1/0 by 5: {:?}", step.fill(at(1, 0), sample(0, 5))).unwrap();
+    writeln!(log, "starts {:?}", names(&step.start(3))).unwrap();
+    writeln!(log, "0/0 by 3: {:?}", step.fill(at(0, 0), sample(0, 3))).unwrap();
+    writeln!(log, "0/0 by 4: {:?}", step.fill(at(0, 0), sample(0, 4))).unwrap();
+    writeln!(log, "1/1 by 5: {:?}", step.fill(at(1, 1), sample(1, 5))).unwrap();
+    pulled(&mut log, &mut step, 5, &[]);
+    writeln!(log, "the reply is lost").unwrap();
+    pulled(&mut log, &mut step, 5, &[]);
+    pulled(&mut log, &mut step, 5, &[1]);
+    writeln!(log, "1/1 by 5 again: {:?}", step.fill(at(1, 1), sample(1, 5))).unwrap();
+    pulled(&mut log, &mut step, 6, &[1]);
+    writeln!(log, "starts {:?}", names(&step.start(3))).unwrap();
+    writeln!(log, "0/1 by 6: {:?}", step.fill(at(0, 1), sample(1, 6))).unwrap();
+    let parts = step.parts();
+    writeln!(log, "leaves with {:?}", held(&parts)).unwrap();
+    let mut next = Step::new(Spec { version: 6, ..spec }, 1);
+    next.acknowledge(6, &Ranges::from_iter([1]));
+    writeln!(log, "the next adopts {}, starts {:?}", next.adopt(parts), names(&next.start(3)))
+        .unwrap();
+    writeln!(log, "0/0 by 6: {:?}", next.fill(at(0, 0), sample(0, 6))).unwrap();
+    pulled(&mut log, &mut next, 6, &[1]);
+    pulled(&mut log, &mut next, 6, &[0, 1]);
+    insta::assert_snapshot!(log);
+}
+
+fn names(slots: &[Slot]) -> Vec<String> {
+    slots.iter().map(|slot| format!("{}/{}", slot.group, slot.index)).collect()
+}
+
+fn held(groups: &[mulberrycourse::decide::Group]) -> Vec<String> {
+    let name = |group, s: &Sample| format!("{group}/{} by {:?}", s.index, s.oldest());
+    groups.iter().flat_map(|g| g.samples.iter().map(move |s| name(g.group, s))).collect()
+}
+
+fn pulled(log: &mut String, step: &mut Step, version: u64, have: &[u32]) {
+    step.acknowledge(version, &have.iter().copied().collect());
+    let ready = held(&step.ready(9));
+    writeln!(log, "pull at {version} with {have:?}: {ready:?}, complete: {}", step.complete())
+        .unwrap();
+}
