--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod gate;
 pub mod plain;
 pub mod platform;
+pub mod rollout;
 pub mod server;
 pub mod trainer;
 pub mod weights;
