--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -81,4 +81,7 @@
         }
     };
     tokio::join!(ask("riffle", 1), ask("overhand", 2));
+    // The engine was told two ids, and not the callers'.
+    let ids: Vec<String> = fleet.engines[0].ledger().into_keys().collect();
+    assert!(ids.len() == 2 && ids.iter().all(|id| !id.starts_with("one")), "{ids:?}");
 }
--- a/tests/labels.rs
+++ b/tests/labels.rs
@@ -148,6 +148,14 @@
         fleet.engines.iter().for_each(|e| e.set_faults(Faults::default()));
     })
     .await;
+    let mut discarded = 0;
+    for node in &fleet.nodes {
+        let text = fleet.metrics(node).await;
+        let value = text.lines().find_map(|l| l.strip_prefix("mulberry_samples_discarded_total "));
+        discarded += value.unwrap().parse::<u64>().unwrap();
+    }
+    // Every engine streamed without versions when the faults were lifted.
+    assert!(discarded >= 2, "{discarded}");
 }
 
 /// Engines send each chunk twice: the copies are told by their offset.
