--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod gate;
 pub mod plain;
 pub mod platform;
+pub mod rollout;
 pub mod server;
 pub mod slope;
 pub mod trainer;
