Subsets of upstreams at a node, cached until nodes or upstreams change

Cause: at 380 nodes and 1,100 upstreams every node would connect to every upstream. The bundle key subset (32) bounds it; a smaller service is used whole, so today's deployments see no change.

--- a/benches/dispatch.rs
+++ b/benches/dispatch.rs
@@ -5,7 +5,7 @@
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use mulberrycourse::decide::{
-    Action, Call, Class, Dispatch, Limits, Outcome, Repeat, Report, UpstreamView,
+    Action, Call, Class, Dispatch, Limits, Outcome, Repeat, Report, UpstreamView, subset,
 };
 
 fn dispatch(upstreams: usize) -> Dispatch {
@@ -55,5 +55,15 @@
     group.finish();
 }
 
-criterion_group!(benches, decisions);
+fn subsets(c: &mut Criterion) {
+    let nodes: Vec<String> = (0..380).map(|i| format!("n{i}")).collect();
+    let upstreams: Vec<String> = (0..1_100).map(|i| format!("u{i}")).collect();
+    let nodes: Vec<&str> = nodes.iter().map(String::as_str).collect();
+    let upstreams: Vec<&str> = upstreams.iter().map(String::as_str).collect();
+    c.bench_function("subset_of_380_nodes_1100_upstreams", |b| {
+        b.iter(|| subset("nobody", &nodes, &upstreams, 32));
+    });
+}
+
+criterion_group!(benches, decisions, subsets);
 criterion_main!(benches);
--- a/src/bundle/bundle.rs
+++ b/src/bundle/bundle.rs
@@ -82,6 +82,7 @@
         queue: section.within("queue", 1..=100_000, 1_000)?,
         concurrency: section.within("concurrency", 1..=10_000, 16)?,
         floor: section.within("training_floor", 0..=90, 10)?,
+        subset: section.within("subset", 2..=10_000, 32)?,
         deadline: section.duration("deadline", Duration::from_secs(30))?,
     })
 }
--- a/src/bundle/spec.rs
+++ b/src/bundle/spec.rs
@@ -40,6 +40,8 @@
     pub concurrency: u32,
     /// The part of the work that training keeps while live requests wait, in percent.
     pub floor: u32,
+    /// Upstreams that one node uses, if there are more.
+    pub subset: usize,
     /// How long a caller waits when it does not say.
     pub deadline: Duration,
 }
--- a/src/node/upstreams.rs
+++ b/src/node/upstreams.rs
@@ -6,6 +6,7 @@
 use parking_lot::RwLock;
 
 use super::app::App;
+use super::subsets::Subsets;
 use crate::decide::UpstreamView;
 use crate::edge::platform::{Vm, VmState};
 
@@ -40,13 +41,14 @@
 pub(super) async fn follow(app: Arc<App>) {
     let mut timer = tokio::time::interval(PERIOD);
     let mut bundles = app.bundles.subscribe();
+    let mut subsets = Subsets::default();
     loop {
         tokio::select! {
             () = app.cancel.cancelled() => return,
             _ = timer.tick() => refresh(&app).await,
             changed = bundles.changed() => if changed.is_err() { return },
         }
-        publish(&app);
+        publish(&app, &mut subsets);
     }
 }
 
@@ -58,9 +60,13 @@
     }
 }
 
-fn publish(app: &App) {
+fn publish(app: &App, subsets: &mut Subsets) {
+    let adopted = app.bundles.current();
     for (service, dispatcher) in app.dispatchers() {
-        let vms = app.upstreams.of(&service);
+        let mut vms = app.upstreams.of(&service);
+        if let Some(spec) = adopted.as_ref().and_then(|a| a.bundle.services.get(&service)) {
+            subsets.keep(app, &service, &mut vms, spec.subset);
+        }
         let views: Vec<_> = vms.iter().map(|vm| (view(vm), vm.address)).collect();
         dispatcher.set_upstreams(&views);
     }
--- a/tests/load_patterns.rs
+++ b/tests/load_patterns.rs
@@ -17,6 +17,17 @@
     flow.answered as f64 / flow.offered as f64
 }
 
+/// One caller, ours at least at 95% and better than the naive version.
+fn better_than_naive(text: &str) {
+    for seed in SEEDS {
+        let ours = measure(text, 1.0, PolicyKind::Ours, seed);
+        let shop = part(ours.flow("shop").unwrap());
+        assert!(shop >= 0.95, "seed {seed}: {shop}");
+        let naive = measure(text, 1.0, PolicyKind::Naive, seed);
+        assert!(shop > part(naive.flow("shop").unwrap()), "seed {seed}");
+    }
+}
+
 /// A caller sends ten times its usual load for longer than it waits for an answer.
 #[test]
 fn burst() {
@@ -140,13 +151,7 @@
 until = 30s
 factor = 10
 ";
-    for seed in SEEDS {
-        let ours = measure(text, 1.0, PolicyKind::Ours, seed);
-        let shop = ours.flow("shop").unwrap();
-        assert!(part(shop) >= 0.95, "seed {seed}: {}", part(shop));
-        let naive = measure(text, 1.0, PolicyKind::Naive, seed);
-        assert!(part(shop) > part(naive.flow("shop").unwrap()), "seed {seed}");
-    }
+    better_than_naive(text);
 }
 
 /// An upstream that takes connections and answers nothing gets hardly any work.
@@ -166,13 +171,7 @@
 at = 10s
 until = 30s
 ";
-    for seed in SEEDS {
-        let ours = measure(text, 1.0, PolicyKind::Ours, seed);
-        let shop = ours.flow("shop").unwrap();
-        assert!(part(shop) >= 0.95, "seed {seed}: {}", part(shop));
-        let naive = measure(text, 1.0, PolicyKind::Naive, seed);
-        assert!(part(shop) > part(naive.flow("shop").unwrap()), "seed {seed}");
-    }
+    better_than_naive(text);
 }
 
 /// Short requests are answered although long ones want more than there is.
@@ -223,11 +222,7 @@
 at = 15s
 upstreams = 100
 ";
-    for seed in SEEDS {
-        let ours = measure(text, 1.0, PolicyKind::Ours, seed);
-        let shop = part(ours.flow("shop").unwrap());
-        assert!(shop >= 0.95, "seed {seed}: {shop}");
-    }
+    better_than_naive(text);
 }
 
 /// All upstreams are away for five seconds, then everyone comes back: no storm of retries, and
