--- a/src/node/orders/follow.rs
+++ b/src/node/orders/follow.rs
@@ -133,7 +133,7 @@
         Ended::Look { service, engine, result } => {
             looking.remove(&engine);
             if let (Ok(load), Ok(dispatcher)) = (&result, app.dispatcher(&service)) {
-                dispatcher.load_report(&engine, load.running + load.waiting);
+                dispatcher.load_report(&engine, load.running.saturating_add(load.waiting));
             }
             let sight = sight(app, &engine, result);
             if let Some(rollout) = app.orders.rollouts.lock().get_mut(&service) {
