--- a/src/node/app.rs
+++ b/src/node/app.rs
@@ -11,6 +11,7 @@
 use super::dispatcher::Dispatcher;
 use super::lifecycle::{Event, Lifecycle, Phase};
 use super::members::Members;
+use super::orders::Orders;
 use super::train::Steps;
 use super::upstreams::Upstreams;
 use super::{Clock, identity};
@@ -38,6 +39,7 @@
     pub(super) members: Members,
     pub(super) upstreams: Upstreams,
     pub(super) steps: Steps,
+    pub(super) orders: Orders,
     pub(super) claims: Claims,
     /// The versions that engines were last seen to serve.
     pub(super) served: Mutex<Served>,
@@ -62,6 +64,7 @@
             members: Members::new(&settings.node, &identity),
             upstreams: Upstreams::default(),
             steps: Steps::default(),
+            orders: Orders::default(),
             claims: Claims::new(&settings.node.name),
             served: Mutex::default(),
             cancel: CancellationToken::new(),
