Dispatchers are there before a bundle is announced

Cause: the adoption announced the bundle first and made the dispatchers after it. The task that gives a dispatcher its upstreams could run in between, find none, and come back only a second later; a call with 200 ms then met no upstream.

Ruled out: an empty subset (the lists are smaller than a subset), ejection (no attempt had failed yet), an unread list (the test waits for it).

Conclusion: dispatchers, then the announcement, then readiness.

--- a/src/node/app.rs
+++ b/src/node/app.rs
@@ -118,7 +118,7 @@
         self.dispatchers.read().iter().map(|(n, d)| (n.clone(), d.clone())).collect()
     }
 
-    /// Brings the dispatchers in line with a bundle that has come into force.
+    /// Brings the dispatchers in line with a bundle that comes into force.
     pub(super) fn apply(&self, adopted: &Adopted) {
         self.metrics.bundle.set(adopted.bundle.number as i64);
         self.members.set_bundle(adopted.bundle.number);
@@ -133,7 +133,5 @@
             dispatcher.set_shares(adopted.bundle.shares());
         }
         dispatchers.retain(|name, _| adopted.bundle.services.contains_key(name));
-        drop(dispatchers);
-        self.advance(Event::Ready);
     }
 }
--- a/src/node/bundles.rs
+++ b/src/node/bundles.rs
@@ -9,6 +9,7 @@
 use tokio::sync::watch;
 
 use super::app::App;
+use super::lifecycle::Event;
 use crate::bundle::{Adopted, Adoption, Ahead, Envelope, Operators, Rejected};
 use crate::edge::http::FetchError;
 use crate::edge::platform::Kept;
@@ -86,8 +87,10 @@
     fn enforce(&self, app: &App, taken: Option<Adopted>) {
         let Some(adopted) = taken else { return };
         tracing::info!(event = "bundle_adopted", number = adopted.bundle.number);
-        self.current.send_replace(Some(adopted.clone()));
+        // The dispatchers first: those who follow the bundle give them their upstreams.
         app.apply(&adopted);
+        self.current.send_replace(Some(adopted));
+        app.advance(Event::Ready);
     }
 }
 
