A request that gets on is not given up on for its retries

Cause: every cut in a long answer spent one of four attempts and one of the service's retries, though the next engine goes on and repeats nothing.

Ruled out: more attempts for all (amplifies load when nothing gets on), no limit for streams (a stream that gets nowhere must end).

Before: body_is_truncated_again_and_again is refused as truncated. After: it is whole; load_sessions shows 50 attempts with progress and at most 4 without.

--- a/src/decide/dispatch/dispatch.rs
+++ b/src/decide/dispatch/dispatch.rs
@@ -69,7 +69,8 @@
         } else {
             deadline
         };
-        let pending = Pending { call, due, attempts: 0, unsure: false, avoid: None, state };
+        let pending =
+            Pending { call, due, attempts: 0, begun: false, unsure: false, avoid: None, state };
         let ticket = self.pending.insert(pending);
         if deadline <= now {
             self.refuse(ticket, Kind::DeadlineUnreachable, "the deadline has passed", now);
@@ -149,6 +150,16 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// The attempt under way brought a part of the answer that the next goes on from. A
+    /// request that gets on repeats no work: it spends no retry, and is not refused for
+    /// want of time or of an upstream before its deadline.
+    pub fn progressed(&mut self, ticket: Ticket) {
+        if let Some(pending) = self.pending.get_mut(ticket) {
+            pending.begun = true;
+            pending.attempts = 0;
+        }
+    }
+
     /// Requests that wait.
     pub fn waiting(&self) -> usize {
         self.deadlines.len()
@@ -161,7 +172,7 @@
 
     fn overdue(&mut self, ticket: Ticket, now: Moment) {
         let Some(pending) = self.pending.get_mut(ticket) else { return };
-        if self.pool.is_shut() {
+        if self.pool.is_shut() && !pending.begun {
             self.refuse(ticket, Kind::NoUpstream, "no upstream takes work", now);
         } else if pending.call.deadline > now {
             pending.due = pending.call.deadline;
@@ -180,7 +191,8 @@
             return;
         }
         let spent = pending.attempts >= ATTEMPTS || pending.call.deadline <= now;
-        if spent || !self.budget.spend() {
+        let goes_on = pending.begun && pending.attempts == 0;
+        if spent || !(goes_on || self.budget.spend()) {
             self.refuse(ticket, Kind::RetriesSpent, "every attempt failed", now);
             return;
         }
@@ -195,7 +207,7 @@
                 self.refuse(ticket, Kind::DeadlinePassed, "it waited until its deadline", now);
                 continue;
             }
-            if !self.outlook(&pending.call).in_time_now(now, deadline) {
+            if !pending.begun && !self.outlook(&pending.call).in_time_now(now, deadline) {
                 let detail = "less time is left than it takes";
                 self.refuse(ticket, Kind::DeadlineUnreachable, detail, now);
                 continue;
--- a/src/decide/dispatch/pending.rs
+++ b/src/decide/dispatch/pending.rs
@@ -26,7 +26,10 @@
     pub(super) call: Call,
     /// When its wait is looked at, at the latest at its deadline.
     pub(super) due: Moment,
+    /// Attempts since it last got on.
     pub(super) attempts: u32,
+    /// Part of its answer is there.
+    pub(super) begun: bool,
     /// Whether any attempt so far may have run. The worst outcome of all attempts decides
     /// what a refusal says, not the last one.
     pub(super) unsure: bool,
--- a/src/node/complete.rs
+++ b/src/node/complete.rs
@@ -115,6 +115,7 @@
             // Dropping the turn gives it back: nothing was sent.
             return Err(stale("the upstream serves weights that are too old"));
         }
+        let before = progress.label.tokens();
         let attempt = attempt(app, &turn, &job, progress);
         match tokio::time::timeout_at(deadline, attempt).await {
             Ok(Ok(End::Finished(finish))) => {
@@ -133,6 +134,9 @@
                     outcome = ?failure.outcome,
                     reason = %failure.reason,
                 );
+                if progress.label.tokens() > before {
+                    turn.progressed();
+                }
                 turn = next(turn, &failure, progress).await?;
             }
             Err(_) => return Err(late(progress)),
--- a/src/node/dispatcher.rs
+++ b/src/node/dispatcher.rs
@@ -177,6 +177,11 @@
         self.report(Outcome::Answered, None);
     }
 
+    /// The attempt brought a part of the answer that the next goes on from.
+    pub(super) fn progressed(&self) {
+        self.dispatcher.inner.lock().dispatch.progressed(self.ticket);
+    }
+
     /// The attempt failed: waits for another turn, or for the refusal.
     pub(super) async fn again(mut self, outcome: Outcome) -> Result<Turn, Refusal> {
         let reason = match outcome {
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -85,3 +85,12 @@
     let ids: Vec<String> = fleet.engines[0].ledger().into_keys().collect();
     assert!(ids.len() == 2 && ids.iter().all(|id| !id.starts_with("one")), "{ids:?}");
 }
+
+/// The upstream body is cut after every 2 tokens, far more often than a request that gets
+/// nowhere has attempts: the answer gets on each time, and becomes whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn body_is_truncated_again_and_again() {
+    let request = completion("color change", 3, 80);
+    let faults = Faults { cut_after: 2, ..Faults::default() };
+    assert_eq!(faulty(&faults, &request).await, expected(&request));
+}
--- a/tests/labels.rs
+++ b/tests/labels.rs
@@ -7,7 +7,7 @@
 use mulberrycourse::client::{StepReport, Trainer};
 use mulberrycourse::decide::{Prompt, Spec};
 use mulberrycourse::edge::upstream::{EngineClient, Order};
-use standins::engine::{EngineSettings, Faults};
+use standins::engine::{Engine, EngineSettings, Faults};
 use standins::fleet::{Fleet, bundle};
 use standins::trainer::{flat, tokens, truth};
 
@@ -59,13 +59,30 @@
     }
 }
 
+/// Engines crawl, 100 ms a token, so that no stream is over before what is waited for.
+fn crawl(fleet: &Fleet, faults: &Faults) {
+    let crawl = Faults { slowdown: 20, ..faults.clone() };
+    fleet.engines.iter().for_each(|e| e.set_faults(crawl.clone()));
+}
+
+/// Waits until every engine has made tokens with a version, and lets them run.
+async fn made(fleet: &Fleet, version: u64) {
+    let made = |e: &Engine| e.ledger().values().flatten().any(|t| t.version == version);
+    while !fleet.engines.iter().all(made) {
+        tokio::time::sleep(POLL).await;
+    }
+    fleet.engines.iter().for_each(|e| e.set_faults(Faults::default()));
+}
+
 /// The weights change in the middle of the streams.
 #[tokio::test(flavor = "multi_thread")]
 async fn weights_change_in_a_stream() {
     let fleet = Fleet::spawn(2, 2, slow()).await.unwrap();
+    crawl(&fleet, &Faults::default());
     let versions = disturbed(&fleet, async {
         streaming(&fleet).await;
         fleet.apply(2, &bundle(2, 2)).await.unwrap();
+        made(&fleet, 2).await;
     })
     .await;
     assert!(versions.contains(&2), "no stream met the change: {versions:?}");
@@ -102,15 +119,11 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_resume_on_newer_weights() {
     let fleet = Fleet::spawn(2, 3, slow()).await.unwrap();
-    let cut = Faults { cut_after: 30, ..Faults::default() };
-    fleet.engines.iter().for_each(|e| e.set_faults(cut.clone()));
+    crawl(&fleet, &Faults { cut_after: 8, ..Faults::default() });
     let versions = disturbed(&fleet, async {
         streaming(&fleet).await;
         fleet.apply(2, &bundle(2, 2)).await.unwrap();
-        while !fleet.engines.iter().all(|e| e.version() == Some(2)) {
-            tokio::time::sleep(POLL).await;
-        }
-        fleet.engines.iter().for_each(|e| e.set_faults(Faults::default()));
+        made(&fleet, 2).await;
     })
     .await;
     assert!(versions.contains(&2), "no stream met the change: {versions:?}");
@@ -121,6 +134,7 @@
 async fn unfenced_engine_takes_an_old_order() {
     let settings = EngineSettings { fenced: false, ..slow() };
     let fleet = Fleet::spawn(2, 2, settings).await.unwrap();
+    crawl(&fleet, &Faults::default());
     let versions = disturbed(&fleet, async {
         streaming(&fleet).await;
         let old = Order { generation: 0, version: 7 };
@@ -128,6 +142,10 @@
             let told = EngineClient::default().order(engine.address(), old, GUARD).await;
             assert!(told.unwrap().taken);
         }
+        while !fleet.engines.iter().any(|e| e.ledger().values().flatten().any(|t| t.version == 7)) {
+            tokio::time::sleep(POLL).await;
+        }
+        fleet.engines.iter().for_each(|e| e.set_faults(Faults::default()));
     })
     .await;
     assert!(versions.contains(&7), "no stream met the old order: {versions:?}");
--- /dev/null
+++ b/tests/load_sessions.rs
@@ -0,0 +1,79 @@
+//! A request that gets on with each attempt is no retry storm: it goes on for as long as it
+//! does, while one that gets nowhere ends after a few attempts.
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use mulberrycourse::decide::{
+    Action, Call, Class, Dispatch, Limits, Outcome, Repeat, Report, Ticket, UpstreamView,
+};
+
+const DEADLINE: Duration = Duration::from_secs(3_600);
+
+fn dispatch() -> (Dispatch, Ticket) {
+    let limits = Limits { queue: 10, concurrency: 2, floor: 0 };
+    let mut dispatch = Dispatch::new(limits, "z0".into(), 1);
+    let view = |name: &str| UpstreamView { name: name.into(), zone: "z0".into(), open: true };
+    dispatch.set_upstreams(&[view("a"), view("b")], Duration::ZERO);
+    let call = Call {
+        caller: "shop".into(),
+        class: Class::Live,
+        repeat: Repeat::Idempotent,
+        cost: 1_000,
+        deadline: DEADLINE,
+        fingerprint: 1,
+        prefix: None,
+    };
+    let ticket = dispatch.offer(call, Duration::ZERO);
+    (dispatch, ticket)
+}
+
+/// Ends `count` attempts in the middle; returns how many were sent.
+fn broken(dispatch: &mut Dispatch, ticket: Ticket, count: u64, progress: bool) -> usize {
+    let took = Duration::from_secs(60);
+    let mut sent = 0;
+    for minute in 1..=count {
+        let actions = dispatch.actions();
+        sent += actions.iter().filter(|a| matches!(a, Action::Send { .. })).count();
+        if progress {
+            dispatch.progressed(ticket);
+        }
+        dispatch.ended(ticket, Report { outcome: Outcome::Unknown, took }, took * minute as u32);
+    }
+    sent
+}
+
+/// A session of an hour whose engine fails every minute, in a service that has no retry
+/// budget left: it goes on each time.
+#[test]
+fn session_goes_on() {
+    let (mut dispatch, ticket) = dispatch();
+    assert_eq!(broken(&mut dispatch, ticket, 50, true), 50);
+}
+
+/// All engines are shut for a moment: what has begun waits for one, until its deadline.
+#[test]
+fn session_waits_for_an_engine() {
+    let (mut dispatch, ticket) = dispatch();
+    broken(&mut dispatch, ticket, 1, true);
+    dispatch.actions();
+    let shut = |name: &str| UpstreamView { name: name.into(), zone: "z0".into(), open: false };
+    let second = Duration::from_secs;
+    dispatch.progressed(ticket);
+    dispatch.set_upstreams(&[shut("a"), shut("b")], second(61));
+    let report = Report { outcome: Outcome::Unknown, took: second(1) };
+    dispatch.ended(ticket, report, second(62));
+    dispatch.tick(second(70));
+    assert_eq!(dispatch.actions(), []);
+    let open = UpstreamView { open: true, ..shut("a") };
+    dispatch.set_upstreams(&[open], second(71));
+    assert!(matches!(dispatch.actions().as_slice(), [Action::Send { .. }]));
+}
+
+/// The same without progress: a few attempts, then the final answer.
+#[test]
+fn no_progress_ends() {
+    let (mut dispatch, ticket) = dispatch();
+    let sent = broken(&mut dispatch, ticket, 50, false);
+    assert!(sent <= 4, "{sent}");
+}
