Tests of a request that crashes its engines, which show five taken down

Seen: two_engines_and_no_more fails. Sent four times through three nodes, the request takes down 5 of 5 engines, and 20 of 20 innocent streams are lost. Cause: nothing tells a request that crashes its engine from one that shares it; each retry takes the next engine. Ruled out: cut connections alone; cut_connections_are_no_crash passes and has to go on passing.

--- /dev/null
+++ b/tests/quarantine.rs
@@ -0,0 +1,82 @@
+//! A request that crashes each engine that runs it, sent again through other nodes.
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use mulberrycourse::client::Caller;
+use mulberrycourse::edge::upstream::Completion;
+use standins::caller::{Answered, complete, completion, expected};
+use standins::engine::{EngineSettings, Faults};
+use standins::fleet::Fleet;
+
+const WAIT: Duration = Duration::from_secs(30);
+const POISON: &str = r#"{"model":"patter","prompt":"the clumsy palm","max_tokens":32}"#;
+
+async fn fleet(nodes: usize, engines: usize) -> Fleet {
+    let settings = EngineSettings {
+        token_time: Duration::from_millis(8),
+        restart: Duration::from_secs(1),
+        ..EngineSettings::default()
+    };
+    let fleet = Fleet::spawn(nodes, engines, settings).await.unwrap();
+    let faults = Faults { poison: "clumsy".to_owned(), ..Faults::default() };
+    fleet.engines.iter().for_each(|e| e.set_faults(faults.clone()));
+    fleet
+}
+
+fn crashes(fleet: &Fleet) -> u64 {
+    fleet.engines.iter().map(|e| e.crashes()).sum()
+}
+
+fn kind(answer: &Answered) -> &str {
+    let kind = answer.problem.as_ref().map(|p| p.kind.as_str()).unwrap_or("answered");
+    kind.rsplit(':').next().unwrap_or(kind)
+}
+
+/// Innocent streams run on every engine when the request comes; its caller sends it again
+/// through each node. It takes down two engines in all, its final answer comes at once at
+/// every node, and every innocent stream is whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn two_engines_and_no_more() {
+    let fleet = fleet(3, 5).await;
+    let requests: Vec<Completion> =
+        (0..20).map(|n| completion(&format!("force {n}"), n, 120)).collect();
+    let mut innocent = Vec::new();
+    for request in &requests {
+        let request = request.clone();
+        let shop = Caller::new("shop".into(), fleet.callers());
+        innocent.push(tokio::spawn(async move { shop.stream(&request, WAIT).await }));
+    }
+    while fleet.engines.iter().any(|e| e.started() == 0) {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    for node in [0, 1, 2, 0] {
+        let answer = complete(fleet.nodes[node].callers(), POISON, 20_000).await.unwrap();
+        assert_eq!(kind(&answer), "quarantined", "{answer:?}");
+    }
+    for (request, answer) in requests.iter().zip(innocent) {
+        let answer = answer.await.unwrap().unwrap();
+        assert_eq!(answer.body, expected(request));
+    }
+    assert_eq!(crashes(&fleet), 2);
+}
+
+/// Every stream is cut on its way, again and again, while the engines go on to answer:
+/// that is no crash, and nothing is quarantined.
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_connections_are_no_crash() {
+    let fleet = fleet(2, 2).await;
+    let cut = Faults { cut_after: 1, ..Faults::default() };
+    fleet.engines.iter().for_each(|e| e.set_faults(cut.clone()));
+    let body = r#"{"model":"patter","prompt":"the pass","max_tokens":64}"#;
+    for node in [0, 1, 0, 1] {
+        let answer = complete(fleet.nodes[node].callers(), body, 5_000).await.unwrap();
+        assert_ne!(kind(&answer), "quarantined", "{answer:?}");
+    }
+    fleet.engines.iter().for_each(|e| e.set_faults(Faults::default()));
+    for node in [0, 1] {
+        let answer = complete(fleet.nodes[node].callers(), body, 5_000).await.unwrap();
+        assert_eq!(kind(&answer), "answered", "{answer:?}");
+    }
+    assert_eq!(crashes(&fleet), 0);
+}
