Quarantine of requests that crash each upstream that runs them (not whole yet)

A request in flight at an upstream that refuses connections after the break is a suspect at every node. It runs again without another suspect beside it, and a second crash quarantines it. Open until routing leaves out upstreams that can't be reached.

--- a/src/decide/claim/key.rs
+++ b/src/decide/claim/key.rs
@@ -35,6 +35,11 @@
     pub fn partition(self) -> u16 {
         (self.0 % u128::from(PARTITIONS)) as u16
     }
+
+    /// What the home of its partition is found by.
+    pub fn home(self) -> String {
+        place(self.partition())
+    }
 }
 
 impl std::fmt::Debug for ClaimKey {
@@ -45,5 +50,9 @@
 
 /// The home of a partition among the nodes that serve.
 pub fn home<'a>(partition: u16, serving: impl IntoIterator<Item = &'a str>) -> Option<&'a str> {
-    rank(&format!("claims/{partition}"), serving).into_iter().next()
+    rank(&place(partition), serving).into_iter().next()
+}
+
+fn place(partition: u16) -> String {
+    format!("claims/{partition}")
 }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -10,6 +10,7 @@
 mod label;
 mod limit;
 mod outcome;
+pub mod quarantine;
 mod queue;
 mod ranges;
 mod rendezvous;
--- a/src/edge/peer/message.rs
+++ b/src/edge/peer/message.rs
@@ -7,6 +7,7 @@
 use crate::Name;
 use crate::bundle::Envelope;
 use crate::decide::claim::{Ask, Attempt, ClaimKey, End, Verdict};
+use crate::decide::quarantine::News;
 use crate::metrics::Purpose;
 
 /// Whether a node takes work.
@@ -64,6 +65,24 @@
     },
     /// What became of this attempt of yours?
     Attempt(u64),
+    /// News of requests that were in flight at an upstream that crashed.
+    Suspects(Vec<News>),
+    /// Which suspects do you know?
+    Known,
+    /// May I run a suspect at this upstream, which you are home to?
+    Trial {
+        /// The upstream.
+        upstream: Name,
+        /// Random, for this trial alone.
+        holder: u64,
+    },
+    /// The trial is over.
+    TrialOver {
+        /// The upstream.
+        upstream: Name,
+        /// As before.
+        holder: u64,
+    },
 }
 
 impl Request {
@@ -73,6 +92,9 @@
             Self::Hello(_) => Purpose::Hello,
             Self::Bundle | Self::Offer(_) => Purpose::Bundle,
             Self::Claim(_) | Self::Ended { .. } | Self::Attempt(_) => Purpose::Claim,
+            Self::Suspects(_) | Self::Known | Self::Trial { .. } | Self::TrialOver { .. } => {
+                Purpose::Quarantine
+            }
         }
     }
 }
@@ -88,8 +110,10 @@
     Noted,
     /// The answer to a claim.
     Verdict(Verdict),
-    /// Whether the end is recorded at this node.
+    /// Whether it is recorded at this node.
     Recorded(bool),
+    /// The suspects that are known here.
+    Suspects(Vec<News>),
     /// What became of the attempt; none if it is not known here.
     Attempt(Option<Attempt>),
 }
--- a/src/metrics/labels.rs
+++ b/src/metrics/labels.rs
@@ -51,11 +51,14 @@
     Bundle,
     /// Claims of calls that run at most once, between nodes.
     Claim,
+    /// Requests that may have crashed an upstream, between nodes.
+    Quarantine,
 }
 
 impl Purpose {
     /// Every purpose.
-    pub const ALL: &[Self] = &[Self::Platform, Self::Order, Self::Hello, Self::Bundle, Self::Claim];
+    pub const ALL: &[Self] =
+        &[Self::Platform, Self::Order, Self::Hello, Self::Bundle, Self::Claim, Self::Quarantine];
 }
 
 /// Which way bytes went.
@@ -84,6 +87,8 @@
     Tick,
     /// Commits claims and answers who asks for them.
     Claims,
+    /// Learns of suspects from other nodes.
+    Suspects,
 }
 
 impl Task {
@@ -96,6 +101,7 @@
         Self::Orders,
         Self::Tick,
         Self::Claims,
+        Self::Suspects,
     ];
 }
 
@@ -118,6 +124,10 @@
     Claim,
     /// Claimed calls that are remembered as runner.
     Attempt,
+    /// Requests that were in flight at a crash.
+    Suspect,
+    /// Requests that are refused because they crash upstreams.
+    Quarantined,
 }
 
 impl Entry {
@@ -131,6 +141,8 @@
         Self::Connection,
         Self::Claim,
         Self::Attempt,
+        Self::Suspect,
+        Self::Quarantined,
     ];
 }
 
--- a/src/node/admin.rs
+++ b/src/node/admin.rs
@@ -98,6 +98,9 @@
     held(Entry::Member, app.members.held());
     held(Entry::Upstream, app.upstreams.list().len());
     held(Entry::Step, app.steps.held());
+    let (suspects, quarantined) = app.suspects.counts();
+    held(Entry::Suspect, suspects);
+    held(Entry::Quarantined, quarantined);
     held(Entry::Claim, app.claims.held());
     held(Entry::Attempt, app.claims.attempts());
     let depths = app.dispatchers().into_iter().map(|(_, d)| d.held());
--- a/src/node/app.rs
+++ b/src/node/app.rs
@@ -11,13 +11,15 @@
 use super::dispatcher::Dispatcher;
 use super::lifecycle::{Event, Lifecycle, Phase};
 use super::members::Members;
+use super::suspects::Suspects;
 use super::train::Steps;
 use super::upstreams::Upstreams;
 use super::{Clock, identity};
 use crate::Name;
 use crate::bundle::Adopted;
+use crate::decide::rank;
 use crate::decide::{Limits, Served};
-use crate::edge::peer::{NodeInfo, PeerClient};
+use crate::edge::peer::{NodeInfo, NodeState, PeerClient};
 use crate::edge::platform::Platform;
 use crate::edge::upstream::{EngineClient, PlainClient};
 use crate::error::{Kind, Refusal};
@@ -39,6 +41,7 @@
     pub(super) upstreams: Upstreams,
     pub(super) steps: Steps,
     pub(super) claims: Claims,
+    pub(super) suspects: Arc<Suspects>,
     /// The versions that engines were last seen to serve.
     pub(super) served: Mutex<Served>,
     /// Cancelled when the node has stopped: ends every background task.
@@ -64,6 +67,7 @@
             upstreams: Upstreams::default(),
             steps: Steps::default(),
             claims: Claims::new(&settings.node.name),
+            suspects: Arc::new(Suspects::new(&settings.node.name)),
             served: Mutex::default(),
             cancel: CancellationToken::new(),
             dispatchers: RwLock::default(),
@@ -106,6 +110,17 @@
         }
     }
 
+    /// The home of a key among the nodes that serve, as this node sees them.
+    pub(super) fn home(&self, key: &str) -> Option<Name> {
+        let own = self.info();
+        let mut serving = self.members.serving(self.clock.now());
+        if own.state == NodeState::Serving {
+            serving.push(own);
+        }
+        let ranked = rank(key, serving.iter().map(|n| &*n.name));
+        ranked.first().map(|home| Name::from(*home))
+    }
+
     /// The bundle in force, or the refusal to a caller who came before it.
     pub(super) fn bundle(&self) -> Result<Adopted, Refusal> {
         let wait = self.settings.platform.timeout;
--- a/src/node/callers.rs
+++ b/src/node/callers.rs
@@ -152,7 +152,8 @@
     if let Some(query) = head.uri.query() {
         path = format!("{path}?{query}");
     }
-    call.fingerprint = plain::fingerprint(head, &path, &body);
+    call.fingerprint = plain::fingerprint(service, head, &path, &body);
+    app.suspects.check(app, call.fingerprint)?;
     let whole = match plain::claim_key(&call, service, &head.headers)? {
         None => plain::call(app, &dispatcher, call, head, &path, body).await?,
         Some(key) => {
--- a/src/node/claims/serve.rs
+++ b/src/node/claims/serve.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use crate::decide::claim::{Ask, Attempt, ClaimKey, End, Verdict, home};
+use crate::Name;
+use crate::decide::claim::{Ask, Attempt, ClaimKey, End, Verdict};
 use crate::node::app::App;
-use crate::{Name, edge::peer::NodeState};
 
 /// When to ask again a node that knows no home.
 const LATER: Duration = Duration::from_millis(500);
@@ -34,10 +34,5 @@
 
 /// The home of a key among the nodes that serve, as this node sees them.
 pub(super) fn home_of(app: &App, key: ClaimKey) -> Option<Name> {
-    let own = app.info();
-    let mut serving = app.members.serving(app.clock.now());
-    if own.state == NodeState::Serving {
-        serving.push(own);
-    }
-    home(key.partition(), serving.iter().map(|n| &*n.name)).map(Name::from)
+    app.home(&key.home())
 }
--- a/src/node/complete.rs
+++ b/src/node/complete.rs
@@ -9,9 +9,11 @@
 
 use futures_util::StreamExt;
 use tokio::sync::mpsc;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::app::App;
 use super::dispatcher::{Dispatcher, Turn};
+use super::suspects::{self, Visit};
 use crate::Name;
 use crate::decide::{Call, Label, Outcome};
 use crate::edge::upstream::{Chunk, Completion, Failure, Prior};
@@ -103,6 +105,9 @@
     progress: &mut Progress,
 ) -> Result<Whole, Refusal> {
     let deadline = app.clock.instant(job.call.deadline);
+    let content = xxh3_64(job.request.prompt.as_bytes());
+    let suspect = suspects::fingerprint(&job.request.model, content);
+    app.suspects.check(app, suspect)?;
     let mut turn = dispatcher.acquire(job.call.clone()).await?;
     loop {
         if let Some(floor) = job.floor
@@ -115,9 +120,12 @@
             // Dropping the turn gives it back: nothing was sent.
             return Err(stale("the upstream serves weights that are too old"));
         }
-        let attempt = attempt(app, &turn, &job, progress);
+        let visit = Visit::enter(app, &turn.upstream, turn.address, suspect, deadline).await;
+        let mut visit = visit.map_err(|refusal| turn.judge(refusal))?;
+        let attempt = visit.run(attempt(app, &turn, &job, progress));
         match tokio::time::timeout_at(deadline, attempt).await {
             Ok(Ok(End::Finished(finish))) => {
+                visit.passed();
                 let upstream = turn.upstream.clone();
                 turn.done();
                 let Progress { text, label, .. } = std::mem::take(progress);
@@ -133,6 +141,7 @@
                     outcome = ?failure.outcome,
                     reason = %failure.reason,
                 );
+                visit.broke(failure.outcome).await;
                 turn = next(turn, &failure, progress).await?;
             }
             Err(_) => return Err(late(progress)),
--- a/src/node/dispatcher.rs
+++ b/src/node/dispatcher.rs
@@ -160,6 +160,11 @@
 }
 
 impl Turn {
+    /// A refusal as it may be told after the attempts so far.
+    pub(super) fn judge(&self, refusal: Refusal) -> Refusal {
+        self.history.judge(refusal)
+    }
+
     /// The whole answer came.
     pub(super) fn done(mut self) {
         self.report(Outcome::Answered, None);
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -16,6 +16,7 @@
 mod peers;
 mod plain;
 mod stream;
+mod suspects;
 mod train;
 mod upstreams;
 
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -13,7 +13,7 @@
 use super::identity::Identity;
 use super::lifecycle::{Event, Phase};
 use super::peers::Peers;
-use super::{bundles, claims, orders, peers, upstreams};
+use super::{bundles, claims, orders, peers, suspects, upstreams};
 use crate::edge::http::Listener;
 use crate::edge::peer::PeerListener;
 use crate::metrics::Task;
@@ -82,6 +82,7 @@
         tokio::spawn(all.timed(Task::Orders, orders::follow(app.clone())));
         tokio::spawn(all.timed(Task::Tick, tick(app.clone())));
         claims::drive(&app);
+        tokio::spawn(all.timed(Task::Suspects, suspects::follow(app.clone())));
         Ok(Self { app, admin: admin_address, accept, connections })
     }
 
@@ -115,6 +116,11 @@
         self.app.members.alive(self.app.clock.now()).len()
     }
 
+    /// How many requests are refused because they crash upstreams.
+    pub fn quarantined(&self) -> usize {
+        self.app.suspects.counts().1
+    }
+
     /// How many upstream VMs are known.
     pub fn upstreams(&self) -> usize {
         self.app.upstreams.list().len()
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -54,6 +54,18 @@
                 Reply::Recorded(claims::ended(app, key, nonce, end))
             }
             Request::Attempt(nonce) => Reply::Attempt(claims::attempt(app, nonce)),
+            Request::Suspects(all) => {
+                app.suspects.told(app, &all);
+                Reply::Noted
+            }
+            Request::Known => Reply::Suspects(app.suspects.all(app)),
+            Request::Trial { upstream, holder } => {
+                Reply::Recorded(app.suspects.take(app, &upstream, holder))
+            }
+            Request::TrialOver { upstream, holder } => {
+                app.suspects.end(&upstream, holder);
+                Reply::Noted
+            }
         }
     }
 
--- a/src/node/plain.rs
+++ b/src/node/plain.rs
@@ -13,6 +13,7 @@
 use super::callers::one;
 use super::claims;
 use super::dispatcher::Dispatcher;
+use super::suspects::{self, Visit};
 use crate::decide::claim::ClaimKey;
 use crate::decide::{Call, Repeat};
 use crate::edge::http::{Body, full};
@@ -43,9 +44,9 @@
 }
 
 /// The hash of a call's content: the same when it is sent again, to any node.
-pub(super) fn fingerprint(head: &Parts, path: &str, body: &[u8]) -> u64 {
+pub(super) fn fingerprint(service: &str, head: &Parts, path: &str, body: &[u8]) -> u64 {
     let line = format!("{} {path}", head.method);
-    xxh3_64_with_seed(body, xxh3_64(line.as_bytes()))
+    suspects::fingerprint(service, xxh3_64_with_seed(body, xxh3_64(line.as_bytes())))
 }
 
 /// The answer to the caller.
@@ -72,16 +73,23 @@
     let deadline = app.clock.instant(call.deadline);
     let uri: Uri =
         path.parse().map_err(|e| Refusal::new(Kind::BadRequest, format!("path {path}: {e}")))?;
+    let suspect = call.fingerprint;
+    app.suspects.check(app, suspect)?;
     let mut turn = dispatcher.acquire(call).await?;
     loop {
+        let visit = Visit::enter(app, &turn.upstream, turn.address, suspect, deadline).await;
+        let mut visit = visit.map_err(|refusal| turn.judge(refusal))?;
         let request = request(turn.address, head, &uri, body.clone());
-        let failure = match app.plain.send(turn.address, request, deadline).await {
+        let attempt = app.plain.send(turn.address, request, deadline);
+        let failure = match visit.run(attempt).await {
             Ok(answer) => {
+                visit.passed();
                 turn.done();
                 return Ok(answer);
             }
             Err(failure) => failure,
         };
+        visit.broke(failure.outcome).await;
         tracing::info!(
             event = "attempt_failed",
             upstream = %turn.upstream,
--- /dev/null
+++ b/src/node/suspects.rs
@@ -0,0 +1,321 @@
+//! The shell around quarantine: each attempt passes here just before it is sent.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use rand::seq::IndexedRandom;
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::app::App;
+use crate::Name;
+use crate::decide::Outcome;
+use crate::decide::quarantine::{Flight, News, Quarantine, Standing, Trials};
+use crate::edge::peer::{NodeInfo, PeerClient, Reply, Request};
+use crate::edge::platform::VmState;
+use crate::edge::upstream::{Probe, probe};
+use crate::error::{Kind, Refusal};
+
+/// Pause before a trial is asked for again.
+const PAUSE: Duration = Duration::from_millis(50);
+/// How long a peer may take to reply.
+const LIMIT: Duration = Duration::from_millis(500);
+/// Tries to tell a peer.
+const TELLS: u32 = 3;
+/// Time between two looks at what another node knows.
+const PERIOD: Duration = Duration::from_secs(5);
+/// Longer than any trial, by which a holder that died frees its upstream.
+const HELD: Duration = Duration::from_secs(65);
+
+/// What this node knows, and the trials that it is home to.
+#[derive(Debug)]
+pub(super) struct Suspects {
+    known: Mutex<Quarantine>,
+    trials: Mutex<Trials>,
+    /// Fingerprints that are on trial at this node: one copy of each at a time.
+    own: Mutex<HashSet<u64>>,
+}
+
+/// The fingerprint of a content for a service.
+pub(super) fn fingerprint(service: &str, content: u64) -> u64 {
+    xxh3_64_with_seed(service.as_bytes(), content)
+}
+
+impl Suspects {
+    pub(super) fn new(name: &Name) -> Self {
+        let known = Quarantine::new(name.clone(), rand::random());
+        Self { known: Mutex::new(known), trials: Mutex::default(), own: Mutex::default() }
+    }
+
+    /// Refuses what is quarantined, at once.
+    pub(super) fn check(&self, app: &App, fingerprint: u64) -> Result<(), Refusal> {
+        match self.known.lock().standing(fingerprint, app.clock.now()) {
+            Standing::Clear | Standing::Suspect(_) => Ok(()),
+            Standing::Quarantined(left) => {
+                let detail = format!("refused for {} s more", left.as_secs());
+                Err(Refusal::new(Kind::Quarantined, detail))
+            }
+        }
+    }
+
+    /// How many are suspects, and how many are quarantined.
+    pub(super) fn counts(&self) -> (usize, usize) {
+        self.known.lock().counts()
+    }
+
+    /// Another node tells.
+    pub(super) fn told(&self, app: &App, all: &[News]) {
+        let mut known = self.known.lock();
+        all.iter().for_each(|news| {
+            known.told(news, app.clock.now());
+        });
+    }
+
+    /// Everything that is known.
+    pub(super) fn all(&self, app: &App) -> Vec<News> {
+        self.known.lock().all(app.clock.now())
+    }
+
+    /// Another node asks for a trial at an upstream.
+    pub(super) fn take(&self, app: &App, upstream: &Name, holder: u64) -> bool {
+        let now = app.clock.now();
+        self.trials.lock().take(upstream, holder, now + HELD, now)
+    }
+
+    /// Another node's trial is over.
+    pub(super) fn end(&self, upstream: &Name, holder: u64) {
+        self.trials.lock().end(upstream, holder);
+    }
+}
+
+/// An attempt that may be sent now. Dropping it ends its trial, if it is one.
+#[derive(Debug)]
+pub(super) struct Visit<'a> {
+    app: &'a App,
+    flight: Flight,
+    address: SocketAddr,
+    trial: Option<Trial>,
+}
+
+impl<'a> Visit<'a> {
+    /// Waits until the attempt may be sent: a suspect until no other suspect is at its
+    /// upstream. Refuses what is quarantined.
+    pub(super) async fn enter(
+        app: &'a App,
+        upstream: &Name,
+        address: SocketAddr,
+        fingerprint: u64,
+        deadline: Instant,
+    ) -> Result<Self, Refusal> {
+        loop {
+            app.suspects.check(app, fingerprint)?;
+            let standing = app.suspects.known.lock().standing(fingerprint, app.clock.now());
+            let trial = match standing {
+                Standing::Clear => None,
+                Standing::Suspect(length) => {
+                    let trial = Trial::take(app, upstream, fingerprint, length).await;
+                    if trial.is_none() {
+                        wait(deadline).await?;
+                        continue;
+                    }
+                    trial
+                }
+                Standing::Quarantined(_) => continue,
+            };
+            // It may have been quarantined while the trial was asked for.
+            app.suspects.check(app, fingerprint)?;
+            let flight =
+                Flight { upstream: upstream.clone(), fingerprint, started: app.clock.now() };
+            return Ok(Self { app, flight, address, trial });
+        }
+    }
+
+    /// Runs the attempt. A suspect that runs for long enough is cleared on the way.
+    pub(super) async fn run<T>(&mut self, attempt: impl Future<Output = T>) -> T {
+        let Some(length) = self.trial.as_ref().map(|t| t.length) else { return attempt.await };
+        tokio::pin!(attempt);
+        match tokio::time::timeout(length, attempt.as_mut()).await {
+            Ok(ended) => ended,
+            Err(_) => {
+                self.clear();
+                attempt.await
+            }
+        }
+    }
+
+    /// The attempt brought its answer.
+    pub(super) fn passed(mut self) {
+        self.clear();
+    }
+
+    /// The attempt failed. If its upstream crashed under it, all nodes are told.
+    pub(super) async fn broke(self, outcome: Outcome) {
+        let broke = self.app.clock.now();
+        match outcome {
+            Outcome::Unknown => {}
+            Outcome::Unsent | Outcome::Refused | Outcome::Answered => return,
+        }
+        if !self.live() || probe(self.address).await != Probe::Refused {
+            return;
+        }
+        let app = self.app;
+        let news = app.suspects.known.lock().crashed(&self.flight, broke, app.clock.now());
+        tracing::warn!(
+            event = "upstream_crashed",
+            upstream = %self.flight.upstream,
+            fingerprint = format!("{:016x}", self.flight.fingerprint),
+            trial = self.trial.is_some(),
+        );
+        spread(app, news);
+    }
+
+    /// Whether the upstream was to stay: one that is leaving is stopped, not crashed.
+    fn live(&self) -> bool {
+        let list = self.app.upstreams.list();
+        let vm = list.iter().find(|vm| vm.name == self.flight.upstream);
+        vm.is_some_and(|vm| vm.state == VmState::Live)
+    }
+
+    fn clear(&mut self) {
+        self.trial = None;
+        let now = self.app.clock.now();
+        let news = self.app.suspects.known.lock().passed(self.flight.fingerprint, now);
+        if let Some(news) = news {
+            spread(self.app, news);
+        }
+    }
+}
+
+async fn wait(deadline: Instant) -> Result<(), Refusal> {
+    if Instant::now() >= deadline {
+        return Err(Refusal::new(Kind::DeadlinePassed, "it waited to run without other suspects"));
+    }
+    tokio::time::sleep(PAUSE).await;
+    Ok(())
+}
+
+/// The right to run a suspect at an upstream, from the upstream's home.
+#[derive(Debug)]
+struct Trial {
+    /// After so long it is cleared.
+    length: Duration,
+    upstream: Name,
+    holder: u64,
+    home: Home,
+    _own: Own,
+}
+
+/// A fingerprint's place among those on trial at this node.
+#[derive(Debug)]
+struct Own {
+    suspects: Arc<Suspects>,
+    fingerprint: u64,
+}
+
+impl Own {
+    fn take(suspects: &Arc<Suspects>, fingerprint: u64) -> Option<Self> {
+        let free = suspects.own.lock().insert(fingerprint);
+        free.then(|| Self { suspects: suspects.clone(), fingerprint })
+    }
+}
+
+impl Drop for Own {
+    fn drop(&mut self) {
+        self.suspects.own.lock().remove(&self.fingerprint);
+    }
+}
+
+#[derive(Debug)]
+enum Home {
+    Here(Arc<Suspects>),
+    There(PeerClient, SocketAddr),
+    /// No other node is known, or the home does not answer: a suspect must not wait for
+    /// ever on a node that is gone.
+    Nowhere,
+}
+
+impl Trial {
+    async fn take(app: &App, upstream: &Name, fingerprint: u64, length: Duration) -> Option<Self> {
+        let own = Own::take(&app.suspects, fingerprint)?;
+        let holder = rand::random();
+        let home = home(app, upstream);
+        let taken = match &home {
+            Home::Here(suspects) => suspects.take(app, upstream, holder),
+            Home::There(peers, to) => {
+                let request = Request::Trial { upstream: upstream.clone(), holder };
+                match peers.ask(*to, &request, LIMIT).await {
+                    Ok(Reply::Recorded(taken)) => taken,
+                    Ok(_) | Err(_) => true,
+                }
+            }
+            Home::Nowhere => true,
+        };
+        taken.then(|| Self { length, upstream: upstream.clone(), holder, home, _own: own })
+    }
+}
+
+impl Drop for Trial {
+    fn drop(&mut self) {
+        match &self.home {
+            Home::Here(suspects) => suspects.end(&self.upstream, self.holder),
+            Home::There(peers, to) => {
+                let request =
+                    Request::TrialOver { upstream: self.upstream.clone(), holder: self.holder };
+                let (peers, to) = (peers.clone(), *to);
+                tokio::spawn(async move { peers.ask(to, &request, LIMIT).await });
+            }
+            Home::Nowhere => {}
+        }
+    }
+}
+
+/// The home of an upstream's trials among the nodes that serve.
+fn home(app: &App, upstream: &Name) -> Home {
+    match app.home(&format!("trial/{upstream}")) {
+        Some(name) if name == app.settings.node.name => Home::Here(app.suspects.clone()),
+        Some(name) => match app.members.address(&name) {
+            Some(to) => Home::There(app.peers.clone(), to),
+            None => Home::Nowhere,
+        },
+        None => Home::Nowhere,
+    }
+}
+
+/// Tells every other node.
+fn spread(app: &App, news: News) {
+    let request = Arc::new(Request::Suspects(vec![news]));
+    for NodeInfo { peers: to, .. } in app.members.alive(app.clock.now()) {
+        let (peers, request) = (app.peers.clone(), request.clone());
+        tokio::spawn(async move {
+            for _ in 0..TELLS {
+                if peers.ask(to, &request, LIMIT).await.is_ok() {
+                    return;
+                }
+                tokio::time::sleep(LIMIT).await;
+            }
+        });
+    }
+}
+
+/// Asks another node now and then what it knows, until the node stops: for what was
+/// told before this node started, or while it was cut off.
+pub(super) async fn follow(app: Arc<App>) {
+    let mut asked = false;
+    loop {
+        let pause = if asked { PERIOD } else { PAUSE };
+        tokio::select! {
+            () = app.cancel.cancelled() => return,
+            () = tokio::time::sleep(pause) => {}
+        }
+        app.suspects.known.lock().tick(app.clock.now());
+        let others = app.members.alive(app.clock.now());
+        let Some(other) = others.choose(&mut rand::rng()) else { continue };
+        if let Ok(Reply::Suspects(all)) = app.peers.ask(other.peers, &Request::Known, LIMIT).await {
+            app.suspects.told(&app, &all);
+            asked = true;
+        }
+    }
+}
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -80,3 +80,20 @@
     }
     assert_eq!(crashes(&fleet), 0);
 }
+
+/// A node that starts after the quarantine refuses the request as well.
+#[tokio::test(flavor = "multi_thread")]
+async fn node_that_starts_later_knows() {
+    let mut fleet = fleet(2, 4).await;
+    let answer = complete(fleet.nodes[0].callers(), POISON, 20_000).await.unwrap();
+    assert_eq!(kind(&answer), "quarantined");
+    let node = fleet.start_node(2).await.unwrap();
+    fleet.nodes.push(node);
+    fleet.settled(1).await;
+    while fleet.nodes[2].quarantined() == 0 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let answer = complete(fleet.nodes[2].callers(), POISON, 20_000).await.unwrap();
+    assert_eq!(kind(&answer), "quarantined");
+    assert_eq!(crashes(&fleet), 2);
+}
