--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -9,6 +9,7 @@
 mod freshness;
 mod label;
 mod limit;
+pub mod members;
 mod outcome;
 pub mod quarantine;
 mod queue;
--- a/src/decide/quarantine/mod.rs
+++ b/src/decide/quarantine/mod.rs
@@ -10,5 +10,5 @@
 mod trials;
 
 pub use quarantine::{Flight, LIMIT, Quarantine, Standing};
-pub use suspicion::{CrashId, News, Suspicion};
+pub use suspicion::{CrashId, Notice, Suspicion};
 pub use trials::Trials;
--- a/src/decide/quarantine/quarantine.rs
+++ b/src/decide/quarantine/quarantine.rs
@@ -9,7 +9,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::{CrashId, News, Suspicion};
+use super::{CrashId, Notice, Suspicion};
 use crate::{Moment, Name};
 
 /// Crashes after which a fingerprint is quarantined. One crash may be chance and
@@ -119,7 +119,7 @@
 
     /// The upstream of a flight crashed under it; the flight broke at `broke`. Returns
     /// what to tell the other nodes.
-    pub fn crashed(&mut self, flight: &Flight, broke: Moment, now: Moment) -> News {
+    pub fn crashed(&mut self, flight: &Flight, broke: Moment, now: Moment) -> Notice {
         let number = match self.crashes.get(&flight.upstream) {
             // It was there already when the upstream was first seen to crash.
             Some(crash) if flight.started <= crash.at => crash.number,
@@ -139,34 +139,34 @@
             age_ms: now.saturating_sub(broke).as_millis() as u64,
         };
         self.suspect(&suspicion, now);
-        News::Suspect(suspicion)
+        Notice::Suspect(suspicion)
     }
 
     /// A fingerprint ran without a crash. Returns what to tell the other nodes, if it
     /// was a suspect. What is quarantined stays so.
-    pub fn passed(&mut self, fingerprint: u64, now: Moment) -> Option<News> {
+    pub fn passed(&mut self, fingerprint: u64, now: Moment) -> Option<Notice> {
         let known = self.known.get_mut(&fingerprint)?;
         if known.quarantined() || known.seen.is_empty() {
             return None;
         }
         let epoch = known.epoch + 1;
         *known = Known { epoch, seen: Vec::new(), touched: now };
-        Some(News::Clear { fingerprint, epoch })
+        Some(Notice::Clear { fingerprint, epoch })
     }
 
     /// Another node tells. Returns whether that was new.
-    pub fn told(&mut self, news: &News, now: Moment) -> bool {
+    pub fn told(&mut self, news: &Notice, now: Moment) -> bool {
         match news {
-            News::Suspect(suspicion) => self.suspect(suspicion, now),
-            News::Clear { fingerprint, epoch } => self.clear(*fingerprint, *epoch, now),
+            Notice::Suspect(suspicion) => self.suspect(suspicion, now),
+            Notice::Clear { fingerprint, epoch } => self.clear(*fingerprint, *epoch, now),
         }
     }
 
     /// Everything that is known, for a node that starts.
-    pub fn all(&self, now: Moment) -> Vec<News> {
+    pub fn all(&self, now: Moment) -> Vec<Notice> {
         let each = self.known.iter().flat_map(|(fingerprint, known)| {
             known.seen.iter().map(|s| {
-                News::Suspect(Suspicion {
+                Notice::Suspect(Suspicion {
                     fingerprint: *fingerprint,
                     epoch: known.epoch,
                     crash: s.crash.clone(),
--- a/src/decide/quarantine/suspicion.rs
+++ b/src/decide/quarantine/suspicion.rs
@@ -33,7 +33,7 @@
 
 /// A change of what is known of a fingerprint.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum News {
+pub enum Notice {
     /// It was there at a crash.
     Suspect(Suspicion),
     /// It ran elsewhere without a crash.
--- a/src/node/suspects.rs
+++ b/src/node/suspects.rs
@@ -13,7 +13,7 @@
 use super::app::App;
 use crate::Name;
 use crate::decide::Outcome;
-use crate::decide::quarantine::{Flight, News, Quarantine, Standing, Trials};
+use crate::decide::quarantine::{Flight, Notice, Quarantine, Standing, Trials};
 use crate::edge::peer::{NodeInfo, PeerClient, Reply, Request};
 use crate::edge::platform::VmState;
 use crate::edge::upstream::{Probe, probe};
@@ -67,7 +67,7 @@
     }
 
     /// Another node tells.
-    pub(super) fn told(&self, app: &App, all: &[News]) {
+    pub(super) fn told(&self, app: &App, all: &[Notice]) {
         let mut known = self.known.lock();
         all.iter().for_each(|news| {
             known.told(news, app.clock.now());
@@ -75,7 +75,7 @@
     }
 
     /// Everything that is known.
-    pub(super) fn all(&self, app: &App) -> Vec<News> {
+    pub(super) fn all(&self, app: &App) -> Vec<Notice> {
         self.known.lock().all(app.clock.now())
     }
 
@@ -285,7 +285,7 @@
 }
 
 /// Tells every other node.
-fn spread(app: &App, news: News) {
+fn spread(app: &App, news: Notice) {
     let request = Arc::new(Request::Suspects(vec![news]));
     for NodeInfo { peers: to, .. } in app.members.alive(app.clock.now()) {
         let (peers, request) = (app.peers.clone(), request.clone());
--- a/tests/quarantine_world.rs
+++ b/tests/quarantine_world.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use mulberrycourse::Name;
-use mulberrycourse::decide::quarantine::{Flight, News, Quarantine, Standing, Trials};
+use mulberrycourse::decide::quarantine::{Flight, Notice, Quarantine, Standing, Trials};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rand::rngs::SmallRng;
@@ -47,7 +47,7 @@
     trials: Trials,
     down: Vec<Duration>,
     requests: Vec<Request>,
-    news: Vec<(Duration, usize, News)>,
+    news: Vec<(Duration, usize, Notice)>,
     /// How long the poison runs before its upstream crashes.
     fuse: Duration,
     delay: u64,
@@ -111,13 +111,13 @@
         let now = self.now;
         let (due, later) = std::mem::take(&mut self.news).into_iter().partition(|n| n.0 <= now);
         self.news = later;
-        let due: Vec<(Duration, usize, News)> = due;
+        let due: Vec<(Duration, usize, Notice)> = due;
         for (_, node, news) in due {
             self.nodes[node].told(&news, now);
         }
     }
 
-    fn spread(&mut self, from: usize, news: &News) {
+    fn spread(&mut self, from: usize, news: &Notice) {
         for node in (0..NODES).filter(|n| *n != from) {
             let delay = Duration::from_millis(self.rng.random_range(0..=self.delay));
             self.news.push((self.now + delay, node, news.clone()));
@@ -285,7 +285,7 @@
     let clear = a.passed(1, ms(500)).unwrap();
     let second = a.crashed(&flight("u2", 1, 600), ms(700), ms(700));
     assert!(matches!(a.standing(1, ms(800)), Standing::Suspect(_)));
-    let orders: [&[&News]; 5] = [
+    let orders: [&[&Notice]; 5] = [
         &[&second, &clear, &crash],
         &[&clear, &second, &crash],
         &[&crash, &second, &clear],
