--- a/src/node/app.rs
+++ b/src/node/app.rs
@@ -11,6 +11,7 @@
 use super::dispatcher::Dispatcher;
 use super::lifecycle::{Event, Lifecycle, Phase};
 use super::members::Members;
+use super::orders::Orders;
 use super::suspects::Suspects;
 use super::train::Steps;
 use super::upstreams::Upstreams;
@@ -40,6 +41,7 @@
     pub(super) members: Members,
     pub(super) upstreams: Upstreams,
     pub(super) steps: Steps,
+    pub(super) orders: Orders,
     pub(super) claims: Claims,
     pub(super) suspects: Arc<Suspects>,
     /// The versions that engines were last seen to serve.
@@ -65,6 +67,7 @@
             members: Members::new(&settings.node, &identity),
             upstreams: Upstreams::default(),
             steps: Steps::default(),
+            orders: Orders::default(),
             claims: Claims::new(&settings.node.name),
             suspects: Arc::new(Suspects::new(&settings.node.name)),
             served: Mutex::default(),
