--- a/tests/claims/parts.rs
+++ b/tests/claims/parts.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use mulberrycourse::decide::claim::{
-    Ask, Attempt, Attempts, ClaimKey, Entry, Index, Journal, Kept, RETENTION, SEGMENT, Segment,
-    Step, Swapped, Verdict, home,
+    Ask, Attempt, Attempts, ClaimKey, End, Entry, Index, Journal, Kept, RETENTION, SEGMENT,
+    Segment, Step, Swapped, Verdict, home,
 };
 use mulberrycourse::error::{Kind, Run};
 
@@ -119,6 +119,40 @@
     }
 }
 
+/// Asks are given up on before their commit, which goes on in the meantime: each ask has
+/// an answer all the same, so nothing is left waiting at the home.
+#[test]
+fn every_ask_is_answered() {
+    let mut journal = Journal::new("n0".into(), 0, 1);
+    let mut open = 0_i64;
+    for now in 0..400 {
+        let one = ask(now);
+        journal.ask(one.clone(), ms(now));
+        open += 1;
+        if now % 3 == 0 {
+            journal.ended(one.key, one.nonce, End::NotRun, ms(now));
+        }
+        journal.tick(ms(now));
+        for step in journal.steps() {
+            match step {
+                Step::ReadHead => journal.head_read(Ok(None), ms(now)),
+                Step::ReadSegments(_) => journal.segments_read(Ok(vec![]), ms(now)),
+                Step::Swap { expected, .. } => {
+                    journal.swapped(Swapped::Done(expected + 1), ms(now));
+                }
+                Step::Reply { .. } => open -= 1,
+            }
+        }
+    }
+    for step in (400..2_000).flat_map(|now| {
+        journal.tick(ms(now));
+        journal.steps()
+    }) {
+        open -= i64::from(matches!(step, Step::Reply { .. }));
+    }
+    assert_eq!(open, 0);
+}
+
 /// Claims outlive the time for which callers may ask again, and go after it.
 #[test]
 fn retention() {
