An ask that is given up on is answered at the home too

Before: 133 of 400 left waiting, one oneshot each, until the node ends. Ruled out: claims that are in a commit already; those are answered by its end.

--- a/src/decide/claim/journal.rs
+++ b/src/decide/claim/journal.rs
@@ -158,6 +158,7 @@
             // It is in no commit yet: given up on before it was granted.
             self.queue.remove(index);
             self.waiters.retain(|w| w.nonce != nonce);
+            self.reply(nonce, Verdict::Unavailable(WAIT));
             return true;
         }
         let recorded = self.index.get(key).is_some_and(|r| r.nonce == nonce && r.end.is_none());
