--- a/tests/claims_nodes.rs
+++ b/tests/claims_nodes.rs
@@ -15,6 +15,7 @@
 use standins::gate::{Gate, Hold};
 use standins::plain::{CutAt, Faults as PlainFaults};
 use standins::platform::Faults;
+use tokio::task::JoinSet;
 
 const POLL: Duration = Duration::from_millis(20);
 const WAIT: Duration = Duration::from_secs(20);
@@ -282,3 +283,32 @@
         }
     }
 }
+
+/// A node is stopped gracefully while it runs a call whose caller has gone: the stop waits
+/// for the call, and its end is recorded before the node goes, home or not. The others say
+/// that it already ran, and not that nobody knows.
+#[tokio::test(flavor = "multi_thread")]
+async fn graceful_stop_records_what_ran() {
+    let fleet = fleet(2).await;
+    slow(&fleet, 900);
+    let node = fleet.nodes[0].callers();
+    let keys: Vec<String> = (0..8).map(|k| format!("key-{k}")).collect();
+    let mut calls = JoinSet::new();
+    for key in &keys {
+        let key = key.clone();
+        calls.spawn(async move { send(node, "/sync/count", Some(&key), &key).await });
+    }
+    while keys.iter().any(|key| runs(&fleet, key) == 0) {
+        tokio::time::sleep(POLL).await;
+    }
+    calls.shutdown().await;
+    assert!(fleet.nodes[0].stop().await);
+    while fleet.nodes[1].others() > 0 {
+        tokio::time::sleep(POLL).await;
+    }
+    for key in &keys {
+        let again = settled(&fleet, 1, key, key).await;
+        assert_eq!(kind(&again), "already_ran", "{again:?}");
+        assert_eq!(runs(&fleet, key), 1);
+    }
+}
