A stopping node records the ends of its claimed calls

The end is told to the node that granted the claim, then to the home of now; and a node that stops commits the ends that wait before it goes (2 s at most). Before: outcome_unknown after a graceful stop. Ruled out: handing the partition to its next home on a stop; the seal does that, and reads what is committed.

--- a/src/decide/claim/journal.rs
+++ b/src/decide/claim/journal.rs
@@ -189,6 +189,17 @@
         }
     }
 
+    /// The node is about to stop: ends wait for no claim any more. Returns whether
+    /// everything is committed, or never will be here.
+    pub fn flush(&mut self, now: Moment) -> bool {
+        self.pace.hurry(now);
+        match &self.state {
+            State::Open => self.queue.is_empty(),
+            State::Committing(_) => false,
+            State::Closed { .. } | State::Reading | State::Sealing(_) | State::Loading(_) => true,
+        }
+    }
+
     /// When the next tick is due, if one is.
     pub fn due(&self) -> Option<Moment> {
         let waits = self.waiters.iter().map(|w| w.until);
--- a/src/decide/claim/pace.rs
+++ b/src/decide/claim/pace.rs
@@ -49,6 +49,13 @@
         self.ends.get_or_insert(now + LAZY);
     }
 
+    /// What waits is to be committed now.
+    pub fn hurry(&mut self, now: Moment) {
+        if let Some(ends) = &mut self.ends {
+            *ends = now.min(*ends);
+        }
+    }
+
     /// When the next commit is due, if anything waits.
     pub fn due(&self) -> Option<Moment> {
         let wanted = self.claims.into_iter().chain(self.ends).min()?;
--- a/src/node/claims/ask.rs
+++ b/src/node/claims/ask.rs
@@ -27,6 +27,8 @@
     app: Arc<App>,
     key: ClaimKey,
     nonce: u64,
+    /// The node that was asked.
+    home: Name,
     over: bool,
 }
 
@@ -49,7 +51,9 @@
         let unavailable = |why: &str| unavailable(why, WAIT);
         let mut home = serve::home_of(app, key).ok_or_else(|| unavailable("no node is home"))?;
         for _ in 0..HOPS {
-            let mut claim = Self { app: app.clone(), key, nonce: rand::random(), over: false };
+            let (app, nonce) = (app.clone(), rand::random());
+            let mut claim = Self { app, key, nonce, home: home.clone(), over: false };
+            let app = &claim.app.clone();
             app.claims.attempts.lock().begin(claim.nonce);
             let runner = app.settings.node.name.clone();
             let ask = Ask { key, fingerprint, nonce: claim.nonce, runner };
@@ -140,12 +144,19 @@
         self.app.claims.attempts.lock().unknown(self.nonce, self.app.clock.now());
     }
 
+    /// Tells the node that granted the claim, and if it is home no more, the one that is.
     fn report(&self, end: End) {
         let (app, key, nonce) = (self.app.clone(), self.key, self.nonce);
+        let granted = self.home.clone();
         self.app.claims.calls.spawn(async move {
             for _ in 0..TELLS {
-                let Some(home) = serve::home_of(&app, key) else { return };
-                if tell(&app, &home, key, nonce, end).await {
+                if tell(&app, &granted, key, nonce, end).await {
+                    return;
+                }
+                let home = serve::home_of(&app, key).filter(|home| *home != granted);
+                if let Some(home) = home
+                    && tell(&app, &home, key, nonce, end).await
+                {
                     return;
                 }
                 tokio::time::sleep(WAIT).await;
--- a/src/node/claims/claims.rs
+++ b/src/node/claims/claims.rs
@@ -1,7 +1,7 @@
 //! What a node holds for claims.
 
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use parking_lot::Mutex;
 use tokio_util::task::TaskTracker;
@@ -12,6 +12,11 @@
 use crate::metrics::Task;
 use crate::node::app::App;
 
+/// How long a stopping node waits for its last commits: a slow platform's answer.
+const FLUSH: Duration = Duration::from_secs(2);
+/// Pause between looks at whether they are done.
+const LOOK: Duration = Duration::from_millis(10);
+
 /// The partitions, as far as this node is home to them, and its own attempts.
 #[derive(Debug)]
 pub(in crate::node) struct Claims {
@@ -54,6 +59,19 @@
     }
 }
 
+/// Waits until the ends of claimed calls are recorded, for a while.
+pub(in crate::node) async fn flush(app: &App) {
+    let start = app.clock.now();
+    while app.clock.now() < start + FLUSH {
+        let flushed = app.claims.shards.iter().filter(|s| s.flush(app.clock.now())).count();
+        if flushed == app.claims.shards.len() {
+            return;
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+    tracing::warn!(event = "claim_ends_lost", node = %app.settings.node.name);
+}
+
 /// Starts the tasks that drive the partitions; they end with the node.
 pub(in crate::node) fn drive(app: &Arc<App>) {
     for partition in 0..PARTITIONS {
--- a/src/node/claims/mod.rs
+++ b/src/node/claims/mod.rs
@@ -7,6 +7,6 @@
 mod shard;
 mod store;
 
-pub(super) use claims::{Claims, drive};
+pub(super) use claims::{Claims, drive, flush};
 pub(super) use run::{OnceCall, REPLAYED, once};
 pub(super) use serve::{attempt, ended, verdict};
--- a/src/node/claims/shard.rs
+++ b/src/node/claims/shard.rs
@@ -62,6 +62,13 @@
         recorded
     }
 
+    /// Commits what waits, before the node stops. Returns whether all of it is.
+    pub(super) fn flush(&self, now: Moment) -> bool {
+        let flushed = self.inner.lock().journal.flush(now);
+        self.wake.notify_one();
+        flushed
+    }
+
     /// Tells the journal something.
     fn tell(&self, event: impl FnOnce(&mut Journal)) {
         event(&mut self.inner.lock().journal);
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -144,6 +144,7 @@
         if !finished {
             tracing::error!(event = "drain_cut", left = self.connections.len());
         }
+        claims::flush(&self.app).await;
         self.app.advance(Event::Idle);
         peers::farewell(&self.app).await;
         self.app.cancel.cancel();
