--- a/src/node/app.rs
+++ b/src/node/app.rs
@@ -18,8 +18,7 @@
 use super::{Clock, identity};
 use crate::Name;
 use crate::bundle::Adopted;
-use crate::decide::rank;
-use crate::decide::{Limits, Served};
+use crate::decide::{Served, rank};
 use crate::edge::peer::{NodeInfo, NodeState, PeerClient};
 use crate::edge::platform::Platform;
 use crate::edge::upstream::{EngineClient, PlainClient};
@@ -139,14 +138,13 @@
         self.members.set_bundle(adopted.bundle.number);
         let mut dispatchers = self.dispatchers.write();
         for (name, service) in &adopted.bundle.services {
-            let limits = Limits { queue: service.queue, concurrency: service.concurrency };
-            match dispatchers.get(name) {
-                Some(dispatcher) => dispatcher.set_limits(limits),
-                None => {
-                    let dispatcher = Dispatcher::new(limits, self.clock, self.metrics.clone());
-                    dispatchers.insert(name.clone(), Arc::new(dispatcher));
-                }
-            }
+            let limits = service.limits();
+            let dispatcher = dispatchers.entry(name.clone()).or_insert_with(|| {
+                let zone = self.settings.node.zone.clone();
+                Arc::new(Dispatcher::new(limits, zone, self.clock, self.metrics.clone()))
+            });
+            dispatcher.set_limits(limits);
+            dispatcher.set_shares(adopted.bundle.shares());
         }
         dispatchers.retain(|name, _| adopted.bundle.services.contains_key(name));
         drop(dispatchers);
--- a/src/node/complete.rs
+++ b/src/node/complete.rs
@@ -122,6 +122,7 @@
         }
         let visit = Visit::enter(app, &turn.upstream, turn.address, suspect, deadline).await;
         let mut visit = visit.map_err(|refusal| turn.judge(refusal))?;
+        turn.begin();
         let attempt = visit.run(attempt(app, &turn, &job, progress));
         match tokio::time::timeout_at(deadline, attempt).await {
             Ok(Ok(End::Finished(finish))) => {
--- a/src/node/dispatcher.rs
+++ b/src/node/dispatcher.rs
@@ -10,7 +10,8 @@
 
 use super::Clock;
 use crate::decide::{
-    Action, Call, Dispatch, History, Limits, Outcome, Report, Ticket, UpstreamView,
+    Action, Call, Dispatch, History, Limits, LoadReport, Outcome, Report, Shares, Ticket,
+    UpstreamView,
 };
 use crate::error::{Kind, Refusal};
 use crate::metrics::{Metrics, RetryReason};
@@ -49,9 +50,9 @@
 
 impl Dispatcher {
     /// A dispatcher without upstreams.
-    pub(super) fn new(limits: Limits, clock: Clock, metrics: Arc<Metrics>) -> Self {
+    pub(super) fn new(limits: Limits, zone: Name, clock: Clock, metrics: Arc<Metrics>) -> Self {
         let inner = Inner {
-            dispatch: Dispatch::new(limits, rand::random()),
+            dispatch: Dispatch::new(limits, zone, rand::random()),
             waiters: SecondaryMap::new(),
             addresses: HashMap::new(),
         };
@@ -87,6 +88,17 @@
         inner.deliver();
     }
 
+    /// The bundle changed the weights of callers and trainers.
+    pub(super) fn set_shares(&self, shares: Shares) {
+        self.inner.lock().dispatch.set_shares(shares);
+    }
+
+    /// An upstream said how many requests it has, all nodes together.
+    pub(super) fn load_report(&self, upstream: &str, total: u32) {
+        let report = LoadReport { total, at: self.clock.now() };
+        self.inner.lock().dispatch.load_report(upstream, report);
+    }
+
     /// Time passed.
     pub(super) fn tick(&self) {
         let mut inner = self.inner.lock();
@@ -160,6 +172,11 @@
 }
 
 impl Turn {
+    /// The attempt is sent now: what it waited before is not the upstream's time.
+    pub(super) fn begin(&mut self) {
+        self.started = self.dispatcher.clock.now();
+    }
+
     /// A refusal as it may be told after the attempts so far.
     pub(super) fn judge(&self, refusal: Refusal) -> Refusal {
         self.history.judge(refusal)
--- a/src/node/orders/follow.rs
+++ b/src/node/orders/follow.rs
@@ -132,6 +132,9 @@
     match ended {
         Ended::Look { service, engine, result } => {
             looking.remove(&engine);
+            if let (Ok(load), Ok(dispatcher)) = (&result, app.dispatcher(&service)) {
+                dispatcher.load_report(&engine, load.running.saturating_add(load.waiting));
+            }
             let sight = sight(app, &engine, result);
             if let Some(rollout) = app.orders.rollouts.lock().get_mut(&service) {
                 rollout.see(&engine, sight, now);
--- a/src/node/plain.rs
+++ b/src/node/plain.rs
@@ -79,6 +79,7 @@
     loop {
         let visit = Visit::enter(app, &turn.upstream, turn.address, suspect, deadline).await;
         let mut visit = visit.map_err(|refusal| turn.judge(refusal))?;
+        turn.begin();
         let request = request(turn.address, head, &uri, body.clone());
         let attempt = app.plain.send(turn.address, request, deadline);
         let failure = match visit.run(attempt).await {
