--- a/src/decide/claim/journal.rs
+++ b/src/decide/claim/journal.rs
@@ -158,6 +158,7 @@
             // It is in no commit yet: given up on before it was granted.
             self.queue.remove(index);
             self.waiters.retain(|w| w.nonce != nonce);
+            self.reply(nonce, Verdict::Unavailable(WAIT));
             return true;
         }
         let recorded = self.index.get(key).is_some_and(|r| r.nonce == nonce && r.end.is_none());
@@ -188,6 +189,17 @@
         }
     }
 
+    /// The node is about to stop: ends wait for no claim any more. Returns whether
+    /// everything is committed, or never will be here.
+    pub fn flush(&mut self, now: Moment) -> bool {
+        self.pace.hurry(now);
+        match &self.state {
+            State::Open => self.queue.is_empty(),
+            State::Committing(_) => false,
+            State::Closed { .. } | State::Reading | State::Sealing(_) | State::Loading(_) => true,
+        }
+    }
+
     /// When the next tick is due, if one is.
     pub fn due(&self) -> Option<Moment> {
         let waits = self.waiters.iter().map(|w| w.until);
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -17,6 +17,7 @@
 mod open;
 mod outcome;
 mod pace;
+pub mod quarantine;
 mod queue;
 mod ranges;
 mod rendezvous;
--- a/src/node/dispatcher.rs
+++ b/src/node/dispatcher.rs
@@ -172,6 +172,16 @@
 }
 
 impl Turn {
+    /// The attempt is sent now: what it waited before is not the upstream's time.
+    pub(super) fn begin(&mut self) {
+        self.started = self.dispatcher.clock.now();
+    }
+
+    /// A refusal as it may be told after the attempts so far.
+    pub(super) fn judge(&self, refusal: Refusal) -> Refusal {
+        self.history.judge(refusal)
+    }
+
     /// The whole answer came.
     pub(super) fn done(mut self) {
         self.report(Outcome::Answered, None);
