--- /dev/null
+++ b/tests/arrival.rs
@@ -0,0 +1,87 @@
+//! The shipped trainer client against a node that hands over what it should not.
+#![allow(clippy::unwrap_used)]
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use http::{Request, StatusCode};
+use hyper::body::Incoming;
+use mulberrycourse::client::Trainer;
+use mulberrycourse::decide::{Group, Prompt, Sample, Span, Spec};
+use mulberrycourse::edge::http::read;
+use mulberrycourse::node::{Pull, Pulled};
+use serde_json::json;
+use standins::fleet::ANY;
+use standins::server::{Answer, Cut, Server, Service, json as answer};
+
+/// A node that hands over one group in each pull, whatever the trainer has.
+struct Node {
+    /// What the pulls bring, in their order; the last is repeated.
+    pulls: Vec<Group>,
+    pulled: AtomicU64,
+    address: std::sync::OnceLock<std::net::SocketAddr>,
+}
+
+impl Service for Node {
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Answer {
+        let path = request.uri().path().to_owned();
+        if path == "/v1/addresses" {
+            let addresses = self.address.get().into_iter().collect::<Vec<_>>();
+            return answer(StatusCode::OK, &json!({ "addresses": addresses, "ttl_ms": 60_000 }));
+        }
+        let body = read(request.into_body(), 1 << 20).await.map_err(|_| Cut)?;
+        if !path.ends_with("/pull") {
+            return answer(StatusCode::OK, &json!({}));
+        }
+        let pull: Pull = serde_json::from_slice(&body).map_err(|_| Cut)?;
+        let index = self.pulled.fetch_add(1, Ordering::Relaxed) as usize;
+        let group = self.pulls[index.min(self.pulls.len() - 1)].clone();
+        let pulled = Pulled {
+            groups: vec![group],
+            complete: pull.have.below(2).count() == 2,
+            bound: 1,
+            leaving: false,
+            parts: Vec::new(),
+        };
+        answer(StatusCode::OK, &pulled)
+    }
+}
+
+fn group(number: u32, versions: &[u64]) -> Group {
+    let sample = |(index, version): (u32, &u64)| Sample {
+        index,
+        text: "ace".to_owned(),
+        label: vec![Span { version: *version, from: 0, to: 1 }],
+        upstream: "patter-0".into(),
+    };
+    Group { group: number, samples: (0..).zip(versions).map(sample).collect() }
+}
+
+/// The trainer moves on while the reply is on its way, a group comes with a sample missing, one
+/// comes a second time: each is dropped and counted, and what is fresh and whole is kept.
+#[tokio::test(flavor = "multi_thread")]
+async fn arrival_is_judged() {
+    let pulls = vec![
+        group(0, &[5, 3]),
+        group(0, &[5]),
+        group(7, &[5, 5]),
+        group(0, &[5, 4]),
+        group(0, &[4, 4]),
+        group(1, &[5, 5]),
+    ];
+    let node = Arc::new(Node { pulls, pulled: AtomicU64::new(0), address: Default::default() });
+    let server = Server::bind(ANY, node.clone()).await.unwrap();
+    node.address.set(server.address()).unwrap();
+    let trainer = Trainer::new("coach".into(), vec![server.address()]);
+    let prompt = Prompt { prompt: "deal".to_owned(), samples: 2, max_tokens: 1 };
+    let spec = Spec { version: 4, groups: vec![prompt; 2] };
+    trainer.advance(5);
+    let mut pulling = trainer.resume(1, &spec, BTreeMap::new());
+    assert_eq!(pulling.next().await.unwrap(), [group(0, &[5, 4])]);
+    assert_eq!(pulling.next().await.unwrap(), [group(1, &[5, 5])]);
+    assert_eq!(pulling.next().await.unwrap(), []);
+    let report = pulling.report();
+    assert_eq!((report.stale, report.thin, report.doubled), (1, 2, 2));
+    assert_eq!(report.groups[&0], group(0, &[5, 4]));
+}
--- a/tests/sessions_processes.rs
+++ b/tests/sessions_processes.rs
@@ -156,3 +156,25 @@
     frozen.thaw().unwrap();
     whole(&trainer.step(2, &spec()).await.unwrap());
 }
+
+/// A node is frozen while streams run over it: its callers leave it and go on at the others,
+/// no token lost or doubled.
+#[tokio::test(flavor = "multi_thread")]
+async fn node_is_frozen_in_streams() {
+    let test = Deployment::spawn("frozen-streams").await;
+    let request = |seed| completion("long con", seed, 120);
+    let streams: Vec<_> = (0..8)
+        .map(|seed| {
+            let shop = Caller::new("shop".into(), test.callers());
+            tokio::spawn(async move { shop.stream(&request(seed), GUARD).await })
+        })
+        .collect();
+    test.streamed(16).await;
+    let frozen = test.daemons[0].as_ref().unwrap();
+    frozen.freeze().unwrap();
+    test.full_speed();
+    for (seed, stream) in (0..).zip(streams) {
+        assert_eq!(stream.await.unwrap().unwrap().body, expected(&request(seed)));
+    }
+    frozen.thaw().unwrap();
+}
