--- a/tests/steps.rs
+++ b/tests/steps.rs
@@ -10,8 +10,9 @@
 use mulberrycourse::decide::{Group, Prompt, Ranges, Spec};
 use mulberrycourse::edge::http::{Fetch, FetchError};
 use mulberrycourse::node::{Pull, Pulled, Submit};
-use standins::engine::EngineSettings;
+use standins::engine::{EngineSettings, Faults};
 use standins::fleet::{Fleet, bundle};
+use standins::trainer::{flat, truth};
 
 /// Guards a test against hanging; no verdict depends on it.
 const GUARD: Duration = Duration::from_secs(30);
@@ -336,3 +337,26 @@
     };
     assert!(made[0].samples.iter().all(|s| s.oldest() == Some(5)));
 }
+
+/// One of three engines is a hundred times slower than the others: its samples move on to the
+/// others from the tokens that are there, and none is dropped for being slow.
+#[tokio::test(flavor = "multi_thread")]
+async fn samples_leave_a_slow_engine() {
+    let fleet = Fleet::spawn(1, 3, EngineSettings::default()).await.unwrap();
+    fleet.engines[0].set_faults(Faults { slowdown: 200, ..Faults::default() });
+    let trainer = Trainer::new("coach".into(), fleet.callers());
+    let spec = spec(8, 4, 400);
+    let report = tokio::time::timeout(GUARD, trainer.step(1, &spec)).await.unwrap().unwrap();
+    whole(&report, &spec);
+    let begun = fleet.engines[0].ledger().len();
+    let slow = report.groups.values().flat_map(|g| &g.samples);
+    let slow = slow.filter(|s| &*s.upstream == "patter-0").count();
+    assert!(begun > 0, "no sample was at the slow engine");
+    assert_eq!(slow, 0, "samples that stayed at the slow engine to their end, of {begun}");
+    for group in report.groups.values() {
+        for sample in &group.samples {
+            let slot = format!("coach/1/{}/{}", group.group, sample.index);
+            assert_eq!(flat(&sample.label), truth(&fleet.engines, &slot), "label of {slot}");
+        }
+    }
+}
