Samples leave an engine that drags

Cause: only an engine that fails or is silent for 3 s was left; one that is slow held its samples, and the step, to their end. Ruled out: starting a second copy of a slow sample (double work, and the first to end is the shorter path, not the better sample).

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -6,6 +6,7 @@
 mod call;
 pub mod claim;
 mod dispatch;
+mod drag;
 mod freshness;
 mod label;
 mod limit;
@@ -22,6 +23,7 @@
 
 pub use call::{Call, Class, Repeat};
 pub use dispatch::{Action, Dispatch, Limits, Report, Ticket, UpstreamView};
+pub use drag::Drag;
 pub use freshness::{Prospect, Served, floor};
 pub use label::{Label, Span, Unlabelled};
 pub use limit::Limit;
--- a/src/node/complete.rs
+++ b/src/node/complete.rs
@@ -8,12 +8,14 @@
 use std::time::Duration;
 
 use futures_util::StreamExt;
+use parking_lot::Mutex;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 use super::app::App;
 use super::dispatcher::{Dispatcher, Turn};
 use crate::Name;
-use crate::decide::{Call, Label, Outcome};
+use crate::decide::{Call, Drag, Label, Outcome};
 use crate::edge::upstream::{Chunk, Completion, Failure, Prior};
 use crate::error::{Kind, Refusal};
 
@@ -78,6 +80,8 @@
     pub(super) request: Completion,
     /// The oldest version that may still be in the answer; it rises in mid-stream.
     pub(super) floor: Option<&'a AtomicU64>,
+    /// The pace of the samples beside it: one that drags goes on at another engine.
+    pub(super) drag: Option<&'a Mutex<Drag>>,
     /// Where each chunk goes as well.
     pub(super) sink: Option<mpsc::Sender<Chunk>>,
 }
@@ -167,6 +171,7 @@
     let mut request = job.request.clone();
     request.prior = progress.prior();
     request.request_id = progress.part(&job.request.request_id);
+    let begun = Begun { at: Instant::now(), tokens: progress.label.tokens() };
     let started = app.engines.complete(turn.address, &request);
     let mut chunks = within(started).await??;
     let mut version = None;
@@ -186,8 +191,10 @@
             return Ok(End::Stale(oldest));
         }
         if let Some(finish) = progress.finish.take() {
+            begun.finished(job, progress);
             return Ok(End::Finished(finish));
         }
+        begun.check(job, progress)?;
     }
     Err(Failure {
         outcome: Outcome::Unknown,
@@ -195,6 +202,32 @@
     })
 }
 
+/// Where an attempt began.
+struct Begun {
+    at: Instant,
+    tokens: u32,
+}
+
+impl Begun {
+    fn finished(&self, job: &Job<'_>, progress: &Progress) {
+        if let Some(drag) = job.drag {
+            drag.lock().finished(progress.label.tokens() - self.tokens, self.at.elapsed());
+        }
+    }
+
+    /// Fails an attempt that drags, so that another goes on elsewhere.
+    fn check(&self, job: &Job<'_>, progress: &Progress) -> Result<(), Failure> {
+        let Some(drag) = job.drag else { return Ok(()) };
+        let made = progress.label.tokens() - self.tokens;
+        let left = job.request.max_tokens.saturating_sub(progress.label.tokens());
+        if !drag.lock().leaves(made, self.at.elapsed(), left) {
+            return Ok(());
+        }
+        let reason = format!("{made} tokens in {:?}, far behind its step", self.at.elapsed());
+        Err(Failure { outcome: Outcome::Unknown, reason })
+    }
+}
+
 /// Only the engine knows what it serves: each chunk says so.
 fn noted(app: &App, turn: &Turn, version: Option<u64>) {
     if let Some(version) = version {
--- a/src/node/stream.rs
+++ b/src/node/stream.rs
@@ -83,14 +83,14 @@
     let place = Place::of(&head.headers, request.prior.as_ref())?;
     let mut progress = Progress::after(request.prior.take().unwrap_or_default());
     if !request.stream {
-        let job = Job { call, request, floor: None, sink: None };
+        let job = Job { call, request, floor: None, drag: None, sink: None };
         let whole = complete(app, &dispatcher, job, &mut progress).await?;
         return Ok(answer(StatusCode::OK, &completion(&place.id, whole)));
     }
     let (sink, chunks) = mpsc::channel(BUFFER);
     let shared = app.clone();
     let task = tokio::spawn(async move {
-        let job = Job { call, request, floor: None, sink: Some(sink) };
+        let job = Job { call, request, floor: None, drag: None, sink: Some(sink) };
         complete(&shared, &dispatcher, job, &mut progress).await
     });
     let resumes = head.headers.contains_key(RESUMES);
--- a/src/node/train/fill.rs
+++ b/src/node/train/fill.rs
@@ -138,7 +138,7 @@
         fingerprint: xxh3_64(request.prompt.as_bytes()),
         prefix: Some(xxh3_64(request.prompt.as_bytes())),
     };
-    let job = Job { call, request, floor: Some(&held.floor), sink: None };
+    let job = Job { call, request, floor: Some(&held.floor), drag: Some(&held.drag), sink: None };
     let whole = complete(app, &dispatcher, job, progress).await?;
     Ok(labelled(slot, whole))
 }
--- a/src/node/train/held.rs
+++ b/src/node/train/held.rs
@@ -14,7 +14,7 @@
 use super::message::Submit;
 use crate::Name;
 use crate::bundle::TrainerSpec;
-use crate::decide::{Ranges, Step};
+use crate::decide::{Drag, Ranges, Step};
 use crate::error::{Kind, Refusal};
 use crate::node::app::App;
 use crate::node::lifecycle::Phase;
@@ -33,6 +33,8 @@
     pub(super) step: Mutex<Step>,
     /// The oldest version that a sample may have now, read for every chunk.
     pub(super) floor: AtomicU64,
+    /// How fast its samples come.
+    pub(super) drag: Mutex<Drag>,
     /// A sample came in.
     pub(super) filled: Notify,
     /// Ends what is under way for the step.
@@ -135,6 +137,7 @@
         spec: rules.clone(),
         floor: AtomicU64::new(step.floor()),
         step: Mutex::new(step),
+        drag: Mutex::default(),
         filled: Notify::new(),
         cancel: app.cancel.child_token(),
         seen: Mutex::new(Instant::now()),
