--- a/src/node/train/held.rs
+++ b/src/node/train/held.rs
@@ -149,11 +149,11 @@
     Ok(())
 }
 
-/// Whether the node is on its way out and lets its steps go.
+/// Whether the node is on its way out and lets its steps go to another that serves.
 pub(super) fn leaving(app: &App) -> bool {
     match app.phase() {
         Phase::Starting | Phase::Serving => false,
-        Phase::Draining | Phase::Closing | Phase::Stopped => true,
+        Phase::Draining | Phase::Closing | Phase::Stopped => app.others_serve(),
     }
 }
 
