A session goes on as long as it gets on

The shipped client takes the refusal of a node whose attempts are spent on an answer that has begun for a cut: it comes back when told, with what it has. Ruled out: more attempts at the node for answers that get on, since a request that crashes its engines in mid-answer would take more of them down; a new request passes every check again.

--- a/src/client/caller/stream.rs
+++ b/src/client/caller/stream.rs
@@ -86,7 +86,7 @@
             if failures >= FAILURES || !again(&error) {
                 return Err(error);
             }
-            tokio::time::sleep(PAUSE * failures).await;
+            tokio::time::sleep((PAUSE * failures).max(told(&error))).await;
         }
     }
 
@@ -185,7 +185,20 @@
             }
             FetchError::Status { .. } | FetchError::Garbled { .. } => false,
         },
-        // A refusal is the final answer, but of a node that is about to leave.
-        CallerError::Refused(problem) => problem.kind.ends_with(":draining"),
+        // A refusal is the final answer, but of a node that is about to leave, and of one
+        // whose attempts are spent on an answer that has begun: the rest is a new request.
+        CallerError::Refused(problem) => {
+            problem.kind.ends_with(":draining") || problem.kind.ends_with(":truncated")
+        }
+    }
+}
+
+/// When a refusal says to come back.
+fn told(error: &CallerError) -> Duration {
+    match error {
+        CallerError::Refused(problem) => {
+            Duration::from_millis(problem.retry_after_ms.unwrap_or_default())
+        }
+        CallerError::NoNode | CallerError::Partial(_) | CallerError::Failed(_) => Duration::ZERO,
     }
 }
