--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -9,6 +9,7 @@
 pub mod claim;
 mod deadlines;
 mod dispatch;
+mod drag;
 mod eject;
 mod freshness;
 mod label;
@@ -37,6 +38,7 @@
 pub use dispatch::{
     Action, Dispatch, Limits, LoadReport, Report, Shares, Ticket, UpstreamKey, UpstreamView,
 };
+pub use drag::Drag;
 pub use eject::{Failures, most_out};
 pub use freshness::{Prospect, Served, floor};
 pub use label::{Label, Span, Unlabelled};
--- a/src/node/app.rs
+++ b/src/node/app.rs
@@ -96,6 +96,11 @@
         after
     }
 
+    /// Whether another node is known to serve: only then is work let go.
+    pub(super) fn others_serve(&self) -> bool {
+        !self.members.serving(self.clock.now()).is_empty()
+    }
+
     /// What this node says of itself now.
     pub(super) fn info(&self) -> NodeInfo {
         self.members.own()
