--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -3,36 +3,56 @@
 //! Each takes its state, an event and the present moment, and returns typed
 //! actions. The daemon turns sockets and timers into events, and actions into I/O.
 
+mod admission;
+mod ahead;
 mod call;
 pub mod claim;
+mod deadlines;
 mod dispatch;
+mod eject;
 mod freshness;
 mod label;
 mod leaving;
 mod limit;
 pub mod members;
+mod open;
 mod outcome;
+mod pace;
 mod queue;
 mod ranges;
 mod rendezvous;
 mod retry;
+mod ring;
 mod rollout;
 mod route;
 mod step;
 mod straggler;
+mod subset;
+mod turns;
 
+pub use admission::{Outlook, Returns};
+pub use ahead::ahead;
 pub use call::{Call, Class, Repeat};
-pub use dispatch::{Action, Dispatch, Limits, Report, Ticket, UpstreamView};
+pub use deadlines::Deadlines;
+pub use dispatch::{
+    Action, Dispatch, Limits, LoadReport, Report, Shares, Ticket, UpstreamKey, UpstreamView,
+};
+pub use eject::{Failures, most_out};
 pub use freshness::{Prospect, Served, floor};
 pub use label::{Label, Span, Unlabelled};
 pub use leaving::{Departure, Leaving};
 pub use limit::Limit;
+pub use open::Open;
 pub use outcome::{History, Outcome};
-pub use queue::Queue;
+pub use pace::{Pace, per_cost};
+pub use queue::{Place, Queue};
 pub use ranges::Ranges;
 pub use rendezvous::{rank, score};
 pub use retry::Budget;
+pub use ring::Ring;
 pub use rollout::{Cause, Chains, Rollout, Sight, Stage, StoreShare, Turn, Wanted};
-pub use route::{Candidate, pick};
+pub use route::{Others, bounded, expected, two};
 pub use step::{Fill, Group, Prompt, Sample, Slot, Spec, Step};
 pub use straggler::{ORDINARY, RAISED, order, priority, window};
+pub use subset::subset;
+pub use turns::Turns;
--- a/src/node/upstreams.rs
+++ b/src/node/upstreams.rs
@@ -8,6 +8,7 @@
 use tokio::sync::Notify;
 
 use super::app::App;
+use super::subsets::Subsets;
 use crate::decide::{Departure, Leaving, UpstreamView};
 use crate::edge::peer::Request;
 use crate::edge::platform::{Vm, VmState};
@@ -32,13 +33,16 @@
 pub(super) struct Upstreams {
     vms: RwLock<Arc<[Vm]>>,
     leaving: Mutex<Leaving>,
+    /// There is a new list.
+    fresh: Notify,
+    /// There is a departure that peers should know at once.
     urgent: Notify,
 }
 
 impl Default for Upstreams {
     fn default() -> Self {
         let vms = RwLock::new(Arc::from([]));
-        Self { vms, leaving: Mutex::default(), urgent: Notify::new() }
+        Self { vms, leaving: Mutex::default(), fresh: Notify::new(), urgent: Notify::new() }
     }
 }
 
@@ -61,7 +65,6 @@
         drop(leaving);
         if news > 0 {
             self.set(self.list().to_vec(), app);
-            publish(app);
             self.urgent.notify_one();
         }
     }
@@ -81,6 +84,7 @@
         }
         drop(leaving);
         *self.vms.write() = vms.into();
+        self.fresh.notify_one();
         if news {
             self.urgent.notify_one();
         }
@@ -92,19 +96,22 @@
     let mut timer = tokio::time::interval(PERIOD);
     let mut round = tokio::time::interval(ROUND);
     let mut bundles = app.bundles.subscribe();
+    let mut subsets = Subsets::default();
     loop {
         tokio::select! {
             () = app.cancel.cancelled() => return,
             _ = timer.tick() => {
                 if due(&app) {
-                    refresh(&app).await;
+                    // Not awaited: a slow platform must not hold up what peers tell.
+                    tokio::spawn(refresh(app.clone()));
                 }
             }
             _ = round.tick() => tell(&app),
             () = app.upstreams.urgent.notified() => tell(&app),
+            () = app.upstreams.fresh.notified() => {}
             changed = bundles.changed() => if changed.is_err() { return },
         }
-        publish(&app);
+        publish(&app, &mut subsets);
     }
 }
 
@@ -115,9 +122,9 @@
     unread || app.members.ranks(LIST, READERS, app.clock.now()) || rand::rng().random_bool(seldom)
 }
 
-async fn refresh(app: &App) {
+async fn refresh(app: Arc<App>) {
     match app.platform.vms().await {
-        Ok(vms) => app.upstreams.set(vms, app),
+        Ok(vms) => app.upstreams.set(vms, &app),
         // The list that was seen last goes on to serve.
         Err(e) => tracing::debug!(event = "vms_unread", error = %e),
     }
@@ -140,9 +147,13 @@
     }
 }
 
-fn publish(app: &App) {
+fn publish(app: &App, subsets: &mut Subsets) {
+    let adopted = app.bundles.current();
     for (service, dispatcher) in app.dispatchers() {
-        let vms = app.upstreams.of(&service);
+        let mut vms = app.upstreams.of(&service);
+        if let Some(spec) = adopted.as_ref().and_then(|a| a.bundle.services.get(&service)) {
+            subsets.keep(app, &service, &mut vms, spec.subset);
+        }
         let views: Vec<_> = vms.iter().map(|vm| (view(vm), vm.address)).collect();
         dispatcher.set_upstreams(&views);
     }
