--- a/src/decide/dispatch/dispatch.rs
+++ b/src/decide/dispatch/dispatch.rs
@@ -228,7 +228,7 @@
         self.deadlines.remove(pending.due, ticket);
         pending.attempts += 1;
         self.running += 1;
-        let upstream = self.pool.start(key, pending.call.cost, now);
+        let upstream = self.pool.start(key);
         self.actions.push(Action::Send { ticket, upstream });
     }
 
--- a/src/decide/dispatch/pool.rs
+++ b/src/decide/dispatch/pool.rs
@@ -139,7 +139,7 @@
             let (first, second) = two(open.len(), rng)?;
             for key in [open.get(first), open.get(second)] {
                 let upstream = &self.upstreams[key];
-                let bad = Some(key) == avoid || upstream.frozen(typical, now);
+                let bad = Some(key) == avoid;
                 let pace = upstream.pace.faded(typical, now);
                 let time = expected(upstream.load(now), pace, call.cost, upstream.far);
                 if best.is_none_or(|(b, t, _)| (bad, time) < (b, t)) {
@@ -153,8 +153,8 @@
         best.map(|(.., key)| key)
     }
 
-    pub(super) fn start(&mut self, key: UpstreamKey, cost: u32, now: Moment) -> Name {
-        self.change(key, |u| u.start(cost, now));
+    pub(super) fn start(&mut self, key: UpstreamKey) -> Name {
+        self.change(key, |u| u.limit.start());
         self.running += 1;
         self.upstreams[key].view.name.clone()
     }
@@ -208,7 +208,7 @@
             let upstream = &self.upstreams[*key];
             let fine = open.contains(*key) && Some(*key) != avoid;
             let slow = upstream.pace.faded(typical, now) > 2.0 * typical;
-            fine && !slow && bounded(upstream.load(now), mean) && !upstream.frozen(typical, now)
+            fine && !slow && bounded(upstream.load(now), mean)
         })
     }
 
