Admission counts a hot key's backlog against its own key

A request waits for the others of its key, and for the other keys of its caller only in turn; the estimate said so for callers and not for keys.

--- a/src/decide/queue.rs
+++ b/src/decide/queue.rs
@@ -130,7 +130,13 @@
     /// The cost that would be served before a new request, by its caller's fair share.
     pub fn ahead(&self, call: &Call, weight: u32) -> f64 {
         let line = self.line(call.class);
-        let own = line.turns.backlog(&call.caller) as f64;
+        let key = key(call);
+        // Of its own caller's requests, those of other keys go before it only in turn.
+        let own = line.callers.get(&call.caller).map_or(0.0, |caller| {
+            let keys = caller.turns.weights_with(&key, 1) as f64;
+            let fair = caller.turns.backlog(&key) as f64 * keys;
+            fair.min(line.turns.backlog(&call.caller) as f64)
+        });
         let weights = line.turns.weights_with(&call.caller, weight) as f64;
         (own * weights / f64::from(weight.max(1))).min(line.cost as f64)
     }
