--- a/standins/src/experiment/arrivals.rs
+++ b/standins/src/experiment/arrivals.rs
@@ -6,7 +6,8 @@
 use rand::Rng;
 use rand_distr::{Distribution, Exp};
 
-use super::run::{Asked, Event, Run, Source};
+use super::event::{Asked, Event, Source};
+use super::run::Run;
 use super::trainer::{Slot, Wanted};
 
 /// How long a sample may take.
--- a/standins/src/experiment/mod.rs
+++ b/standins/src/experiment/mod.rs
@@ -4,6 +4,8 @@
 //! no nodes, no network, no platform. Everything random comes from a seed.
 
 mod arrivals;
+mod event;
+mod faults;
 mod measure;
 mod naive;
 mod output;
--- a/standins/src/experiment/run.rs
+++ b/standins/src/experiment/run.rs
@@ -5,17 +5,17 @@
 use std::time::Duration;
 
 use mulberrycourse::decide::{
-    Action, Call, Class, LoadReport, Outcome, Repeat, Report, Ticket, UpstreamView,
+    Action, Class, LoadReport, Outcome, Repeat, Report, Ticket, UpstreamView,
 };
 use mulberrycourse::error::Refusal;
 use mulberrycourse::{Moment, Name};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use super::trainer::{Slot, Trainer};
-use super::{
-    Change, ChangeKind, Deployment, FlowResult, Policy, PolicyKind, RunResult, Scenario, Upstream,
-};
+use super::event::{Asked, Ending, Event, Source};
+use super::faults::{LAG, REPLACE};
+use super::trainer::Trainer;
+use super::{Deployment, FlowResult, Policy, PolicyKind, RunResult, Scenario, Upstream};
 
 /// Time between two ticks of the policy, as in the daemon.
 const TICK: Duration = Duration::from_millis(20);
@@ -23,79 +23,12 @@
 const REPORTS: Duration = Duration::from_millis(250);
 /// There and back to another availability zone.
 const FAR: Duration = Duration::from_millis(3);
-/// How long the list of VMs lags.
-const LAG: Duration = Duration::from_secs(2);
 /// How long a connection takes to be refused.
 const REFUSED: Duration = Duration::from_millis(1);
 /// How long a poisonous request runs before the upstream crashes.
 const POISON: Duration = Duration::from_millis(200);
 /// How long a crashed upstream takes to come back.
 const RESTART: Duration = Duration::from_secs(3);
-/// Time between two upstreams of a rolling replacement, and how long one is away.
-const REPLACE: Duration = Duration::from_secs(4);
-/// How long an upstream takes to load weights.
-const SWAP: Duration = Duration::from_secs(3);
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) enum Event {
-    Arrive(usize),
-    Return { flow: usize, left: u32 },
-    Sample { trainer: usize, slot: Slot },
-    Trained(usize),
-    Look { upstream: usize, version: u64 },
-    Deliver { ticket: Ticket, attempt: u32, outcome: Ending },
-    Deadline(Ticket),
-    Begin(usize),
-    End(usize),
-    Leave(usize),
-    Listed(usize, bool),
-    Down(usize),
-    Up(usize),
-    Freeze(usize, bool),
-    Crash(usize, Ticket, u32),
-    Tick,
-    Reports,
-}
-
-/// Outcomes in an order, for the heap.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) enum Ending {
-    Answered,
-    Refused,
-    Unsent,
-    Unknown,
-}
-
-impl Ending {
-    fn outcome(self) -> Outcome {
-        match self {
-            Self::Answered => Outcome::Answered,
-            Self::Refused => Outcome::Refused,
-            Self::Unsent => Outcome::Unsent,
-            Self::Unknown => Outcome::Unknown,
-        }
-    }
-}
-
-#[derive(Debug, Clone, Copy)]
-pub(super) enum Source {
-    Flow { index: usize, left: u32, returned: bool },
-    Trainer { index: usize, slot: Slot, version: u32 },
-}
-
-#[derive(Debug)]
-pub(super) struct Asked {
-    source: Source,
-    call: Call,
-    work: f64,
-    offered: Moment,
-    counted: bool,
-    attempt: u32,
-    sent: Moment,
-    at: Option<usize>,
-    spent: f64,
-    ran: u32,
-}
 
 pub(super) struct Run<'a> {
     pub(super) scenario: &'a Scenario,
@@ -116,19 +49,6 @@
     pub(super) rng: SmallRng,
 }
 
-impl Asked {
-    pub(super) fn new(
-        source: Source,
-        call: Call,
-        work: f64,
-        offered: Moment,
-        counted: bool,
-    ) -> Self {
-        let (attempt, sent, at, spent, ran) = (0, offered, None, 0.0, 0);
-        Self { source, call, work, offered, counted, attempt, sent, at, spent, ran }
-    }
-}
-
 /// Runs a scenario once. The same arguments give the same result.
 pub fn run(
     scenario: &Scenario,
@@ -423,70 +343,7 @@
         }
     }
 
-    fn down(&mut self, upstream: usize) {
-        let over = self.upstreams[upstream].crash(self.now);
-        self.upstreams[upstream].down = true;
-        for f in over {
-            let (ticket, attempt) = f.job;
-            if let Some(asked) = self.asked.get_mut(&ticket) {
-                asked.spent += f.work;
-                asked.ran += u32::from(f.work > 0.0);
-            }
-            self.at(self.now, Event::Deliver { ticket, attempt, outcome: Ending::Unknown });
-        }
-        self.look(upstream);
-    }
-
-    fn change(&mut self, index: usize, begin: bool) {
-        let change = self.scenario.changes[index].clone();
-        let now = self.now;
-        for upstream in self.touched(&change) {
-            match change.kind {
-                ChangeKind::Slow => {
-                    self.upstreams[upstream].advance(now);
-                    self.upstreams[upstream].slowness = if begin { change.factor } else { 1.0 };
-                    self.look(upstream);
-                }
-                ChangeKind::Frozen => self.at(now, Event::Freeze(upstream, begin)),
-                ChangeKind::Down => {
-                    self.at(now, if begin { Event::Down(upstream) } else { Event::Up(upstream) });
-                    self.at(now + LAG, Event::Listed(upstream, !begin));
-                }
-                ChangeKind::Load => {}
-                ChangeKind::Replace => {
-                    if begin {
-                        self.at(now + REPLACE * 2 * upstream as u32, Event::Leave(upstream));
-                    }
-                }
-                ChangeKind::Swap => {
-                    if begin {
-                        let wave = (upstream * 3 / self.upstreams.len()) as u32;
-                        let from = now + SWAP * wave;
-                        self.at(from, Event::Listed(upstream, false));
-                        self.at(from, Event::Freeze(upstream, true));
-                        self.at(from + SWAP, Event::Freeze(upstream, false));
-                        self.at(from + SWAP, Event::Listed(upstream, true));
-                    }
-                }
-            }
-        }
-        if change.kind == ChangeKind::Load {
-            let flows = self.scenario.flows.iter().enumerate();
-            for (flow, _) in flows.filter(|(_, f)| f.name == change.flow) {
-                self.factors[flow] = if begin { change.factor } else { 1.0 };
-            }
-        }
-    }
-
-    fn touched(&self, change: &Change) -> Vec<usize> {
-        let zone = |i: usize, zone: usize| *self.views[i].zone == *format!("zone{zone}");
-        match change.zone {
-            Some(wanted) => (0..self.upstreams.len()).filter(|i| zone(*i, wanted)).collect(),
-            None => (0..change.upstreams.min(self.upstreams.len())).collect(),
-        }
-    }
-
-    fn look(&mut self, upstream: usize) {
+    pub(super) fn look(&mut self, upstream: usize) {
         self.versions[upstream] += 1;
         let version = self.versions[upstream];
         if let Some(at) = self.upstreams[upstream].next() {
