--- a/standins/src/slope/nodes.rs
+++ b/standins/src/slope/nodes.rs
@@ -22,6 +22,8 @@
 const ZONES: usize = 3;
 /// Pause between two looks at a condition.
 const POLL: Duration = Duration::from_millis(25);
+/// Pause after the start, before the rest is measured.
+const CALM: Duration = Duration::from_secs(10);
 /// The longest wait for a condition: a size that does not settle is an error.
 const SETTLE: Duration = Duration::from_secs(90);
 
@@ -97,6 +99,8 @@
     let began = Instant::now();
     nodes.until("membership", Nodes::complete).await?;
     table.add("start", size, "seconds until all know all", began.elapsed().as_secs_f64());
+    // What the start gave to talk about has been told by then.
+    tokio::time::sleep(CALM).await;
     nodes.window(Phase::Steady, table).await?;
     nodes.answers(table).await?;
 
--- a/standins/src/slope/page.rs
+++ b/standins/src/slope/page.rs
@@ -61,7 +61,12 @@
         heads.join(" | "),
         " --- |".repeat(sizes.len() + 5),
     );
+    let mut zero = Vec::new();
     for ((_, name), points) in of_phase {
+        if points.iter().all(|p| p.1 == 0.0) {
+            zero.push(name.as_str());
+            continue;
+        }
         let cell = |size: &u32| {
             let found = points.iter().find(|p| p.0 == f64::from(*size));
             found.map_or("-".to_owned(), |p| short(p.1))
@@ -79,6 +84,9 @@
         let cells = cells.join(" | ");
         out.push_str(&format!("| {name} | {cells} | {law} | {slope} | {error} | {at} |\n"));
     }
+    if !zero.is_empty() {
+        out.push_str(&format!("\n0 at every size: {}.\n", zero.join("; ")));
+    }
     out
 }
 
