--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,10 +4,12 @@
 pub mod caller;
 pub mod daemon;
 pub mod engine;
+pub mod experiment;
 pub mod fleet;
 pub mod gate;
 pub mod plain;
 pub mod platform;
+pub mod rollout;
 pub mod server;
 pub mod slope;
 pub mod trainer;
