A process that is told to stop twice finishes its call

Shown failing with the wait for connections taken out: the process ended and the caller's answer broke off.

--- a/tests/stop.rs
+++ b/tests/stop.rs
@@ -7,9 +7,12 @@
 
 use mulberrycourse::client::Caller;
 use standins::caller::{completion, expected};
+use standins::daemon::{Daemon, Folder};
 use standins::engine::EngineSettings;
 use standins::fleet::Fleet;
+use standins::plain::Faults;
 
+const EXE: &str = env!("CARGO_BIN_EXE_mulberryd");
 const WAIT: Duration = Duration::from_secs(20);
 
 /// All nodes are replaced one after the other while callers call and stream without a
@@ -54,3 +57,27 @@
         caller.await.unwrap();
     }
 }
+
+/// A process is told to stop (SIGTERM), and told again, while a call that takes two
+/// seconds is in flight: the call gets its whole answer and the process ends well.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_process_stopped_twice_finishes_its_call() {
+    let fleet = Fleet::spawn(0, 1, EngineSettings::default()).await.unwrap();
+    let folder = Folder::open().unwrap();
+    let platform = fleet.platform.address();
+    let mut daemon = Daemon::spawn(EXE, "a", &fleet, platform, folder.path()).unwrap();
+    daemon.sees(&["a"]).await;
+    let slow = Faults { slow_ms: 2000, ..Faults::default() };
+    fleet.stock.iter().for_each(|p| p.set_faults(slow.clone()));
+    let shop = Caller::new("shop".into(), vec![daemon.callers]);
+    let call = tokio::spawn(async move { shop.call("stock", "/items/1", "", None, WAIT).await });
+    while fleet.stock.iter().all(|p| p.ledger().is_empty()) {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    daemon.terminate().unwrap();
+    // Not serving any more: the first signal was taken, so the second is one of its own.
+    daemon.sees(&[]).await;
+    daemon.terminate().unwrap();
+    assert_eq!(call.await.unwrap().unwrap().body, "ran /items/1 ");
+    assert!(daemon.ended().await.unwrap().success());
+}
