--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -9,6 +9,7 @@
 pub mod claim;
 mod deadlines;
 mod dispatch;
+mod drag;
 mod eject;
 mod freshness;
 mod label;
@@ -18,6 +19,7 @@
 mod open;
 mod outcome;
 mod pace;
+pub mod quarantine;
 mod queue;
 mod ranges;
 mod rendezvous;
@@ -37,6 +39,7 @@
 pub use dispatch::{
     Action, Dispatch, Limits, LoadReport, Report, Shares, Ticket, UpstreamKey, UpstreamView,
 };
+pub use drag::Drag;
 pub use eject::{Failures, most_out};
 pub use freshness::{Prospect, Served, floor};
 pub use label::{Label, Span, Unlabelled};
--- a/src/edge/peer/message.rs
+++ b/src/edge/peer/message.rs
@@ -9,6 +9,7 @@
 use crate::decide::Departure;
 use crate::decide::claim::{Ask, Attempt, ClaimKey, End, Verdict};
 use crate::decide::members::{Gossip, News, NodeState};
+use crate::decide::quarantine::Notice;
 use crate::metrics::Purpose;
 
 /// What a node says of itself.
@@ -107,6 +108,24 @@
     },
     /// What became of this attempt of yours?
     Attempt(u64),
+    /// News of requests that were in flight at an upstream that crashed.
+    Suspects(Vec<Notice>),
+    /// Which suspects do you know?
+    Known,
+    /// May I run a suspect at this upstream, which you are home to?
+    Trial {
+        /// The upstream.
+        upstream: Name,
+        /// Random, for this trial alone.
+        holder: u64,
+    },
+    /// The trial is over.
+    TrialOver {
+        /// The upstream.
+        upstream: Name,
+        /// As before.
+        holder: u64,
+    },
 }
 
 impl Request {
@@ -116,6 +135,9 @@
             Self::Gossip(_) | Self::Join(_) | Self::Left(_) => Purpose::Hello,
             Self::Bundle | Self::Offer(_) => Purpose::Bundle,
             Self::Claim(_) | Self::Ended { .. } | Self::Attempt(_) => Purpose::Claim,
+            Self::Suspects(_) | Self::Known | Self::Trial { .. } | Self::TrialOver { .. } => {
+                Purpose::Quarantine
+            }
         }
     }
 }
@@ -133,8 +155,10 @@
     Noted,
     /// The answer to a claim.
     Verdict(Verdict),
-    /// Whether the end is recorded at this node.
+    /// Whether it is recorded at this node.
     Recorded(bool),
+    /// The suspects that are known here.
+    Suspects(Vec<Notice>),
     /// What became of the attempt; none if it is not known here.
     Attempt(Option<Attempt>),
 }
--- a/src/metrics/labels.rs
+++ b/src/metrics/labels.rs
@@ -80,11 +80,14 @@
     Bundle,
     /// Claims of calls that run at most once, between nodes.
     Claim,
+    /// Requests that may have crashed an upstream, between nodes.
+    Quarantine,
 }
 
 impl Purpose {
     /// Every purpose.
-    pub const ALL: &[Self] = &[Self::Platform, Self::Order, Self::Hello, Self::Bundle, Self::Claim];
+    pub const ALL: &[Self] =
+        &[Self::Platform, Self::Order, Self::Hello, Self::Bundle, Self::Claim, Self::Quarantine];
 }
 
 /// Which way bytes went.
@@ -113,6 +116,8 @@
     Tick,
     /// Commits claims and answers who asks for them.
     Claims,
+    /// Learns of suspects from other nodes.
+    Suspects,
 }
 
 impl Task {
@@ -125,6 +130,7 @@
         Self::Orders,
         Self::Tick,
         Self::Claims,
+        Self::Suspects,
     ];
 }
 
@@ -147,6 +153,10 @@
     Claim,
     /// Claimed calls that are remembered as runner.
     Attempt,
+    /// Requests that were in flight at a crash.
+    Suspect,
+    /// Requests that are refused because they crash upstreams.
+    Quarantined,
 }
 
 impl Entry {
@@ -160,6 +170,8 @@
         Self::Connection,
         Self::Claim,
         Self::Attempt,
+        Self::Suspect,
+        Self::Quarantined,
     ];
 }
 
--- a/src/node/app.rs
+++ b/src/node/app.rs
@@ -12,13 +12,14 @@
 use super::lifecycle::{Event, Lifecycle, Phase};
 use super::members::Members;
 use super::orders::Orders;
+use super::suspects::Suspects;
 use super::train::Steps;
 use super::upstreams::Upstreams;
 use super::{Clock, identity};
 use crate::Name;
 use crate::bundle::Adopted;
-use crate::decide::Served;
-use crate::edge::peer::{NodeInfo, PeerClient};
+use crate::decide::{Served, rank};
+use crate::edge::peer::{NodeInfo, NodeState, PeerClient};
 use crate::edge::platform::Platform;
 use crate::edge::upstream::{EngineClient, PlainClient};
 use crate::error::{Kind, Refusal};
@@ -41,6 +42,7 @@
     pub(super) steps: Steps,
     pub(super) orders: Orders,
     pub(super) claims: Claims,
+    pub(super) suspects: Arc<Suspects>,
     /// The versions that engines were last seen to serve.
     pub(super) served: Mutex<Served>,
     /// Cancelled when the node has stopped: ends every background task.
@@ -66,6 +68,7 @@
             steps: Steps::default(),
             orders: Orders::default(),
             claims: Claims::new(&settings.node.name),
+            suspects: Arc::new(Suspects::new(&settings.node.name)),
             served: Mutex::default(),
             cancel: CancellationToken::new(),
             dispatchers: RwLock::default(),
@@ -93,11 +96,27 @@
         after
     }
 
+    /// Whether another node is known to serve: only then is work let go.
+    pub(super) fn others_serve(&self) -> bool {
+        !self.members.serving(self.clock.now()).is_empty()
+    }
+
     /// What this node says of itself now.
     pub(super) fn info(&self) -> NodeInfo {
         self.members.own()
     }
 
+    /// The home of a key among the nodes that serve, as this node sees them.
+    pub(super) fn home(&self, key: &str) -> Option<Name> {
+        let own = self.info();
+        let mut serving = self.members.serving(self.clock.now());
+        if own.state == NodeState::Serving {
+            serving.push(own);
+        }
+        let ranked = rank(key, serving.iter().map(|n| &*n.name));
+        ranked.first().map(|home| Name::from(*home))
+    }
+
     /// The bundle in force, or the refusal to a caller who came before it.
     pub(super) fn bundle(&self) -> Result<Adopted, Refusal> {
         let wait = self.settings.platform.timeout;
@@ -118,7 +137,7 @@
         self.dispatchers.read().iter().map(|(n, d)| (n.clone(), d.clone())).collect()
     }
 
-    /// Brings the dispatchers in line with a bundle that has come into force.
+    /// Brings the dispatchers in line with a bundle that comes into force.
     pub(super) fn apply(&self, adopted: &Adopted) {
         self.metrics.bundle.set(adopted.bundle.number as i64);
         self.members.set_bundle(adopted.bundle.number);
@@ -133,7 +152,5 @@
             dispatcher.set_shares(adopted.bundle.shares());
         }
         dispatchers.retain(|name, _| adopted.bundle.services.contains_key(name));
-        drop(dispatchers);
-        self.advance(Event::Ready);
     }
 }
--- a/src/node/dispatcher.rs
+++ b/src/node/dispatcher.rs
@@ -189,11 +189,26 @@
 }
 
 impl Turn {
+    /// The attempt is sent now: what it waited before is not the upstream's time.
+    pub(super) fn begin(&mut self) {
+        self.started = self.dispatcher.clock.now();
+    }
+
+    /// A refusal as it may be told after the attempts so far.
+    pub(super) fn judge(&self, refusal: Refusal) -> Refusal {
+        self.history.judge(refusal)
+    }
+
     /// The whole answer came.
     pub(super) fn done(mut self) {
         self.report(Outcome::Answered, None);
     }
 
+    /// The attempt brought a part of the answer that the next goes on from.
+    pub(super) fn progressed(&self) {
+        self.dispatcher.inner.lock().dispatch.progressed(self.ticket);
+    }
+
     /// The attempt failed: waits for another turn, or for the refusal.
     pub(super) async fn again(mut self, outcome: Outcome) -> Result<Turn, Refusal> {
         let reason = match outcome {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -17,6 +17,7 @@
 mod plain;
 mod stream;
 mod subsets;
+mod suspects;
 mod train;
 mod upstreams;
 
