A fleet is settled once routing knows the upstreams

Seen once in four runs of four test programs together, on a busy machine: deadline_passes_in_the_attempt was refused with no_upstream after 200 ms. Likely cause: Node::upstreams() counted the list of VMs, which is there a moment before the dispatchers are told of it, and the fleet counted as settled in between. Node::upstreams() now counts what routing was told. Ruled out: subsets (two upstreams are below their size) and ejection (no attempt was made).

--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -121,9 +121,9 @@
         self.app.suspects.counts().1
     }
 
-    /// How many upstream VMs are known.
+    /// How many upstream VMs routing knows of.
     pub fn upstreams(&self) -> usize {
-        self.app.upstreams.list().len()
+        self.app.upstreams.routed()
     }
 
     /// Stops gracefully: leaves the address answers, serves those who kept one,
--- a/src/node/upstreams.rs
+++ b/src/node/upstreams.rs
@@ -1,6 +1,7 @@
 //! The upstream VMs, from the platform's list.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use parking_lot::RwLock;
@@ -17,11 +18,13 @@
 #[derive(Debug)]
 pub(super) struct Upstreams {
     vms: RwLock<Arc<[Vm]>>,
+    /// How many of them the dispatchers of a bundle in force were told of.
+    routed: AtomicUsize,
 }
 
 impl Default for Upstreams {
     fn default() -> Self {
-        Self { vms: RwLock::new(Arc::from([])) }
+        Self { vms: RwLock::new(Arc::from([])), routed: AtomicUsize::new(0) }
     }
 }
 
@@ -31,6 +34,11 @@
         self.vms.read().clone()
     }
 
+    /// How many upstreams routing knows of.
+    pub(super) fn routed(&self) -> usize {
+        self.routed.load(Ordering::Acquire)
+    }
+
     /// The VMs of one service.
     pub(super) fn of(&self, service: &str) -> Vec<Vm> {
         self.list().iter().filter(|vm| &*vm.service == service).cloned().collect()
@@ -61,15 +69,17 @@
 }
 
 fn publish(app: &App, subsets: &mut Subsets) {
-    let adopted = app.bundles.current();
+    let Some(adopted) = app.bundles.current() else { return };
+    let count = app.upstreams.list().len();
     for (service, dispatcher) in app.dispatchers() {
         let mut vms = app.upstreams.of(&service);
-        if let Some(spec) = adopted.as_ref().and_then(|a| a.bundle.services.get(&service)) {
+        if let Some(spec) = adopted.bundle.services.get(&service) {
             subsets.keep(app, &service, &mut vms, spec.subset);
         }
         let views: Vec<_> = vms.iter().map(|vm| (view(vm), vm.address)).collect();
         dispatcher.set_upstreams(&views);
     }
+    app.upstreams.routed.store(count, Ordering::Release);
 }
 
 fn view(vm: &Vm) -> UpstreamView {
