Two tests of "not run" no longer hang on speed and on who gets a port

Seen in a full run on a busy machine: cut_at_each_point got outcome_unknown at Point::Connect, and deadline_passes_in_the_attempt was refused before it was sent. Cause: the first let its port go before the call, and another server took it; it is bound and held now, without listening. The second gave the node 200 ms to reach an upstream at all; refused as not run, with nothing in the ledger, was true. It has 4 s now against a run of 10 minutes, and the ledger must show the one run.

--- a/standins/src/plain/cutter.rs
+++ b/standins/src/plain/cutter.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio_util::sync::CancellationToken;
 
 /// Where the connection is cut.
@@ -53,6 +53,8 @@
     ];
 }
 
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 64;
 /// The answer, in full.
 const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r\nran once";
 /// Bytes of the answer's head.
@@ -64,19 +66,26 @@
     address: SocketAddr,
     ran: Arc<AtomicU64>,
     cancel: CancellationToken,
+    /// Bound and not listening: nobody else gets the port, and connects are refused.
+    _held: Option<TcpSocket>,
 }
 
 impl Cutter {
     /// Binds an address. After the first connection nothing listens any more if `once`.
     pub async fn bind(address: SocketAddr, point: Point, once: bool) -> std::io::Result<Self> {
-        let socket = TcpListener::bind(address).await?;
+        let socket = TcpSocket::new_v4()?;
+        socket.bind(address)?;
         let address = socket.local_addr()?;
         let ran = Arc::new(AtomicU64::new(0));
         let cancel = CancellationToken::new();
-        if point != Point::Connect {
+        let held = if point == Point::Connect {
+            Some(socket)
+        } else {
+            let socket = socket.listen(BACKLOG)?;
             tokio::spawn(accept(socket, point, once, ran.clone(), cancel.clone()));
-        }
-        Ok(Self { address, ran, cancel })
+            None
+        };
+        Ok(Self { address, ran, cancel, _held: held })
     }
 
     /// The bound address.
--- a/tests/not_run.rs
+++ b/tests/not_run.rs
@@ -106,13 +106,15 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn deadline_passes_in_the_attempt() {
     let fleet = Fleet::spawn(1, 0, EngineSettings::default()).await.unwrap();
-    let slow = standins::plain::Faults { slow_ms: 600, ..Default::default() };
-    fleet.sync.iter().for_each(|p| p.set_faults(slow.clone()));
-    fleet.stock.iter().for_each(|p| p.set_faults(slow.clone()));
-    for path in ["/sync/count", "/stock/items"] {
-        let node = fleet.nodes[0].callers();
-        let answer = send_within(node, path, None, "x", Some(200)).await.unwrap();
-        assert_eq!(told(&answer), Run::Unknown, "{path}: {answer:?}");
+    let slow = standins::plain::Faults { slow_ms: 600_000, ..Default::default() };
+    fleet.sync.iter().chain(&fleet.stock).for_each(|p| p.set_faults(slow.clone()));
+    let node = fleet.nodes[0].callers();
+    let one = |path| send_within(node, path, None, "x", Some(4_000));
+    let (sync, stock) = tokio::join!(one("/sync/count"), one("/stock/items"));
+    for (answer, replicas) in [(sync, &fleet.sync), (stock, &fleet.stock)] {
+        let ran: usize = replicas.iter().map(|p| p.ledger().len()).sum();
+        let answer = answer.unwrap();
+        assert_eq!((told(&answer), ran), (Run::Unknown, 1), "{answer:?}");
     }
 }
 
