--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -9,9 +9,11 @@
 pub mod claim;
 mod deadlines;
 mod dispatch;
+mod drag;
 mod eject;
 mod freshness;
 mod label;
+mod leaving;
 mod limit;
 pub mod members;
 mod open;
@@ -37,9 +39,11 @@
 pub use dispatch::{
     Action, Dispatch, Limits, LoadReport, Report, Shares, Ticket, UpstreamKey, UpstreamView,
 };
+pub use drag::Drag;
 pub use eject::{Failures, most_out};
 pub use freshness::{Prospect, Served, floor};
 pub use label::{Label, Span, Unlabelled};
+pub use leaving::{Departure, Leaving};
 pub use limit::Limit;
 pub use open::Open;
 pub use outcome::{History, Outcome};
--- a/src/node/app.rs
+++ b/src/node/app.rs
@@ -96,6 +96,11 @@
         after
     }
 
+    /// Whether another node is known to serve: only then is work let go.
+    pub(super) fn others_serve(&self) -> bool {
+        !self.members.serving(self.clock.now()).is_empty()
+    }
+
     /// What this node says of itself now.
     pub(super) fn info(&self) -> NodeInfo {
         self.members.own()
@@ -132,7 +137,7 @@
         self.dispatchers.read().iter().map(|(n, d)| (n.clone(), d.clone())).collect()
     }
 
-    /// Brings the dispatchers in line with a bundle that has come into force.
+    /// Brings the dispatchers in line with a bundle that comes into force.
     pub(super) fn apply(&self, adopted: &Adopted) {
         self.metrics.bundle.set(adopted.bundle.number as i64);
         self.members.set_bundle(adopted.bundle.number);
@@ -147,7 +152,5 @@
             dispatcher.set_shares(adopted.bundle.shares());
         }
         dispatchers.retain(|name, _| adopted.bundle.services.contains_key(name));
-        drop(dispatchers);
-        self.advance(Event::Ready);
     }
 }
--- a/tests/sessions.rs
+++ b/tests/sessions.rs
@@ -167,3 +167,31 @@
     assert!(log.ends_with("data: [DONE]\n\n"), "{log}");
     insta::assert_snapshot!(log.replace(&id, "STREAM"));
 }
+
+/// The only node stops: there is nowhere to go on, so it keeps the stream to its end.
+#[tokio::test(flavor = "multi_thread")]
+async fn last_node_keeps_its_streams() {
+    let fleet = Fleet::spawn(1, 1, slow()).await.unwrap();
+    let shop = Caller::new("shop".into(), fleet.callers());
+    let request = completion("long con", 3, 300);
+    let stop = async {
+        streamed(&fleet.engines, 5).await;
+        fleet.nodes[0].stop().await
+    };
+    let (answer, finished) = tokio::join!(shop.stream(&request, GUARD), stop);
+    assert_eq!(answer.unwrap().body, expected(&request));
+    assert!(finished);
+}
+
+/// Engines cut the stream more often than a node makes attempts: as long as new tokens come, the
+/// session goes on.
+#[tokio::test(flavor = "multi_thread")]
+async fn session_outlives_many_engine_failures() {
+    let fleet = Fleet::spawn(2, 2, EngineSettings::default()).await.unwrap();
+    let cut = Faults { cut_after: 3, ..Faults::default() };
+    fleet.engines.iter().for_each(|e| e.set_faults(cut.clone()));
+    let shop = Caller::new("shop".into(), fleet.callers());
+    let request = completion("long con", 3, 100);
+    let answer = shop.stream(&request, GUARD).await;
+    assert_eq!(answer.unwrap().body, expected(&request));
+}
