--- a/src/node/upstreams.rs
+++ b/src/node/upstreams.rs
@@ -1,6 +1,7 @@
 //! The upstream VMs: the platform's list, joined with what peers saw leave.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use parking_lot::{Mutex, RwLock};
@@ -32,6 +33,8 @@
 #[derive(Debug)]
 pub(super) struct Upstreams {
     vms: RwLock<Arc<[Vm]>>,
+    /// How many of them the dispatchers of a bundle in force were told of.
+    routed: AtomicUsize,
     leaving: Mutex<Leaving>,
     /// There is a new list.
     fresh: Notify,
@@ -42,7 +45,9 @@
 impl Default for Upstreams {
     fn default() -> Self {
         let vms = RwLock::new(Arc::from([]));
-        Self { vms, leaving: Mutex::default(), fresh: Notify::new(), urgent: Notify::new() }
+        let routed = AtomicUsize::new(0);
+        let (fresh, urgent) = (Notify::new(), Notify::new());
+        Self { vms, routed, leaving: Mutex::default(), fresh, urgent }
     }
 }
 
@@ -52,6 +57,11 @@
         self.vms.read().clone()
     }
 
+    /// How many upstreams routing knows of.
+    pub(super) fn routed(&self) -> usize {
+        self.routed.load(Ordering::Acquire)
+    }
+
     /// The VMs of one service.
     pub(super) fn of(&self, service: &str) -> Vec<Vm> {
         self.list().iter().filter(|vm| &*vm.service == service).cloned().collect()
@@ -148,15 +158,17 @@
 }
 
 fn publish(app: &App, subsets: &mut Subsets) {
-    let adopted = app.bundles.current();
+    let Some(adopted) = app.bundles.current() else { return };
+    let count = app.upstreams.list().len();
     for (service, dispatcher) in app.dispatchers() {
         let mut vms = app.upstreams.of(&service);
-        if let Some(spec) = adopted.as_ref().and_then(|a| a.bundle.services.get(&service)) {
+        if let Some(spec) = adopted.bundle.services.get(&service) {
             subsets.keep(app, &service, &mut vms, spec.subset);
         }
         let views: Vec<_> = vms.iter().map(|vm| (view(vm), vm.address)).collect();
         dispatcher.set_upstreams(&views);
     }
+    app.upstreams.routed.store(count, Ordering::Release);
 }
 
 fn view(vm: &Vm) -> UpstreamView {
