Each client is told its own eight nodes

Cause: an address answer held every serving node, shuffled anew: 6.9 KB at 380 nodes, another choice at each answer, and no bound on who moves together when a node or a zone goes.

--- a/src/client/addresses.rs
+++ b/src/client/addresses.rs
@@ -49,12 +49,20 @@
     answer: Mutex<Answer>,
     /// The trainer whose steps are pulled: its home comes first in the answer.
     trainer: Option<Name>,
+    /// Tells this client from others behind the same address.
+    client: u64,
 }
 
 impl AddressBook {
     /// A book that asks one of `seeds` first.
     pub fn new(seeds: Vec<SocketAddr>) -> Self {
-        Self { seeds, fetch: Fetch::default(), answer: Mutex::default(), trainer: None }
+        Self {
+            seeds,
+            fetch: Fetch::default(),
+            answer: Mutex::default(),
+            trainer: None,
+            client: rand::random(),
+        }
     }
 
     /// A book that stays with the home of a trainer's steps, and goes down the
@@ -117,7 +125,7 @@
     async fn ask(&self, node: SocketAddr) -> Result<Addresses, FetchError> {
         let path = match &self.trainer {
             Some(trainer) => format!("/v1/addresses?trainer={trainer}"),
-            None => "/v1/addresses".to_owned(),
+            None => format!("/v1/addresses?client={:016x}", self.client),
         };
         self.fetch.get(node, &path, LIMIT).await
     }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -3,6 +3,7 @@
 //! Each takes its state, an event and the present moment, and returns typed
 //! actions. The daemon turns sockets and timers into events, and actions into I/O.
 
+mod address;
 mod admission;
 mod ahead;
 mod call;
@@ -32,6 +33,7 @@
 mod subset;
 mod turns;
 
+pub use address::{ANSWER, Site, sites_of};
 pub use admission::{Outlook, Returns};
 pub use ahead::ahead;
 pub use call::{Call, Class, Repeat};
--- a/src/node/callers.rs
+++ b/src/node/callers.rs
@@ -8,18 +8,17 @@
 use http::request::Parts;
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
-use rand::seq::SliceRandom;
 use serde::de::DeserializeOwned;
-use serde::{Deserialize, Serialize};
 use serde_json::json;
 
+use super::addresses::{Addresses, for_client, for_trainer, parameter};
 use super::app::App;
 use super::claims::OnceCall;
 use super::stream::completions;
 use super::{claims, plain, train};
 use crate::Name;
 use crate::bundle::Bundle;
-use crate::decide::{Call, Class, rank};
+use crate::decide::{Call, Class};
 use crate::edge::http::{Body, Handler, json as answer, problem, read};
 use crate::error::{Kind, Refusal};
 
@@ -34,15 +33,6 @@
 /// The caller that requests without a name count for.
 const NOBODY: &str = "anonymous";
 
-/// The addresses that a caller may use.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Addresses {
-    /// Nodes that serve.
-    pub addresses: Vec<SocketAddr>,
-    /// How long the answer may be kept, in milliseconds.
-    pub ttl_ms: u64,
-}
-
 /// The handler of the callers' listener.
 #[derive(Debug)]
 pub(super) struct Callers {
@@ -50,9 +40,13 @@
 }
 
 impl Handler for Callers {
-    async fn answer(self: Arc<Self>, request: Request<Incoming>, _: SocketAddr) -> Response<Body> {
+    async fn answer(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+        from: SocketAddr,
+    ) -> Response<Body> {
         self.app.metrics.inflight.inc();
-        let answered = route(&self.app, request).await;
+        let answered = route(&self.app, request, from).await;
         self.app.metrics.inflight.dec();
         answered.unwrap_or_else(|refusal| {
             self.app.metrics.refused(refusal.kind);
@@ -66,18 +60,18 @@
     }
 }
 
-async fn route(app: &Arc<App>, request: Request<Incoming>) -> Result<Response<Body>, Refusal> {
+async fn route(
+    app: &Arc<App>,
+    request: Request<Incoming>,
+    from: SocketAddr,
+) -> Result<Response<Body>, Refusal> {
     let (head, body) = request.into_parts();
     let path = head.uri.path().to_owned();
     let segments: Vec<&str> = path.split('/').skip(1).collect();
     match segments.as_slice() {
         ["v1", "addresses"] => {
             method(&head, &Method::GET)?;
-            let found = match trainer(head.uri.query()) {
-                Some(trainer) => homes(app, trainer),
-                None => addresses(app),
-            };
-            Ok(answer(StatusCode::OK, &found))
+            Ok(answer(StatusCode::OK, &addresses(app, head.uri.query(), from)))
         }
         ["v1", "completions"] => {
             method(&head, &Method::POST)?;
@@ -107,35 +101,15 @@
     }
 }
 
-/// The trainer that `?trainer=NAME` names.
-fn trainer(query: Option<&str>) -> Option<&str> {
-    query?.split('&').find_map(|pair| pair.strip_prefix("trainer="))
-}
-
-/// The addresses for a trainer: the home of its steps first, then its successors.
-/// Every node answers alike, so a step that moves finds its next home again.
-fn homes(app: &App, trainer: &str) -> Addresses {
-    let mut nodes = app.members.serving(app.clock.now());
-    let own = app.info();
-    if own.state == crate::edge::peer::NodeState::Serving || nodes.is_empty() {
-        nodes.push(own);
+/// The addresses for whom the query names; without a name, for the address that asks.
+fn addresses(app: &App, query: Option<&str>, from: SocketAddr) -> Addresses {
+    if let Some(trainer) = parameter(query, "trainer") {
+        return for_trainer(app, trainer);
     }
-    let names = rank(trainer, nodes.iter().map(|n| &*n.name));
-    let address = |name: &str| nodes.iter().find(|n| &*n.name == name).map(|n| n.callers);
-    let addresses = names.into_iter().filter_map(address).collect();
-    Addresses { addresses, ttl_ms: app.settings.drain.ttl.as_millis() as u64 }
-}
-
-pub(super) fn addresses(app: &App) -> Addresses {
-    let now = app.clock.now();
-    let mut nodes = app.members.reached(now);
-    let own = app.info();
-    if own.state == crate::edge::peer::NodeState::Serving || nodes.is_empty() {
-        nodes.push(own);
+    match parameter(query, "client") {
+        Some(client) => for_client(app, client),
+        None => for_client(app, &from.ip().to_string()),
     }
-    let mut addresses: Vec<SocketAddr> = nodes.iter().map(|n| n.callers).collect();
-    addresses.shuffle(&mut rand::rng());
-    Addresses { addresses, ttl_ms: app.settings.drain.ttl.as_millis() as u64 }
 }
 
 async fn services(
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,5 +1,6 @@
 //! The running node: the shell around the decisions.
 
+mod addresses;
 mod admin;
 mod app;
 mod bundles;
@@ -21,9 +22,9 @@
 mod train;
 mod upstreams;
 
+pub use addresses::Addresses;
 pub use admin::{BundleState, RefusalCount, UpstreamState};
 pub use bundles::{CURRENT, HISTORY, PROPOSED};
-pub use callers::Addresses;
 pub use clock::Clock;
 pub use lifecycle::Phase;
 pub use node::{Node, StartError};
--- a/src/node/stream.rs
+++ b/src/node/stream.rs
@@ -15,8 +15,9 @@
 use tokio_util::task::AbortOnDropHandle;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::addresses::{Addresses, for_client};
 use super::app::App;
-use super::callers::{Addresses, addresses, call_of};
+use super::callers::call_of;
 use super::complete::{Job, Progress, Whole, complete};
 use super::lifecycle::Phase;
 use crate::decide::Repeat;
@@ -189,7 +190,8 @@
     fn moved(&self) -> String {
         let Place { id, index } = &self.place;
         tracing::info!(event = "stream_moved", %id, index);
-        let Addresses { addresses, ttl_ms } = addresses(&self.app);
+        // The stream has its own few nodes, so that those that leave together spread.
+        let Addresses { addresses, ttl_ms } = for_client(&self.app, id);
         let last = format!("{id}/{index}");
         let data = json!({ "last_event_id": last, "addresses": addresses, "ttl_ms": ttl_ms });
         format!("event: moved\ndata: {data}\n\n")
