Connections to the peer port that say nothing are cut; one accept loop for both listeners

Cause: the handshake of a peer had no end, so that anyone who connected and said nothing held a task and a descriptor for good; and the peer listener span without a pause when accept failed. The HTTP listener had the pause in its own copy of the loop.

Ruled out: a bound on open peer connections, which a mute one could fill as well.

Before: silent_peers_are_cut still open after its guard of 20 s. After: cut after 2 s. Conclusion: the loop stands once, in src/edge/socket.rs.

--- a/src/edge/http/server.rs
+++ b/src/edge/http/server.rs
@@ -12,17 +12,16 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use super::{Body, problem};
+use crate::edge::socket::Socket;
 use crate::error::{Kind, Refusal};
 use crate::settings::Connections;
 
-/// Pause after a failed accept, such as when descriptors run out.
-const PAUSE: Duration = Duration::from_millis(50);
 /// Connections over the limit that are told so at the same time; more are cut.
 const TOLD: usize = 64;
 /// How long telling them may take.
@@ -46,8 +45,7 @@
 /// A listener that is bound but does not accept yet.
 #[derive(Debug)]
 pub struct Listener {
-    socket: TcpListener,
-    address: SocketAddr,
+    socket: Socket,
 }
 
 /// What all connections of a listener share.
@@ -60,14 +58,12 @@
 impl Listener {
     /// Binds an address; port 0 takes a free one.
     pub async fn bind(address: SocketAddr) -> std::io::Result<Self> {
-        let socket = TcpListener::bind(address).await?;
-        let address = socket.local_addr()?;
-        Ok(Self { socket, address })
+        Ok(Self { socket: Socket::bind(address).await? })
     }
 
     /// The bound address.
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.socket.address()
     }
 
     /// Accepts until cancelled; then lets each connection finish what it began.
@@ -85,22 +81,10 @@
     }
 }
 
-async fn accept<H: Handler>(socket: TcpListener, shared: Arc<Shared<H>>, tracker: TaskTracker) {
+async fn accept<H: Handler>(socket: Socket, shared: Arc<Shared<H>>, tracker: TaskTracker) {
     let open = Arc::new(Semaphore::new(shared.limits.most));
     let told = Arc::new(Semaphore::new(TOLD));
-    loop {
-        let accepted = tokio::select! {
-            () = shared.cancel.cancelled() => return,
-            accepted = socket.accept() => accepted,
-        };
-        let (stream, from) = match accepted {
-            Ok(accepted) => accepted,
-            Err(e) => {
-                tracing::warn!(event = "accept_failed", error = %e);
-                tokio::time::sleep(PAUSE).await;
-                continue;
-            }
-        };
+    while let Some((stream, from)) = socket.accept(&shared.cancel).await {
         if let Ok(permit) = open.clone().try_acquire_owned() {
             let task = serve(stream, from, shared.clone());
             tracker.spawn(async move {
@@ -121,7 +105,6 @@
 }
 
 async fn serve<H: Handler>(stream: TcpStream, from: SocketAddr, shared: Arc<Shared<H>>) {
-    let _ = stream.set_nodelay(true);
     let asked = Arc::new(AtomicBool::new(false));
     let (handler, begun) = (shared.handler.clone(), asked.clone());
     let service = service_fn(move |request| {
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -4,3 +4,5 @@
 pub mod peer;
 pub mod platform;
 pub mod upstream;
+
+mod socket;
--- a/src/edge/peer/server.rs
+++ b/src/edge/peer/server.rs
@@ -3,19 +3,23 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use h2::server::SendResponse;
 use h2::{Reason, RecvStream};
 use http::{Response, StatusCode};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use super::codec::{MESSAGE_LIMIT, VERSION, decode, encode};
 use super::{Reply, Request};
+use crate::edge::socket::Socket;
 use crate::metrics::Metrics;
 
+/// How long the other side may take to begin: a peer sends its preface with the connection.
+const HANDSHAKE: Duration = Duration::from_secs(2);
 /// The header that names the protocol version.
 pub(super) const VERSION_HEADER: &str = "mulberry-peer-version";
 
@@ -31,21 +35,18 @@
 /// A listener that is bound but does not accept yet.
 #[derive(Debug)]
 pub struct PeerListener {
-    socket: TcpListener,
-    address: SocketAddr,
+    socket: Socket,
 }
 
 impl PeerListener {
     /// Binds an address; port 0 takes a free one.
     pub async fn bind(address: SocketAddr) -> std::io::Result<Self> {
-        let socket = TcpListener::bind(address).await?;
-        let address = socket.local_addr()?;
-        Ok(Self { socket, address })
+        Ok(Self { socket: Socket::bind(address).await? })
     }
 
     /// The bound address.
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.socket.address()
     }
 
     /// Accepts until cancelled; then lets each connection finish its streams.
@@ -57,16 +58,14 @@
     ) {
         let tracker = connections.clone();
         connections.spawn(async move {
-            loop {
-                let accepted = tokio::select! {
-                    () = cancel.cancelled() => return,
-                    accepted = self.socket.accept() => accepted,
-                };
-                if let Ok((stream, from)) = accepted {
-                    let task =
-                        serve(stream, from, handler.clone(), tracker.clone(), cancel.clone());
-                    tracker.spawn(task);
-                }
+            while let Some((stream, from)) = self.socket.accept(&cancel).await {
+                tracker.spawn(serve(
+                    stream,
+                    from,
+                    handler.clone(),
+                    tracker.clone(),
+                    cancel.clone(),
+                ));
             }
         });
     }
@@ -79,13 +78,17 @@
     tracker: TaskTracker,
     cancel: CancellationToken,
 ) {
-    let _ = stream.set_nodelay(true);
-    let mut connection = match h2::server::handshake(stream).await {
-        Ok(connection) => connection,
-        Err(e) => {
+    let handshake = tokio::time::timeout(HANDSHAKE, h2::server::handshake(stream));
+    let mut connection = match handshake.await {
+        Ok(Ok(connection)) => connection,
+        Ok(Err(e)) => {
             tracing::warn!(event = "peer_garbage", %from, error = %e);
             return;
         }
+        Err(_) => {
+            tracing::warn!(event = "peer_mute", %from);
+            return;
+        }
     };
     let mut closing = false;
     loop {
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -219,3 +219,12 @@
     let value = serde_json::to_vec(envelope).unwrap();
     platform.put(CURRENT, value, None, PlatformUse::Bundle).await.unwrap();
 }
+
+/// A connection to the peer port that never says anything is closed by the node.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_peers_are_cut() {
+    let fleet = Fleet::spawn(1, 1, EngineSettings::default()).await.unwrap();
+    let silent = raw(fleet.nodes[0].peers(), b"");
+    let answer = tokio::time::timeout(WAIT, silent).await.expect("it is still open");
+    assert_eq!(answer.matches("HTTP").count(), 0);
+}
