A refusal as stale says that a part may have run; the outcome of a message in a file of its own

Cause: 'stale' is refused as not run, which holds before the first attempt only; it was also given after part of an answer, and after an attempt whose outcome is unknown.

Before and after: by reading; the answer of the table for 'stale' is unchanged for what was never sent. Conclusion: every refusal in complete.rs goes through the history of its attempts or says unsure.

--- a/src/decide/members/mod.rs
+++ b/src/decide/members/mod.rs
@@ -7,9 +7,11 @@
 //! every message would outgrow the control budget.
 
 mod gossip;
+mod heard;
 mod state;
 mod table;
 
 pub use gossip::{Beat, Gossip, News, id};
+pub use heard::Heard;
 pub use state::{NodeState, Standing};
-pub use table::{Heard, Members};
+pub use table::Members;
--- a/src/decide/members/table.rs
+++ b/src/decide/members/table.rs
@@ -12,7 +12,7 @@
 use rand::seq::{IndexedRandom, IteratorRandom};
 use rand::{Rng, SeedableRng};
 
-use super::{Beat, Gossip, News, NodeState, Standing};
+use super::{Beat, Gossip, Heard, News, NodeState, Standing};
 use crate::{Moment, Name};
 
 /// Most news in a message. At 95 bytes each this bounds a message to 1.2 KB.
@@ -53,17 +53,6 @@
     sends: u32,
 }
 
-/// What a message changed.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Heard {
-    /// A node came, went or changed its state: pass it on at once.
-    pub changed: bool,
-    /// Number of the bundle in force at the sender.
-    pub bundle: u64,
-    /// The sender in short; `None` for an empty message.
-    pub sender: Option<u32>,
-}
-
 /// The table of one node.
 #[derive(Debug)]
 pub struct Members<C> {
--- a/src/node/complete.rs
+++ b/src/node/complete.rs
@@ -122,7 +122,7 @@
             )
         {
             // Dropping the turn gives it back: nothing was sent.
-            return Err(stale("the upstream serves weights that are too old"));
+            return Err(turn.judge(stale("the upstream serves weights that are too old")));
         }
         let before = progress.label.tokens();
         let visit = Visit::enter(app, &turn.upstream, turn.address, suspect, deadline).await;
@@ -138,7 +138,8 @@
                 return Ok(Whole { text, label, finish, upstream });
             }
             Ok(Ok(End::Stale(version))) => {
-                return Err(stale(&format!("version {version} is too old by now")));
+                let detail = format!("version {version} is too old by now");
+                return Err(stale(&detail).unsure(Kind::Stale));
             }
             Ok(Err(failure)) => {
                 tracing::info!(
