The limit of an upstream is judged by what was made, not by what was expected

Cause: the limit compared the time of an answer for each token that it might have had (max_tokens) with the usual one. Samples of 16 tokens set the usual pace, those of 64 then looked four times too slow, and the level fell, under training alone, to 1 of 16 places at an upstream that was not slow at all.

Ruled out: refusals and failed attempts (none in the log) and engines that were full (6 of 16).

Conclusion: expectations (admission, routing) go on with what is expected, the limit with what came. The experiment's model reports no lengths and is unchanged.

--- a/benches/dispatch.rs
+++ b/benches/dispatch.rs
@@ -47,7 +47,8 @@
                 let ticket = dispatch.offer(Call { prefix, deadline, ..call.clone() }, now);
                 let sent = matches!(dispatch.actions().as_slice(), [Action::Send { .. }]);
                 assert!(sent);
-                let report = Report { outcome: Outcome::Answered, took: Duration::from_secs(1) };
+                let report =
+                    Report { outcome: Outcome::Answered, took: Duration::from_secs(1), done: None };
                 dispatch.ended(ticket, report, now);
             });
         });
--- a/src/decide/dispatch/dispatch.rs
+++ b/src/decide/dispatch/dispatch.rs
@@ -268,8 +268,7 @@
             State::Running { at, since } => {
                 pending.avoid = Some(at);
                 self.running -= 1;
-                let took = report.map_or(now.saturating_sub(since), |r| r.took);
-                self.pool.end(at, cost, report.map(|r| r.outcome), took, now);
+                self.pool.end(at, cost, since, report, now);
             }
             State::Between => {}
         }
--- a/src/decide/dispatch/message.rs
+++ b/src/decide/dispatch/message.rs
@@ -68,6 +68,9 @@
     pub outcome: Outcome,
     /// How long it took.
     pub took: Duration,
+    /// What it came to, in the unit of the call's cost, if that is known by now: a call's
+    /// own cost is the most that it may come to.
+    pub done: Option<u32>,
 }
 
 /// What the shell is to do.
--- a/src/decide/dispatch/pool.rs
+++ b/src/decide/dispatch/pool.rs
@@ -4,13 +4,12 @@
 //! all: its cost doesn't grow with the fleet.
 
 use std::collections::HashMap;
-use std::time::Duration;
 
 use rand::rngs::SmallRng;
 use slotmap::SlotMap;
 
 use super::upstream::Upstream;
-use super::{LoadReport, UpstreamKey, UpstreamView};
+use super::{LoadReport, Report, UpstreamKey, UpstreamView};
 use crate::decide::{
     Call, Class, Deadlines, Open, Others, Outcome, Pace, Ring, bounded, expected, most_out, two,
 };
@@ -159,16 +158,19 @@
         self.upstreams[key].view.name.clone()
     }
 
-    /// An attempt ended; `None` if it was given up.
+    /// An attempt ended; without a report it was given up, `since` then.
     pub(super) fn end(
         &mut self,
         key: UpstreamKey,
         cost: u32,
-        outcome: Option<Outcome>,
-        took: Duration,
+        since: Moment,
+        report: Option<Report>,
         now: Moment,
     ) {
         self.running -= 1;
+        let outcome = report.map(|r| r.outcome);
+        let took = report.map_or(now.saturating_sub(since), |r| r.took);
+        let done = report.and_then(|r| r.done).unwrap_or(cost);
         if outcome == Some(Outcome::Answered) {
             self.typical.record(cost, took, now);
         }
@@ -176,7 +178,7 @@
         self.change(key, |u| {
             match outcome {
                 Some(Outcome::Answered) => {
-                    u.answered(cost, took, now);
+                    u.answered(cost, done, took, now);
                     return;
                 }
                 Some(Outcome::Refused) => u.limit.refused(),
--- a/src/decide/dispatch/upstream.rs
+++ b/src/decide/dispatch/upstream.rs
@@ -37,9 +37,12 @@
         self.view.open && self.out.is_none()
     }
 
-    pub(super) fn answered(&mut self, cost: u32, took: Duration, now: Moment) {
+    /// `cost` was expected and `done` came of it. Expectations are made with the first;
+    /// how fast the upstream is shows in the second, since lengths differ by more than a
+    /// slow upstream does.
+    pub(super) fn answered(&mut self, cost: u32, done: u32, took: Duration, now: Moment) {
         self.pace.record(cost, took, now);
-        self.limit.answered(per_cost(cost, took));
+        self.limit.answered(per_cost(done, took));
         self.failures.answered();
         self.limit.end();
     }
--- a/src/node/complete.rs
+++ b/src/node/complete.rs
@@ -133,7 +133,7 @@
             Ok(Ok(End::Finished(finish))) => {
                 visit.passed();
                 let upstream = turn.upstream.clone();
-                turn.done();
+                turn.done(Some(progress.label.tokens() - before));
                 let Progress { text, label, .. } = std::mem::take(progress);
                 return Ok(Whole { text, label, finish, upstream });
             }
--- a/src/node/dispatcher.rs
+++ b/src/node/dispatcher.rs
@@ -142,7 +142,7 @@
     /// The upstream left as the turn came: nothing was sent.
     fn returned(&self, ticket: Ticket) -> oneshot::Receiver<Result<Name, Refusal>> {
         let (sender, receiver) = oneshot::channel();
-        let report = Report { outcome: Outcome::Unsent, took: Duration::ZERO };
+        let report = Report { outcome: Outcome::Unsent, took: Duration::ZERO, done: None };
         let mut inner = self.inner.lock();
         inner.waiters.insert(ticket, sender);
         inner.dispatch.ended(ticket, report, self.clock.now());
@@ -199,9 +199,9 @@
         self.history.judge(refusal)
     }
 
-    /// The whole answer came.
-    pub(super) fn done(mut self) {
-        self.report(Outcome::Answered, None);
+    /// The whole answer came. `done` is what it came to at this upstream, if that is known.
+    pub(super) fn done(mut self, done: Option<u32>) {
+        self.report(Outcome::Answered, done, None);
     }
 
     /// The attempt brought a part of the answer that the next goes on from.
@@ -217,7 +217,7 @@
             Outcome::Unknown | Outcome::Answered => RetryReason::Unknown,
         };
         let (sender, receiver) = oneshot::channel();
-        self.report(outcome, Some(sender));
+        self.report(outcome, None, Some(sender));
         let mut history = self.history;
         history.note(outcome);
         let turn = self.dispatcher.turn(self.ticket, receiver).await;
@@ -227,10 +227,10 @@
         Ok(turn)
     }
 
-    fn report(&mut self, outcome: Outcome, waiter: Option<Waiter>) {
+    fn report(&mut self, outcome: Outcome, done: Option<u32>, waiter: Option<Waiter>) {
         self.ended = true;
         let now = self.dispatcher.clock.now();
-        let report = Report { outcome, took: now.saturating_sub(self.started) };
+        let report = Report { outcome, took: now.saturating_sub(self.started), done };
         let mut inner = self.dispatcher.inner.lock();
         if let Some(waiter) = waiter {
             inner.waiters.insert(self.ticket, waiter);
--- a/src/node/plain.rs
+++ b/src/node/plain.rs
@@ -85,7 +85,7 @@
         let failure = match visit.run(attempt).await {
             Ok(answer) => {
                 visit.passed();
-                turn.done();
+                turn.done(None);
                 return Ok(answer);
             }
             Err(failure) => failure,
--- a/standins/src/experiment/run.rs
+++ b/standins/src/experiment/run.rs
@@ -249,7 +249,7 @@
         }
         asked.at = None;
         let outcome = outcome.outcome();
-        let report = Report { outcome, took: now - asked.sent };
+        let report = Report { outcome, took: now - asked.sent, done: None };
         if outcome == Outcome::Answered
             && let Some(mut asked) = self.asked.remove(&ticket)
         {
--- a/tests/load_golden.rs
+++ b/tests/load_golden.rs
@@ -58,7 +58,11 @@
     log.step(0, "offer before any upstream is known");
     log.dispatch.set_upstreams(&views(&[true, true]), ms(10));
     log.step(10, "two upstreams");
-    log.dispatch.ended(early, Report { outcome: Outcome::Answered, took: ms(5) }, ms(15));
+    log.dispatch.ended(
+        early,
+        Report { outcome: Outcome::Answered, took: ms(5), done: None },
+        ms(15),
+    );
     log.step(15, "the first is answered");
     let first = log.dispatch.offer(call("shop", Class::Live, Repeat::Idempotent, 900), ms(20));
     let second = log.dispatch.offer(call("shop", Class::Live, Repeat::Once, 900), ms(20));
@@ -71,9 +75,17 @@
     log.dispatch.offer(call("other", Class::Live, Repeat::Idempotent, 900), ms(40));
     log.step(40, "another caller comes to a full queue");
     log.dispatch.load_report("u0", LoadReport { total: 9, at: ms(50) });
-    log.dispatch.ended(first, Report { outcome: Outcome::Unknown, took: ms(40) }, ms(60));
+    log.dispatch.ended(
+        first,
+        Report { outcome: Outcome::Unknown, took: ms(40), done: None },
+        ms(60),
+    );
     log.step(60, "the first breaks off and waits again");
-    log.dispatch.ended(second, Report { outcome: Outcome::Unknown, took: ms(50) }, ms(70));
+    log.dispatch.ended(
+        second,
+        Report { outcome: Outcome::Unknown, took: ms(50), done: None },
+        ms(70),
+    );
     log.step(70, "the second breaks off, which may not be repeated");
     log.dispatch.tick(ms(100));
     log.step(100, "time passes");
--- a/tests/load_invariants.rs
+++ b/tests/load_invariants.rs
@@ -142,7 +142,7 @@
                 if outcome == Outcome::Answered {
                     self.open.remove(&ticket);
                 }
-                let report = Report { outcome, took: Duration::from_millis(20) };
+                let report = Report { outcome, took: Duration::from_millis(20), done: None };
                 self.dispatch.ended(ticket, report, self.now);
             }
             Step::Withdraw { which } => {
--- a/tests/load_sessions.rs
+++ b/tests/load_sessions.rs
@@ -38,7 +38,11 @@
         if progress {
             dispatch.progressed(ticket);
         }
-        dispatch.ended(ticket, Report { outcome: Outcome::Unknown, took }, took * minute as u32);
+        dispatch.ended(
+            ticket,
+            Report { outcome: Outcome::Unknown, took, done: None },
+            took * minute as u32,
+        );
     }
     sent
 }
@@ -61,7 +65,7 @@
     let second = Duration::from_secs;
     dispatch.progressed(ticket);
     dispatch.set_upstreams(&[shut("a"), shut("b")], second(61));
-    let report = Report { outcome: Outcome::Unknown, took: second(1) };
+    let report = Report { outcome: Outcome::Unknown, took: second(1), done: None };
     dispatch.ended(ticket, report, second(62));
     dispatch.tick(second(70));
     assert_eq!(dispatch.actions(), []);
