A step that is only submitted is begun in part, as idle_weight says

Ruled out: a version of its own for early steps in the protocol; submitting without pulling says the same.

A trainer submits its next step while it trains (Pulling::prepare); until it asks for groups, at most ahead(idle_weight, samples, bound) samples are begun.

Before: next_step_is_begun_early_in_part sees 12 of 12 begun. After: 10, and the last 2 once the trainer asks.

--- a/src/client/trainer.rs
+++ b/src/client/trainer.rs
@@ -119,6 +119,15 @@
         &self.report
     }
 
+    /// Submits the step without asking for groups: while the trainer trains on the last
+    /// one, as many samples are made early as the bundle's `idle_weight` allows.
+    pub async fn prepare(&mut self) -> Result<(), TrainerError> {
+        while self.held().await?.is_none() {
+            self.failure().await?;
+        }
+        Ok(())
+    }
+
     /// The groups that come next; none once the step is whole. They count as
     /// received with the next call: a trainer that has to survive its own restart
     /// keeps them first.
--- a/src/decide/step.rs
+++ b/src/decide/step.rs
@@ -133,6 +133,16 @@
         begun
     }
 
+    /// The same before the trainer asks for the step: no more samples than `early` in all.
+    pub fn start_early(&mut self, most: usize, early: usize) -> Vec<Slot> {
+        self.start(most.min(early.saturating_sub(self.filled.len())))
+    }
+
+    /// Samples of all groups together.
+    pub fn samples(&self) -> u32 {
+        self.spec.groups.iter().map(|prompt| prompt.samples).sum()
+    }
+
     /// The priority of a slot that begins now.
     pub fn priority(&self, slot: Slot) -> i32 {
         let size = self.prompt(slot).map_or(1, |p| p.samples);
--- a/src/node/train/fill.rs
+++ b/src/node/train/fill.rs
@@ -7,7 +7,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::held::{Held, leaving};
-use crate::decide::{Call, Class, Fill, Prompt, Prospect, Repeat, Sample, Slot, window};
+use crate::decide::{Call, Class, Fill, Prompt, Prospect, Repeat, Sample, Slot, ahead, window};
 use crate::edge::upstream::Completion;
 use crate::error::Refusal;
 use crate::node::app::App;
@@ -18,12 +18,21 @@
 /// Pause before a sample that failed is begun again.
 const PAUSE: Duration = Duration::from_millis(100);
 
-/// Begins as many slots as the upstreams have places for, and some.
+/// Begins as many slots as the upstreams have places for, and some. Before the trainer
+/// asks for the step, only as many as the bundle's `idle_weight` allows.
 pub(super) fn start(app: &Arc<App>, held: &Arc<Held>) {
     if leaving(app) {
         return;
     }
-    let slots = held.step.lock().start(window(places(app, held)));
+    let most = window(places(app, held));
+    let slots = if held.asked.load(Ordering::Relaxed) {
+        held.step.lock().start(most)
+    } else {
+        let weight = app.bundles.current().map_or(0.0, |a| a.bundle.idle_weight);
+        let mut step = held.step.lock();
+        let early = ahead(weight, step.samples(), step.bound());
+        step.start_early(most, early as usize)
+    };
     for slot in slots {
         let (app, held) = (app.clone(), held.clone());
         tokio::spawn(async move {
--- a/src/node/train/held.rs
+++ b/src/node/train/held.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use parking_lot::Mutex;
 use tokio::sync::Notify;
@@ -39,6 +39,8 @@
     pub(super) filled: Notify,
     /// Ends what is under way for the step.
     pub(super) cancel: CancellationToken,
+    /// The trainer has asked for groups; before that, it only submitted the step.
+    pub(super) asked: AtomicBool,
     seen: Mutex<Instant>,
 }
 
@@ -140,6 +142,7 @@
         drag: Mutex::default(),
         filled: Notify::new(),
         cancel: app.cancel.child_token(),
+        asked: AtomicBool::new(false),
         seen: Mutex::new(Instant::now()),
     });
     shard.insert(key, held.clone());
--- a/src/node/train/pull.rs
+++ b/src/node/train/pull.rs
@@ -1,6 +1,7 @@
 //! Handing groups over to a trainer.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -27,6 +28,7 @@
     let key = (trainer, number);
     let unknown = || Refusal::new(Kind::UnknownStep, format!("step {number} is not held here"));
     let held = app.steps.get(&key).ok_or_else(unknown)?;
+    held.asked.store(true, Ordering::Relaxed);
     let until = Instant::now() + Duration::from_millis(pull.wait_ms).min(LONGEST);
     loop {
         let filled = held.filled.notified();
--- a/tests/steps.rs
+++ b/tests/steps.rs
@@ -360,3 +360,24 @@
         }
     }
 }
+
+/// A trainer submits its next step while it still trains: as many samples are begun as the
+/// bundle's idle weight allows (0.8 of 12, rounded), and the rest once it asks for the step.
+#[tokio::test(flavor = "multi_thread")]
+async fn next_step_is_begun_early_in_part() {
+    let fleet = Fleet::spawn(2, 2, EngineSettings::default()).await.unwrap();
+    let spec = spec(4, 3, 8);
+    let trainer = Trainer::new("coach".into(), fleet.callers());
+    let mut pulling = trainer.resume(1, &spec, BTreeMap::new());
+    pulling.prepare().await.unwrap();
+    let made = async {
+        while begun(&fleet).len() < 10 || fleet.engines.iter().any(|e| e.running() > 0) {
+            tokio::time::sleep(POLL).await;
+        }
+    };
+    tokio::time::timeout(GUARD, made).await.unwrap();
+    assert_eq!(begun(&fleet).len(), 10);
+    while !pulling.next().await.unwrap().is_empty() {}
+    whole(pulling.report(), &spec);
+    assert_eq!(begun(&fleet).len(), 12);
+}
