Test: a body without a stated length that goes past the limit

Cause: the one bad input of the list without a test. Ruled out nothing: it was right already. Before: not shown. Conclusion: every bad input of the list has a test.

--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -228,3 +228,31 @@
     let answer = tokio::time::timeout(WAIT, silent).await.expect("it is still open");
     assert_eq!(answer.matches("HTTP").count(), 0);
 }
+
+/// A body that does not say how large it is goes past the limit: it is refused as too
+/// large, and nothing ran.
+#[tokio::test(flavor = "multi_thread")]
+async fn oversized_without_a_length() {
+    let fleet = Fleet::spawn(1, 1, EngineSettings::default()).await.unwrap();
+    let stream = TcpStream::connect(fleet.nodes[0].callers()).await.unwrap();
+    let (mut input, mut output) = stream.into_split();
+    let sent = tokio::spawn(async move {
+        let head =
+            "POST /v1/services/stock/ HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n";
+        output.write_all(head.as_bytes()).await.unwrap();
+        let chunk = format!("100000\r\n{}\r\n", "x".repeat(1 << 20));
+        // The node may close before it has read everything.
+        for _ in 0..64 {
+            if output.write_all(chunk.as_bytes()).await.is_err() {
+                return;
+            }
+        }
+    });
+    let mut first = vec![0; 12];
+    input.read_exact(&mut first).await.unwrap();
+    assert_eq!(String::from_utf8_lossy(&first), "HTTP/1.1 413");
+    drop(input);
+    sent.await.unwrap();
+    assert!(fleet.stock.iter().all(|p| p.ledger().is_empty()));
+    answers(&fleet).await;
+}
