--- a/tests/labels.rs
+++ b/tests/labels.rs
@@ -74,18 +74,23 @@
     fleet.engines.iter().for_each(|e| e.set_faults(Faults::default()));
 }
 
+/// Changes the weights in the middle of the streams, and checks that some met the change.
+async fn changed(fleet: &Fleet) {
+    let versions = disturbed(fleet, async {
+        streaming(fleet).await;
+        fleet.apply(2, &bundle(2, 2)).await.unwrap();
+        made(fleet, 2).await;
+    })
+    .await;
+    assert!(versions.contains(&2), "no stream met the change: {versions:?}");
+}
+
 /// The weights change in the middle of the streams.
 #[tokio::test(flavor = "multi_thread")]
 async fn weights_change_in_a_stream() {
     let fleet = Fleet::spawn(2, 2, slow()).await.unwrap();
     crawl(&fleet, &Faults::default());
-    let versions = disturbed(&fleet, async {
-        streaming(&fleet).await;
-        fleet.apply(2, &bundle(2, 2)).await.unwrap();
-        made(&fleet, 2).await;
-    })
-    .await;
-    assert!(versions.contains(&2), "no stream met the change: {versions:?}");
+    changed(&fleet).await;
 }
 
 /// A swap fails partway: its streams go on at the other engine.
@@ -120,13 +125,7 @@
 async fn streams_resume_on_newer_weights() {
     let fleet = Fleet::spawn(2, 3, slow()).await.unwrap();
     crawl(&fleet, &Faults { cut_after: 8, ..Faults::default() });
-    let versions = disturbed(&fleet, async {
-        streaming(&fleet).await;
-        fleet.apply(2, &bundle(2, 2)).await.unwrap();
-        made(&fleet, 2).await;
-    })
-    .await;
-    assert!(versions.contains(&2), "no stream met the change: {versions:?}");
+    changed(&fleet).await;
 }
 
 /// An engine that ignores fencing takes an old order in the middle of its streams.
