--- /dev/null
+++ b/src/decide/fleet.rs
@@ -0,0 +1,255 @@
+//! The replicas of all services as one node sees them, and which of them gets an attempt.
+//!
+//! Load patterns: a step of a hundred samples begins at once beside live requests; a replica
+//! slows down to a quarter, goes silent, or refuses for the second in which it loads weights.
+//! Without own counts a whole step would go to whichever replica reported the least load.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use super::{Failures, Others, Pace, expected, most_out};
+use crate::edge::replica::{Load, Target};
+use crate::{Moment, Name};
+
+/// How long a replica that refuses for want of room gets nothing: about one sample's events.
+const FULL: Duration = Duration::from_millis(100);
+/// How long a replica that is loading weights gets no sample of that model: a third of the
+/// usual load of 0.9 s, so that it is found ready soon after.
+const LOADING: Duration = Duration::from_millis(300);
+
+/// A replica as the platform lists it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Listed {
+    /// Its incarnation and address.
+    pub target: Target,
+    /// The service it belongs to.
+    pub service: Name,
+    /// Its availability zone.
+    pub zone: Name,
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub draining: bool,
+    /// Model and version of its weights.
+    pub versions: Vec<(Name, u64)>,
+}
+
+#[derive(Debug)]
+struct Replica {
+    listed: Listed,
+    running: u32,
+    others: Others,
+    pace: Pace,
+    failures: Failures,
+    out: Moment,
+    versions: HashMap<Name, u64>,
+    /// Until when it takes no sample of a model.
+    loading: HashMap<Name, Moment>,
+}
+
+/// What an attempt asks for.
+#[derive(Debug, Clone, Copy)]
+pub struct Wish<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The model and the oldest version that will do.
+    pub weights: Option<(&'a str, u64)>,
+    /// Replicas that failed it.
+    pub avoid: &'a [Name],
+    /// Whether it may go where all places are taken.
+    pub over: bool,
+}
+
+/// How an attempt ended, for the choice of the next ones.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// With a whole answer.
+    Answered {
+        /// How long it took.
+        took: Duration,
+        /// What it came to, in units that can be compared within a service.
+        cost: u32,
+    },
+    /// The replica was full.
+    Full,
+    /// The replica is loading weights of the model.
+    Loading,
+    /// No connection.
+    Unreachable,
+    /// It broke off or fell silent.
+    Failed,
+    /// It was given up for a reason that says nothing of the replica.
+    Dropped,
+}
+
+/// The table.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    zone: Option<Name>,
+    replicas: BTreeMap<Name, Replica>,
+    typical: HashMap<Name, Pace>,
+}
+
+impl Fleet {
+    /// A table for a node of this availability zone.
+    pub fn new(zone: Name) -> Self {
+        Self { zone: Some(zone), ..Self::default() }
+    }
+
+    /// Takes over an entry of the list. True if it says something new of who may get work.
+    pub fn list(&mut self, listed: Listed) -> bool {
+        let id = listed.target.id.clone();
+        let Some(known) = self.replicas.get_mut(&id) else {
+            let versions = listed.versions.iter().cloned().collect();
+            self.replicas.insert(
+                id,
+                Replica {
+                    listed,
+                    running: 0,
+                    others: Others::default(),
+                    pace: Pace::default(),
+                    failures: Failures::default(),
+                    out: Moment::ZERO,
+                    versions,
+                    loading: HashMap::new(),
+                },
+            );
+            return true;
+        };
+        let changed = known.listed.draining != listed.draining;
+        for (model, version) in &listed.versions {
+            let version = *version;
+            known
+                .versions
+                .entry(model.clone())
+                .and_modify(|v| *v = version.max(*v))
+                .or_insert(version);
+        }
+        known.listed = listed;
+        changed
+    }
+
+    /// Takes a replica off the table. True if it was there.
+    pub fn remove(&mut self, id: &str) -> bool {
+        self.replicas.remove(id).is_some()
+    }
+
+    /// The ids on the table.
+    pub fn ids(&self) -> Vec<Name> {
+        self.replicas.keys().cloned().collect()
+    }
+
+    /// The replica, if it is on the table.
+    pub fn get(&self, id: &str) -> Option<&Listed> {
+        self.replicas.get(id).map(|r| &r.listed)
+    }
+
+    /// Whether new work may still go there: it is listed and not leaving.
+    pub fn open(&self, id: &str) -> bool {
+        self.replicas.get(id).is_some_and(|r| !r.listed.draining)
+    }
+
+    /// All that serve a model and do not leave, with the version that each was last seen at.
+    pub fn serving(&self, model: &str) -> Vec<(Target, u64)> {
+        let open = self.replicas.values().filter(|r| !r.listed.draining);
+        open.filter_map(|r| Some((r.listed.target.clone(), *r.versions.get(model)?))).collect()
+    }
+
+    /// A replica was seen to run a model at a version.
+    pub fn seen(&mut self, id: &str, model: &str, version: u64) {
+        let Some(replica) = self.replicas.get_mut(id) else { return };
+        if let Some(known) = replica.versions.get_mut(model) {
+            *known = version.max(*known);
+        }
+    }
+
+    /// What a replica said of its load.
+    pub fn load(&mut self, id: &str, load: Load, now: Moment) {
+        let Some(replica) = self.replicas.get_mut(id) else { return };
+        let others = (load.running + load.waiting).saturating_sub(replica.running);
+        replica.others = Others::new(others, now);
+    }
+
+    /// The replica for an attempt. Without `over`, only one with a free place.
+    pub fn choose(&self, wish: &Wish<'_>, now: Moment) -> Option<Target> {
+        let typical = self.typical.get(wish.service).and_then(Pace::mean).unwrap_or(0.001);
+        let total = self.of(wish.service).count();
+        let out = self.of(wish.service).filter(|r| r.out > now).count();
+        let heed = out <= most_out(total);
+        let fit = self.of(wish.service).filter(|r| fits(r, wish, now, heed));
+        let rated = fit.map(|r| {
+            let avoided = wish.avoid.contains(&r.listed.target.id);
+            let far = self.zone.as_ref().is_some_and(|z| *z != r.listed.zone);
+            let load = f64::from(r.running) + r.others.faded(now);
+            let room = load < f64::from(r.listed.slots);
+            let time = expected(load, r.pace.faded(typical, now), 1, far);
+            (avoided, !room, time, r)
+        });
+        rated
+            .min_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2)))
+            .map(|(.., r)| r.listed.target.clone())
+    }
+
+    /// An attempt begins.
+    pub fn start(&mut self, id: &str) {
+        if let Some(replica) = self.replicas.get_mut(id) {
+            replica.running += 1;
+        }
+    }
+
+    /// An attempt ended.
+    pub fn end(&mut self, id: &str, model: Option<&str>, ended: Ended, now: Moment) {
+        let Some(replica) = self.replicas.get_mut(id) else { return };
+        replica.running = replica.running.saturating_sub(1);
+        match ended {
+            Ended::Answered { took, cost } => {
+                replica.pace.record(cost, took, now);
+                replica.failures.answered();
+                self.typical
+                    .entry(replica.listed.service.clone())
+                    .or_default()
+                    .record(cost, took, now);
+            }
+            Ended::Full => replica.out = replica.out.max(now + FULL),
+            Ended::Loading => {
+                if let Some(model) = model {
+                    replica.loading.insert(model.into(), now + LOADING);
+                }
+            }
+            Ended::Unreachable => {
+                replica.failures.unreachable();
+                replica.out = replica.failures.eject(now);
+            }
+            Ended::Failed => {
+                replica.failures.failed();
+                if replica.failures.over() {
+                    replica.out = replica.failures.eject(now);
+                }
+            }
+            Ended::Dropped => {}
+        }
+    }
+
+    /// Places of a service that are free, as far as this node knows.
+    pub fn free(&self, service: &str, now: Moment) -> u32 {
+        let open = self.of(service).filter(|r| !r.listed.draining && r.out <= now);
+        open.map(|r| r.listed.slots.saturating_sub(r.running + r.others.faded(now) as u32)).sum()
+    }
+
+    fn of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Replica> {
+        self.replicas.values().filter(move |r| &*r.listed.service == service)
+    }
+}
+
+fn fits(replica: &Replica, wish: &Wish<'_>, now: Moment, heed: bool) -> bool {
+    if replica.listed.draining || (heed && replica.out > now) {
+        return false;
+    }
+    let load = f64::from(replica.running) + replica.others.faded(now);
+    if !wish.over && load >= f64::from(replica.listed.slots) {
+        return false;
+    }
+    let Some((model, least)) = wish.weights else { return true };
+    let loading = replica.loading.get(model).is_some_and(|until| *until > now);
+    !loading && replica.versions.get(model).is_some_and(|v| *v >= least)
+}
--- /dev/null
+++ b/src/decide/job/job.rs
@@ -0,0 +1,135 @@
+//! The state of a batch job at its home.
+//!
+//! A result has a position only once it is written where it lasts: what a trainer has read
+//! stands there for good, whichever node is home.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::{ItemSpec, Score};
+use crate::Name;
+
+/// A batch job as it was submitted.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Spec {
+    /// Its id.
+    pub id: Name,
+    /// The host and path that it came to.
+    pub host: Name,
+    /// The path.
+    pub path: Name,
+    /// The model that makes its texts; none where the route names no model.
+    pub model: Option<Name>,
+    /// The oldest version that may make them.
+    pub oldest: u64,
+    /// The samples, in order.
+    pub items: Vec<Arc<ItemSpec>>,
+}
+
+/// How a sample ended.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum State {
+    /// With a text, the versions that made it, and its score.
+    Completed {
+        /// The text.
+        output: String,
+        /// The versions, oldest first.
+        versions: Vec<u64>,
+        /// The score, where there is a scorer.
+        score: Option<Score>,
+    },
+    /// It was given up.
+    Dead,
+}
+
+/// A result at its position.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listing {
+    /// The sample's id.
+    pub id: Name,
+    /// How it ended.
+    pub state: State,
+}
+
+/// The job at its home.
+#[derive(Debug)]
+pub struct Job {
+    /// What was submitted.
+    pub spec: Arc<Spec>,
+    /// Results that last, by position.
+    listed: Vec<Arc<Listing>>,
+    /// Results that are not written yet, in the order in which they came.
+    fresh: Vec<Arc<Listing>>,
+    /// Index of each sample that has no result yet.
+    open: HashMap<Name, usize>,
+    ended: bool,
+}
+
+impl Job {
+    /// A job with the results that last already.
+    pub fn new(spec: Arc<Spec>, listed: Vec<Arc<Listing>>) -> Self {
+        let mut open: HashMap<Name, usize> =
+            spec.items.iter().enumerate().map(|(i, item)| (item.id.clone(), i)).collect();
+        for listing in &listed {
+            open.remove(&listing.id);
+        }
+        Self { spec, listed, fresh: Vec::new(), open, ended: false }
+    }
+
+    /// The samples that are to be made, in order.
+    pub fn todo(&self) -> Vec<Arc<ItemSpec>> {
+        if self.ended {
+            return Vec::new();
+        }
+        let mut left: Vec<usize> = self.open.values().copied().collect();
+        left.sort_unstable();
+        left.into_iter().map(|i| self.spec.items[i].clone()).collect()
+    }
+
+    /// A sample ended. False if it had ended before, or nobody wants it any more.
+    pub fn finish(&mut self, id: &str, state: State) -> bool {
+        if self.ended {
+            return false;
+        }
+        let Some((id, _)) = self.open.remove_entry(id) else { return false };
+        self.fresh.push(Arc::new(Listing { id, state }));
+        true
+    }
+
+    /// The results to write next, after the position of the first.
+    pub fn batch(&self) -> (usize, Vec<Arc<Listing>>) {
+        (self.listed.len(), self.fresh.clone())
+    }
+
+    /// The first `count` fresh results last now.
+    pub fn written(&mut self, count: usize) {
+        self.listed.extend(self.fresh.drain(..count));
+    }
+
+    /// The results that last, by position.
+    pub fn listed(&self) -> &[Arc<Listing>] {
+        &self.listed
+    }
+
+    /// The trainer wants no more of it.
+    pub fn end(&mut self) {
+        self.ended = true;
+    }
+
+    /// Whether the trainer wants no more of it.
+    pub fn ended(&self) -> bool {
+        self.ended
+    }
+
+    /// Whether every sample has a result that lasts.
+    pub fn complete(&self) -> bool {
+        self.listed.len() == self.spec.items.len()
+    }
+
+    /// Whether every sample has a result, written or not.
+    pub fn made(&self) -> bool {
+        self.open.is_empty()
+    }
+}
--- /dev/null
+++ b/src/decide/job/mod.rs
@@ -0,0 +1,9 @@
+//! A batch job: many samples that are submitted at once, run, scored and listed.
+
+mod job;
+mod sample;
+mod text;
+
+pub use job::{Job, Listing, Spec, State};
+pub use sample::{ItemSpec, Score, Scorer};
+pub use text::{Event, EventReader, Fault, Text};
--- /dev/null
+++ b/src/decide/job/text.rs
@@ -0,0 +1,157 @@
+//! The text of a sample: its events in order and the versions that made them.
+
+use bytes::{Bytes, BytesMut};
+
+/// One event of a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Event {
+    /// Its number, from 1 on.
+    pub id: u64,
+    /// Its data.
+    pub data: String,
+    /// The version of the weights from this event on, if it changes there.
+    pub version: Option<u64>,
+    /// Its bytes as they came, with the empty line.
+    pub raw: Bytes,
+}
+
+/// Cuts a stream of bytes into events. A sample of `text/event-stream` with the one
+/// further field that names a version, which general parsers drop.
+#[derive(Debug)]
+pub struct EventReader {
+    buffer: BytesMut,
+    field: &'static str,
+}
+
+/// Why a stream can't be read on.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Fault {
+    /// Bytes that are no event.
+    #[error("bytes that are no event")]
+    Garbled,
+    /// An event that is not the next one.
+    #[error("event {got} where {wanted} is due")]
+    OutOfOrder {
+        /// The number that is due.
+        wanted: u64,
+        /// The number that came.
+        got: u64,
+    },
+    /// An event without a version.
+    #[error("an event of unknown version")]
+    Unlabelled,
+    /// A version that the job does not allow.
+    #[error("version {0} is not allowed here")]
+    Version(u64),
+}
+
+/// The longest event, in bytes: far above what replicas send, so that a replica that never
+/// ends an event can't fill the memory.
+const LONGEST: usize = 1 << 20;
+
+impl EventReader {
+    /// A reader; `field` is the field whose value is a version.
+    pub fn new(field: &'static str) -> Self {
+        Self { buffer: BytesMut::new(), field }
+    }
+
+    /// Adds bytes and returns the events that are whole by now.
+    pub fn push(&mut self, bytes: &Bytes) -> Result<Vec<Event>, Fault> {
+        self.buffer.extend_from_slice(bytes);
+        let mut events = Vec::new();
+        while let Some(end) = self.buffer.windows(2).position(|w| w == b"\n\n") {
+            let raw = self.buffer.split_to(end + 2).freeze();
+            events.push(self.event(raw)?);
+        }
+        if self.buffer.len() > LONGEST { Err(Fault::Garbled) } else { Ok(events) }
+    }
+
+    /// Whether bytes of an unfinished event are left.
+    pub fn unfinished(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
+    fn event(&self, raw: Bytes) -> Result<Event, Fault> {
+        let text = std::str::from_utf8(&raw[..raw.len() - 2]).map_err(|_| Fault::Garbled)?;
+        let (mut id, mut version) = (None, None);
+        let mut data: Option<String> = None;
+        for line in text.lines() {
+            let (name, value) = line.split_once(':').ok_or(Fault::Garbled)?;
+            let value = value.strip_prefix(' ').unwrap_or(value);
+            match name {
+                "id" => id = value.parse().ok(),
+                "data" => match &mut data {
+                    Some(data) => {
+                        data.push('\n');
+                        data.push_str(value);
+                    }
+                    None => data = Some(value.to_owned()),
+                },
+                name if name == self.field => {
+                    version = Some(value.trim().parse().map_err(|_| Fault::Garbled)?);
+                }
+                _ => {}
+            }
+        }
+        let id = id.ok_or(Fault::Garbled)?;
+        let data = data.unwrap_or_default();
+        Ok(Event { id, data, version, raw })
+    }
+}
+
+/// The text so far.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Text {
+    events: u64,
+    output: String,
+    versions: Vec<u64>,
+    current: Option<u64>,
+}
+
+impl Text {
+    /// The number of the last event.
+    pub fn last(&self) -> u64 {
+        self.events
+    }
+
+    /// A run begins or goes on at a replica whose weights have this version.
+    pub fn at(&mut self, version: Option<u64>) {
+        self.current = version;
+    }
+
+    /// Adds the next event; `allowed` says which versions may make it.
+    pub fn push(&mut self, event: &Event, allowed: impl Fn(u64) -> bool) -> Result<(), Fault> {
+        let wanted = self.events + 1;
+        if event.id != wanted {
+            return Err(Fault::OutOfOrder { wanted, got: event.id });
+        }
+        if event.version.is_some() {
+            self.current = event.version;
+        }
+        let version = self.current.ok_or(Fault::Unlabelled)?;
+        if !allowed(version) {
+            return Err(Fault::Version(version));
+        }
+        if !self.versions.contains(&version) {
+            self.versions.push(version);
+        }
+        if self.events > 0 {
+            self.output.push('\n');
+        }
+        self.output.push_str(&event.data);
+        self.events = wanted;
+        Ok(())
+    }
+
+    /// The versions that made it, oldest first.
+    pub fn versions(&self) -> Vec<u64> {
+        let mut versions = self.versions.clone();
+        versions.sort_unstable();
+        versions
+    }
+
+    /// The data of all events, a line each.
+    pub fn output(&self) -> &str {
+        &self.output
+    }
+}
--- /dev/null
+++ b/src/decide/routes.rs
@@ -0,0 +1,112 @@
+//! Which service a request goes to, by host and path.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::Name;
+
+/// What may be done again of a request of a route.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Again {
+    /// It may run any number of times.
+    Whole,
+    /// It runs at most once.
+    Never,
+    /// Its stream may go on elsewhere after the last event that came.
+    Resume,
+}
+
+/// One route.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Route {
+    /// Its name.
+    pub name: Name,
+    /// The host it belongs to.
+    pub host: Name,
+    /// What a path begins with; begins and ends with a slash.
+    pub prefix: Name,
+    /// What may be repeated.
+    pub again: Again,
+    /// Whether answers are streams of events.
+    pub streaming: bool,
+    /// Whether it takes batch jobs instead of requests.
+    pub batch: bool,
+    /// The longest that a client is kept waiting; none for no bound.
+    pub timeout: Option<Duration>,
+    /// The time within which an answer is worth most.
+    pub objective: Duration,
+    /// Rank among routes, 0 first.
+    pub priority: u8,
+    /// The services and their weights.
+    pub services: Vec<(Name, u32)>,
+    /// The most replicas that one request is sent to.
+    pub attempts: u32,
+    /// How long after its submission a batch job's items may be given up.
+    pub retention: Duration,
+    /// Whether a text must come from one version of the weights.
+    pub one_version: bool,
+}
+
+impl Route {
+    /// The service at a point drawn evenly from all the weights.
+    pub fn service(&self, draw: u32) -> Option<&Name> {
+        let total: u32 = self.services.iter().map(|(_, weight)| weight).sum();
+        let mut left = draw % total.max(1);
+        for (service, weight) in &self.services {
+            if left < *weight {
+                return Some(service);
+            }
+            left -= weight;
+        }
+        self.services.first().map(|(service, _)| service)
+    }
+}
+
+/// The limits on what a client may send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bounds {
+    /// The largest body, in bytes.
+    pub body: usize,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self { body: 32 << 20 }
+    }
+}
+
+/// All routes of one version of the configuration.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Routes {
+    /// The version.
+    pub version: u64,
+    /// The limits.
+    pub bounds: Bounds,
+    /// By host, the longest prefix first.
+    hosts: HashMap<Name, Vec<Arc<Route>>>,
+}
+
+impl Routes {
+    /// The table of these routes.
+    pub fn new(version: u64, bounds: Bounds, routes: Vec<Route>) -> Self {
+        let mut hosts: HashMap<Name, Vec<Arc<Route>>> = HashMap::new();
+        for route in routes {
+            hosts.entry(route.host.clone()).or_default().push(Arc::new(route));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
+        }
+        Self { version, bounds, hosts }
+    }
+
+    /// Whether a route wants texts of one version only.
+    pub fn any_one_version(&self) -> bool {
+        self.hosts.values().flatten().any(|r| r.one_version)
+    }
+
+    /// The route of a request: the longest prefix of that host that begins the path.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        self.hosts.get(host)?.iter().find(|r| path.starts_with(&*r.prefix))
+    }
+}
--- a/src/edge/http/body.rs
+++ b/src/edge/http/body.rs
@@ -1,11 +1,14 @@
 //! Bodies and the answers made of them.
 
 use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream::BoxStream;
 use http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use http::{Response, StatusCode};
 use http_body_util::channel::{Channel, Sender};
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Empty, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Empty, Full, LengthLimitError, Limited, StreamBody};
+use hyper::body::Frame;
 use serde::Serialize;
 
 use crate::error::{Kind, Refusal};
@@ -59,6 +62,12 @@
     (sender, channel.boxed_unsync())
 }
 
+/// A body whose pieces come from a stream; an error cuts it off.
+pub fn from_pieces(pieces: BoxStream<'static, Result<Bytes, String>>) -> Body {
+    let frames = pieces.map(|piece| piece.map(Frame::data).map_err(|_| Aborted));
+    StreamBody::new(frames).boxed_unsync()
+}
+
 /// An answer in JSON.
 pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Response<Body> {
     match serde_json::to_vec(value) {
--- /dev/null
+++ b/src/edge/http/pool.rs
@@ -0,0 +1,225 @@
+//! Connections to many servers, each kept for its next request.
+//!
+//! hyper's own pooled client hides which connection a request goes over and whether its
+//! bytes left. Here an unsent request is told from one that may have run, and a connection
+//! whose answer was not read to its end is cut, so that the other side stops its work.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::{Stream, StreamExt};
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::{Body as _, Incoming};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+/// Unused connections that are kept for one address; more are closed.
+const KEPT: usize = 16;
+
+/// Why a request has no answer.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum SendError {
+    /// No byte of it left.
+    #[error("not sent: {0}")]
+    Unsent(String),
+    /// It may have been received.
+    #[error("broke off: {0}")]
+    Broken(String),
+}
+
+/// One open connection. It is cut when dropped.
+#[derive(Debug)]
+struct Link {
+    sender: SendRequest<Full<Bytes>>,
+    driver: AbortHandle,
+    since: Instant,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+#[derive(Debug)]
+struct Inner {
+    idle: Mutex<HashMap<SocketAddr, Vec<Link>>>,
+    connect: Duration,
+    keep: Duration,
+}
+
+/// The pool. Cloning it shares the connections.
+#[derive(Debug, Clone)]
+pub struct Pool {
+    inner: Arc<Inner>,
+}
+
+impl Pool {
+    /// A pool that opens a connection within `connect` and keeps an unused one for `keep`.
+    pub fn new(connect: Duration, keep: Duration) -> Self {
+        let idle = Mutex::default();
+        Self { inner: Arc::new(Inner { idle, connect, keep }) }
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    pub async fn send(
+        &self,
+        to: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Pieces>, SendError> {
+        let mut request = request;
+        while let Some(link) = self.idle(to) {
+            match exchange(link, request).await {
+                Ok(answer) => return Ok(self.opened(to, answer)),
+                Err((SendError::Unsent(_), Some(unsent))) => request = *unsent,
+                Err((error, _)) => return Err(error),
+            }
+        }
+        let link = self.connect(to).await?;
+        let answer = exchange(link, request).await.map_err(|(error, _)| error)?;
+        Ok(self.opened(to, answer))
+    }
+
+    /// Closes the unused connections to an address, whose server is gone.
+    pub fn forget(&self, to: SocketAddr) {
+        self.inner.idle.lock().remove(&to);
+    }
+
+    fn idle(&self, to: SocketAddr) -> Option<Link> {
+        let mut idle = self.inner.idle.lock();
+        let links = idle.get_mut(&to)?;
+        let found = loop {
+            let link = links.pop()?;
+            let fresh = link.since.elapsed() < self.inner.keep;
+            if fresh && !link.sender.is_closed() {
+                break link;
+            }
+        };
+        Some(found)
+    }
+
+    async fn connect(&self, to: SocketAddr) -> Result<Link, SendError> {
+        let opening = async {
+            let stream = TcpStream::connect(to).await?;
+            stream.set_nodelay(true)?;
+            Ok::<_, std::io::Error>(stream)
+        };
+        let stream = match tokio::time::timeout(self.inner.connect, opening).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(e)) => return Err(SendError::Unsent(e.to_string())),
+            Err(_) => return Err(SendError::Unsent("no connection in time".to_owned())),
+        };
+        let (sender, connection) =
+            handshake(TokioIo::new(stream)).await.map_err(|e| SendError::Unsent(e.to_string()))?;
+        let driver = tokio::spawn(async move {
+            if let Err(e) = connection.await {
+                tracing::debug!(event = "connection_ended", %to, error = %e);
+            }
+        });
+        Ok(Link { sender, driver: driver.abort_handle(), since: Instant::now() })
+    }
+
+    fn opened(&self, to: SocketAddr, answer: (Link, Response<Incoming>)) -> Response<Pieces> {
+        let (link, response) = answer;
+        let (head, body) = response.into_parts();
+        let mut pieces = Pieces { body, link: Some(link), pool: self.inner.clone(), to };
+        if pieces.body.is_end_stream() {
+            pieces.give_back();
+        }
+        Response::from_parts(head, pieces)
+    }
+}
+
+type Unsent = Option<Box<Request<Full<Bytes>>>>;
+
+async fn exchange(
+    mut link: Link,
+    request: Request<Full<Bytes>>,
+) -> Result<(Link, Response<Incoming>), (SendError, Unsent)> {
+    match link.sender.try_send_request(request).await {
+        Ok(response) => Ok((link, response)),
+        Err(mut e) => {
+            let unsent = e.take_message().map(Box::new);
+            let reason = e.into_error().to_string();
+            match unsent {
+                Some(request) => Err((SendError::Unsent(reason), Some(request))),
+                None => Err((SendError::Broken(reason), None)),
+            }
+        }
+    }
+}
+
+/// The body of an answer. Its connection is kept once it is read to its end, else cut.
+#[derive(Debug)]
+pub struct Pieces {
+    body: Incoming,
+    link: Option<Link>,
+    pool: Arc<Inner>,
+    to: SocketAddr,
+}
+
+impl Pieces {
+    fn give_back(&mut self) {
+        let Some(mut link) = self.link.take() else { return };
+        link.since = Instant::now();
+        let mut idle = self.pool.idle.lock();
+        let links = idle.entry(self.to).or_default();
+        if links.len() < KEPT {
+            links.push(link);
+        }
+    }
+}
+
+impl Stream for Pieces {
+    type Item = Result<Bytes, String>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        loop {
+            let frame = match Pin::new(&mut self.body).poll_frame(cx) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(frame) => frame,
+            };
+            match frame {
+                None => {
+                    self.give_back();
+                    return Poll::Ready(None);
+                }
+                Some(Err(e)) => {
+                    self.link = None;
+                    return Poll::Ready(Some(Err(e.to_string())));
+                }
+                Some(Ok(frame)) => {
+                    let Ok(data) = frame.into_data() else { continue };
+                    return Poll::Ready(Some(Ok(data)));
+                }
+            }
+        }
+    }
+}
+
+/// The largest body that is gathered, in bytes.
+const GATHERED: usize = 64 << 20;
+
+/// Reads pieces to their end.
+pub async fn gather(
+    mut pieces: impl Stream<Item = Result<Bytes, String>> + Unpin,
+) -> Result<Bytes, String> {
+    let mut all = BytesMut::new();
+    while let Some(piece) = pieces.next().await {
+        all.extend_from_slice(&piece?);
+        if all.len() > GATHERED {
+            return Err("the answer is too large".to_owned());
+        }
+    }
+    Ok(all.freeze())
+}
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -1,8 +1,11 @@
 //! The edge: every socket of a process, and nothing that decides.
 
 pub mod http;
+pub mod notice;
 pub mod peer;
 pub mod platform;
+pub mod replica;
+pub mod store;
 pub mod upstream;
 
 mod socket;
--- /dev/null
+++ b/src/edge/replica/port.rs
@@ -0,0 +1,19 @@
+//! The port.
+
+use std::time::Duration;
+
+use futures_util::future::BoxFuture;
+
+use super::{Call, Failure, Order, OrderEnd, Reply, Stance, Target};
+
+/// The replicas. Dropping a future or a body ends the request at the replica.
+pub trait Replicas: std::fmt::Debug + Send + Sync + 'static {
+    /// The field of an event that names the version of the weights from there on.
+    fn version_field(&self) -> &'static str;
+    /// Sends a request and waits for the head of its answer.
+    fn send(&self, to: &Target, call: Call) -> BoxFuture<'static, Result<Reply, Failure>>;
+    /// Asks a replica what it stands at.
+    fn stance(&self, to: &Target, limit: Duration) -> BoxFuture<'static, Result<Stance, Failure>>;
+    /// Gives an order.
+    fn order(&self, to: &Target, order: Order, limit: Duration) -> BoxFuture<'static, OrderEnd>;
+}
--- /dev/null
+++ b/src/edge/store/store.rs
@@ -0,0 +1,42 @@
+//! The port.
+
+use std::time::Duration;
+
+use futures_util::future::BoxFuture;
+
+use super::{Item, Page, Txn, TxnEnd, Watched};
+
+/// Why a call to the store has no good answer.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum StoreError {
+    /// Nothing was done: it was not sent, or it was refused.
+    #[error("the store did nothing: {0}")]
+    Refused(String),
+    /// It may have been done, or may be done later.
+    #[error("the store's answer is not known: {0}")]
+    Unknown(String),
+    /// The history from the wanted revision on is gone.
+    #[error("the store's history from there on is gone")]
+    Compacted,
+}
+
+/// What a call to the store comes to.
+pub type Answer<T> = BoxFuture<'static, Result<T, StoreError>>;
+
+/// The key-value service. Answers are linearizable; each call has its own time limit.
+pub trait Store: std::fmt::Debug + Send + Sync + 'static {
+    /// The key, if it exists.
+    fn get(&self, key: &str) -> Answer<Option<Item>>;
+    /// All keys under a prefix, over as many pages as it takes.
+    fn range(&self, prefix: &str) -> Answer<Page>;
+    /// Changes under a prefix after a revision, as soon as there is one or `wait` is over.
+    fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Answer<Watched>;
+    /// Writes under conditions.
+    fn txn(&self, txn: Txn) -> Answer<TxnEnd>;
+    /// Opens a lease and returns its number.
+    fn grant(&self, ttl: Duration) -> Answer<u64>;
+    /// Renews a lease; false if it has ended.
+    fn keep(&self, lease: u64) -> Answer<bool>;
+    /// Ends a lease, and with it its keys.
+    fn end(&self, lease: u64) -> Answer<()>;
+}
--- /dev/null
+++ b/src/entry/addresses.rs
@@ -0,0 +1,32 @@
+//! Which nodes a client may connect to.
+
+use std::net::SocketAddr;
+
+use super::app::App;
+use crate::decide::rank;
+
+/// The most addresses in an answer.
+const MOST: usize = 64;
+
+impl App {
+    /// The addresses for a client of an availability zone; none if none is known.
+    pub fn addresses(&self, zone: &str) -> Vec<SocketAddr> {
+        let mut nodes = self.live.lock().callers(self.now());
+        let own = self.settings.callers.filter(|_| self.ready());
+        if self.draining() {
+            nodes.retain(|(name, _)| *name != self.settings.name);
+        } else if let Some(own) = own
+            && !nodes.iter().any(|(_, address)| *address == own)
+        {
+            nodes.push((self.settings.name.clone(), own));
+        }
+        if nodes.len() <= MOST {
+            return nodes.into_iter().map(|(_, address)| address).collect();
+        }
+        let ranked = rank(zone, nodes.iter().map(|(name, _)| &**name));
+        let chosen = ranked.into_iter().take(MOST);
+        chosen
+            .filter_map(|n| nodes.iter().find(|(name, _)| **name == *n).map(|(_, a)| *a))
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/entry/app.rs
@@ -0,0 +1,132 @@
+//! What all tasks of a process share.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use parking_lot::Mutex;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::homes::Homes;
+use super::live::Live;
+use super::read::Views;
+use super::slots::Slots;
+use crate::decide::Routes;
+use crate::edge::notice::Notices;
+use crate::edge::replica::Replicas;
+use crate::edge::store::Store;
+use crate::settings::EntrySettings;
+use crate::{Moment, Name};
+
+/// The context of a process.
+#[derive(Debug)]
+pub struct App {
+    /// Its settings.
+    pub settings: EntrySettings,
+    pub(super) store: Arc<dyn Store>,
+    pub(super) replicas: Arc<dyn Replicas>,
+    pub(super) notices: Arc<dyn Notices>,
+    /// This incarnation of the process.
+    pub(super) life: Name,
+    pub(super) routes: Mutex<Option<Arc<Routes>>>,
+    pub(super) versions: Mutex<BTreeMap<Name, u64>>,
+    pub(super) slots: Slots,
+    pub(super) live: Mutex<Live>,
+    pub(super) homes: Homes,
+    pub(super) views: Views,
+    /// Counts changes of versions, replicas, nodes and homes.
+    pub(super) news: watch::Sender<u64>,
+    pub(super) lease: Mutex<Lease>,
+    pub(super) draining: AtomicBool,
+    pub(super) listed: AtomicBool,
+    pub(super) draws: AtomicU64,
+    /// Cancelled when the process is to stop its own work.
+    pub(super) stop: CancellationToken,
+    pub(super) tasks: TaskTracker,
+    begun: Instant,
+}
+
+/// The node's lease in the store.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Lease {
+    /// Its number; 0 for none.
+    pub id: u64,
+    /// Until when it surely holds.
+    pub until: Moment,
+}
+
+impl App {
+    pub(super) fn new(
+        settings: EntrySettings,
+        store: Arc<dyn Store>,
+        replicas: Arc<dyn Replicas>,
+        notices: Arc<dyn Notices>,
+    ) -> Arc<Self> {
+        let life = format!("{}.{:08x}", settings.name, rand::random::<u32>()).into();
+        let slots = Slots::new(settings.zone.clone());
+        Arc::new(Self {
+            settings,
+            store,
+            replicas,
+            notices,
+            life,
+            routes: Mutex::default(),
+            versions: Mutex::default(),
+            slots,
+            live: Mutex::default(),
+            homes: Homes::default(),
+            views: Views::default(),
+            news: watch::Sender::new(0),
+            lease: Mutex::default(),
+            draining: AtomicBool::new(false),
+            listed: AtomicBool::new(false),
+            draws: AtomicU64::new(u64::from(rand::random::<u32>())),
+            stop: CancellationToken::new(),
+            tasks: TaskTracker::new(),
+            begun: Instant::now(),
+        })
+    }
+
+    /// The present, as the time since the process began.
+    pub(super) fn now(&self) -> Moment {
+        self.begun.elapsed()
+    }
+
+    /// The configuration in force; none before the first.
+    pub fn routes(&self) -> Option<Arc<Routes>> {
+        self.routes.lock().clone()
+    }
+
+    /// Whether clients may be sent here.
+    pub fn ready(&self) -> bool {
+        let known = self.routes.lock().is_some() && self.listed.load(Ordering::Relaxed);
+        known && !self.draining()
+    }
+
+    /// Whether the process is stopping.
+    pub fn draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    /// A number that differs from call to call, for weighted choices.
+    pub(super) fn draw(&self) -> u32 {
+        // An odd step far from a multiple of usual sums of weights spreads draws evenly.
+        (self.draws.fetch_add(0x9E37_79B9, Ordering::Relaxed) >> 3) as u32
+    }
+
+    /// Tells all who wait for news.
+    pub(super) fn tell(&self) {
+        self.news.send_modify(|n| *n += 1);
+    }
+
+    /// Whether the node's lease surely holds now.
+    pub(super) fn leased(&self) -> bool {
+        self.lease.lock().until > self.now()
+    }
+}
+
+/// Names by key, for lookups by text.
+pub(super) type ByName<T> = HashMap<Name, T>;
--- /dev/null
+++ b/src/entry/entry.rs
@@ -0,0 +1,68 @@
+//! A running process.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use super::app::App;
+use super::follow::{Topic, follow};
+use super::{member, mover, takeover};
+use crate::edge::notice::Notices;
+use crate::edge::replica::Replicas;
+use crate::edge::store::Store;
+use crate::settings::EntrySettings;
+
+/// How many times the life of an address answer some clients keep it.
+const KEPT: u32 = 3;
+/// Time for a connection that was begun just before an answer ran out.
+const MARGIN: Duration = Duration::from_millis(200);
+
+/// The handle.
+#[derive(Debug)]
+pub struct Entry {
+    app: Arc<App>,
+}
+
+impl Entry {
+    /// Begins to follow the store, and to serve once its view is whole.
+    pub fn spawn(
+        settings: EntrySettings,
+        store: Arc<dyn Store>,
+        replicas: Arc<dyn Replicas>,
+        notices: Arc<dyn Notices>,
+    ) -> Self {
+        let app = App::new(settings, store, replicas, notices);
+        tracing::info!(event = "process_begins", node = %app.settings.name, life = %app.life);
+        tokio::spawn(follow(app.clone(), Topic::Notices));
+        if app.settings.callers.is_some() {
+            tokio::spawn(follow(app.clone(), Topic::Replicas));
+            tokio::spawn(follow(app.clone(), Topic::Live));
+            tokio::spawn(member::keep(app.clone()));
+            tokio::spawn(takeover::follow(app.clone()));
+            tokio::spawn(mover::follow(app.clone()));
+            let looking = app.clone();
+            tokio::spawn(async move { looking.look().await });
+        }
+        Self { app }
+    }
+
+    /// What the listeners serve from.
+    pub fn app(&self) -> &Arc<App> {
+        &self.app
+    }
+
+    /// Leaves: jobs are handed over, clients sent elsewhere. Returns once no client should
+    /// come any more; the listeners serve until then.
+    pub async fn leave(&self) {
+        self.app.draining.store(true, Ordering::Relaxed);
+        tracing::info!(event = "process_leaves", node = %self.app.settings.name);
+        self.app.stop.cancel();
+        if self.app.settings.callers.is_none() {
+            return;
+        }
+        self.app.hand_over().await;
+        self.app.leave().await;
+        let kept = Duration::from_secs(self.app.settings.ttl) * KEPT + MARGIN;
+        tokio::time::sleep(kept.min(self.app.settings.grace / 2)).await;
+    }
+}
--- /dev/null
+++ b/src/entry/follow.rs
@@ -0,0 +1,197 @@
+//! Follows prefixes of the store: read whole once, then watched without a gap.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::app::App;
+use super::keys::LIVE;
+use crate::edge::notice::Notice;
+use crate::edge::store::{Change, Item, Page, StoreError};
+
+/// How long a watch may stay without news. It bounds how long a connection that has gone
+/// silent stays unnoticed; every further watch is a call that the platform counts.
+const WAIT: Duration = Duration::from_millis(2_000);
+/// Pauses between failed calls: the first is short, as a cut connection is the usual cause.
+const FIRST: Duration = Duration::from_millis(50);
+/// The longest pause: the return of the store is seen this soon.
+const LONGEST: Duration = Duration::from_millis(400);
+/// How long a replica that vanished from the list over an outage of the store may still be
+/// there: entries that lapsed are back two seconds after the store is.
+const LAPSE: Duration = Duration::from_millis(2_000);
+
+/// What is followed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Topic {
+    /// What operators and trainers write.
+    Notices,
+    /// The list of replicas.
+    Replicas,
+    /// Nodes, homes and the holder of orders.
+    Live,
+}
+
+impl Topic {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Notices => "notices",
+            Self::Replicas => "replicas",
+            Self::Live => "live",
+        }
+    }
+}
+
+/// Follows a topic until the process ends.
+pub(super) async fn follow(app: Arc<App>, topic: Topic) {
+    let prefix = match topic {
+        Topic::Notices => app.notices.operators().to_owned(),
+        Topic::Replicas => app.notices.replicas().to_owned(),
+        Topic::Live => LIVE.to_owned(),
+    };
+    let mut pause = FIRST;
+    let mut lost = false;
+    loop {
+        let Err(e) = read(&app, topic, &prefix, &mut pause, &mut lost).await else { return };
+        if !lost && e != StoreError::Compacted {
+            tracing::warn!(event = "store_lost", topic = topic.as_str(), error = %e);
+            lost = true;
+        }
+        tokio::time::sleep(pause).await;
+        pause = (pause * 2).min(LONGEST);
+    }
+}
+
+async fn read(
+    app: &Arc<App>,
+    topic: Topic,
+    prefix: &str,
+    pause: &mut Duration,
+    lost: &mut bool,
+) -> Result<(), StoreError> {
+    let page = app.store.range(prefix).await?;
+    back(topic, pause, lost);
+    let mut revision = page.revision;
+    app.load(topic, &page, prefix);
+    loop {
+        let watched = match app.store.watch(prefix, revision, WAIT).await {
+            Ok(watched) => watched,
+            Err(StoreError::Compacted) => return Err(StoreError::Compacted),
+            // The history is there to go on from: the whole is not read again.
+            Err(e) => {
+                if !*lost {
+                    tracing::warn!(event = "store_lost", topic = topic.as_str(), error = %e);
+                    *lost = true;
+                }
+                tokio::time::sleep(*pause).await;
+                *pause = (*pause * 2).min(LONGEST);
+                continue;
+            }
+        };
+        back(topic, pause, lost);
+        revision = revision.max(watched.revision);
+        if !watched.changes.is_empty() {
+            for change in &watched.changes {
+                app.change(topic, change);
+            }
+            app.slots.pump(app.now());
+            app.tell();
+        }
+    }
+}
+
+fn back(topic: Topic, pause: &mut Duration, lost: &mut bool) {
+    *pause = FIRST;
+    if std::mem::take(lost) {
+        tracing::info!(event = "store_back", topic = topic.as_str());
+    }
+}
+
+impl App {
+    fn load(self: &Arc<Self>, topic: Topic, page: &Page, prefix: &str) {
+        match topic {
+            Topic::Notices => page.items.iter().for_each(|item| self.notice(item)),
+            Topic::Replicas => self.relist(page, prefix),
+            Topic::Live => self.live.lock().load(page, self.now()),
+        }
+        self.slots.pump(self.now());
+        self.tell();
+    }
+
+    fn change(&self, topic: Topic, change: &Change) {
+        match (topic, change) {
+            (Topic::Notices, Change::Put(item)) => self.notice(item),
+            // A configuration is only ever replaced by a newer one.
+            (Topic::Notices, Change::Removed { .. }) => {}
+            (Topic::Replicas, Change::Put(item)) => self.list(item),
+            (Topic::Replicas, Change::Removed { key, .. }) => {
+                let id = self.notices.replica_id(key);
+                if self.slots.fleet.lock().remove(&id) {
+                    tracing::info!(event = "replica_gone", replica = %id);
+                }
+            }
+            (Topic::Live, change) => self.live.lock().change(change, self.now()),
+        }
+    }
+
+    fn notice(&self, item: &Item) {
+        match self.notices.notice(&item.key, &item.value) {
+            Ok(None) => {}
+            Ok(Some(Notice::Routes(routes))) => {
+                let mut current = self.routes.lock();
+                if current.as_ref().is_none_or(|c| c.version < routes.version) {
+                    tracing::info!(event = "routes_adopted", version = routes.version);
+                    *current = Some(Arc::new(routes));
+                }
+            }
+            Ok(Some(Notice::Version { model, version })) => {
+                let mut versions = self.versions.lock();
+                let known = versions.entry(model.clone()).or_insert(version);
+                *known = version.max(*known);
+                tracing::info!(event = "version_named", %model, version);
+            }
+            Ok(Some(Notice::Retire { node, within })) => self.retire(&node, within),
+            Err(reason) => {
+                tracing::error!(event = "notice_unreadable", key = %item.key, %reason);
+            }
+        }
+    }
+
+    fn list(&self, item: &Item) {
+        match self.notices.replica(&item.key, &item.value) {
+            Ok(listed) => {
+                let (id, draining) = (listed.target.id.clone(), listed.draining);
+                if self.slots.fleet.lock().list(listed) {
+                    tracing::info!(event = "replica_listed", replica = %id, draining);
+                }
+            }
+            Err(reason) => {
+                tracing::error!(event = "replica_unreadable", key = %item.key, %reason);
+            }
+        }
+    }
+
+    /// Takes over the whole list. Who is missing counts as gone after [`LAPSE`], for entries
+    /// also lapse while the store is away.
+    fn relist(self: &Arc<Self>, page: &Page, prefix: &str) {
+        let mut missing = self.slots.fleet.lock().ids();
+        for item in &page.items {
+            self.list(item);
+            let id = self.notices.replica_id(&item.key);
+            missing.retain(|m| *m != id);
+        }
+        if missing.is_empty() {
+            return;
+        }
+        let (app, prefix) = (self.clone(), prefix.to_owned());
+        self.tasks.spawn(async move {
+            tokio::time::sleep(LAPSE).await;
+            for id in missing {
+                let key = format!("{prefix}{id}");
+                if let Ok(None) = app.store.get(&key).await
+                    && app.slots.fleet.lock().remove(&id)
+                {
+                    tracing::info!(event = "replica_gone", replica = %id);
+                }
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/entry/keys.rs
@@ -0,0 +1,96 @@
+//! The keys of this service in the store, and their values.
+//!
+//! What every node has to know lies under one prefix, so that one watch follows all of it;
+//! the bulk of a job lies apart from it and is read on demand.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::Name;
+
+/// Nodes, homes of jobs and the holder of orders: followed by every node.
+pub(super) const LIVE: &str = "mulberry/live/";
+/// The holder of orders.
+pub(super) const HOLDER: &str = "mulberry/live/holder";
+
+const NODES: &str = "mulberry/live/node/";
+const HOMES: &str = "mulberry/live/home/";
+const JOBS: &str = "mulberry/job/";
+
+/// A node that is alive; under the node's lease.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct NodeValue {
+    /// The incarnation of its process.
+    pub life: Name,
+    /// Where clients connect; none where nobody does.
+    pub callers: Option<SocketAddr>,
+}
+
+/// Where a job is.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct HomeValue {
+    /// The incarnation of the process that runs it.
+    pub life: Name,
+    /// The number of its samples.
+    pub total: usize,
+    /// How many values its submission lies in.
+    pub parts: usize,
+    /// Nothing more is to be done: every sample is listed, or its trainer ended it.
+    pub done: bool,
+    /// Its trainer ended it.
+    pub ended: bool,
+    /// When it was accepted, in milliseconds of the time of day.
+    pub since: u64,
+}
+
+/// Who gives orders; under that node's lease.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct HolderValue {
+    /// The incarnation of its process.
+    pub life: Name,
+}
+
+/// What a key under [`LIVE`] is about.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum LiveKey<'a> {
+    Node(&'a str),
+    Home(&'a str),
+    Holder,
+}
+
+pub(super) fn live_key(key: &str) -> Option<LiveKey<'_>> {
+    if key == HOLDER {
+        return Some(LiveKey::Holder);
+    }
+    let node = key.strip_prefix(NODES).map(LiveKey::Node);
+    node.or_else(|| key.strip_prefix(HOMES).map(LiveKey::Home))
+}
+
+pub(super) fn node(name: &str) -> Name {
+    format!("{NODES}{name}").into()
+}
+
+pub(super) fn home(job: &str) -> Name {
+    format!("{HOMES}{job}").into()
+}
+
+/// One part of a submission.
+pub(super) fn part(job: &str, index: usize) -> Name {
+    format!("{JOBS}{job}/spec/{index:04}").into()
+}
+
+/// The prefix of all parts of a submission.
+pub(super) fn parts(job: &str) -> Name {
+    format!("{JOBS}{job}/spec/").into()
+}
+
+/// The results that begin at a position.
+pub(super) fn results(job: &str, position: usize) -> Name {
+    format!("{JOBS}{job}/results/{position:06}").into()
+}
+
+/// The prefix of all results.
+pub(super) fn all_results(job: &str) -> Name {
+    format!("{JOBS}{job}/results/").into()
+}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,30 @@
+//! A process before replicas, where a key-value store holds all that lasts.
+//!
+//! Every process is the same and keeps nothing of its own: a batch job lies in the store
+//! before it is accepted, its results before they are shown. One node is home to a job and
+//! runs it; when that node goes, another takes the job over. One node gives orders.
+
+mod addresses;
+mod app;
+mod entry;
+mod follow;
+mod home;
+mod homes;
+mod keys;
+mod live;
+mod member;
+mod mover;
+mod read;
+mod relay;
+mod retire;
+mod sample;
+mod slots;
+mod stream;
+mod submit;
+mod takeover;
+
+pub use app::App;
+pub use entry::Entry;
+pub use read::{Found, Read};
+pub use relay::{Ask, Given};
+pub use submit::Submitted;
--- /dev/null
+++ b/src/entry/mover.rs
@@ -0,0 +1,222 @@
+//! The holder of orders: one node at a time moves replicas to the named versions.
+//!
+//! The holder's key lies under its node's lease, and the revision that wrote it is the
+//! fencing token of its orders. A holder that can't be sure of its lease gives no order.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::task::JoinSet;
+
+use super::app::App;
+use super::keys::{HOLDER, HolderValue};
+use crate::Name;
+use crate::decide::moves::{self, Move, Standing};
+use crate::decide::rank;
+use crate::edge::replica::{Order, OrderEnd, Target};
+use crate::edge::store::{Txn, TxnEnd};
+
+/// How much longer each next node in rank waits before it tries to be holder.
+const STEP: Duration = Duration::from_millis(400);
+/// How often a node that is not holder looks, and a holder looks again after a failure.
+const LOOK: Duration = Duration::from_millis(500);
+/// How long one order or question may take.
+const CALL: Duration = Duration::from_millis(800);
+/// How long a load takes at least: asking sooner is a question for nothing.
+const LOAD: Duration = Duration::from_millis(850);
+/// The pause between questions whether a load is done.
+const ASK: Duration = Duration::from_millis(120);
+/// Questions until a load counts as failed: eight seconds, as many loads at once are slow.
+const ASKS: u32 = 60;
+
+/// How a move ended.
+enum Moved {
+    Done,
+    Failed,
+    Fenced,
+}
+
+/// Holds orders whenever it is this node's turn, until the process stops.
+pub(super) async fn follow(app: Arc<App>) {
+    loop {
+        tokio::select! {
+            () = app.stop.cancelled() => return,
+            fence = acquire(&app) => {
+                tracing::info!(event = "orders_held", fence);
+                tokio::select! {
+                    () = app.stop.cancelled() => {}
+                    () = hold(&app, fence) => {}
+                }
+                tracing::info!(event = "orders_given_up", fence);
+                let txn = Txn::when(HOLDER, fence).remove(HOLDER);
+                if let Err(e) = app.store.txn(txn).await {
+                    tracing::warn!(event = "holder_not_removed", fence, error = %e);
+                }
+            }
+        }
+    }
+}
+
+/// Waits until this node is holder and returns its fencing token.
+async fn acquire(app: &Arc<App>) -> u64 {
+    let mut news = app.news.subscribe();
+    let mut free = None;
+    loop {
+        let _ = tokio::time::timeout(LOOK, news.changed()).await;
+        let now = app.now();
+        let (taken, able) = {
+            let live = app.live.lock();
+            (live.holder().cloned(), live.able())
+        };
+        if let Some(seen) = taken {
+            free = None;
+            // A key of an earlier term of this very process.
+            if seen.value.life == app.life && app.leased() {
+                return seen.revision;
+            }
+            continue;
+        }
+        let since = *free.get_or_insert(now);
+        let ranked = rank(HOLDER, able.iter().map(|l| &**l));
+        let Some(place) = ranked.iter().position(|l| **l == *app.life) else { continue };
+        let lease = app.lease.lock().id;
+        if lease == 0 || !app.leased() || now < since + STEP * place as u32 {
+            continue;
+        }
+        let Ok(value) = serde_json::to_vec(&HolderValue { life: app.life.clone() }) else {
+            continue;
+        };
+        let txn = Txn::when(HOLDER, 0).put_leased(HOLDER, value, lease);
+        match app.store.txn(txn).await {
+            Ok(TxnEnd::Done(fence)) => return fence,
+            Ok(TxnEnd::Conflict(_) | TxnEnd::NoLease) => {}
+            Err(e) => tracing::warn!(event = "holder_not_written", error = %e),
+        }
+    }
+}
+
+/// Gives orders until the term is over.
+async fn hold(app: &Arc<App>, fence: u64) {
+    // The holder before may have given orders until its lease ended.
+    tokio::time::sleep(app.settings.turn).await;
+    let mut news = app.news.subscribe();
+    let mut busy: BTreeSet<Name> = BTreeSet::new();
+    let mut running: JoinSet<(Name, Moved)> = JoinSet::new();
+    loop {
+        if !holds(app, fence) {
+            return;
+        }
+        for wanted in wanted(app, &busy) {
+            let Some(target) = target(app, &wanted.id) else { continue };
+            busy.insert(wanted.id.clone());
+            let (app, id) = (app.clone(), wanted.id.clone());
+            running.spawn(async move { (id, carry_out(&app, target, wanted, fence).await) });
+        }
+        tokio::select! {
+            _ = news.changed() => {}
+            Some(ended) = running.join_next() => match ended {
+                Ok((id, Moved::Done)) => drop(busy.remove(&id)),
+                Ok((id, Moved::Failed)) => {
+                    busy.remove(&id);
+                    tokio::time::sleep(ASK).await;
+                }
+                Ok((_, Moved::Fenced)) => return,
+                Err(e) => {
+                    tracing::error!(event = "move_failed", error = %e);
+                    return;
+                }
+            },
+            () = tokio::time::sleep(LOOK), if !busy.is_empty() => {}
+        }
+    }
+}
+
+/// Whether the term surely lasts: the lease does, and no other key was seen.
+fn holds(app: &App, fence: u64) -> bool {
+    let seen = app.live.lock().holder().map(|seen| seen.revision);
+    app.leased() && seen.is_none_or(|revision| revision <= fence)
+}
+
+fn wanted(app: &App, busy: &BTreeSet<Name>) -> Vec<Move> {
+    let named = app.versions.lock().clone();
+    let mut standings: Vec<Standing> = Vec::new();
+    let fleet = app.slots.fleet.lock();
+    for model in named.keys() {
+        for (target, version) in fleet.serving(model) {
+            let found = standings.iter().position(|s| s.id == target.id);
+            let index = found.unwrap_or_else(|| {
+                let busy = busy.contains(&target.id);
+                standings.push(Standing { id: target.id, versions: Default::default(), busy });
+                standings.len() - 1
+            });
+            standings[index].versions.insert(model.clone(), version);
+        }
+    }
+    moves::next(&named, &standings)
+}
+
+fn target(app: &App, id: &str) -> Option<Target> {
+    app.slots.fleet.lock().get(id).map(|l| l.target.clone())
+}
+
+async fn carry_out(app: &Arc<App>, target: Target, wanted: Move, fence: u64) -> Moved {
+    let Ok(stance) = app.replicas.stance(&target, CALL).await else { return Moved::Failed };
+    let has = stance.versions.iter().find(|(m, _)| *m == wanted.model).map(|(_, v)| *v);
+    if let Some(has) = has
+        && has >= wanted.version
+    {
+        app.slots.fleet.lock().seen(&target.id, &wanted.model, has);
+        return Moved::Done;
+    }
+    if stance.busy || !holds(app, fence) {
+        return Moved::Failed;
+    }
+    let one_version = app.routes().is_some_and(|r| r.any_one_version());
+    let order = Order {
+        model: wanted.model.clone(),
+        version: wanted.version,
+        keep_runs: !one_version,
+        holder: app.settings.name.clone(),
+        fence,
+        sequence: stance.sequence,
+    };
+    let end = app.replicas.order(&target, order, CALL).await;
+    tracing::info!(
+        event = "order_given",
+        replica = %target.id,
+        model = %wanted.model,
+        version = wanted.version,
+        fence,
+        sequence = stance.sequence,
+        outcome = ?end
+    );
+    match end {
+        OrderEnd::Accepted | OrderEnd::Unknown => wait(app, &target, &wanted).await,
+        OrderEnd::Holds => {
+            app.slots.fleet.lock().seen(&target.id, &wanted.model, wanted.version);
+            Moved::Done
+        }
+        OrderEnd::Busy | OrderEnd::Refused => Moved::Failed,
+        OrderEnd::Fenced => Moved::Fenced,
+    }
+}
+
+/// Waits until a replica has loaded what it was ordered to.
+async fn wait(app: &App, target: &Target, wanted: &Move) -> Moved {
+    tokio::time::sleep(LOAD).await;
+    for _ in 0..ASKS {
+        let Ok(stance) = app.replicas.stance(target, CALL).await else { return Moved::Failed };
+        let has = stance.versions.iter().find(|(m, _)| *m == wanted.model).map(|(_, v)| *v);
+        if has.is_some_and(|has| has >= wanted.version) {
+            app.slots.fleet.lock().seen(&target.id, &wanted.model, wanted.version);
+            app.slots.pump(app.now());
+            return Moved::Done;
+        }
+        if !stance.busy {
+            return Moved::Failed;
+        }
+        tokio::time::sleep(ASK).await;
+    }
+    Moved::Failed
+}
--- /dev/null
+++ b/src/entry/read.rs
@@ -0,0 +1,312 @@
+//! Reading jobs and ending them, at any node.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use parking_lot::Mutex;
+
+use super::app::{App, ByName};
+use super::homes::Home;
+use super::keys::{HomeValue, all_results, home as home_key, parts, results};
+use super::live::Seen;
+use crate::Moment;
+use crate::decide::job::{Listing, Spec, State};
+use crate::edge::store::{Change, Item, StoreError, Txn, TxnEnd};
+
+/// Text in one answer, in bytes: half of the megabyte that answers may have, as text grows
+/// when it is quoted.
+const PAGE: usize = 500_000;
+/// The longest single watch for results.
+const WATCH: Duration = Duration::from_millis(1_000);
+/// How long ending a job is tried while the store does not answer.
+const TRY: Duration = Duration::from_millis(1_500);
+/// The pause between tries.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// What a read of a job's results found.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Read {
+    /// Results from the asked position on.
+    Page {
+        /// The number of the job's samples.
+        total: usize,
+        /// The results.
+        results: Vec<Arc<Listing>>,
+    },
+    /// There is no such job.
+    Unknown,
+    /// The store does not say.
+    Unsure,
+}
+
+/// What a lookup found.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Found<T> {
+    /// This.
+    There(T),
+    /// There is none.
+    Unknown,
+    /// The store does not say.
+    Unsure,
+}
+
+/// Jobs of other homes, as far as they were read here.
+#[derive(Debug, Default)]
+pub(super) struct Views {
+    views: Mutex<ByName<Arc<View>>>,
+}
+
+#[derive(Debug, Default)]
+struct View {
+    state: Mutex<ViewState>,
+    spec: Mutex<Option<Arc<Spec>>>,
+}
+
+#[derive(Debug, Default)]
+struct ViewState {
+    listed: Vec<Arc<Listing>>,
+    /// The revision from which a watch goes on; none before the first read.
+    revision: Option<u64>,
+}
+
+impl Views {
+    fn get(&self, job: &str) -> Arc<View> {
+        let mut views = self.views.lock();
+        views.entry(job.into()).or_default().clone()
+    }
+}
+
+impl App {
+    /// Results of a job from a position on; waits for one if there is none yet.
+    pub async fn read(&self, job: &str, after: usize, wait: Duration) -> Read {
+        let ends = self.now() + wait;
+        if let Some(home) = self.homes.get(job)
+            && let Some(read) = self.read_home(&home, after, ends).await
+        {
+            return read;
+        }
+        match self.read_view(job, after, ends).await {
+            Ok(read) => read,
+            Err(e) => {
+                tracing::info!(event = "read_unsure", job, error = %e);
+                Read::Unsure
+            }
+        }
+    }
+
+    /// Reads from the home itself; none if it lost the job meanwhile.
+    async fn read_home(&self, home: &Home, after: usize, ends: Moment) -> Option<Read> {
+        let total = home.job.lock().spec.items.len();
+        let mut listed = home.listed.subscribe();
+        loop {
+            let results = page(home.job.lock().listed(), after);
+            let over = home.job.lock().ended() || home.job.lock().complete();
+            if !results.is_empty() || over || self.now() >= ends {
+                return Some(Read::Page { total, results });
+            }
+            let left = ends.saturating_sub(self.now());
+            tokio::select! {
+                () = home.stop.cancelled() => return None,
+                _ = tokio::time::timeout(left, listed.changed()) => {}
+            }
+        }
+    }
+
+    async fn read_view(&self, job: &str, after: usize, ends: Moment) -> Result<Read, StoreError> {
+        let Some(seen) = self.home_of(job).await? else { return Ok(Read::Unknown) };
+        let total = seen.value.total;
+        let view = self.views.get(job);
+        if view.state.lock().revision.is_none() {
+            self.fill(job, &view).await?;
+        }
+        loop {
+            let results = page(&view.state.lock().listed, after);
+            let over = match self.closed(job) {
+                // What was listed before the end may not have been read here yet.
+                Some(revision) if view.state.lock().revision < Some(revision) => {
+                    self.fill(job, &view).await?;
+                    continue;
+                }
+                Some(_) => true,
+                None => view.state.lock().listed.len() >= total,
+            };
+            let left = ends.saturating_sub(self.now());
+            if !results.is_empty() || over || left.is_zero() {
+                return Ok(Read::Page { total, results });
+            }
+            let revision = view.state.lock().revision.unwrap_or_default();
+            let watched = self.store.watch(&all_results(job), revision, left.min(WATCH)).await;
+            match watched {
+                Ok(watched) => {
+                    let mut state = view.state.lock();
+                    state.revision = state.revision.max(Some(watched.revision));
+                    for change in &watched.changes {
+                        if let Change::Put(item) = change {
+                            state.add(job, item);
+                        }
+                    }
+                }
+                Err(StoreError::Compacted) => self.fill(job, &view).await?,
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
+    /// The revision at which a job's trainer ended it.
+    fn closed(&self, job: &str) -> Option<u64> {
+        let live = self.live.lock();
+        live.home(job).filter(|seen| seen.value.ended).map(|seen| seen.revision)
+    }
+
+    async fn fill(&self, job: &str, view: &View) -> Result<(), StoreError> {
+        let page = self.store.range(&all_results(job)).await?;
+        let mut state = view.state.lock();
+        for item in &page.items {
+            state.add(job, item);
+        }
+        state.revision = state.revision.max(Some(page.revision));
+        Ok(())
+    }
+
+    /// Where a job is, from the view or, where that has not heard of it, from the store.
+    async fn home_of(&self, job: &str) -> Result<Option<Seen<HomeValue>>, StoreError> {
+        if let Some(seen) = self.live.lock().home(job).cloned() {
+            return Ok(Some(seen));
+        }
+        let item = self.store.get(&home_key(job)).await?;
+        let Some(item) = item else { return Ok(None) };
+        match serde_json::from_slice(&item.value) {
+            Ok(value) => Ok(Some(Seen { value, revision: item.revision })),
+            Err(e) => Err(StoreError::Refused(e.to_string())),
+        }
+    }
+
+    /// The body of a sample of a job.
+    pub async fn body(&self, job: &str, item: &str) -> Found<Bytes> {
+        let spec = match self.homes.get(job) {
+            Some(home) => home.job.lock().spec.clone(),
+            None => match self.spec_of(job).await {
+                Ok(Some(spec)) => spec,
+                Ok(None) => return Found::Unknown,
+                Err(e) => {
+                    tracing::info!(event = "read_unsure", job, error = %e);
+                    return Found::Unsure;
+                }
+            },
+        };
+        let found = spec.items.iter().find(|i| *i.id == *item);
+        found.map_or(Found::Unknown, |item| Found::There(item.body.clone()))
+    }
+
+    async fn spec_of(&self, job: &str) -> Result<Option<Arc<Spec>>, StoreError> {
+        let view = self.views.get(job);
+        if let Some(spec) = view.spec.lock().clone() {
+            return Ok(Some(spec));
+        }
+        if self.home_of(job).await?.is_none() {
+            return Ok(None);
+        }
+        let spec = self.load_spec(job).await?;
+        *view.spec.lock() = Some(spec.clone());
+        Ok(Some(spec))
+    }
+
+    /// Reads a submission from the store.
+    pub(super) async fn load_spec(&self, job: &str) -> Result<Arc<Spec>, StoreError> {
+        let page = self.store.range(&parts(job)).await?;
+        let mut bytes = Vec::new();
+        for item in &page.items {
+            bytes.extend_from_slice(&item.value);
+        }
+        let decoded = bincode::serde::decode_from_slice(&bytes, bincode::config::standard());
+        let (spec, _) = decoded.map_err(|e| StoreError::Refused(e.to_string()))?;
+        Ok(Arc::new(spec))
+    }
+
+    /// Reads all results of a job from the store.
+    pub(super) async fn load_results(&self, job: &str) -> Result<Vec<Arc<Listing>>, StoreError> {
+        let page = self.store.range(&all_results(job)).await?;
+        let mut state = ViewState::default();
+        for item in &page.items {
+            state.add(job, item);
+        }
+        Ok(state.listed)
+    }
+
+    /// Ends a job: nothing of it runs any more.
+    pub async fn end(&self, job: &str) -> Found<()> {
+        if let Some(home) = self.homes.get(job) {
+            self.halt(&home);
+        }
+        let begun = self.now();
+        let mut seen = match self.home_of(job).await {
+            Ok(Some(seen)) => seen,
+            Ok(None) => return Found::Unknown,
+            Err(_) => return Found::Unsure,
+        };
+        loop {
+            if seen.value.ended {
+                return Found::There(());
+            }
+            let value = HomeValue { ended: true, done: true, ..seen.value.clone() };
+            let Ok(value) = serde_json::to_vec(&value) else { return Found::Unsure };
+            let key = home_key(job);
+            let txn = Txn::when(key.clone(), seen.revision).put(key.clone(), value);
+            match self.store.txn(txn).await {
+                Ok(TxnEnd::Done(_)) => {
+                    tracing::info!(event = "job_ended", job);
+                    return Found::There(());
+                }
+                Ok(TxnEnd::Conflict(items)) => {
+                    let Some(item) = items.into_iter().find(|i| i.key == key) else {
+                        return Found::Unknown;
+                    };
+                    match serde_json::from_slice(&item.value) {
+                        Ok(value) => seen = Seen { value, revision: item.revision },
+                        Err(_) => return Found::Unsure,
+                    }
+                }
+                Ok(TxnEnd::NoLease) => return Found::Unsure,
+                Err(e) => {
+                    tracing::warn!(event = "end_not_written", job, error = %e);
+                    if self.now().saturating_sub(begun) > TRY {
+                        return Found::Unsure;
+                    }
+                    tokio::time::sleep(PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
+impl ViewState {
+    /// Takes over results, if they begin where the known ones end.
+    fn add(&mut self, job: &str, item: &Item) {
+        if *item.key != *results(job, self.listed.len()) {
+            return;
+        }
+        let config = bincode::config::standard();
+        match bincode::serde::decode_from_slice::<Vec<Arc<Listing>>, _>(&item.value, config) {
+            Ok((batch, _)) => self.listed.extend(batch),
+            Err(e) => tracing::error!(event = "results_unreadable", job, error = %e),
+        }
+    }
+}
+
+/// The results from a position on that fit one answer; at least one if there is one.
+fn page(listed: &[Arc<Listing>], after: usize) -> Vec<Arc<Listing>> {
+    let mut size = 0;
+    let mut results = Vec::new();
+    for listing in listed.iter().skip(after) {
+        size += match &listing.state {
+            State::Completed { output, .. } => output.len(),
+            State::Dead => 0,
+        };
+        if size > PAGE && !results.is_empty() {
+            break;
+        }
+        results.push(listing.clone());
+    }
+    results
+}
--- /dev/null
+++ b/src/entry/relay.rs
@@ -0,0 +1,281 @@
+//! One client's request at one replica, or at several in turn where it may be repeated.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, StatusCode};
+
+use super::app::App;
+use super::slots::Held;
+use super::stream;
+use crate::decide::{Again, Ended, History, Outcome, Route, Wish};
+use crate::edge::http::gather;
+use crate::edge::replica::{Call, Failure, Pieces, Reply};
+use crate::error::{Kind, Refusal};
+use crate::{Moment, Name};
+
+/// How long a request without a deadline or a route's bound may take.
+const LONGEST: Duration = Duration::from_secs(30);
+/// An attempt that may be made again elsewhere is given up after this part of the time that
+/// is left, in percent: a silent replica leaves time for two more.
+const PART: u32 = 40;
+/// It is given at least this: ten times the usual work of a plain service.
+const LEAST: Duration = Duration::from_millis(250);
+/// When to come back after a refusal: a replica that was full has places again within some
+/// requests, and a client's objective is not spent by then.
+pub(super) const COME_BACK: Duration = Duration::from_millis(60);
+
+/// A request of a client.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    /// Its id.
+    pub id: Name,
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub path: Name,
+    /// The host.
+    pub host: Name,
+    /// The headers that are passed on.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+    /// How long the client waits.
+    pub deadline: Option<Duration>,
+    /// The event after which a stream goes on.
+    pub after: Option<u64>,
+    /// Whether failed answers are counted rather than passed on.
+    pub patient: bool,
+}
+
+/// The final answer.
+#[derive(Debug)]
+pub enum Given {
+    /// A replica's whole answer.
+    Whole {
+        /// Its status.
+        status: StatusCode,
+        /// Its headers.
+        headers: HeaderMap,
+        /// Its signature.
+        signature: Option<Name>,
+        /// Its body.
+        body: Bytes,
+        /// Replicas that ran it and failed.
+        failures: u32,
+    },
+    /// A replica's stream, as it comes.
+    Stream {
+        /// Its status.
+        status: StatusCode,
+        /// Its headers.
+        headers: HeaderMap,
+        /// The events.
+        body: Opened,
+    },
+    /// None.
+    Refused(Refusal),
+}
+
+/// The body of a stream that is passed on.
+pub struct Opened(pub Pieces);
+
+impl std::fmt::Debug for Opened {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Opened")
+    }
+}
+
+/// The state of a request between its attempts.
+pub(super) struct Course {
+    pub ask: Ask,
+    pub route: Arc<Route>,
+    pub ends: Moment,
+    pub made: u32,
+    pub failures: u32,
+    pub avoid: Vec<Name>,
+    pub history: History,
+}
+
+/// What an attempt came to.
+enum Came {
+    Given(Given),
+    /// Another attempt may be made.
+    Next,
+    /// None may.
+    Over(Refusal),
+}
+
+impl App {
+    /// Takes a request to its final answer.
+    pub async fn relay(self: &Arc<Self>, route: &Arc<Route>, ask: Ask) -> Given {
+        let mut limit = ask.deadline.unwrap_or(LONGEST);
+        if let Some(timeout) = route.timeout {
+            limit = limit.min(timeout);
+        }
+        let mut course = Course {
+            ask,
+            route: route.clone(),
+            ends: self.now() + limit,
+            made: 0,
+            failures: 0,
+            avoid: Vec::new(),
+            history: History::new(),
+        };
+        loop {
+            let given = match self.attempt(&mut course).await {
+                Came::Given(given) => given,
+                Came::Over(refusal) => Given::Refused(course.history.judge(refusal)),
+                Came::Next => continue,
+            };
+            log(&course, &given);
+            return given;
+        }
+    }
+
+    async fn attempt(self: &Arc<Self>, course: &mut Course) -> Came {
+        let left = course.ends.saturating_sub(self.now());
+        if left.is_zero() {
+            return Came::Over(refused(Kind::DeadlinePassed, "no time is left"));
+        }
+        if course.made >= course.route.attempts {
+            return Came::Over(refused(Kind::RetriesSpent, "no attempt is left"));
+        }
+        let Some(service) = course.route.service(self.draw()).cloned() else {
+            return Came::Over(refused(Kind::NoUpstream, "the route names no service"));
+        };
+        let wish = Wish { service: &service, weights: None, avoid: &course.avoid, over: true };
+        let Some(mut held) = self.take(&wish) else {
+            return Came::Over(refused(Kind::NoUpstream, "no replica takes work"));
+        };
+        course.made += 1;
+        let began = self.now();
+        let call = course.call(left);
+        let limit = course.limit(left);
+        let sending = self.replicas.send(&held.target, call);
+        let reply = match tokio::time::timeout(limit, sending).await {
+            Ok(Ok(reply)) => reply,
+            Ok(Err(failure)) => return course.failed(&mut held, failure),
+            Err(_) => return course.failed(&mut held, Failure::Broken("silent".to_owned())),
+        };
+        if let Some(load) = reply.load {
+            self.slots.fleet.lock().load(&held.target.id, load, self.now());
+        }
+        if course.route.streaming && reply.status.is_success() {
+            return Came::Given(self.open_stream(course, &held, reply));
+        }
+        let left = limit.saturating_sub(self.now().saturating_sub(began));
+        let status = reply.status;
+        let (headers, signature) = (reply.headers, reply.signature);
+        let body = match tokio::time::timeout(left, gather(reply.body)).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(reason)) => return course.failed(&mut held, Failure::Broken(reason)),
+            Err(_) => return course.failed(&mut held, Failure::Broken("silent".to_owned())),
+        };
+        let took = self.now().saturating_sub(began);
+        held.ended(Ended::Answered { took, cost: 1 });
+        if signature.is_none() {
+            return course.failed(&mut held, Failure::Broken("unsigned".to_owned()));
+        }
+        let failed = status.is_server_error();
+        if failed {
+            course.failures += 1;
+            held.ended(Ended::Failed);
+            if course.may_repeat() && course.made < course.route.attempts {
+                course.history.note(Outcome::Unknown);
+                course.avoid.push(held.target.id.clone());
+                return Came::Next;
+            }
+        }
+        let failures = course.failures;
+        Came::Given(Given::Whole { status, headers, signature, body, failures })
+    }
+
+    fn open_stream(self: &Arc<Self>, course: &mut Course, held: &Held<'_>, reply: Reply) -> Given {
+        let (status, headers) = (reply.status, reply.headers.clone());
+        let body = stream::forward(self.clone(), course, held.target.clone(), reply);
+        Given::Stream { status, headers, body: Opened(body) }
+    }
+}
+
+impl Course {
+    pub(super) fn may_repeat(&self) -> bool {
+        match self.route.again {
+            Again::Whole | Again::Resume => true,
+            Again::Never => false,
+        }
+    }
+
+    pub(super) fn call(&self, left: Duration) -> Call {
+        Call {
+            id: self.ask.id.clone(),
+            method: self.ask.method.clone(),
+            path: self.ask.path.clone(),
+            host: self.ask.host.clone(),
+            headers: self.ask.headers.clone(),
+            body: self.ask.body.clone(),
+            limit: left,
+            after: self.ask.after,
+            rank: None,
+        }
+    }
+
+    /// How long one attempt may take.
+    fn limit(&self, left: Duration) -> Duration {
+        if !self.may_repeat() || self.made >= self.route.attempts {
+            return left;
+        }
+        (left * PART / 100).max(LEAST).min(left)
+    }
+
+    fn failed(&mut self, held: &mut Held<'_>, failure: Failure) -> Came {
+        held.ended(match failure {
+            Failure::Unsent(_) | Failure::Stranger => Ended::Unreachable,
+            Failure::NotRun(_) => Ended::Full,
+            Failure::Broken(_) => Ended::Failed,
+        });
+        tracing::info!(
+            event = "attempt_failed",
+            request = %self.ask.id,
+            replica = %held.target.id,
+            attempt = self.made,
+            %failure
+        );
+        self.avoid.push(held.target.id.clone());
+        if failure.not_run() {
+            self.history.note(Outcome::Refused);
+            // It ran nowhere, so it does not count among the replicas that it may run on.
+            if self.avoid.len() < 2 * self.route.attempts.max(1) as usize {
+                self.made -= 1;
+            }
+            return Came::Next;
+        }
+        self.history.note(Outcome::Unknown);
+        if self.may_repeat() {
+            return Came::Next;
+        }
+        Came::Over(refused(Kind::OutcomeUnknown, "the attempt broke off"))
+    }
+}
+
+fn refused(kind: Kind, detail: &str) -> Refusal {
+    Refusal::new(kind, detail).after(COME_BACK)
+}
+
+fn log(course: &Course, given: &Given) {
+    let (id, attempts) = (&course.ask.id, course.made);
+    match given {
+        Given::Whole { status, .. } => {
+            tracing::debug!(event = "answered", request = %id, attempts, status = status.as_u16());
+        }
+        Given::Stream { .. } => tracing::debug!(event = "stream_opened", request = %id, attempts),
+        Given::Refused(refusal) => tracing::info!(
+            event = "refused",
+            request = %id,
+            attempts,
+            kind = %refusal.kind,
+            run = refusal.run().as_str()
+        ),
+    }
+}
--- /dev/null
+++ b/src/entry/submit.rs
@@ -0,0 +1,115 @@
+//! Taking in a batch job: it lies in the store before it is accepted.
+
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+
+use super::app::App;
+use super::keys::{HomeValue, home, part};
+use crate::decide::job::Spec;
+use crate::edge::store::{StoreError, Txn, TxnEnd};
+
+/// Writes of one transaction, less the home's own key.
+const PARTS: usize = 24;
+/// Room that a value keeps free, in bytes.
+const SPARE: usize = 4_096;
+/// How long a submission whose write was not answered is tried again: a trainer's own
+/// limit for the answer is a few seconds.
+const TRY: Duration = Duration::from_millis(1_500);
+/// The pause between tries.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// The end of a submission.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Submitted {
+    /// The job is kept, from this submission or an earlier one.
+    Kept,
+    /// It is not kept, and never will be from this submission.
+    Refused(&'static str),
+    /// It may be kept.
+    Unknown,
+}
+
+impl App {
+    /// Takes in a job.
+    pub async fn submit(self: &Arc<Self>, spec: Spec) -> Submitted {
+        let id = spec.id.clone();
+        if self.homes.get(&id).is_some() || self.live.lock().home(&id).is_some() {
+            return Submitted::Kept;
+        }
+        if self.draining() {
+            return Submitted::Refused("draining");
+        }
+        let Ok(bytes) = bincode::serde::encode_to_vec(&spec, bincode::config::standard()) else {
+            return Submitted::Refused("unreadable");
+        };
+        let parts: Vec<Bytes> = Bytes::from(bytes)
+            .chunks(self.settings.value - SPARE)
+            .map(Bytes::copy_from_slice)
+            .collect();
+        if parts.len() > PARTS {
+            return Submitted::Refused("too_large");
+        }
+        let value = HomeValue {
+            life: self.life.clone(),
+            total: spec.items.len(),
+            parts: parts.len(),
+            done: false,
+            ended: false,
+            since: unix_millis(),
+        };
+        let Ok(value) = serde_json::to_vec(&value) else {
+            return Submitted::Refused("unreadable");
+        };
+        let key = home(&id);
+        let mut txn = Txn::when(key.clone(), 0).put(key, value);
+        for (index, bytes) in parts.into_iter().enumerate() {
+            txn = txn.put(part(&id, index), bytes);
+        }
+        let spec = Arc::new(spec);
+        self.write(spec, txn).await
+    }
+
+    async fn write(self: &Arc<Self>, spec: Arc<Spec>, txn: Txn) -> Submitted {
+        let begun = self.now();
+        let mut unsure = false;
+        loop {
+            let reason = match self.store.txn(txn.clone()).await {
+                Ok(TxnEnd::Done(revision)) => {
+                    tracing::info!(event = "job_accepted", job = %spec.id, items = spec.items.len(), revision);
+                    self.run(spec, Vec::new(), revision);
+                    return Submitted::Kept;
+                }
+                // It lies there already: from an earlier try, or through another node.
+                Ok(TxnEnd::Conflict(items)) => {
+                    let own = items.first().and_then(|item| {
+                        let value: HomeValue = serde_json::from_slice(&item.value).ok()?;
+                        (value.life == self.life).then_some(item.revision)
+                    });
+                    if let Some(revision) = own {
+                        tracing::info!(event = "job_accepted", job = %spec.id, late = true, revision);
+                        self.run(spec, Vec::new(), revision);
+                    }
+                    return Submitted::Kept;
+                }
+                Ok(TxnEnd::NoLease) => return Submitted::Refused("no_lease"),
+                Err(StoreError::Unknown(reason)) => {
+                    unsure = true;
+                    reason
+                }
+                Err(StoreError::Refused(reason)) => reason,
+                Err(StoreError::Compacted) => "compacted".to_owned(),
+            };
+            tracing::warn!(event = "submission_not_written", job = %spec.id, unsure, %reason);
+            if self.now().saturating_sub(begun) > TRY {
+                return if unsure { Submitted::Unknown } else { Submitted::Refused("store_away") };
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+}
+
+fn unix_millis() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+}
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -1,6 +1,7 @@
-//! Logs: one line of key=value pairs for each event, on standard error.
+//! Logs: one line of key=value pairs for each event.
 
 use tracing_subscriber::EnvFilter;
+use tracing_subscriber::fmt::MakeWriter;
 use tracing_subscriber::prelude::*;
 
 /// A filter that does not parse.
@@ -18,10 +19,18 @@
     filter(level).map(drop)
 }
 
-/// Starts logging at a level, or by a filter such as `mulberrycourse=debug`.
+/// Starts logging on standard error at a level, or by a filter such as `mulberrycourse=debug`.
 pub fn start(level: &str) -> Result<(), BadLevel> {
+    start_on(level, std::io::stderr)
+}
+
+/// The same on another writer.
+pub fn start_on<W>(level: &str, writer: W) -> Result<(), BadLevel>
+where
+    W: for<'a> MakeWriter<'a> + Send + Sync + 'static,
+{
     let filter = filter(level)?;
-    let lines = tracing_logfmt::builder().layer().with_writer(std::io::stderr);
+    let lines = tracing_logfmt::builder().layer().with_writer(writer);
     // A second start in one process keeps the first.
     let _ = tracing_subscriber::registry().with(lines.with_filter(filter)).try_init();
     Ok(())
--- /dev/null
+++ b/src/settings/entry.rs
@@ -0,0 +1,106 @@
+//! The settings of a process on machines where a store holds all that lasts.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use super::{Document, Invalid};
+use crate::Name;
+
+/// How long the lease of a node lasts by default: two renewals may be lost.
+const LEASE: Duration = Duration::from_millis(2_000);
+/// How long callers keep an answer with addresses, in seconds.
+const TTL: u64 = 1;
+/// How long a holder of orders waits before its first order by default.
+const TURN: Duration = Duration::from_millis(3_000);
+/// How long a process may take to stop by default.
+const GRACE: Duration = Duration::from_secs(8);
+/// The largest value of the store by default, in bytes.
+const VALUE: usize = 1 << 20;
+
+/// Everything that a process reads from its file.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EntrySettings {
+    /// `[node] name`.
+    pub name: Name,
+    /// `[node] zone`.
+    pub zone: Name,
+    /// `[node] callers`: where clients and trainers connect; none where nobody does.
+    pub callers: Option<SocketAddr>,
+    /// `[node] ready`: where readiness is asked.
+    pub ready: Option<SocketAddr>,
+    /// `[node] addresses`: where clients ask which nodes to use.
+    pub addresses: Option<SocketAddr>,
+    /// `[node] keeps`: whether the machine has a disk that an operator may ask to empty.
+    pub keeps: bool,
+    /// `[store] address`.
+    pub store: SocketAddr,
+    /// `[store] value`: the largest value, in bytes.
+    pub value: usize,
+    /// `[store] lease`: how long a node counts as alive without a renewal.
+    pub lease: Duration,
+    /// `[orders] turn`: how long orders of two holders must lie apart.
+    pub turn: Duration,
+    /// `[stop] grace`: how long stopping may take.
+    pub grace: Duration,
+    /// `[answers] ttl`: how long callers may keep addresses, in seconds.
+    pub ttl: u64,
+    /// `[log] level`.
+    pub level: String,
+}
+
+impl EntrySettings {
+    /// Reads and checks a file.
+    pub fn open(path: &Path) -> Result<Self, Invalid> {
+        Self::read(&Document::open(path)?)
+    }
+
+    /// Checks a parsed text.
+    pub fn read(doc: &Document) -> Result<Self, Invalid> {
+        doc.only(&["node", "store", "orders", "stop", "answers", "log"], &[])?;
+        let node = doc.section("node")?;
+        let store = doc.section("store")?;
+        let mut settings = Self {
+            name: node.required("name")?.into(),
+            zone: node.required("zone")?.into(),
+            callers: address(&node, "callers")?,
+            ready: address(&node, "ready")?,
+            addresses: address(&node, "addresses")?,
+            keeps: node.value_or("keeps", false)?,
+            store: store.value("address")?,
+            value: store.within("value", 1_024..=64 << 20, VALUE)?,
+            lease: store.duration("lease", LEASE)?,
+            turn: TURN,
+            grace: GRACE,
+            ttl: TTL,
+            level: "info".to_owned(),
+        };
+        node.finish()?;
+        store.finish()?;
+        if let Some(orders) = doc.optional("orders") {
+            settings.turn = orders.duration("turn", TURN)?;
+            orders.finish()?;
+        }
+        if let Some(stop) = doc.optional("stop") {
+            settings.grace = stop.duration("grace", GRACE)?;
+            stop.finish()?;
+        }
+        if let Some(answers) = doc.optional("answers") {
+            settings.ttl = answers.within("ttl", 1..=3_600, TTL)?;
+            answers.finish()?;
+        }
+        if let Some(log) = doc.optional("log") {
+            settings.level = log.text("level").unwrap_or("info").to_owned();
+            log.finish()?;
+        }
+        Ok(settings)
+    }
+}
+
+/// An address that may be left out or empty.
+fn address(section: &super::Section<'_>, key: &str) -> Result<Option<SocketAddr>, Invalid> {
+    match section.text(key) {
+        None | Some("") => Ok(None),
+        Some(_) => section.value(key).map(Some),
+    }
+}
