An empty page of results only from what the store said during the read

Ruled out: the end of the job, which came later than both reads. Now an empty page needs one call to the store within the read.

--- a/src/entry/read.rs
+++ b/src/entry/read.rs
@@ -19,6 +19,8 @@
 const PAGE: usize = 500_000;
 /// The longest single watch for results.
 const WATCH: Duration = Duration::from_millis(1_000);
+/// The shortest watch: what the store has already.
+const ONCE: Duration = Duration::from_millis(1);
 /// How long ending a job is tried while the store does not answer.
 const TRY: Duration = Duration::from_millis(1_500);
 /// The pause between tries.
@@ -117,8 +119,11 @@
         let Some(seen) = self.home_of(job).await? else { return Ok(Read::Unknown) };
         let total = seen.value.total;
         let view = self.views.get(job);
+        // An empty page is only given from what the store said during this read.
+        let mut fresh = false;
         if view.state.lock().revision.is_none() {
             self.fill(job, &view).await?;
+            fresh = true;
         }
         loop {
             let results = page(&view.state.lock().listed, after);
@@ -132,11 +137,13 @@
                 None => view.state.lock().listed.len() >= total,
             };
             let left = ends.saturating_sub(self.now());
-            if !results.is_empty() || over || left.is_zero() {
+            if !results.is_empty() || over || (fresh && left.is_zero()) {
                 return Ok(Read::Page { total, results });
             }
+            fresh = true;
             let revision = view.state.lock().revision.unwrap_or_default();
-            let watched = self.store.watch(&all_results(job), revision, left.min(WATCH)).await;
+            let watched =
+                self.store.watch(&all_results(job), revision, left.clamp(ONCE, WATCH)).await;
             match watched {
                 Ok(watched) => {
                     let mut state = view.state.lock();
