Homes of jobs leave the followed prefix; a cut watch reads the whole again

Now a home follows its own key, orphans are looked for by the first in rank, watches wait 15 s, and probes of the client find a silent connection within 2 s.

Ruled out: probes that are not sent (the log shows the cut after 2 s).

--- a/src/edge/http/pool.rs
+++ b/src/edge/http/pool.rs
@@ -19,10 +19,19 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+/// Probes on a connection without traffic, so that one that has gone silent for good is
+/// found while a watch waits on it.
+const PROBES: TcpKeepalive = TcpKeepalive::new()
+    .with_time(Duration::from_secs(1))
+    .with_interval(Duration::from_secs(1))
+    .with_retries(1);
+/// How long sent bytes or probes may stay without a sign of the other side.
+const SILENT: Duration = Duration::from_millis(2_000);
 /// Unused connections that are kept for one address; more are closed.
 const KEPT: usize = 16;
 
@@ -112,6 +121,9 @@
         let opening = async {
             let stream = TcpStream::connect(to).await?;
             stream.set_nodelay(true)?;
+            let socket = SockRef::from(&stream);
+            socket.set_tcp_keepalive(&PROBES)?;
+            socket.set_tcp_user_timeout(Some(SILENT))?;
             Ok::<_, std::io::Error>(stream)
         };
         let stream = match tokio::time::timeout(self.inner.connect, opening).await {
--- a/src/entry/app.rs
+++ b/src/entry/app.rs
@@ -37,12 +37,14 @@
     pub(super) live: Mutex<Live>,
     pub(super) homes: Homes,
     pub(super) views: Views,
-    /// Counts changes of versions, replicas, nodes and homes.
+    /// Counts changes of versions, replicas and nodes.
     pub(super) news: watch::Sender<u64>,
     pub(super) lease: Mutex<Lease>,
     pub(super) draining: AtomicBool,
     pub(super) listed: AtomicBool,
     pub(super) draws: AtomicU64,
+    /// Counts watches that were cut: the store's history may have gone with them.
+    pub(super) doubts: AtomicU64,
     /// Cancelled when the process is to stop its own work.
     pub(super) stop: CancellationToken,
     pub(super) tasks: TaskTracker,
@@ -84,6 +86,7 @@
             draining: AtomicBool::new(false),
             listed: AtomicBool::new(false),
             draws: AtomicU64::new(u64::from(rand::random::<u32>())),
+            doubts: AtomicU64::new(0),
             stop: CancellationToken::new(),
             tasks: TaskTracker::new(),
             begun: Instant::now(),
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -1,6 +1,7 @@
 //! Follows prefixes of the store: read whole once, then watched without a gap.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use super::app::App;
@@ -8,9 +9,9 @@
 use crate::edge::notice::Notice;
 use crate::edge::store::{Change, Item, Page, StoreError};
 
-/// How long a watch may stay without news. It bounds how long a connection that has gone
-/// silent stays unnoticed; every further watch is a call that the platform counts.
-const WAIT: Duration = Duration::from_millis(2_000);
+/// How long a watch may stay without news. Every further watch is a call that the platform
+/// counts; a connection that has gone silent is found by the client's keep-alive probes.
+const WAIT: Duration = Duration::from_secs(15);
 /// Pauses between failed calls: the first is short, as a cut connection is the usual cause.
 const FIRST: Duration = Duration::from_millis(50);
 /// The longest pause: the return of the store is seen this soon.
@@ -26,7 +27,7 @@
     Notices,
     /// The list of replicas.
     Replicas,
-    /// Nodes, homes and the holder of orders.
+    /// Nodes and the holder of orders.
     Live,
 }
 
@@ -55,6 +56,7 @@
             tracing::warn!(event = "store_lost", topic = topic.as_str(), error = %e);
             lost = true;
         }
+        tracing::debug!(event = "read_failed", topic = topic.as_str(), error = %e);
         tokio::time::sleep(pause).await;
         pause = (pause * 2).min(LONGEST);
     }
@@ -72,18 +74,13 @@
     let mut revision = page.revision;
     app.load(topic, &page, prefix);
     loop {
+        // A watch that was cut may go on from a history that is gone and hear nothing for
+        // seconds, without an error: the whole is read again.
         let watched = match app.store.watch(prefix, revision, WAIT).await {
             Ok(watched) => watched,
-            Err(StoreError::Compacted) => return Err(StoreError::Compacted),
-            // The history is there to go on from: the whole is not read again.
             Err(e) => {
-                if !*lost {
-                    tracing::warn!(event = "store_lost", topic = topic.as_str(), error = %e);
-                    *lost = true;
-                }
-                tokio::time::sleep(*pause).await;
-                *pause = (*pause * 2).min(LONGEST);
-                continue;
+                app.doubts.fetch_add(1, Ordering::Relaxed);
+                return Err(e);
             }
         };
         back(topic, pause, lost);
--- a/src/entry/home.rs
+++ b/src/entry/home.rs
@@ -11,10 +11,11 @@
 use super::app::App;
 use super::homes::Home;
 use super::keys::{HomeValue, home as home_key, results};
+use super::live::Seen;
 use super::sample;
 use crate::Name;
 use crate::decide::job::{Job, Listing, Spec};
-use crate::edge::store::{Item, Txn, TxnEnd};
+use crate::edge::store::{Change, Item, Txn, TxnEnd};
 
 /// How long results are gathered for one write. A sample takes a second; a write for each
 /// would cost four times the calls, and a longer wait shows in the time of a step.
@@ -22,6 +23,10 @@
 /// The pause after a failed write.
 const PAUSE: Duration = Duration::from_millis(100);
 
+/// How long the watch of a job's key may stay without news. Steps last some seconds, so it
+/// is one call for most.
+const WATCH: Duration = Duration::from_secs(10);
+
 /// Jobs that began here, for their order.
 static AGES: AtomicU64 = AtomicU64::new(0);
 
@@ -37,14 +42,19 @@
 
 impl App {
     /// Runs a job that this node is home to since `revision`.
-    pub(super) fn run(self: &Arc<Self>, spec: Arc<Spec>, listed: Vec<Arc<Listing>>, revision: u64) {
+    pub(super) fn run(
+        self: &Arc<Self>,
+        spec: Arc<Spec>,
+        listed: Vec<Arc<Listing>>,
+        key: Seen<HomeValue>,
+    ) {
         let id = spec.id.clone();
         let job = Job::new(spec, listed);
         let todo = job.todo();
         let count = job.batch().0;
         let home = Arc::new(Home {
             job: Mutex::new(job),
-            revision: Mutex::new(revision),
+            key: Mutex::new(key),
             fresh: Notify::new(),
             listed: watch::Sender::new(count),
             stop: CancellationToken::new(),
@@ -62,14 +72,17 @@
                 }
             });
         }
+        self.tasks.spawn(attend(self.clone(), home.clone(), id.clone()));
         self.tasks.spawn(list(self.clone(), home, id));
     }
 
-    /// The trainer of a job that runs here wants no more of it.
+    /// The trainer of a job that runs here wants no more of it. What was listed is read from
+    /// the store from now on: a write without an answer may have taken effect there.
     pub(super) fn halt(&self, home: &Home) {
         home.job.lock().end();
         home.stop.cancel();
-        home.fresh.notify_one();
+        let id = home.job.lock().spec.id.clone();
+        self.homes.remove(&id);
     }
 
     /// Stops all jobs that run here, so that others can take them, and writes what is there.
@@ -108,9 +121,6 @@
             break;
         }
     }
-    if home.job.lock().ended() {
-        app.homes.remove(&id);
-    }
 }
 
 /// Writes what is fresh, at most `tries` times. False if another node is home.
@@ -132,17 +142,18 @@
     let key = home_key(id);
     let place = results(id, position);
     for _ in 0..tries {
-        let revision = *home.revision.lock();
+        let Seen { value, revision } = home.key.lock().clone();
         let mut txn = Txn::when(key.clone(), revision);
         txn.expected.push((place.clone(), 0));
         txn = txn.put(place.clone(), bytes.clone());
+        let value = HomeValue { done: true, ..value };
         if last {
-            txn = txn.put(key.clone(), done(app, id, total));
+            txn = txn.put(key.clone(), serde_json::to_vec(&value).unwrap_or_default());
         }
         match app.store.txn(txn).await {
             Ok(TxnEnd::Done(written)) => {
                 if last {
-                    *home.revision.lock() = written;
+                    *home.key.lock() = Seen { value, revision: written };
                 }
                 kept(home, batch.len());
                 return true;
@@ -154,9 +165,7 @@
                 }
                 Conflict::Changed => {}
                 Conflict::Lost => {
-                    tracing::warn!(event = "job_lost", job = %id, "another node is home");
-                    home.stop.cancel();
-                    app.homes.remove(id);
+                    lose(app, home, id);
                     return false;
                 }
             },
@@ -173,21 +182,6 @@
     false
 }
 
-/// The home's value once every sample is listed.
-fn done(app: &App, id: &str, total: usize) -> Vec<u8> {
-    let live = app.live.lock();
-    let known = live.home(id).map(|seen| seen.value.clone());
-    let value = HomeValue {
-        life: app.life.clone(),
-        total,
-        parts: known.as_ref().map_or(1, |k| k.parts),
-        done: true,
-        ended: known.as_ref().is_some_and(|k| k.ended),
-        since: known.as_ref().map_or(0, |k| k.since),
-    };
-    serde_json::to_vec(&value).unwrap_or_default()
-}
-
 fn kept(home: &Home, count: usize) {
     let mut job = home.job.lock();
     job.written(count);
@@ -199,15 +193,8 @@
 fn judge(app: &App, home: &Home, id: &str, items: &[Item], place: &str, bytes: &[u8]) -> Conflict {
     let own = home_key(id);
     let Some(item) = items.iter().find(|i| *i.key == *own) else { return Conflict::Lost };
-    let Ok(value) = serde_json::from_slice::<HomeValue>(&item.value) else {
+    if !still(app, home, item) {
         return Conflict::Lost;
-    };
-    if value.life != app.life {
-        return Conflict::Lost;
-    }
-    *home.revision.lock() = item.revision;
-    if value.ended {
-        app.halt(home);
     }
     match items.iter().find(|i| *i.key == *place) {
         Some(there) if there.value == bytes => Conflict::Written,
@@ -215,3 +202,75 @@
         None => Conflict::Changed,
     }
 }
+
+/// Takes over the home's key as the store has it. False if another node is home.
+fn still(app: &App, home: &Home, item: &Item) -> bool {
+    let Ok(value) = serde_json::from_slice::<HomeValue>(&item.value) else { return false };
+    let mut key = home.key.lock();
+    if item.revision < key.revision {
+        return true;
+    }
+    if value.life != app.life {
+        return false;
+    }
+    let ended = value.ended;
+    *key = Seen { value, revision: item.revision };
+    drop(key);
+    if ended && !home.job.lock().ended() {
+        app.halt(home);
+    }
+    true
+}
+
+/// Follows the key of a job that runs here: its trainer may end it through any node, and
+/// another node may take it.
+async fn attend(app: Arc<App>, home: Arc<Home>, id: Name) {
+    let key = home_key(&id);
+    let mut revision = home.key.lock().revision;
+    loop {
+        let watched = tokio::select! {
+            () = home.stop.cancelled() => return,
+            watched = app.store.watch(&key, revision, WATCH) => watched,
+        };
+        let items = match watched {
+            Ok(watched) => {
+                revision = watched.revision;
+                puts(watched.changes)
+            }
+            // The history may be gone, so the key itself is read.
+            Err(_) => match app.store.get(&key).await {
+                Ok(Some(item)) => {
+                    revision = revision.max(item.revision);
+                    vec![item]
+                }
+                Ok(None) => return lose(&app, &home, &id),
+                Err(_) => {
+                    tokio::time::sleep(PAUSE).await;
+                    Vec::new()
+                }
+            },
+        };
+        for item in items.iter().filter(|i| i.key == key) {
+            if !still(&app, &home, item) {
+                return lose(&app, &home, &id);
+            }
+        }
+        if home.job.lock().complete() {
+            return;
+        }
+    }
+}
+
+fn puts(changes: Vec<Change>) -> Vec<Item> {
+    let puts = changes.into_iter().filter_map(|change| match change {
+        Change::Put(item) => Some(item),
+        Change::Removed { .. } => None,
+    });
+    puts.collect()
+}
+
+fn lose(app: &App, home: &Home, id: &Name) {
+    tracing::warn!(event = "job_lost", job = %id, "another node is home");
+    home.stop.cancel();
+    app.homes.remove(id);
+}
--- a/src/entry/homes.rs
+++ b/src/entry/homes.rs
@@ -7,6 +7,8 @@
 use tokio_util::sync::CancellationToken;
 
 use super::app::ByName;
+use super::keys::HomeValue;
+use super::live::Seen;
 use crate::Name;
 use crate::decide::job::Job;
 
@@ -14,8 +16,8 @@
 #[derive(Debug)]
 pub(super) struct Home {
     pub job: Mutex<Job>,
-    /// The revision of its home's key that makes this node its home.
-    pub revision: Mutex<u64>,
+    /// The home's key, whose revision makes this node its home.
+    pub key: Mutex<Seen<HomeValue>>,
     /// Told when a sample ends.
     pub fresh: Notify,
     /// The number of results that last.
--- a/src/entry/keys.rs
+++ b/src/entry/keys.rs
@@ -1,7 +1,8 @@
 //! The keys of this service in the store, and their values.
 //!
-//! What every node has to know lies under one prefix, so that one watch follows all of it;
-//! the bulk of a job lies apart from it and is read on demand.
+//! What every node has to know lies under one prefix, so that one watch follows all of it,
+//! and it changes only when nodes come and go. What concerns one job lies apart: only its
+//! home follows it, as each change would cost a call of every node otherwise.
 
 use std::net::SocketAddr;
 
@@ -9,13 +10,14 @@
 
 use crate::Name;
 
-/// Nodes, homes of jobs and the holder of orders: followed by every node.
+/// Nodes and the holder of orders: followed by every node.
 pub(super) const LIVE: &str = "mulberry/live/";
 /// The holder of orders.
 pub(super) const HOLDER: &str = "mulberry/live/holder";
 
 const NODES: &str = "mulberry/live/node/";
-const HOMES: &str = "mulberry/live/home/";
+/// Where each job is.
+pub(super) const HOMES: &str = "mulberry/home/";
 const JOBS: &str = "mulberry/job/";
 
 /// A node that is alive; under the node's lease.
@@ -55,7 +57,6 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum LiveKey<'a> {
     Node(&'a str),
-    Home(&'a str),
     Holder,
 }
 
@@ -63,8 +64,7 @@
     if key == HOLDER {
         return Some(LiveKey::Holder);
     }
-    let node = key.strip_prefix(NODES).map(LiveKey::Node);
-    node.or_else(|| key.strip_prefix(HOMES).map(LiveKey::Home))
+    key.strip_prefix(NODES).map(LiveKey::Node)
 }
 
 pub(super) fn node(name: &str) -> Name {
--- a/src/entry/live.rs
+++ b/src/entry/live.rs
@@ -1,10 +1,10 @@
-//! What the store says of nodes, homes and the holder of orders.
+//! What the store says of nodes and of the holder of orders.
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::keys::{HolderValue, HomeValue, LiveKey, NodeValue, live_key};
+use super::keys::{HolderValue, LiveKey, NodeValue, live_key};
 use crate::edge::store::{Change, Item, Page};
 use crate::{Moment, Name};
 
@@ -27,10 +27,7 @@
     nodes: BTreeMap<Name, NodeValue>,
     /// Nodes whose key went, and when.
     gone: HashMap<Name, (NodeValue, Moment)>,
-    homes: HashMap<Name, Seen<HomeValue>>,
     holder: Option<Seen<HolderValue>>,
-    /// When the holder's key was last there.
-    held: Option<Moment>,
     loaded: bool,
 }
 
@@ -38,12 +35,9 @@
     /// Takes over the whole prefix.
     pub(super) fn load(&mut self, page: &Page, now: Moment) {
         let before = std::mem::take(&mut self.nodes);
-        if self.holder.take().is_some() {
-            self.held = Some(now);
-        }
-        self.homes.clear();
+        self.holder = None;
         for item in &page.items {
-            self.put(item, now);
+            self.put(item);
         }
         for (name, value) in before {
             if !self.nodes.contains_key(&name) {
@@ -56,37 +50,29 @@
     /// Takes over a change.
     pub(super) fn change(&mut self, change: &Change, now: Moment) {
         match change {
-            Change::Put(item) => self.put(item, now),
+            Change::Put(item) => self.put(item),
             Change::Removed { key, .. } => match live_key(key) {
                 Some(LiveKey::Node(name)) => {
                     if let Some((name, value)) = self.nodes.remove_entry(name) {
                         self.gone.insert(name, (value, now));
                     }
                 }
-                Some(LiveKey::Home(job)) => {
-                    self.homes.remove(job);
-                }
                 Some(LiveKey::Holder) => {
                     self.holder = None;
-                    self.held = Some(now);
                 }
                 None => {}
             },
         }
     }
 
-    fn put(&mut self, item: &Item, now: Moment) {
+    fn put(&mut self, item: &Item) {
         let parsed = match live_key(&item.key) {
             Some(LiveKey::Node(name)) => serde_json::from_slice(&item.value).map(|value| {
                 self.gone.remove(name);
                 self.nodes.insert(name.into(), value);
             }),
-            Some(LiveKey::Home(job)) => serde_json::from_slice(&item.value).map(|value| {
-                self.homes.insert(job.into(), Seen { value, revision: item.revision });
-            }),
             Some(LiveKey::Holder) => serde_json::from_slice(&item.value).map(|value| {
                 self.holder = Some(Seen { value, revision: item.revision });
-                self.held = Some(now);
             }),
             None => return,
         };
@@ -113,6 +99,11 @@
         self.nodes.values().map(|v| v.life.clone()).chain(held).collect()
     }
 
+    /// Whether an incarnation has its key.
+    pub(super) fn listed(&self, life: &str) -> bool {
+        self.nodes.values().any(|v| *v.life == *life)
+    }
+
     /// The incarnations of nodes that take clients and have their key.
     pub(super) fn able(&self) -> Vec<Name> {
         let nodes = self.nodes.values().filter(|v| v.callers.is_some());
@@ -131,16 +122,6 @@
         self.gone.retain(|_, (_, at)| now.saturating_sub(*at) < HOLD);
     }
 
-    /// Where a job is.
-    pub(super) fn home(&self, job: &str) -> Option<&Seen<HomeValue>> {
-        self.homes.get(job)
-    }
-
-    /// All jobs.
-    pub(super) fn homes(&self) -> impl Iterator<Item = (&Name, &Seen<HomeValue>)> {
-        self.homes.iter()
-    }
-
     /// Who gives orders.
     pub(super) fn holder(&self) -> Option<&Seen<HolderValue>> {
         self.holder.as_ref()
--- a/src/entry/read.rs
+++ b/src/entry/read.rs
@@ -1,6 +1,7 @@
 //! Reading jobs and ending them, at any node.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -67,9 +68,13 @@
 
 #[derive(Debug, Default)]
 struct ViewState {
+    /// The number of its samples, once that is known.
+    total: Option<usize>,
     listed: Vec<Arc<Listing>>,
     /// The revision from which a watch goes on; none before the first read.
     revision: Option<u64>,
+    /// The node's count of cut watches at the last whole read.
+    doubts: u64,
 }
 
 impl Views {
@@ -103,7 +108,10 @@
         let mut listed = home.listed.subscribe();
         loop {
             let results = page(home.job.lock().listed(), after);
-            let over = home.job.lock().ended() || home.job.lock().complete();
+            if home.job.lock().ended() {
+                return None;
+            }
+            let over = home.job.lock().complete();
             if !results.is_empty() || over || self.now() >= ends {
                 return Some(Read::Page { total, results });
             }
@@ -116,26 +124,17 @@
     }
 
     async fn read_view(&self, job: &str, after: usize, ends: Moment) -> Result<Read, StoreError> {
-        let Some(seen) = self.home_of(job).await? else { return Ok(Read::Unknown) };
-        let total = seen.value.total;
         let view = self.views.get(job);
+        let Some(total) = self.total_of(job, &view).await? else { return Ok(Read::Unknown) };
         // An empty page is only given from what the store said during this read.
         let mut fresh = false;
-        if view.state.lock().revision.is_none() {
+        if !self.sure(&view) {
             self.fill(job, &view).await?;
             fresh = true;
         }
         loop {
             let results = page(&view.state.lock().listed, after);
-            let over = match self.closed(job) {
-                // What was listed before the end may not have been read here yet.
-                Some(revision) if view.state.lock().revision < Some(revision) => {
-                    self.fill(job, &view).await?;
-                    continue;
-                }
-                Some(_) => true,
-                None => view.state.lock().listed.len() >= total,
-            };
+            let over = view.state.lock().listed.len() >= total;
             let left = ends.saturating_sub(self.now());
             if !results.is_empty() || over || (fresh && left.is_zero()) {
                 return Ok(Read::Page { total, results });
@@ -155,32 +154,45 @@
                     }
                 }
                 Err(StoreError::Compacted) => self.fill(job, &view).await?,
-                Err(e) => return Err(e),
+                Err(e) => {
+                    view.state.lock().revision = None;
+                    return Err(e);
+                }
             }
         }
     }
 
-    /// The revision at which a job's trainer ended it.
-    fn closed(&self, job: &str) -> Option<u64> {
-        let live = self.live.lock();
-        live.home(job).filter(|seen| seen.value.ended).map(|seen| seen.revision)
+    /// The number of a job's samples; none if there is no such job.
+    async fn total_of(&self, job: &str, view: &View) -> Result<Option<usize>, StoreError> {
+        if let Some(total) = view.state.lock().total {
+            return Ok(Some(total));
+        }
+        let seen = self.home_of(job).await?;
+        let total = seen.map(|seen| seen.value.total);
+        view.state.lock().total = total;
+        Ok(total)
+    }
+
+    /// Whether a watch can go on from where a view stands.
+    fn sure(&self, view: &View) -> bool {
+        let state = view.state.lock();
+        state.revision.is_some() && state.doubts == self.doubts.load(Ordering::Relaxed)
     }
 
     async fn fill(&self, job: &str, view: &View) -> Result<(), StoreError> {
+        let doubts = self.doubts.load(Ordering::Relaxed);
         let page = self.store.range(&all_results(job)).await?;
         let mut state = view.state.lock();
         for item in &page.items {
             state.add(job, item);
         }
         state.revision = state.revision.max(Some(page.revision));
+        state.doubts = doubts;
         Ok(())
     }
 
-    /// Where a job is, from the view or, where that has not heard of it, from the store.
-    async fn home_of(&self, job: &str) -> Result<Option<Seen<HomeValue>>, StoreError> {
-        if let Some(seen) = self.live.lock().home(job).cloned() {
-            return Ok(Some(seen));
-        }
+    /// Where a job is.
+    pub(super) async fn home_of(&self, job: &str) -> Result<Option<Seen<HomeValue>>, StoreError> {
         let item = self.store.get(&home_key(job)).await?;
         let Some(item) = item else { return Ok(None) };
         match serde_json::from_slice(&item.value) {
@@ -243,11 +255,16 @@
 
     /// Ends a job: nothing of it runs any more.
     pub async fn end(&self, job: &str) -> Found<()> {
-        if let Some(home) = self.homes.get(job) {
-            self.halt(&home);
-        }
         let begun = self.now();
-        let mut seen = match self.home_of(job).await {
+        let here = self.homes.get(job);
+        if let Some(home) = &here {
+            self.halt(home);
+        }
+        let known = match here {
+            Some(home) => Ok(Some(home.key.lock().clone())),
+            None => self.home_of(job).await,
+        };
+        let mut seen = match known {
             Ok(Some(seen)) => seen,
             Ok(None) => return Found::Unknown,
             Err(_) => return Found::Unsure,
--- a/src/entry/submit.rs
+++ b/src/entry/submit.rs
@@ -7,6 +7,7 @@
 
 use super::app::App;
 use super::keys::{HomeValue, home, part};
+use super::live::Seen;
 use crate::decide::job::Spec;
 use crate::edge::store::{StoreError, Txn, TxnEnd};
 
@@ -35,7 +36,7 @@
     /// Takes in a job.
     pub async fn submit(self: &Arc<Self>, spec: Spec) -> Submitted {
         let id = spec.id.clone();
-        if self.homes.get(&id).is_some() || self.live.lock().home(&id).is_some() {
+        if self.homes.get(&id).is_some() {
             return Submitted::Kept;
         }
         if self.draining() {
@@ -59,26 +60,26 @@
             ended: false,
             since: unix_millis(),
         };
-        let Ok(value) = serde_json::to_vec(&value) else {
+        let Ok(written) = serde_json::to_vec(&value) else {
             return Submitted::Refused("unreadable");
         };
         let key = home(&id);
-        let mut txn = Txn::when(key.clone(), 0).put(key, value);
+        let mut txn = Txn::when(key.clone(), 0).put(key, written);
         for (index, bytes) in parts.into_iter().enumerate() {
             txn = txn.put(part(&id, index), bytes);
         }
         let spec = Arc::new(spec);
-        self.write(spec, txn).await
+        self.write(spec, value, txn).await
     }
 
-    async fn write(self: &Arc<Self>, spec: Arc<Spec>, txn: Txn) -> Submitted {
+    async fn write(self: &Arc<Self>, spec: Arc<Spec>, value: HomeValue, txn: Txn) -> Submitted {
         let begun = self.now();
         let mut unsure = false;
         loop {
             let reason = match self.store.txn(txn.clone()).await {
                 Ok(TxnEnd::Done(revision)) => {
                     tracing::info!(event = "job_accepted", job = %spec.id, items = spec.items.len(), revision);
-                    self.run(spec, Vec::new(), revision);
+                    self.run(spec, Vec::new(), Seen { value, revision });
                     return Submitted::Kept;
                 }
                 // It lies there already: from an earlier try, or through another node.
@@ -89,7 +90,7 @@
                     });
                     if let Some(revision) = own {
                         tracing::info!(event = "job_accepted", job = %spec.id, late = true, revision);
-                        self.run(spec, Vec::new(), revision);
+                        self.run(spec, Vec::new(), Seen { value, revision });
                     }
                     return Submitted::Kept;
                 }
@@ -103,7 +104,11 @@
             };
             tracing::warn!(event = "submission_not_written", job = %spec.id, unsure, %reason);
             if self.now().saturating_sub(begun) > TRY {
-                return if unsure { Submitted::Unknown } else { Submitted::Refused("store_away") };
+                if unsure {
+                    self.expect(spec.id.clone());
+                    return Submitted::Unknown;
+                }
+                return Submitted::Refused("store_away");
             }
             tokio::time::sleep(PAUSE).await;
         }
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -1,132 +1,172 @@
 //! Taking over jobs whose home is gone.
+//!
+//! Load pattern: many machines go at once, or all; each open step waits until someone runs
+//! it again. If every node looked for orphans at every change, their reads would grow with
+//! the square of the fleet: only the nodes first in rank look, one after the other.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::app::{App, ByName};
-use super::keys::{HomeValue, home as home_key};
+use super::app::App;
+use super::keys::{HOMES, HomeValue, home as home_key};
 use super::live::Seen;
+use crate::decide::job::{Listing, Spec};
 use crate::decide::rank;
 use crate::edge::store::{StoreError, Txn, TxnEnd};
 use crate::{Moment, Name};
 
-/// How much longer each next node in rank waits before it takes a job: the nodes ahead of it
-/// need two calls to the store.
-const STEP: Duration = Duration::from_millis(600);
-/// How often orphans are looked at again.
-const LOOK: Duration = Duration::from_millis(100);
+/// How much longer each next node in rank waits before it looks: the nodes ahead of it need
+/// two calls to the store for each job.
+const STEP: Duration = Duration::from_millis(500);
+/// Nodes that look at all.
+const LOOKERS: usize = 3;
+/// The pause after a look that failed, or found homes that may come back.
+const AGAIN: Duration = Duration::from_millis(300);
+/// How often the first in rank looks without a sign: what every other way has missed.
+const ROUTINE: Duration = Duration::from_secs(10);
+/// How long a write that was not answered may still take effect: six seconds were seen.
+const LATE: u32 = 8;
+/// How often it is looked for.
+const ASK: Duration = Duration::from_secs(1);
 
-/// What the view says is to be done about a job.
-enum Duty {
-    /// It is this node's, but does not run here.
-    Begin(u64),
-    /// Its home is gone.
-    Take(Seen<HomeValue>),
-    /// Its trainer ended it.
-    Halt,
-    /// Another node is its home now.
-    Drop,
-}
-
-/// Follows the homes of all jobs until the process stops.
+/// Looks for orphans whenever nodes have changed, until the process stops.
 pub(super) async fn follow(app: Arc<App>) {
     let mut news = app.news.subscribe();
-    let mut orphans: ByName<Moment> = ByName::new();
+    let mut known: BTreeSet<Name> = BTreeSet::new();
+    let mut due: Option<Moment> = None;
     loop {
-        let pause = if orphans.is_empty() { Duration::MAX } else { LOOK };
+        let now = app.now();
+        let routine = due.map_or(ROUTINE, |at| at.saturating_sub(now));
         tokio::select! {
             () = app.stop.cancelled() => return,
-            _ = tokio::time::timeout(pause, news.changed()) => {}
+            _ = news.changed() => {}
+            () = tokio::time::sleep(routine) => {
+                due.get_or_insert(now);
+            }
         }
         let now = app.now();
-        app.live.lock().forget(now);
-        for (job, duty) in duties(&app, now, &mut orphans) {
-            match duty {
-                Duty::Halt => {
-                    if let Some(home) = app.homes.get(&job) {
-                        app.halt(&home);
-                    }
-                }
-                Duty::Drop => {
-                    if let Some(home) = app.homes.remove(&job) {
-                        tracing::warn!(event = "job_lost", %job, "another node is home");
-                        home.stop.cancel();
-                    }
-                }
-                Duty::Begin(revision) => begin(&app, &job, revision).await,
-                Duty::Take(seen) => take(&app, &job, seen).await,
+        let place = {
+            let mut live = app.live.lock();
+            live.forget(now);
+            let lives: BTreeSet<Name> = live.lives(now).into_iter().collect();
+            let able = live.able();
+            if lives != known {
+                known = lives;
+                due = None;
             }
+            rank(HOMES, able.iter().map(|l| &**l)).iter().position(|l| **l == *app.life)
+        };
+        let Some(place) = place.filter(|place| *place < LOOKERS) else {
+            due = None;
+            continue;
+        };
+        let at = *due.get_or_insert(now + STEP * place as u32);
+        if now < at || !app.leased() {
+            continue;
         }
+        due = match look(&app).await {
+            Ok(true) => None,
+            Ok(false) => Some(app.now() + AGAIN),
+            Err(e) => {
+                tracing::warn!(event = "orphans_not_read", error = %e);
+                Some(app.now() + AGAIN)
+            }
+        };
+        // Without a sign the next look is the routine one.
+        due = due.or(Some(app.now() + ROUTINE));
     }
 }
 
-fn duties(app: &App, now: Moment, orphans: &mut ByName<Moment>) -> Vec<(Name, Duty)> {
-    let live = app.live.lock();
-    let lives = live.lives(now);
-    let able = live.able();
-    let mut duties = Vec::new();
-    let mut still: ByName<Moment> = ByName::new();
-    for (job, seen) in live.homes() {
-        let here = app.homes.get(job);
-        let mine = seen.value.life == app.life;
-        if let Some(home) = here {
-            if seen.value.ended && !home.job.lock().ended() {
-                duties.push((job.clone(), Duty::Halt));
-            } else if !mine && seen.revision > *home.revision.lock() {
-                duties.push((job.clone(), Duty::Drop));
-            }
+/// Takes what has no home. False if a home that is gone may still come back.
+async fn look(app: &Arc<App>) -> Result<bool, StoreError> {
+    let page = app.store.range(HOMES).await?;
+    let mut settled = true;
+    for item in &page.items {
+        let Ok(value) = serde_json::from_slice::<HomeValue>(&item.value) else {
+            tracing::error!(event = "value_unreadable", key = %item.key);
             continue;
-        }
-        if seen.value.done {
+        };
+        let job: Name = item.key.strip_prefix(HOMES).unwrap_or(&item.key).into();
+        if value.done || app.homes.get(&job).is_some() {
             continue;
         }
-        if mine {
-            duties.push((job.clone(), Duty::Begin(seen.revision)));
+        let seen = Seen { value, revision: item.revision };
+        if seen.value.life == app.life {
+            settled &= begin(app, &job, seen).await;
             continue;
         }
-        if lives.contains(&seen.value.life) {
-            continue;
-        }
-        let since = *orphans.get(job).unwrap_or(&now);
-        still.insert(job.clone(), since);
-        let ranked = rank(job, able.iter().map(|l| &**l));
-        let Some(place) = ranked.iter().position(|l| **l == *app.life) else { continue };
-        if app.leased() && now >= since + STEP * place as u32 {
-            duties.push((job.clone(), Duty::Take(seen.clone())));
+        let (alive, back) = {
+            let live = app.live.lock();
+            let now = app.now();
+            (live.lives(now).contains(&seen.value.life), live.listed(&seen.value.life))
+        };
+        if !alive {
+            settled &= take(app, &job, seen).await;
+        } else if !back {
+            settled = false;
         }
     }
-    *orphans = still;
-    duties
+    Ok(settled)
 }
 
-async fn take(app: &Arc<App>, job: &Name, seen: Seen<HomeValue>) {
+/// Makes this node home to a job. False if that is to be looked at again.
+async fn take(app: &Arc<App>, job: &Name, seen: Seen<HomeValue>) -> bool {
     let value = HomeValue { life: app.life.clone(), ..seen.value.clone() };
-    let Ok(value) = serde_json::to_vec(&value) else { return };
+    let Ok(written) = serde_json::to_vec(&value) else { return true };
     let key = home_key(job);
-    let txn = Txn::when(key.clone(), seen.revision).put(key, value);
+    let txn = Txn::when(key.clone(), seen.revision).put(key, written);
     match app.store.txn(txn).await {
         Ok(TxnEnd::Done(revision)) => {
             tracing::info!(event = "job_taken", %job, from = %seen.value.life, revision);
-            begin(app, job, revision).await;
+            begin(app, job, Seen { value, revision }).await
+        }
+        // Another node has taken it, or its trainer ended it.
+        Ok(TxnEnd::Conflict(_) | TxnEnd::NoLease) => true,
+        Err(e) => {
+            tracing::warn!(event = "job_not_taken", %job, error = %e);
+            app.expect(job.clone());
+            false
         }
-        // The view brings what the store says now.
-        Ok(TxnEnd::Conflict(_) | TxnEnd::NoLease) => {}
-        Err(e) => tracing::warn!(event = "job_not_taken", %job, error = %e),
     }
 }
 
-/// Runs a job that is this node's from what the store has of it.
-async fn begin(app: &Arc<App>, job: &Name, revision: u64) {
+/// Runs a job that is this node's from what the store has of it. False if that can't be read.
+async fn begin(app: &Arc<App>, job: &Name, key: Seen<HomeValue>) -> bool {
     match load(app, job).await {
-        Ok((spec, listed)) => app.run(spec, listed, revision),
-        Err(e) => tracing::warn!(event = "job_not_read", %job, error = %e),
+        Ok((spec, listed)) => {
+            app.run(spec, listed, key);
+            true
+        }
+        Err(e) => {
+            tracing::warn!(event = "job_not_read", %job, error = %e);
+            false
+        }
     }
 }
 
-type Loaded = (Arc<crate::decide::job::Spec>, Vec<Arc<crate::decide::job::Listing>>);
-
-async fn load(app: &App, job: &str) -> Result<Loaded, StoreError> {
+async fn load(app: &App, job: &str) -> Result<(Arc<Spec>, Vec<Arc<Listing>>), StoreError> {
     let spec = app.load_spec(job).await?;
     let listed = app.load_results(job).await?;
     Ok((spec, listed))
 }
+
+impl App {
+    /// A write that makes this node home to a job was not answered: it may yet take effect.
+    pub(super) fn expect(self: &Arc<Self>, job: Name) {
+        let app = self.clone();
+        self.tasks.spawn(async move {
+            for _ in 0..LATE {
+                tokio::time::sleep(ASK).await;
+                if app.draining() || app.homes.get(&job).is_some() {
+                    return;
+                }
+                let Ok(Some(seen)) = app.home_of(&job).await else { continue };
+                if seen.value.life == app.life && !seen.value.done {
+                    begin(&app, &job, seen).await;
+                }
+                return;
+            }
+        });
+    }
+}
