--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -17,6 +17,10 @@
 /// usual load of 0.9 s, so that it is found ready soon after.
 const LOADING: Duration = Duration::from_millis(300);
 
+/// A run this much slower than usual is worth moving. Replicas of one kind differ by less than
+/// half with their load; one in trouble is two to four times as slow.
+const SLOW: f64 = 1.7;
+
 /// A replica as the platform lists it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Listed {
@@ -190,6 +194,23 @@
             .map(|(.., r)| r.listed.target.clone())
     }
 
+    /// Whether a run that goes at `pace`, in seconds a unit, is better cut and taken up at
+    /// another replica with a free place. Reading the prompt and what is there already costs
+    /// about as much as one event.
+    pub fn faster(&self, id: &str, weights: Option<(&str, u64)>, pace: f64, now: Moment) -> bool {
+        let Some(here) = self.replicas.get(id) else { return false };
+        let service = &here.listed.service;
+        let Some(typical) = self.typical.get(service).and_then(Pace::mean) else { return false };
+        if pace < SLOW * typical {
+            return false;
+        }
+        let wish = Wish { service, weights, avoid: &[], over: false };
+        let others = self.of(service).filter(|r| r.listed.target.id != here.listed.target.id);
+        others
+            .filter(|r| fits(r, &wish, now, true))
+            .any(|r| SLOW * r.pace.faded(typical, now) < pace)
+    }
+
     /// An attempt begins.
     pub fn start(&mut self, id: &str) {
         if let Some(replica) = self.replicas.get_mut(id) {
--- a/src/decide/job/job.rs
+++ b/src/decide/job/job.rs
@@ -78,13 +78,16 @@
         Self { spec, listed, fresh: Vec::new(), open, ended: false }
     }
 
-    /// The samples that are to be made, in order.
+    /// The samples that are to be made, the longest first.
+    ///
+    /// Load pattern: a few samples of a step are five times as long as the rest, and the step
+    /// waits for them. Begun last, they would end a whole turn of the places later.
     pub fn todo(&self) -> Vec<Arc<ItemSpec>> {
         if self.ended {
             return Vec::new();
         }
         let mut left: Vec<usize> = self.open.values().copied().collect();
-        left.sort_unstable();
+        left.sort_unstable_by_key(|i| (std::cmp::Reverse(self.spec.items[*i].length), *i));
         left.into_iter().map(|i| self.spec.items[i].clone()).collect()
     }
 
--- a/src/decide/job/sample.rs
+++ b/src/decide/job/sample.rs
@@ -34,6 +34,8 @@
     pub body: Bytes,
     /// Samples of one group share their prompt.
     pub group: Name,
+    /// The sender's estimate of the tokens that it comes to, often far off.
+    pub length: Option<u64>,
     /// Who scores it; none for a sample without a score.
     pub scorer: Option<Scorer>,
 }
--- a/src/edge/http/pool.rs
+++ b/src/edge/http/pool.rs
@@ -13,7 +13,7 @@
 
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt};
-use http::{Request, Response};
+use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
 use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1::{SendRequest, handshake};
@@ -32,6 +32,9 @@
     .with_retries(1);
 /// How long sent bytes or probes may stay without a sign of the other side.
 const SILENT: Duration = Duration::from_millis(2_000);
+/// A connection is used no more this long before the other side closes it, so that no
+/// request crosses the close.
+const EARLY: Duration = Duration::from_millis(700);
 /// Unused connections that are kept for one address; more are closed.
 const KEPT: usize = 16;
 
@@ -51,7 +54,10 @@
 struct Link {
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
-    since: Instant,
+    /// How long it is kept unused.
+    keep: Duration,
+    /// Until when it may be used again.
+    until: Instant,
 }
 
 impl Drop for Link {
@@ -109,8 +115,7 @@
         let links = idle.get_mut(&to)?;
         let found = loop {
             let link = links.pop()?;
-            let fresh = link.since.elapsed() < self.inner.keep;
-            if fresh && !link.sender.is_closed() {
+            if link.until > Instant::now() && !link.sender.is_closed() {
                 break link;
             }
         };
@@ -138,12 +143,19 @@
                 tracing::debug!(event = "connection_ended", %to, error = %e);
             }
         });
-        Ok(Link { sender, driver: driver.abort_handle(), since: Instant::now() })
+        Ok(Link {
+            sender,
+            driver: driver.abort_handle(),
+            keep: self.inner.keep,
+            until: Instant::now(),
+        })
     }
 
     fn opened(&self, to: SocketAddr, answer: (Link, Response<Incoming>)) -> Response<Pieces> {
-        let (link, response) = answer;
+        let (mut link, response) = answer;
         let (head, body) = response.into_parts();
+        let keep = stated(&head.headers).map_or(self.inner.keep, |t| t.saturating_sub(EARLY));
+        link.keep = keep;
         let mut pieces = Pieces { body, link: Some(link), pool: self.inner.clone(), to };
         if pieces.body.is_end_stream() {
             pieces.give_back();
@@ -152,6 +164,13 @@
     }
 }
 
+/// How long the other side keeps an unused connection, by its own word.
+fn stated(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = text.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
+
 type Unsent = Option<Box<Request<Full<Bytes>>>>;
 
 async fn exchange(
@@ -183,7 +202,7 @@
 impl Pieces {
     fn give_back(&mut self) {
         let Some(mut link) = self.link.take() else { return };
-        link.since = Instant::now();
+        link.until = Instant::now() + link.keep;
         let mut idle = self.pool.idle.lock();
         let links = idle.entry(self.to).or_default();
         if links.len() < KEPT {
--- a/src/entry/sample.rs
+++ b/src/entry/sample.rs
@@ -25,9 +25,15 @@
 const PAUSE: Duration = Duration::from_millis(25);
 /// How long a scorer may take for one try.
 const SCORE: Duration = Duration::from_millis(3_000);
+/// The last rank that replicas know.
+const LAST: u8 = 9;
 /// Replicas that failed a sample and are avoided; older ones are tried again.
 const AVOIDED: usize = 2;
 
+/// Events of one run after which its pace is judged: fewer say more of the load of weights
+/// or of a prompt than of the replica.
+const JUDGED: u64 = 6;
+
 /// How one attempt at a text ended.
 enum Tried {
     /// The text is whole.
@@ -132,7 +138,7 @@
         body: item.body.clone(),
         limit: route.retention,
         after: (text.last() > 0).then(|| text.last()),
-        rank: None,
+        rank: Some(route.priority.min(LAST)),
     }
 }
 
@@ -178,11 +184,15 @@
     let took = app.now().saturating_sub(begun);
     let cost = (text.last().saturating_sub(before)).max(1) as u32;
     match fault {
-        Ok(true) => {
+        Ok(Read::Whole) => {
             held.ended(Ended::Answered { took, cost });
             Tried::Whole
         }
-        Ok(false) => {
+        Ok(Read::Slow) => {
+            held.ended(Ended::Answered { took, cost });
+            Tried::Again
+        }
+        Ok(Read::Broken) => {
             held.ended(Ended::Failed);
             Tried::Again
         }
@@ -194,7 +204,17 @@
     }
 }
 
-/// Reads events into the text. True once it is whole, false if it goes on elsewhere.
+/// How the reading of one replica's events ended.
+enum Read {
+    /// The text is whole.
+    Whole,
+    /// It broke off.
+    Broken,
+    /// Another replica would be faster.
+    Slow,
+}
+
+/// Reads events into the text.
 async fn read(
     app: &App,
     held: &Held<'_>,
@@ -203,15 +223,17 @@
     oldest: u64,
     route: &Route,
     text: &mut Text,
-) -> Result<bool, Fault> {
+) -> Result<Read, Fault> {
     let mut reader = EventReader::new(app.replicas.version_field());
     let mut body = reply.body;
     text.at(reply.version);
     let mut seen = None;
+    let mut first: Option<(crate::Moment, u64)> = None;
     loop {
         let piece = match tokio::time::timeout(GAP, body.next()).await {
-            Err(_) | Ok(Some(Err(_))) => return Ok(false),
-            Ok(None) => return Ok(!reader.unfinished() && text.last() > 0),
+            Err(_) | Ok(Some(Err(_))) => return Ok(Read::Broken),
+            Ok(None) if reader.unfinished() || text.last() == 0 => return Ok(Read::Broken),
+            Ok(None) => return Ok(Read::Whole),
             Ok(Some(Ok(bytes))) => bytes,
         };
         for event in reader.push(&piece)? {
@@ -227,6 +249,15 @@
             seen = newest;
             app.slots.fleet.lock().seen(&held.target.id, model, version);
         }
+        let (since, from) = *first.get_or_insert_with(|| (app.now(), text.last()));
+        let events = text.last() - from;
+        if events >= JUDGED && events.is_multiple_of(JUDGED) {
+            let pace = app.now().saturating_sub(since).as_secs_f64() / events as f64;
+            let weights = model.as_deref().map(|model| (model, oldest));
+            if app.slots.fleet.lock().faster(&held.target.id, weights, pace, app.now()) {
+                return Ok(Read::Slow);
+            }
+        }
     }
 }
 
