Unfinished texts are kept in the store, and a taken job is read rather than begun anew

The growth of each text since its last write goes along with the results or every 0.5 s; a repeated submission reads what the store has.

--- a/src/decide/job/mod.rs
+++ b/src/decide/job/mod.rs
@@ -6,4 +6,4 @@
 
 pub use job::{Job, Listing, Spec, State};
 pub use sample::{ItemSpec, Score, Scorer};
-pub use text::{Event, EventReader, Fault, Text};
+pub use text::{Event, EventReader, Fault, Growth, Saved, Text};
--- a/src/decide/job/text.rs
+++ b/src/decide/job/text.rs
@@ -1,6 +1,7 @@
 //! The text of a sample: its events in order and the versions that made them.
 
 use bytes::{Bytes, BytesMut};
+use serde::{Deserialize, Serialize};
 
 /// One event of a stream.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -102,18 +103,82 @@
 /// The text so far.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Text {
+    /// How often it was begun anew.
+    begun: u32,
     events: u64,
     output: String,
     versions: Vec<u64>,
     current: Option<u64>,
 }
 
+/// How much of a text is kept elsewhere.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Saved {
+    begun: u32,
+    events: u64,
+    bytes: usize,
+}
+
+/// What has come to a text since it was last kept.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Growth {
+    begun: u32,
+    /// The last event before it; 0 for a text from its beginning.
+    from: u64,
+    /// The last event of it.
+    to: u64,
+    output: String,
+    /// All versions that made the text up to there.
+    versions: Vec<u64>,
+}
+
 impl Text {
     /// The number of the last event.
     pub fn last(&self) -> u64 {
         self.events
     }
 
+    /// Forgets what is there: a run begins with the first event.
+    pub fn restart(&mut self) {
+        *self = Self { begun: self.begun + 1, ..Self::default() };
+    }
+
+    /// What has come since `saved`; none if nothing has. With it, what is saved then.
+    pub fn growth(&self, saved: Saved) -> Option<(Growth, Saved)> {
+        let now = Saved { begun: self.begun, events: self.events, bytes: self.output.len() };
+        if self.events == 0 || now == saved {
+            return None;
+        }
+        let saved = if saved.begun == self.begun { saved } else { Saved::default() };
+        let growth = Growth {
+            begun: self.begun,
+            from: saved.events,
+            to: self.events,
+            output: self.output[saved.bytes..].to_owned(),
+            versions: self.versions.clone(),
+        };
+        Some((growth, now))
+    }
+
+    /// Takes up what was kept. What does not follow on what is there is left out: the text
+    /// then goes on from an earlier event.
+    pub fn grow(&mut self, growth: &Growth) {
+        let follows = growth.begun == self.begun && growth.from == self.events;
+        if growth.from == 0 {
+            *self = Self { begun: growth.begun, ..Self::default() };
+        } else if !follows {
+            return;
+        }
+        self.output.push_str(&growth.output);
+        self.events = growth.to;
+        self.versions.clone_from(&growth.versions);
+    }
+
+    /// What is kept of it right after [`Text::grow`].
+    pub fn saved(&self) -> Saved {
+        Saved { begun: self.begun, events: self.events, bytes: self.output.len() }
+    }
+
     /// A run begins or goes on at a replica whose weights have this version.
     pub fn at(&mut self, version: Option<u64>) {
         self.current = version;
--- a/src/entry/home.rs
+++ b/src/entry/home.rs
@@ -8,21 +8,26 @@
 use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 
-use super::app::App;
-use super::homes::Home;
-use super::keys::{HomeValue, home as home_key, results};
+use super::app::{App, ByName};
+use super::homes::{Home, Unsaved};
+use super::keys::{HomeValue, home as home_key, results, texts};
 use super::live::Seen;
 use super::sample;
 use crate::Name;
-use crate::decide::job::{Job, Listing, Spec};
+use crate::decide::job::{Job, Listing, Saved, Spec, Text};
 use crate::edge::store::{Change, Item, Txn, TxnEnd};
 
 /// How long results are gathered for one write. A sample takes a second; a write for each
 /// would cost four times the calls, and a longer wait shows in the time of a step.
 const WINDOW: Duration = Duration::from_millis(100);
+/// How often unfinished texts are written while no result comes: what is lost with a home.
+/// Only what has come since is written, so a shorter time costs calls but no bytes.
+const SAVE: Duration = Duration::from_millis(500);
 /// The pause after a failed write.
 const PAUSE: Duration = Duration::from_millis(100);
 
+/// Tries of the last write before a job is handed over.
+const HANDOVER: usize = 2;
 /// How long the watch of a job's key may stay without news. Steps last some seconds, so it
 /// is one call for most.
 const WATCH: Duration = Duration::from_secs(10);
@@ -30,6 +35,17 @@
 /// Jobs that began here, for their order.
 static AGES: AtomicU64 = AtomicU64::new(0);
 
+/// What the store has of a job beside its submission.
+#[derive(Debug, Default)]
+pub(super) struct Kept {
+    /// Its results.
+    pub listed: Vec<Arc<Listing>>,
+    /// Its unfinished texts.
+    pub texts: ByName<(Text, Saved)>,
+    /// The number of writes that these lie in.
+    pub saves: usize,
+}
+
 /// What a write that met a conflict found.
 enum Conflict {
     /// The same results lie there already: an earlier try took effect.
@@ -42,12 +58,8 @@
 
 impl App {
     /// Runs a job that this node is home to since `revision`.
-    pub(super) fn run(
-        self: &Arc<Self>,
-        spec: Arc<Spec>,
-        listed: Vec<Arc<Listing>>,
-        key: Seen<HomeValue>,
-    ) {
+    pub(super) fn run(self: &Arc<Self>, spec: Arc<Spec>, kept: Kept, key: Seen<HomeValue>) {
+        let Kept { listed, texts, saves } = kept;
         let id = spec.id.clone();
         let job = Job::new(spec, listed);
         let todo = job.todo();
@@ -55,13 +67,16 @@
         let home = Arc::new(Home {
             job: Mutex::new(job),
             key: Mutex::new(key),
+            texts: Mutex::new(texts),
+            saves: Mutex::new(saves),
             fresh: Notify::new(),
             listed: watch::Sender::new(count),
             stop: CancellationToken::new(),
             age: AGES.fetch_add(1, Ordering::Relaxed),
         });
         let Some(home) = self.homes.insert(&id, home) else { return };
-        tracing::info!(event = "job_begins", job = %id, listed = count, todo = todo.len());
+        let unfinished = home.texts.lock().len();
+        tracing::info!(event = "job_begins", job = %id, listed = count, todo = todo.len(), unfinished);
         for (index, item) in todo.into_iter().enumerate() {
             let (app, home) = (self.clone(), home.clone());
             let stop = home.stop.clone();
@@ -94,7 +109,7 @@
         let writes = homes.into_iter().map(|(id, home)| {
             let app = self.clone();
             async move {
-                write(&app, &home, &id, 1).await;
+                write(&app, &home, &id, HANDOVER).await;
                 app.homes.remove(&id);
                 tracing::info!(event = "job_handed_over", job = %id);
             }
@@ -103,11 +118,12 @@
     }
 }
 
-/// Writes results as they come, until there are no more.
+/// Writes results as they come, and unfinished texts now and then, until there are no more.
 async fn list(app: Arc<App>, home: Arc<Home>, id: Name) {
     loop {
         tokio::select! {
             () = home.stop.cancelled() => break,
+            () = tokio::time::sleep(SAVE) => {}
             () = home.fresh.notified() => {}
         }
         if !home.job.lock().made() {
@@ -126,9 +142,6 @@
 /// Writes what is fresh, at most `tries` times. False if another node is home.
 async fn write(app: &Arc<App>, home: &Home, id: &Name, tries: usize) -> bool {
     let (position, batch) = home.job.lock().batch();
-    if batch.is_empty() {
-        return true;
-    }
     let encoded = bincode::serde::encode_to_vec(&batch, bincode::config::standard());
     let bytes = match encoded {
         Ok(bytes) => bytes,
@@ -138,23 +151,37 @@
         }
     };
     let total = home.job.lock().spec.items.len();
-    let last = position + batch.len() == total;
+    let last = !batch.is_empty() && position + batch.len() == total;
     let key = home_key(id);
     let place = results(id, position);
     for _ in 0..tries {
         let Seen { value, revision } = home.key.lock().clone();
         let mut txn = Txn::when(key.clone(), revision);
-        txn.expected.push((place.clone(), 0));
-        txn = txn.put(place.clone(), bytes.clone());
+        if !batch.is_empty() {
+            txn.expected.push((place.clone(), 0));
+            txn = txn.put(place.clone(), bytes.clone());
+        }
         let value = HomeValue { done: true, ..value };
         if last {
             txn = txn.put(key.clone(), serde_json::to_vec(&value).unwrap_or_default());
         }
+        let Unsaved { growths, after } = home.growths(app.settings.value / 2);
+        if !growths.is_empty() && !last {
+            let index = *home.saves.lock();
+            let encoded = bincode::serde::encode_to_vec(&growths, bincode::config::standard());
+            txn = txn.put(texts(id, index), encoded.unwrap_or_default());
+        }
+        if txn.puts.is_empty() {
+            return true;
+        }
         match app.store.txn(txn).await {
             Ok(TxnEnd::Done(written)) => {
                 if last {
                     *home.key.lock() = Seen { value, revision: written };
                 }
+                if !last && !after.is_empty() {
+                    home.saved(after);
+                }
                 kept(home, batch.len());
                 return true;
             }
@@ -183,6 +210,9 @@
 }
 
 fn kept(home: &Home, count: usize) {
+    if count == 0 {
+        return;
+    }
     let mut job = home.job.lock();
     job.written(count);
     let listed = job.batch().0;
--- a/src/entry/homes.rs
+++ b/src/entry/homes.rs
@@ -10,7 +10,16 @@
 use super::keys::HomeValue;
 use super::live::Seen;
 use crate::Name;
-use crate::decide::job::Job;
+use crate::decide::job::{Growth, Job, Saved, Text};
+
+/// What has come to unfinished texts.
+#[derive(Debug, Default)]
+pub(super) struct Unsaved {
+    /// The growth of each.
+    pub growths: Vec<(Name, Growth)>,
+    /// What the store has of each once that is written.
+    pub after: Vec<(Name, Saved)>,
+}
 
 /// A job that runs here.
 #[derive(Debug)]
@@ -18,6 +27,10 @@
     pub job: Mutex<Job>,
     /// The home's key, whose revision makes this node its home.
     pub key: Mutex<Seen<HomeValue>>,
+    /// The texts of samples that run, and how much of each the store has.
+    pub texts: Mutex<ByName<(Text, Saved)>>,
+    /// The number of writes of unfinished texts.
+    pub saves: Mutex<usize>,
     /// Told when a sample ends.
     pub fresh: Notify,
     /// The number of results that last.
@@ -28,6 +41,42 @@
     pub age: u64,
 }
 
+impl Home {
+    /// Works on the text of a sample.
+    pub(super) fn text<T>(&self, item: &Name, work: impl FnOnce(&mut Text) -> T) -> T {
+        let mut texts = self.texts.lock();
+        work(&mut texts.entry(item.clone()).or_default().0)
+    }
+
+    /// What has come to unfinished texts since the last write of them, at most `most` bytes.
+    pub(super) fn growths(&self, most: usize) -> Unsaved {
+        let texts = self.texts.lock();
+        let mut size = 0;
+        let mut unsaved = Unsaved::default();
+        for (item, (text, saved)) in &*texts {
+            let Some((growth, after)) = text.growth(*saved) else { continue };
+            size += text.output().len();
+            if size > most {
+                break;
+            }
+            unsaved.growths.push((item.clone(), growth));
+            unsaved.after.push((item.clone(), after));
+        }
+        unsaved
+    }
+
+    /// The store has these now.
+    pub(super) fn saved(&self, saves: Vec<(Name, Saved)>) {
+        let mut texts = self.texts.lock();
+        for (item, saved) in saves {
+            if let Some(entry) = texts.get_mut(&item) {
+                entry.1 = saved;
+            }
+        }
+        *self.saves.lock() += 1;
+    }
+}
+
 /// All of them.
 #[derive(Debug, Default)]
 pub(super) struct Homes {
--- a/src/entry/keys.rs
+++ b/src/entry/keys.rs
@@ -94,3 +94,13 @@
 pub(super) fn all_results(job: &str) -> Name {
     format!("{JOBS}{job}/results/").into()
 }
+
+/// A write of unfinished texts.
+pub(super) fn texts(job: &str, index: usize) -> Name {
+    format!("{JOBS}{job}/texts/{index:06}").into()
+}
+
+/// The prefix of all of these.
+pub(super) fn all_texts(job: &str) -> Name {
+    format!("{JOBS}{job}/texts/").into()
+}
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -45,8 +45,6 @@
     pub deadline: Option<Duration>,
     /// The event after which a stream goes on.
     pub after: Option<u64>,
-    /// Whether failed answers are counted rather than passed on.
-    pub patient: bool,
 }
 
 /// The final answer.
--- /dev/null
+++ b/src/entry/run.rs
@@ -0,0 +1,182 @@
+//! One attempt at a text at one replica.
+
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use http::StatusCode;
+
+use super::app::App;
+use super::homes::Home;
+use super::slots::Held;
+use crate::Moment;
+use crate::decide::job::{Event, EventReader, Fault, ItemSpec, Spec};
+use crate::decide::{Ended, Route};
+use crate::edge::replica::{Call, Failure, Reply};
+
+/// How long the head of an answer may take. A place was free, so only the prompt is read
+/// before it: some milliseconds. A load of weights takes 0.9 s.
+const HEAD: Duration = Duration::from_millis(1_500);
+/// How long the next event may take: 35 ms usually, four times that at a slow replica.
+const GAP: Duration = Duration::from_millis(1_200);
+/// Events of one run after which its pace is judged: fewer say more of the load of weights
+/// or of a prompt than of the replica.
+const JUDGED: u64 = 6;
+
+/// What an attempt is made of.
+#[derive(Clone, Copy)]
+pub(super) struct Run<'a> {
+    pub app: &'a App,
+    pub home: &'a Home,
+    pub item: &'a ItemSpec,
+    pub spec: &'a Spec,
+    pub route: &'a Route,
+}
+
+/// How one attempt at a text ended.
+pub(super) enum Tried {
+    /// The text is whole.
+    Whole,
+    /// The replica ran it and failed.
+    Failed,
+    /// It can never be made.
+    Impossible,
+    /// It goes on elsewhere, for this reason.
+    Again(&'static str),
+}
+
+/// How the reading of one replica's events ended.
+enum Read {
+    /// The text is whole.
+    Whole,
+    /// It broke off.
+    Broken,
+    /// No event came in time.
+    Silent,
+    /// Another replica would be faster.
+    Slow,
+}
+
+impl Run<'_> {
+    /// Makes the attempt.
+    pub(super) async fn attempt(self, held: &mut Held<'_>, call: Call) -> Tried {
+        let begun = self.app.now();
+        let sending = self.app.replicas.send(&held.target, call);
+        let reply = match tokio::time::timeout(HEAD, sending).await {
+            Ok(Ok(reply)) => reply,
+            Ok(Err(failure)) => return self.refused(held, &failure),
+            Err(_) => {
+                held.ended(Ended::Failed);
+                return Tried::Again("silent");
+            }
+        };
+        if let Some(load) = reply.load {
+            self.app.slots.fleet.lock().load(&held.target.id, load, self.app.now());
+        }
+        match reply.status {
+            StatusCode::UNPROCESSABLE_ENTITY => return Tried::Impossible,
+            status if !status.is_success() || reply.signature.is_none() => return Tried::Failed,
+            _ => {}
+        }
+        let before = self.last();
+        let read = self.read(held, reply).await;
+        let took = self.app.now().saturating_sub(begun);
+        let cost = self.last().saturating_sub(before).max(1) as u32;
+        let answered = Ended::Answered { took, cost };
+        match read {
+            Ok(Read::Whole) => {
+                held.ended(answered);
+                Tried::Whole
+            }
+            Ok(Read::Slow) => {
+                held.ended(answered);
+                Tried::Again("slow")
+            }
+            Ok(Read::Broken) => {
+                held.ended(Ended::Failed);
+                Tried::Again("broken")
+            }
+            Ok(Read::Silent) => {
+                held.ended(Ended::Failed);
+                Tried::Again("silent")
+            }
+            Err(fault) => {
+                let replica = &held.target.id;
+                tracing::info!(event = "text_begun_anew", item = %self.item.id, %replica, %fault);
+                self.home.text(&self.item.id, |text| text.restart());
+                Tried::Again("fault")
+            }
+        }
+    }
+
+    fn refused(self, held: &mut Held<'_>, failure: &Failure) -> Tried {
+        let (ended, reason) = match failure {
+            Failure::Unsent(_) => (Ended::Unreachable, "unreachable"),
+            Failure::NotRun(_) if self.spec.model.is_some() => (Ended::Loading, "loading"),
+            Failure::NotRun(_) => (Ended::Full, "full"),
+            Failure::Stranger => (Ended::Unreachable, "stranger"),
+            Failure::Broken(_) => (Ended::Failed, "broken"),
+        };
+        held.ended(ended);
+        tracing::debug!(event = "attempt_failed", item = %self.item.id, %failure);
+        Tried::Again(reason)
+    }
+
+    fn last(self) -> u64 {
+        self.home.text(&self.item.id, |text| text.last())
+    }
+
+    /// Reads events into the text.
+    async fn read(self, held: &Held<'_>, reply: Reply) -> Result<Read, Fault> {
+        let mut reader = EventReader::new(self.app.replicas.version_field());
+        let mut body = reply.body;
+        self.home.text(&self.item.id, |text| text.at(reply.version));
+        let mut seen = None;
+        let mut first: Option<(Moment, u64)> = None;
+        loop {
+            let piece = match tokio::time::timeout(GAP, body.next()).await {
+                Err(_) => return Ok(Read::Silent),
+                Ok(Some(Err(_))) => return Ok(Read::Broken),
+                Ok(None) if reader.unfinished() || self.last() == 0 => return Ok(Read::Broken),
+                Ok(None) => return Ok(Read::Whole),
+                Ok(Some(Ok(bytes))) => bytes,
+            };
+            let newest = self.add(&reader.push(&piece)?)?;
+            if seen != newest {
+                seen = newest;
+                self.saw(held, newest);
+            }
+            let last = self.last();
+            let (since, from) = *first.get_or_insert_with(|| (self.app.now(), last));
+            let events = last - from;
+            if events >= JUDGED && events.is_multiple_of(JUDGED) && self.slow(held, since, events) {
+                return Ok(Read::Slow);
+            }
+        }
+    }
+
+    /// Adds events to the text and returns its newest version.
+    fn add(self, events: &[Event]) -> Result<Option<u64>, Fault> {
+        self.home.text(&self.item.id, |text| {
+            for event in events {
+                let known = text.versions();
+                let fits = |v| !self.route.one_version || known.iter().all(|k| *k == v);
+                text.push(event, |v| v >= self.spec.oldest && fits(v))?;
+            }
+            Ok(text.versions().last().copied())
+        })
+    }
+
+    /// A replica was seen to have a version.
+    fn saw(self, held: &Held<'_>, version: Option<u64>) {
+        if let (Some(model), Some(version)) = (&self.spec.model, version) {
+            self.app.slots.fleet.lock().seen(&held.target.id, model, version);
+        }
+    }
+
+    fn slow(self, held: &Held<'_>, since: Moment, events: u64) -> bool {
+        let now = self.app.now();
+        let pace = now.saturating_sub(since).as_secs_f64() / events as f64;
+        let weights = self.spec.model.as_deref().map(|model| (model, self.spec.oldest));
+        self.app.slots.fleet.lock().faster(&held.target.id, weights, pace, now)
+    }
+}
--- a/src/entry/submit.rs
+++ b/src/entry/submit.rs
@@ -6,8 +6,10 @@
 use bytes::Bytes;
 
 use super::app::App;
+use super::home::Kept;
 use super::keys::{HomeValue, home, part};
 use super::live::Seen;
+use super::takeover;
 use crate::decide::job::Spec;
 use crate::edge::store::{StoreError, Txn, TxnEnd};
 
@@ -79,18 +81,20 @@
             let reason = match self.store.txn(txn.clone()).await {
                 Ok(TxnEnd::Done(revision)) => {
                     tracing::info!(event = "job_accepted", job = %spec.id, items = spec.items.len(), revision);
-                    self.run(spec, Vec::new(), Seen { value, revision });
+                    self.run(spec, Kept::default(), Seen { value, revision });
                     return Submitted::Kept;
                 }
                 // It lies there already: from an earlier try, or through another node.
                 Ok(TxnEnd::Conflict(items)) => {
                     let own = items.first().and_then(|item| {
                         let value: HomeValue = serde_json::from_slice(&item.value).ok()?;
-                        (value.life == self.life).then_some(item.revision)
+                        let seen = Seen { value, revision: item.revision };
+                        (seen.value.life == self.life && !seen.value.done).then_some(seen)
                     });
-                    if let Some(revision) = own {
-                        tracing::info!(event = "job_accepted", job = %spec.id, late = true, revision);
-                        self.run(spec, Vec::new(), Seen { value, revision });
+                    // Results may lie there by now: it is read rather than begun anew.
+                    if let Some(seen) = own {
+                        tracing::info!(event = "job_accepted", job = %spec.id, late = true);
+                        takeover::begin(self, &spec.id, seen).await;
                     }
                     return Submitted::Kept;
                 }
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -8,12 +8,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::app::App;
-use super::keys::{HOMES, HomeValue, home as home_key};
+use super::app::{App, ByName};
+use super::home::Kept;
+use super::keys::{HOMES, HomeValue, all_texts, home as home_key};
 use super::live::Seen;
-use crate::decide::job::{Listing, Spec};
+use crate::decide::job::{Growth, Listing, Saved, Spec, Text};
 use crate::decide::rank;
-use crate::edge::store::{StoreError, Txn, TxnEnd};
+use crate::edge::store::{Page, StoreError, Txn, TxnEnd};
 use crate::{Moment, Name};
 
 /// How much longer each next node in rank waits before it looks: the nodes ahead of it need
@@ -132,10 +133,10 @@
 }
 
 /// Runs a job that is this node's from what the store has of it. False if that can't be read.
-async fn begin(app: &Arc<App>, job: &Name, key: Seen<HomeValue>) -> bool {
+pub(super) async fn begin(app: &Arc<App>, job: &Name, key: Seen<HomeValue>) -> bool {
     match load(app, job).await {
-        Ok((spec, listed)) => {
-            app.run(spec, listed, key);
+        Ok((spec, kept)) => {
+            app.run(spec, kept, key);
             true
         }
         Err(e) => {
@@ -145,10 +146,39 @@
     }
 }
 
-async fn load(app: &App, job: &str) -> Result<(Arc<Spec>, Vec<Arc<Listing>>), StoreError> {
+async fn load(app: &App, job: &str) -> Result<(Arc<Spec>, Kept), StoreError> {
     let spec = app.load_spec(job).await?;
     let listed = app.load_results(job).await?;
-    Ok((spec, listed))
+    let page = app.store.range(&all_texts(job)).await?;
+    let (texts, saves) = unfinished(&page, &listed);
+    Ok((spec, Kept { listed, texts, saves }))
+}
+
+/// The unfinished texts, from all writes of them in turn, and the number for the next write.
+fn unfinished(page: &Page, listed: &[Arc<Listing>]) -> (ByName<(Text, Saved)>, usize) {
+    let mut texts: ByName<(Text, Saved)> = ByName::new();
+    for item in &page.items {
+        let config = bincode::config::standard();
+        let decoded =
+            bincode::serde::decode_from_slice::<Vec<(Name, Growth)>, _>(&item.value, config);
+        let growths = match decoded {
+            Ok((growths, _)) => growths,
+            Err(e) => {
+                tracing::error!(event = "texts_unreadable", key = %item.key, error = %e);
+                continue;
+            }
+        };
+        for (name, growth) in &growths {
+            texts.entry(name.clone()).or_default().0.grow(growth);
+        }
+    }
+    for listing in listed {
+        texts.remove(&listing.id);
+    }
+    for (text, saved) in texts.values_mut() {
+        *saved = text.saved();
+    }
+    (texts, page.items.len())
 }
 
 impl App {
