--- /dev/null
+++ b/tests/entry_settings.rs
@@ -0,0 +1,39 @@
+//! The settings of an entry process: every mistake is told with its place.
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use mulberrycourse::settings::{Document, EntrySettings};
+
+const GOOD: &str = "[node]\nname = n\nzone = z\ncallers = 10.0.0.1:80\nready =\nkeeps = true\n\
+                    [store]\naddress = 10.0.0.2:81\nlease = 3s\n[stop]\ngrace = 8s\n";
+
+fn read(text: &str) -> Result<EntrySettings, String> {
+    let doc = Document::parse("entry.ini", text).map_err(|e| e.to_string())?;
+    EntrySettings::read(&doc).map_err(|e| e.to_string())
+}
+
+#[test]
+fn good_settings_are_read() {
+    let settings = read(GOOD).unwrap();
+    assert_eq!(&*settings.name, "n");
+    assert_eq!(settings.ready, None);
+    assert!(settings.keeps);
+    assert_eq!(settings.lease, Duration::from_secs(3));
+}
+
+#[test]
+fn mistakes_are_told_with_their_place() {
+    let cases = [
+        (GOOD.replace("name = n\n", ""), "name"),
+        (GOOD.replace("10.0.0.1:80", "here"), "callers"),
+        (GOOD.replace("lease = 3s", "lease = 3"), "lease"),
+        (GOOD.replace("keeps", "kept"), "kept"),
+        (GOOD.replace("[stop]", "[halt]"), "halt"),
+        (GOOD.replace("[store]\naddress = 10.0.0.2:81", "[store]"), "address"),
+    ];
+    for (text, place) in cases {
+        let error = read(&text).unwrap_err();
+        assert!(error.contains("entry.ini") && error.contains(place), "{error}");
+    }
+}
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,140 @@
+//! Who gets an attempt: a burst, a slow replica, one that refuses, one that is gone.
+#![allow(clippy::unwrap_used)]
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use mulberrycourse::Name;
+use mulberrycourse::decide::{Ended, Fleet, Listed, Wish};
+use mulberrycourse::edge::replica::{Load, Target};
+
+const S: &str = "engines";
+const NOW: Duration = Duration::from_secs(10);
+
+fn listed(id: &str, draining: bool, version: u64) -> Listed {
+    Listed {
+        target: Target { id: id.into(), address: SocketAddr::from(([10, 0, 0, 1], 1)) },
+        service: S.into(),
+        zone: "z".into(),
+        slots: 8,
+        draining,
+        versions: vec![("m".into(), version)],
+    }
+}
+
+fn fleet(ids: &[&str]) -> Fleet {
+    let mut fleet = Fleet::new("z".into());
+    for id in ids {
+        fleet.list(listed(id, false, 1));
+    }
+    fleet
+}
+
+fn wish(over: bool) -> Wish<'static> {
+    Wish { service: S, weights: None, avoid: &[], over }
+}
+
+/// Begins attempts until no place is free, and counts them by replica.
+fn burst(fleet: &mut Fleet, now: Duration) -> HashMap<Name, u32> {
+    let mut counts = HashMap::new();
+    while let Some(target) = fleet.choose(&wish(false), now) {
+        fleet.start(&target.id);
+        *counts.entry(target.id).or_default() += 1;
+    }
+    counts
+}
+
+#[test]
+fn a_burst_fills_every_place_and_no_more() {
+    let mut fleet = fleet(&["a", "b", "c"]);
+    let counts = burst(&mut fleet, NOW);
+    assert_eq!(counts.values().copied().collect::<Vec<u32>>(), [8, 8, 8]);
+    assert_eq!(fleet.free(S, NOW), 0);
+    assert!(fleet.choose(&wish(true), NOW).is_some());
+}
+
+#[test]
+fn half_a_burst_is_spread_evenly() {
+    let mut fleet = fleet(&["a", "b", "c"]);
+    let mut counts: HashMap<Name, u32> = HashMap::new();
+    for _ in 0..12 {
+        let target = fleet.choose(&wish(false), NOW).unwrap();
+        fleet.start(&target.id);
+        *counts.entry(target.id).or_default() += 1;
+    }
+    assert!(counts.values().all(|c| *c == 4), "{counts:?}");
+}
+
+#[test]
+fn a_slow_replica_gets_less_and_its_runs_are_better_moved() {
+    let mut fleet = fleet(&["a", "b", "c"]);
+    for _ in 0..20 {
+        for (id, millis) in [("a", 140), ("b", 35), ("c", 35)] {
+            fleet.start(id);
+            let took = Duration::from_millis(millis * 10);
+            fleet.end(id, None, Ended::Answered { took, cost: 10 }, NOW);
+        }
+    }
+    assert!(fleet.faster("a", None, 0.140, NOW));
+    assert!(!fleet.faster("b", None, 0.036, NOW));
+    let mut slow = 0;
+    for _ in 0..12 {
+        let target = fleet.choose(&wish(false), NOW).unwrap();
+        fleet.start(&target.id);
+        slow += u32::from(&*target.id == "a");
+    }
+    assert!(slow <= 2, "{slow}");
+    burst(&mut fleet, NOW);
+    assert!(!fleet.faster("a", None, 0.140, NOW), "nowhere to go");
+}
+
+#[test]
+fn a_replica_that_leaves_gets_nothing() {
+    let mut fleet = fleet(&["a", "b"]);
+    assert!(fleet.list(listed("a", true, 1)));
+    assert!(!fleet.open("a"));
+    assert!(burst(&mut fleet, NOW).keys().all(|id| &**id == "b"));
+    fleet.remove("b");
+    assert_eq!(fleet.choose(&wish(true), NOW), None);
+}
+
+#[test]
+fn weights_that_are_too_old_or_loading_are_passed_over() {
+    let mut fleet = fleet(&["a", "b"]);
+    let wish = Wish { weights: Some(("m", 2)), ..wish(false) };
+    assert_eq!(fleet.choose(&wish, NOW), None);
+    fleet.seen("b", "m", 2);
+    assert_eq!(&*fleet.choose(&wish, NOW).unwrap().id, "b");
+    fleet.start("b");
+    fleet.end("b", Some("m"), Ended::Loading, NOW);
+    assert_eq!(fleet.choose(&wish, NOW), None);
+    assert!(fleet.choose(&wish, NOW + Duration::from_secs(1)).is_some());
+    // The list lags: what was seen is not taken back by it.
+    fleet.list(listed("b", false, 1));
+    assert!(fleet.choose(&wish, NOW + Duration::from_secs(1)).is_some());
+}
+
+#[test]
+fn failing_replicas_are_left_out_but_never_most_of_them() {
+    let mut fleet = fleet(&["a", "b", "c"]);
+    for id in ["a", "b", "c"] {
+        fleet.start(id);
+        fleet.end(id, None, Ended::Unreachable, NOW);
+    }
+    assert!(fleet.choose(&wish(true), NOW).is_some());
+    let mut fleet = self::fleet(&["a", "b", "c"]);
+    fleet.start("a");
+    fleet.end("a", None, Ended::Unreachable, NOW);
+    assert!(!burst(&mut fleet, NOW).contains_key("a"));
+}
+
+#[test]
+fn the_load_of_others_counts_and_fades() {
+    let mut fleet = fleet(&["a", "b"]);
+    fleet.load("a", Load { running: 8, waiting: 4 }, NOW);
+    assert_eq!(&*fleet.choose(&wish(false), NOW).unwrap().id, "b");
+    assert_eq!(burst(&mut fleet, NOW).get("a"), None);
+    let later = NOW + Duration::from_secs(5);
+    assert!(fleet.choose(&wish(false), later).is_some());
+}
--- /dev/null
+++ b/tests/jobs.rs
@@ -0,0 +1,83 @@
+//! The state of a batch job at its home.
+#![allow(clippy::unwrap_used)]
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use mulberrycourse::Name;
+use mulberrycourse::decide::job::{ItemSpec, Job, Listing, Spec, State};
+use proptest::prelude::*;
+
+fn spec(lengths: &[Option<u64>]) -> Arc<Spec> {
+    let item = |(index, length): (usize, &Option<u64>)| {
+        Arc::new(ItemSpec {
+            id: format!("i{index}").into(),
+            path: "/x".into(),
+            headers: Vec::new(),
+            body: Bytes::new(),
+            group: "g".into(),
+            length: *length,
+            scorer: None,
+        })
+    };
+    Arc::new(Spec {
+        id: "j".into(),
+        host: "h".into(),
+        path: "/jobs/j".into(),
+        model: None,
+        oldest: 0,
+        items: lengths.iter().enumerate().map(item).collect(),
+    })
+}
+
+fn ids(job: &Job) -> Vec<Name> {
+    job.todo().iter().map(|i| i.id.clone()).collect()
+}
+
+#[test]
+fn the_longest_are_begun_first() {
+    let job = Job::new(spec(&[Some(10), Some(900), None, Some(50)]), Vec::new());
+    assert_eq!(ids(&job).iter().map(|i| &**i).collect::<Vec<_>>(), ["i1", "i3", "i0", "i2"]);
+}
+
+#[test]
+fn an_ended_job_has_nothing_to_do_and_takes_no_results() {
+    let mut job = Job::new(spec(&[None, None]), Vec::new());
+    job.end();
+    assert!(job.todo().is_empty());
+    assert!(!job.finish("i0", State::Dead));
+}
+
+proptest! {
+    /// Results are written in part, lost, and taken up by another home: no sample has two
+    /// positions, and a position never changes.
+    #[test]
+    fn positions_never_change(
+        steps in proptest::collection::vec((0_u8..3, 0_usize..6), 1..40),
+    ) {
+        let spec = spec(&[None; 6]);
+        let mut job = Job::new(spec.clone(), Vec::new());
+        let mut lasting: Vec<Arc<Listing>> = Vec::new();
+        for (step, n) in steps {
+            match step {
+                0 => {
+                    job.finish(&format!("i{n}"), State::Dead);
+                }
+                1 => {
+                    let (position, batch) = job.batch();
+                    prop_assert_eq!(position, lasting.len());
+                    let count = n.min(batch.len());
+                    lasting.extend(batch.into_iter().take(count));
+                    job.written(count);
+                }
+                _ => job = Job::new(spec.clone(), lasting.clone()),
+            }
+            prop_assert_eq!(job.listed(), &*lasting);
+            let mut seen: Vec<&Name> = lasting.iter().map(|l| &l.id).collect();
+            seen.sort_unstable();
+            seen.dedup();
+            prop_assert_eq!(seen.len(), lasting.len());
+            prop_assert_eq!(job.complete(), lasting.len() == 6);
+        }
+    }
+}
--- /dev/null
+++ b/tests/texts.rs
@@ -0,0 +1,141 @@
+//! The text of a sample: whole and labelled, whatever way its bytes come and its runs end.
+#![allow(clippy::unwrap_used)]
+
+use bytes::Bytes;
+use mulberrycourse::decide::job::{Event, EventReader, Fault, Saved, Text};
+use proptest::prelude::*;
+
+const FIELD: &str = "version";
+
+fn stream(events: u64, changes_at: Option<u64>) -> String {
+    let line = |n: u64| if Some(n) == changes_at { "version: 2\n" } else { "" };
+    (1..=events).map(|n| format!("{}id: {n}\ndata: d{n}\n\n", line(n))).collect()
+}
+
+fn read(text: &str, cuts: &[usize]) -> Vec<Event> {
+    let mut reader = EventReader::new(FIELD);
+    let mut events = Vec::new();
+    let mut from = 0;
+    let mut cuts: Vec<usize> = cuts.iter().map(|c| c % (text.len() + 1)).collect();
+    cuts.sort_unstable();
+    cuts.push(text.len());
+    for cut in cuts {
+        let piece = Bytes::copy_from_slice(&text.as_bytes()[from..cut]);
+        events.extend(reader.push(&piece).unwrap());
+        from = cut;
+    }
+    assert!(!reader.unfinished());
+    events
+}
+
+fn push(text: &mut Text, events: &[Event]) {
+    for event in events {
+        text.push(event, |_| true).unwrap();
+    }
+}
+
+proptest! {
+    #[test]
+    fn cuts_between_bytes_change_nothing(cuts in proptest::collection::vec(0_usize..400, 0..9)) {
+        let wire = stream(12, Some(5));
+        let events = read(&wire, &cuts);
+        prop_assert_eq!(events.len(), 12);
+        prop_assert_eq!(events[4].version, Some(2));
+        let raw: Vec<u8> = events.iter().flat_map(|e| e.raw.to_vec()).collect();
+        prop_assert_eq!(raw, wire.into_bytes());
+    }
+
+    /// Writes of a growing text may be lost or made again, and the text may be begun anew in
+    /// between: what is put together from those that lie there is a true beginning of a text.
+    #[test]
+    fn kept_growth_is_always_a_true_beginning(
+        steps in proptest::collection::vec((0_u8..4, 1_usize..4), 1..30),
+    ) {
+        let mut text = Text::default();
+        text.at(Some(1));
+        let mut saved = Saved::default();
+        let mut there = Text::default();
+        for (step, count) in steps {
+            match step {
+                0 | 1 => {
+                    let from = text.last() + 1;
+                    for id in from..from + count as u64 {
+                        let data = format!("d{id}");
+                        let event = Event { id, data, version: None, raw: Bytes::new() };
+                        text.push(&event, |_| true).unwrap();
+                    }
+                }
+                2 => {
+                    if let Some((growth, after)) = text.growth(saved) {
+                        there.grow(&growth);
+                        // Every third write gets no answer, so that it is made again.
+                        if count < 3 {
+                            saved = after;
+                        }
+                    }
+                }
+                _ => {
+                    text.restart();
+                    text.at(Some(1));
+                }
+            }
+            let wanted: Vec<String> = (1..=there.last()).map(|n| format!("d{n}")).collect();
+            prop_assert_eq!(there.output(), wanted.join("\n"));
+        }
+    }
+}
+
+#[test]
+fn an_event_that_is_missing_or_comes_twice_is_a_fault() {
+    let events = read(&stream(4, None), &[]);
+    for wrong in [vec![0, 2], vec![0, 0], vec![1]] {
+        let mut text = Text::default();
+        text.at(Some(1));
+        let failed = wrong.iter().find_map(|i| text.push(&events[*i], |_| true).err());
+        assert!(matches!(failed, Some(Fault::OutOfOrder { .. })), "{wrong:?}");
+    }
+}
+
+#[test]
+fn every_version_that_made_an_event_is_named_and_no_other() {
+    let events = read(&stream(6, Some(4)), &[]);
+    let mut text = Text::default();
+    text.at(Some(1));
+    push(&mut text, &events[..5]);
+    assert_eq!(text.versions(), [1, 2]);
+    // A run that goes on elsewhere under a version of which no event comes.
+    text.at(Some(3));
+    assert_eq!(text.versions(), [1, 2]);
+    text.at(Some(2));
+    push(&mut text, &events[5..]);
+    assert_eq!(text.versions(), [1, 2]);
+}
+
+#[test]
+fn a_version_that_is_not_allowed_or_not_known_spoils_the_text() {
+    let events = read(&stream(2, None), &[]);
+    let mut text = Text::default();
+    text.at(Some(1));
+    assert_eq!(text.push(&events[0], |v| v >= 2), Err(Fault::Version(1)));
+    let mut text = Text::default();
+    text.at(None);
+    assert_eq!(text.push(&events[0], |_| true), Err(Fault::Unlabelled));
+}
+
+#[test]
+fn bytes_that_are_no_event_are_told() {
+    for wire in ["no colon\n\n", "data: x\n\n", "id: 1\nversion: x\n\n", "id: \u{fffd}\n\n"] {
+        let mut reader = EventReader::new(FIELD);
+        assert_eq!(reader.push(&Bytes::from(wire)), Err(Fault::Garbled), "{wire:?}");
+    }
+    let mut reader = EventReader::new(FIELD);
+    let endless = Bytes::from(vec![b'x'; 2 << 20]);
+    assert_eq!(reader.push(&endless), Err(Fault::Garbled));
+}
+
+#[test]
+fn data_of_several_lines_stays_so() {
+    let mut reader = EventReader::new(FIELD);
+    let events = reader.push(&Bytes::from("id: 1\ndata: a\ndata: b\n\n")).unwrap();
+    assert_eq!(events[0].data, "a\nb");
+}
