Only the holder of orders follows versions, only machines with disks follow retirements

Each named version woke every node, and each retirement's prefix every configuration. Ruled out: a longer window of writes (groups are what trainers wait for).

--- a/src/decide/job/job.rs
+++ b/src/decide/job/job.rs
@@ -53,6 +53,17 @@
     pub state: State,
 }
 
+/// What the end of a sample comes to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Finished {
+    /// Others of its group are still to come: nobody waits for it alone.
+    Sample,
+    /// Its group is whole.
+    Group,
+    /// It had ended before, or nobody wants it any more.
+    Unwanted,
+}
+
 /// The job at its home.
 #[derive(Debug)]
 pub struct Job {
@@ -91,14 +102,19 @@
         left.into_iter().map(|i| self.spec.items[i].clone()).collect()
     }
 
-    /// A sample ended. False if it had ended before, or nobody wants it any more.
-    pub fn finish(&mut self, id: &str, state: State) -> bool {
+    /// A sample ended.
+    pub fn finish(&mut self, id: &str, state: State) -> Finished {
         if self.ended {
-            return false;
+            return Finished::Unwanted;
         }
-        let Some((id, _)) = self.open.remove_entry(id) else { return false };
+        let Some((id, index)) = self.open.remove_entry(id) else { return Finished::Unwanted };
         self.fresh.push(Arc::new(Listing { id, state }));
-        true
+        let group = &self.spec.items[index].group;
+        if self.open.values().any(|i| self.spec.items[*i].group == *group) {
+            Finished::Sample
+        } else {
+            Finished::Group
+        }
     }
 
     /// The results to write next, after the position of the first.
--- a/src/decide/job/mod.rs
+++ b/src/decide/job/mod.rs
@@ -4,6 +4,6 @@
 mod sample;
 mod text;
 
-pub use job::{Job, Listing, Spec, State};
+pub use job::{Finished, Job, Listing, Spec, State};
 pub use sample::{ItemSpec, Score, Scorer};
 pub use text::{Event, EventReader, Fault, Growth, Saved, Text};
--- a/src/edge/notice/notice.rs
+++ b/src/edge/notice/notice.rs
@@ -29,8 +29,12 @@
 
 /// Reads keys and values of others. A value that does not parse is an error with its reason.
 pub trait Notices: std::fmt::Debug + Send + Sync + 'static {
-    /// The prefix of what operators and trainers write.
-    fn operators(&self) -> &str;
+    /// The prefix of the configuration.
+    fn routes(&self) -> &str;
+    /// The prefix of the versions that trainers name.
+    fn versions(&self) -> &str;
+    /// The prefix of the machines that are to be emptied.
+    fn retirements(&self) -> &str;
     /// The prefix of the list of replicas.
     fn replicas(&self) -> &str;
     /// What a key of operators or trainers says; `None` if it says nothing to this service.
--- a/src/entry/entry.rs
+++ b/src/entry/entry.rs
@@ -33,8 +33,11 @@
     ) -> Self {
         let app = App::new(settings, store, replicas, notices);
         tracing::info!(event = "process_begins", node = %app.settings.name, life = %app.life);
-        app.spawn(follow(app.clone(), Topic::Notices));
+        if app.settings.keeps {
+            app.spawn(follow(app.clone(), Topic::Retirements));
+        }
         if app.settings.callers.is_some() {
+            app.spawn(follow(app.clone(), Topic::Routes));
             app.spawn(follow(app.clone(), Topic::Replicas));
             app.spawn(follow(app.clone(), Topic::Live));
             app.spawn(member::keep(app.clone()));
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -23,8 +23,12 @@
 /// What is followed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Topic {
-    /// What operators and trainers write.
-    Notices,
+    /// The configuration.
+    Routes,
+    /// The versions that trainers name; only who gives orders follows them.
+    Versions,
+    /// The machines that are to be emptied.
+    Retirements,
     /// The list of replicas.
     Replicas,
     /// Nodes and the holder of orders.
@@ -34,19 +38,21 @@
 impl Topic {
     /// How long changes are gathered after some came. Each change wakes a watch of every node
     /// otherwise: a round of loads changes every replica's entry within a second. What is
-    /// followed has to be known within two seconds. The watch of notices never pauses, so
+    /// followed has to be known within two seconds. The watch of routes never rests, so
     /// that one watch is always there to be cut when the store drops its history.
     fn pause(self) -> Duration {
         match self {
-            Self::Notices => Duration::ZERO,
-            Self::Replicas => Duration::from_millis(600),
+            Self::Routes | Self::Versions | Self::Retirements => Duration::ZERO,
+            Self::Replicas => Duration::from_millis(900),
             Self::Live => Duration::from_millis(250),
         }
     }
 
     fn as_str(self) -> &'static str {
         match self {
-            Self::Notices => "notices",
+            Self::Routes => "routes",
+            Self::Versions => "versions",
+            Self::Retirements => "retirements",
             Self::Replicas => "replicas",
             Self::Live => "live",
         }
@@ -56,7 +62,9 @@
 /// Follows a topic until the process ends.
 pub(super) async fn follow(app: Arc<App>, topic: Topic) {
     let prefix = match topic {
-        Topic::Notices => app.notices.operators().to_owned(),
+        Topic::Routes => app.notices.routes().to_owned(),
+        Topic::Versions => app.notices.versions().to_owned(),
+        Topic::Retirements => app.notices.retirements().to_owned(),
         Topic::Replicas => app.notices.replicas().to_owned(),
         Topic::Live => LIVE.to_owned(),
     };
@@ -122,9 +130,11 @@
 impl App {
     fn load(self: &Arc<Self>, topic: Topic, page: &Page, prefix: &str) {
         match topic {
-            Topic::Notices => page.items.iter().for_each(|item| self.notice(item)),
             Topic::Replicas => self.relist(page, prefix),
             Topic::Live => self.live.lock().load(page, self.now()),
+            Topic::Routes | Topic::Versions | Topic::Retirements => {
+                page.items.iter().for_each(|item| self.notice(item));
+            }
         }
         self.slots.pump(self.now());
         self.tell();
@@ -132,9 +142,6 @@
 
     fn change(&self, topic: Topic, change: &Change) {
         match (topic, change) {
-            (Topic::Notices, Change::Put(item)) => self.notice(item),
-            // A configuration is only ever replaced by a newer one.
-            (Topic::Notices, Change::Removed { .. }) => {}
             (Topic::Replicas, Change::Put(item)) => self.list(item),
             (Topic::Replicas, Change::Removed { key, .. }) => {
                 let id = self.notices.replica_id(key);
@@ -143,6 +150,9 @@
                 }
             }
             (Topic::Live, change) => self.live.lock().change(change, self.now()),
+            (_, Change::Put(item)) => self.notice(item),
+            // A configuration and a version are only ever replaced by newer ones.
+            (_, Change::Removed { .. }) => {}
         }
     }
 
--- a/src/entry/mover.rs
+++ b/src/entry/mover.rs
@@ -10,6 +10,7 @@
 use tokio::task::JoinSet;
 
 use super::app::App;
+use super::follow::{self, Topic};
 use super::keys::{HOLDER, HolderValue};
 use crate::Name;
 use crate::decide::moves::{self, Move, Standing};
@@ -47,6 +48,7 @@
                 tokio::select! {
                     () = app.stop.cancelled() => {}
                     () = hold(&app, fence) => {}
+                    () = follow::follow(app.clone(), Topic::Versions) => {}
                 }
                 tracing::info!(event = "orders_given_up", fence);
                 let txn = Txn::when(HOLDER, fence).remove(HOLDER);
--- a/src/entry/sample.rs
+++ b/src/entry/sample.rs
@@ -12,7 +12,7 @@
 use super::slots::Want;
 use crate::Name;
 use crate::decide::Route;
-use crate::decide::job::{ItemSpec, Spec, State};
+use crate::decide::job::{Finished, ItemSpec, Spec, State};
 use crate::edge::replica::Call;
 
 /// The pause after an attempt that brought nothing, doubled up to eight times.
@@ -29,10 +29,14 @@
     let state = make(app, home, item, index).await;
     let dead = state == State::Dead;
     home.texts.lock().remove(&item.id);
-    if home.job.lock().finish(&item.id, state) {
-        tracing::info!(event = "sample_made", item = %item.id, dead);
-        home.fresh.notify_one();
+    let finished = home.job.lock().finish(&item.id, state);
+    match finished {
+        Finished::Unwanted => return,
+        // A trainer takes whole groups: the rest goes with the next write.
+        Finished::Sample => {}
+        Finished::Group => home.fresh.notify_one(),
     }
+    tracing::info!(event = "sample_made", item = %item.id, dead);
 }
 
 async fn make(app: &Arc<App>, home: &Home, item: &ItemSpec, index: u64) -> State {
--- a/standins/src/kv/words.rs
+++ b/standins/src/kv/words.rs
@@ -46,8 +46,16 @@
 }
 
 impl Notices for Words {
-    fn operators(&self) -> &str {
-        "operators/"
+    fn routes(&self) -> &str {
+        "operators/config"
+    }
+
+    fn versions(&self) -> &str {
+        "operators/version"
+    }
+
+    fn retirements(&self) -> &str {
+        "operators/retire/"
     }
 
     fn replicas(&self) -> &str {
--- a/tests/jobs.rs
+++ b/tests/jobs.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use mulberrycourse::Name;
-use mulberrycourse::decide::job::{ItemSpec, Job, Listing, Spec, State};
+use mulberrycourse::decide::job::{Finished, ItemSpec, Job, Listing, Spec, State};
 use proptest::prelude::*;
 
 fn spec(lengths: &[Option<u64>]) -> Arc<Spec> {
@@ -45,7 +45,20 @@
     let mut job = Job::new(spec(&[None, None]), Vec::new());
     job.end();
     assert!(job.todo().is_empty());
-    assert!(!job.finish("i0", State::Dead));
+    assert_eq!(job.finish("i0", State::Dead), Finished::Unwanted);
+}
+
+#[test]
+fn the_last_of_a_group_completes_it() {
+    let mut spec = Spec::clone(&spec(&[None, None, None]));
+    let mut other = ItemSpec::clone(&spec.items[2]);
+    other.group = "h".into();
+    spec.items[2] = Arc::new(other);
+    let mut job = Job::new(Arc::new(spec), Vec::new());
+    assert_eq!(job.finish("i1", State::Dead), Finished::Sample);
+    assert_eq!(job.finish("i2", State::Dead), Finished::Group);
+    assert_eq!(job.finish("i0", State::Dead), Finished::Group);
+    assert_eq!(job.finish("i0", State::Dead), Finished::Unwanted);
 }
 
 proptest! {
