Counters of the entry processes, and a log that is bounded and never blocks

Counters for each refusal, attempt, sample, job step, order and call to the store, with histograms of requests and of the store, on a metrics address of the settings. Log lines wait for a thread of their own (tracing-appender, lossy at 4,096); each place in the code has 200 lines a second, and what is left out is counted.

--- a/src/entry/app.rs
+++ b/src/entry/app.rs
@@ -17,7 +17,8 @@
 use crate::decide::Routes;
 use crate::edge::notice::Notices;
 use crate::edge::replica::Replicas;
-use crate::edge::store::Store;
+use crate::edge::store::{Counted, Store};
+use crate::metrics::Tally;
 use crate::settings::EntrySettings;
 use crate::{Moment, Name};
 
@@ -26,6 +27,8 @@
 pub struct App {
     /// Its settings.
     pub settings: EntrySettings,
+    /// What it counts.
+    pub tally: Arc<Tally>,
     pub(super) store: Arc<dyn Store>,
     pub(super) replicas: Arc<dyn Replicas>,
     pub(super) notices: Arc<dyn Notices>,
@@ -70,9 +73,12 @@
         notices: Arc<dyn Notices>,
     ) -> Arc<Self> {
         let life = format!("{}.{:08x}", settings.name, rand::random::<u32>()).into();
+        let tally = Arc::new(Tally::default());
+        let store = Arc::new(Counted::new(store, tally.clone()));
         let slots = Slots::new(settings.zone.clone());
         Arc::new(Self {
             settings,
+            tally,
             store,
             replicas,
             notices,
@@ -117,6 +123,14 @@
         self.routes.lock().clone()
     }
 
+    /// The text of all counters and gauges.
+    pub fn metrics(&self) -> String {
+        self.tally.open_jobs.set(self.homes.all().len() as i64);
+        self.tally.routes.set(self.routes().map_or(0, |r| r.version as i64));
+        self.tally.lines_dropped.set(crate::logs::dropped() as i64);
+        self.tally.text()
+    }
+
     /// Whether clients may be sent here.
     pub fn ready(&self) -> bool {
         let known = self.routes.lock().is_some() && self.listed.load(Ordering::Relaxed);
--- a/src/entry/home.rs
+++ b/src/entry/home.rs
@@ -16,6 +16,7 @@
 use crate::Name;
 use crate::decide::job::{Job, Listing, Saved, Spec, Text};
 use crate::edge::store::{Change, Item, Txn, TxnEnd};
+use crate::metrics::JobStep;
 
 /// How long results are gathered for one write. A sample takes a second; a write for each
 /// would cost four times the calls, and a longer wait shows in the time of a step.
@@ -111,6 +112,7 @@
             async move {
                 write(&app, &home, &id, HANDOVER).await;
                 app.homes.remove(&id);
+                app.tally.job(JobStep::HandedOver);
                 tracing::info!(event = "job_handed_over", job = %id);
             }
         });
@@ -133,6 +135,7 @@
             return;
         }
         if home.job.lock().complete() {
+            app.tally.job(JobStep::Complete);
             tracing::info!(event = "job_complete", job = %id);
             break;
         }
@@ -300,6 +303,7 @@
 }
 
 fn lose(app: &App, home: &Home, id: &Name) {
+    app.tally.job(JobStep::Lost);
     tracing::warn!(event = "job_lost", job = %id, "another node is home");
     home.stop.cancel();
     app.homes.remove(id);
--- a/src/entry/read.rs
+++ b/src/entry/read.rs
@@ -14,6 +14,7 @@
 use crate::Moment;
 use crate::decide::job::{Listing, Spec, State};
 use crate::edge::store::{Change, Item, StoreError, Txn, TxnEnd};
+use crate::metrics::JobStep;
 
 /// Text in one answer, in bytes: half of the megabyte that answers may have, as text grows
 /// when it is quoted.
@@ -279,6 +280,7 @@
             let txn = Txn::when(key.clone(), seen.revision).put(key.clone(), value);
             match self.store.txn(txn).await {
                 Ok(TxnEnd::Done(_)) => {
+                    self.tally.job(JobStep::Ended);
                     tracing::info!(event = "job_ended", job);
                     return Found::There(());
                 }
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -13,6 +13,7 @@
 use crate::edge::http::gather;
 use crate::edge::replica::{Call, Failure, Pieces, Reply};
 use crate::error::{Kind, Refusal};
+use crate::metrics::AttemptEnd;
 use crate::{Moment, Name};
 
 /// How long a request without a deadline or a route's bound may take.
@@ -89,6 +90,7 @@
 pub(super) struct Course {
     pub ask: Ask,
     pub route: Arc<Route>,
+    pub begun: Moment,
     pub ends: Moment,
     pub made: u32,
     pub failures: u32,
@@ -115,6 +117,7 @@
         let mut course = Course {
             ask,
             route: route.clone(),
+            begun: self.now(),
             ends: self.now() + limit,
             made: 0,
             failures: 0,
@@ -127,7 +130,7 @@
                 Came::Over(refusal) => Given::Refused(course.history.judge(refusal)),
                 Came::Next => continue,
             };
-            log(&course, &given);
+            log(self, &course, &given);
             return given;
         }
     }
@@ -154,8 +157,8 @@
         let sending = self.replicas.send(&held.target, call);
         let reply = match tokio::time::timeout(limit, sending).await {
             Ok(Ok(reply)) => reply,
-            Ok(Err(failure)) => return course.failed(&mut held, failure),
-            Err(_) => return course.failed(&mut held, Failure::Broken("silent".to_owned())),
+            Ok(Err(failure)) => return course.failed(self, &mut held, failure),
+            Err(_) => return course.failed(self, &mut held, Failure::Broken("silent".to_owned())),
         };
         if let Some(load) = reply.load {
             self.slots.fleet.lock().load(&held.target.id, load, self.now());
@@ -168,15 +171,16 @@
         let (headers, signature) = (reply.headers, reply.signature);
         let body = match tokio::time::timeout(left, gather(reply.body)).await {
             Ok(Ok(body)) => body,
-            Ok(Err(reason)) => return course.failed(&mut held, Failure::Broken(reason)),
-            Err(_) => return course.failed(&mut held, Failure::Broken("silent".to_owned())),
+            Ok(Err(reason)) => return course.failed(self, &mut held, Failure::Broken(reason)),
+            Err(_) => return course.failed(self, &mut held, Failure::Broken("silent".to_owned())),
         };
         let took = self.now().saturating_sub(began);
         held.ended(Ended::Answered { took, cost: 1 });
         if signature.is_none() {
-            return course.failed(&mut held, Failure::Broken("unsigned".to_owned()));
+            return course.failed(self, &mut held, Failure::Broken("unsigned".to_owned()));
         }
         let failed = status.is_server_error();
+        self.tally.attempt(if failed { AttemptEnd::Failed } else { AttemptEnd::Answered });
         if failed {
             course.failures += 1;
             held.ended(Ended::Failed);
@@ -227,7 +231,13 @@
         (left * PART / 100).max(LEAST).min(left)
     }
 
-    fn failed(&mut self, held: &mut Held<'_>, failure: Failure) -> Came {
+    fn failed(&mut self, app: &App, held: &mut Held<'_>, failure: Failure) -> Came {
+        app.tally.attempt(match failure {
+            Failure::Unsent(_) => AttemptEnd::Unsent,
+            Failure::NotRun(_) => AttemptEnd::NotRun,
+            Failure::Stranger => AttemptEnd::Stranger,
+            Failure::Broken(_) => AttemptEnd::Broken,
+        });
         held.ended(match failure {
             Failure::Unsent(_) | Failure::Stranger => Ended::Unreachable,
             Failure::NotRun(_) => Ended::Full,
@@ -261,19 +271,25 @@
     Refusal::new(kind, detail).after(COME_BACK)
 }
 
-fn log(course: &Course, given: &Given) {
+fn log(app: &App, course: &Course, given: &Given) {
     let (id, attempts) = (&course.ask.id, course.made);
+    app.tally.answered(app.now().saturating_sub(course.begun));
     match given {
         Given::Whole { status, .. } => {
             tracing::debug!(event = "answered", request = %id, attempts, status = status.as_u16());
         }
         Given::Stream { .. } => tracing::debug!(event = "stream_opened", request = %id, attempts),
-        Given::Refused(refusal) => tracing::info!(
-            event = "refused",
-            request = %id,
-            attempts,
-            kind = %refusal.kind,
-            run = refusal.run().as_str()
-        ),
+        Given::Refused(refusal) => {
+            app.tally.refused(refusal.kind);
+            tracing::info!(
+                event = "refused",
+                request = %id,
+                route = %course.route.name,
+                attempts,
+                replicas = ?course.avoid,
+                kind = %refusal.kind,
+                run = refusal.run().as_str()
+            );
+        }
     }
 }
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -12,6 +12,7 @@
 use crate::decide::job::{Event, EventReader, Fault, ItemSpec, Spec};
 use crate::decide::{Ended, Route};
 use crate::edge::replica::{Call, Failure, Reply};
+use crate::metrics::AttemptEnd;
 
 /// How long the head of an answer may take. A place was free, so only the prompt is read
 /// before it: some milliseconds. A load of weights takes 0.9 s.
@@ -41,7 +42,7 @@
     /// It can never be made.
     Impossible,
     /// It goes on elsewhere, for this reason.
-    Again(&'static str),
+    Again(AttemptEnd),
 }
 
 /// How the reading of one replica's events ended.
@@ -57,8 +58,18 @@
 }
 
 impl Run<'_> {
-    /// Makes the attempt.
+    /// Makes the attempt, and counts its end.
     pub(super) async fn attempt(self, held: &mut Held<'_>, call: Call) -> Tried {
+        let tried = self.run(held, call).await;
+        self.app.tally.sample_attempt(match tried {
+            Tried::Whole => AttemptEnd::Answered,
+            Tried::Failed | Tried::Impossible => AttemptEnd::Failed,
+            Tried::Again(end) => end,
+        });
+        tried
+    }
+
+    async fn run(self, held: &mut Held<'_>, call: Call) -> Tried {
         let begun = self.app.now();
         let sending = self.app.replicas.send(&held.target, call);
         let reply = match tokio::time::timeout(HEAD, sending).await {
@@ -66,7 +77,7 @@
             Ok(Err(failure)) => return self.refused(held, &failure),
             Err(_) => {
                 held.ended(Ended::Failed);
-                return Tried::Again("silent");
+                return Tried::Again(AttemptEnd::Broken);
             }
         };
         if let Some(load) = reply.load {
@@ -89,36 +100,36 @@
             }
             Ok(Read::Slow) => {
                 held.ended(answered);
-                Tried::Again("slow")
+                Tried::Again(AttemptEnd::Slow)
             }
             Ok(Read::Broken) => {
                 held.ended(Ended::Failed);
-                Tried::Again("broken")
+                Tried::Again(AttemptEnd::Broken)
             }
             Ok(Read::Silent) => {
                 held.ended(Ended::Failed);
-                Tried::Again("silent")
+                Tried::Again(AttemptEnd::Broken)
             }
             Err(fault) => {
                 let replica = &held.target.id;
                 tracing::info!(event = "text_begun_anew", item = %self.item.id, %replica, %fault);
                 self.home.text(&self.item.id, |text| text.restart());
-                Tried::Again("fault")
+                Tried::Again(AttemptEnd::Fault)
             }
         }
     }
 
     fn refused(self, held: &mut Held<'_>, failure: &Failure) -> Tried {
-        let (ended, reason) = match failure {
-            Failure::Unsent(_) => (Ended::Unreachable, "unreachable"),
-            Failure::NotRun(_) if self.spec.model.is_some() => (Ended::Loading, "loading"),
-            Failure::NotRun(_) => (Ended::Full, "full"),
-            Failure::Stranger => (Ended::Unreachable, "stranger"),
-            Failure::Broken(_) => (Ended::Failed, "broken"),
+        let (ended, end) = match failure {
+            Failure::Unsent(_) => (Ended::Unreachable, AttemptEnd::Unsent),
+            Failure::NotRun(_) if self.spec.model.is_some() => (Ended::Loading, AttemptEnd::NotRun),
+            Failure::NotRun(_) => (Ended::Full, AttemptEnd::NotRun),
+            Failure::Stranger => (Ended::Unreachable, AttemptEnd::Stranger),
+            Failure::Broken(_) => (Ended::Failed, AttemptEnd::Broken),
         };
         held.ended(ended);
         tracing::debug!(event = "attempt_failed", item = %self.item.id, %failure);
-        Tried::Again(reason)
+        Tried::Again(end)
     }
 
     fn last(self) -> u64 {
--- a/src/entry/sample.rs
+++ b/src/entry/sample.rs
@@ -14,6 +14,7 @@
 use crate::decide::Route;
 use crate::decide::job::{Finished, ItemSpec, Spec, State};
 use crate::edge::replica::Call;
+use crate::metrics::SampleEnd;
 
 /// The pause after an attempt that brought nothing, doubled up to eight times.
 const PAUSE: Duration = Duration::from_millis(25);
@@ -36,7 +37,9 @@
         Finished::Sample => {}
         Finished::Group => home.fresh.notify_one(),
     }
-    tracing::info!(event = "sample_made", item = %item.id, dead);
+    app.tally.sample(if dead { SampleEnd::Dead } else { SampleEnd::Completed });
+    let job = home.job.lock().spec.id.clone();
+    tracing::info!(event = "sample_made", %job, item = %item.id, dead);
 }
 
 async fn make(app: &Arc<App>, home: &Home, item: &ItemSpec, index: u64) -> State {
@@ -108,8 +111,8 @@
                     return false;
                 }
             }
-            Tried::Again(reason) => {
-                tracing::info!(event = "sample_goes_on", item = %item.id, %replica, events, reason);
+            Tried::Again(end) => {
+                tracing::info!(event = "sample_goes_on", item = %item.id, %replica, events, reason = ?end);
             }
         }
         avoid.push(replica);
--- a/src/entry/submit.rs
+++ b/src/entry/submit.rs
@@ -12,6 +12,7 @@
 use super::takeover;
 use crate::decide::job::Spec;
 use crate::edge::store::{StoreError, Txn, TxnEnd};
+use crate::metrics::JobStep;
 
 /// Writes of one transaction, less the home's own key.
 const PARTS: usize = 24;
@@ -37,6 +38,16 @@
 impl App {
     /// Takes in a job.
     pub async fn submit(self: &Arc<Self>, spec: Spec) -> Submitted {
+        let submitted = self.take_in(spec).await;
+        self.tally.job(match submitted {
+            Submitted::Kept => JobStep::Accepted,
+            Submitted::Refused(_) => JobStep::Refused,
+            Submitted::Unknown => JobStep::Unsure,
+        });
+        submitted
+    }
+
+    async fn take_in(self: &Arc<Self>, spec: Spec) -> Submitted {
         let id = spec.id.clone();
         if self.homes.get(&id).is_some() {
             return Submitted::Kept;
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -15,6 +15,7 @@
 use crate::decide::job::{Growth, Listing, Saved, Spec, Text};
 use crate::decide::rank;
 use crate::edge::store::{Page, StoreError, Txn, TxnEnd};
+use crate::metrics::JobStep;
 use crate::{Moment, Name};
 
 /// How much longer each next node in rank waits before it looks: the nodes ahead of it need
@@ -123,6 +124,7 @@
     let txn = Txn::when(key.clone(), seen.revision).put(key, written);
     match app.store.txn(txn).await {
         Ok(TxnEnd::Done(revision)) => {
+            app.tally.job(JobStep::Taken);
             tracing::info!(event = "job_taken", %job, from = %seen.value.life, revision);
             begin(app, job, Seen { value, revision }).await
         }
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -1,7 +1,16 @@
 //! Logs: one line of key=value pairs for each event.
 
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use parking_lot::Mutex;
+use tracing::callsite::Identifier;
+use tracing::{Event, Metadata, Subscriber};
+use tracing_appender::non_blocking::{NonBlocking, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 use tracing_subscriber::fmt::MakeWriter;
+use tracing_subscriber::layer::{Context, Filter};
 use tracing_subscriber::prelude::*;
 
 /// A filter that does not parse.
@@ -32,7 +41,9 @@
     let filter = filter(level)?;
     let lines = tracing_logfmt::builder().layer().with_writer(writer);
     // A second start in one process keeps the first.
-    let _ = tracing_subscriber::registry().with(lines.with_filter(filter)).try_init();
+    let _ = tracing_subscriber::registry()
+        .with(lines.with_filter(Budget::default()).with_filter(filter))
+        .try_init();
     Ok(())
 }
 
@@ -47,3 +58,59 @@
         Some(word) => Err(bad(format!("{word:?} is none of: {}", levels.join(", ")))),
     }
 }
+
+/// Lines of one place in the code in a second; more are left out and counted. A hundred
+/// samples of a step may end at once; a fault that says the same for each request of an
+/// overload must not cost the processor that the requests need.
+const BUDGET: u32 = 200;
+/// The time that a budget is for.
+const SECOND: Duration = Duration::from_secs(1);
+/// Lines that wait for a reader of the log; more are left out.
+const WAITING: usize = 4_096;
+
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// How many lines were left out for their number.
+pub fn dropped() -> u64 {
+    DROPPED.load(Ordering::Relaxed)
+}
+
+/// A writer on standard output that never blocks: lines wait for a thread of their own, and
+/// are left out once too many do. The guard writes what waits when it is dropped.
+pub fn waiting() -> (NonBlocking, WorkerGuard) {
+    let builder = NonBlockingBuilder::default().lossy(true).buffered_lines_limit(WAITING);
+    builder.finish(std::io::stdout())
+}
+
+/// Lets through so many lines a second of each place in the code.
+#[derive(Debug, Default)]
+pub struct Budget {
+    spent: Mutex<HashMap<Identifier, (Instant, u32)>>,
+}
+
+impl Budget {
+    /// Whether a line of this place may be written at this moment.
+    pub fn spend(&self, place: Identifier, now: Instant) -> bool {
+        let mut spent = self.spent.lock();
+        let (since, count) = spent.entry(place).or_insert((now, 0));
+        if now.saturating_duration_since(*since) >= SECOND {
+            (*since, *count) = (now, 0);
+        }
+        *count += 1;
+        let fits = *count <= BUDGET;
+        if !fits {
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+        }
+        fits
+    }
+}
+
+impl<S: Subscriber> Filter<S> for Budget {
+    fn enabled(&self, _: &Metadata<'_>, _: &Context<'_, S>) -> bool {
+        true
+    }
+
+    fn event_enabled(&self, event: &Event<'_>, _: &Context<'_, S>) -> bool {
+        self.spend(event.metadata().callsite(), Instant::now())
+    }
+}
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -3,10 +3,12 @@
 mod labels;
 mod metrics;
 mod process;
+mod tally;
 mod timed;
 mod traffic;
 
 pub use labels::{Entry, OrderCause, PlatformUse, Purpose, RetryReason, Task, Way};
 pub use metrics::Metrics;
+pub use tally::{AttemptEnd, JobStep, OrderResult, SampleEnd, StoreCall, StoreEnd, Tally};
 pub use timed::Timed;
 pub use traffic::Traffic;
--- /dev/null
+++ b/src/metrics/tally.rs
@@ -0,0 +1,260 @@
+//! The counters of an entry process, for `/metrics`.
+
+use std::sync::atomic::AtomicI64;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+use super::labels::KindLabel;
+use super::process::Process;
+use crate::error::Kind;
+
+/// How an attempt at a replica ended, for requests and for samples.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum AttemptEnd {
+    /// With a whole answer.
+    Answered,
+    /// The replica ran it and failed.
+    Failed,
+    /// No connection.
+    Unsent,
+    /// The replica refused it: full, or loading weights.
+    NotRun,
+    /// Another incarnation or version was there.
+    Stranger,
+    /// It broke off, or no sign came in time.
+    Broken,
+    /// Another replica was faster.
+    Slow,
+    /// The events did not fit what was there.
+    Fault,
+}
+
+/// How a sample ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum SampleEnd {
+    /// With a text and a score.
+    Completed,
+    /// Given up.
+    Dead,
+}
+
+/// What a job went through here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum JobStep {
+    /// Accepted from a trainer.
+    Accepted,
+    /// Not kept.
+    Refused,
+    /// It may be kept.
+    Unsure,
+    /// Taken over from a home that was gone.
+    Taken,
+    /// Handed over as this process left.
+    HandedOver,
+    /// Another node is home.
+    Lost,
+    /// Every sample listed.
+    Complete,
+    /// Ended by its trainer.
+    Ended,
+}
+
+/// How an order ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum OrderResult {
+    /// Accepted.
+    Accepted,
+    /// It held already.
+    Holds,
+    /// Refused for now.
+    Busy,
+    /// A later holder has given orders.
+    Fenced,
+    /// Not taken.
+    Refused,
+    /// Not answered.
+    Unknown,
+}
+
+/// A call to the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum StoreCall {
+    /// A key.
+    Get,
+    /// A prefix.
+    Range,
+    /// A watch.
+    Watch,
+    /// A write.
+    Txn,
+    /// A new lease.
+    Grant,
+    /// A renewal.
+    Keep,
+    /// The end of a lease.
+    End,
+}
+
+/// How it ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum StoreEnd {
+    /// With an answer.
+    Answered,
+    /// Nothing was done.
+    Refused,
+    /// It may have been done.
+    Unknown,
+    /// The history was gone.
+    Compacted,
+}
+
+macro_rules! label {
+    ($name:ident, $field:ident: $kind:ty) => {
+        #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+        struct $name {
+            $field: $kind,
+        }
+    };
+}
+
+label!(AttemptLabel, end: AttemptEnd);
+label!(SampleLabel, end: SampleEnd);
+label!(JobLabel, step: JobStep);
+label!(OrderLabel, result: OrderResult);
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StoreLabel {
+    call: StoreCall,
+    end: StoreEnd,
+}
+
+/// Everything that an entry process counts.
+#[derive(Debug)]
+pub struct Tally {
+    registry: Mutex<Registry>,
+    refusals: Family<KindLabel, Counter>,
+    attempts: Family<AttemptLabel, Counter>,
+    sample_attempts: Family<AttemptLabel, Counter>,
+    samples: Family<SampleLabel, Counter>,
+    jobs: Family<JobLabel, Counter>,
+    orders: Family<OrderLabel, Counter>,
+    store: Family<StoreLabel, Counter>,
+    store_seconds: Histogram,
+    request_seconds: Histogram,
+    /// Jobs that run here.
+    pub open_jobs: Gauge<i64, AtomicI64>,
+    /// The version of the configuration in force; 0 for none.
+    pub routes: Gauge<i64, AtomicI64>,
+    /// Log lines that were left out for their number.
+    pub lines_dropped: Gauge<i64, AtomicI64>,
+}
+
+impl Default for Tally {
+    fn default() -> Self {
+        // From 1 ms in steps of two to 16 s: an answer of the store to the longest request.
+        let seconds = || Histogram::new(exponential_buckets(0.001, 2.0, 15));
+        let tally = Self {
+            registry: Mutex::new(Registry::with_prefix("mulberry")),
+            refusals: Family::default(),
+            attempts: Family::default(),
+            sample_attempts: Family::default(),
+            samples: Family::default(),
+            jobs: Family::default(),
+            orders: Family::default(),
+            store: Family::default(),
+            store_seconds: seconds(),
+            request_seconds: seconds(),
+            open_jobs: Gauge::default(),
+            routes: Gauge::default(),
+            lines_dropped: Gauge::default(),
+        };
+        tally.register();
+        for kind in Kind::ALL.iter().copied() {
+            drop(tally.refusals.get_or_create(&KindLabel { kind }));
+        }
+        tally
+    }
+}
+
+impl Tally {
+    fn register(&self) {
+        let mut all = self.registry.lock();
+        all.register("refusals", "Requests refused, by kind", self.refusals.clone());
+        all.register("attempts", "Attempts at requests, by end", self.attempts.clone());
+        let help = "Attempts at samples, by end";
+        all.register("sample_attempts", help, self.sample_attempts.clone());
+        all.register("samples", "Samples that ended here", self.samples.clone());
+        all.register("jobs", "What jobs went through here", self.jobs.clone());
+        all.register("orders", "Orders given, by result", self.orders.clone());
+        all.register("store_calls", "Calls to the store, by end", self.store.clone());
+        let help = "Time of answered calls to the store, watches aside";
+        all.register("store_seconds", help, self.store_seconds.clone());
+        let help = "Time from a request's head to the head of its answer";
+        all.register("request_seconds", help, self.request_seconds.clone());
+        all.register("open_jobs", "Jobs that run here", self.open_jobs.clone());
+        all.register("routes_version", "Configuration in force", self.routes.clone());
+        let help = "Log lines left out for their number";
+        all.register("log_lines_dropped", help, self.lines_dropped.clone());
+        all.register_collector(Box::new(Process));
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&self, kind: Kind) {
+        self.refusals.get_or_create(&KindLabel { kind }).inc();
+    }
+
+    /// Counts an attempt at a request.
+    pub fn attempt(&self, end: AttemptEnd) {
+        self.attempts.get_or_create(&AttemptLabel { end }).inc();
+    }
+
+    /// Counts an attempt at a sample.
+    pub fn sample_attempt(&self, end: AttemptEnd) {
+        self.sample_attempts.get_or_create(&AttemptLabel { end }).inc();
+    }
+
+    /// Counts a sample.
+    pub fn sample(&self, end: SampleEnd) {
+        self.samples.get_or_create(&SampleLabel { end }).inc();
+    }
+
+    /// Counts a step of a job.
+    pub fn job(&self, step: JobStep) {
+        self.jobs.get_or_create(&JobLabel { step }).inc();
+    }
+
+    /// Counts an order.
+    pub fn order(&self, result: OrderResult) {
+        self.orders.get_or_create(&OrderLabel { result }).inc();
+    }
+
+    /// Counts a call to the store; `took` for one that was to be answered at once.
+    pub fn store(&self, call: StoreCall, end: StoreEnd, took: Option<Duration>) {
+        self.store.get_or_create(&StoreLabel { call, end }).inc();
+        if let Some(took) = took {
+            self.store_seconds.observe(took.as_secs_f64());
+        }
+    }
+
+    /// A request has its answer.
+    pub fn answered(&self, took: Duration) {
+        self.request_seconds.observe(took.as_secs_f64());
+    }
+
+    /// The text that `/metrics` answers.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        let registry = self.registry.lock();
+        match prometheus_client::encoding::text::encode(&mut text, &registry) {
+            Ok(()) => text,
+            Err(e) => format!("# {e}\n"),
+        }
+    }
+}
--- a/src/settings/entry.rs
+++ b/src/settings/entry.rs
@@ -31,6 +31,8 @@
     pub ready: Option<SocketAddr>,
     /// `[node] addresses`: where clients ask which nodes to use.
     pub addresses: Option<SocketAddr>,
+    /// `[node] metrics`: where metrics are asked for.
+    pub metrics: Option<SocketAddr>,
     /// `[node] keeps`: whether the machine has a disk that an operator may ask to empty.
     pub keeps: bool,
     /// `[store] address`.
@@ -66,6 +68,7 @@
             callers: address(&node, "callers")?,
             ready: address(&node, "ready")?,
             addresses: address(&node, "addresses")?,
+            metrics: address(&node, "metrics")?,
             keeps: node.value_or("keeps", false)?,
             store: store.value("address")?,
             value: store.within("value", 1_024..=64 << 20, VALUE)?,
