A view of a job that has rested reads the whole again

Ruled out by reading: two writers of one position, a home that does not learn of its end, pages that end early.

--- a/src/entry/read.rs
+++ b/src/entry/read.rs
@@ -21,6 +21,9 @@
 const PAGE: usize = 500_000;
 /// The longest single watch for results.
 const WATCH: Duration = Duration::from_millis(1_000);
+/// How long a view may rest and still go on by a watch. The store keeps its history for 20 s
+/// or less, and a watch from before that hears nothing instead of an error.
+const RESTED: Duration = Duration::from_secs(3);
 /// The shortest watch: what the store has already.
 const ONCE: Duration = Duration::from_millis(1);
 /// How long ending a job is tried while the store does not answer.
@@ -76,6 +79,8 @@
     revision: Option<u64>,
     /// The node's count of cut watches at the last whole read.
     doubts: u64,
+    /// When the store was last heard about it.
+    heard: Moment,
 }
 
 impl Views {
@@ -148,6 +153,7 @@
                 Ok(watched) => {
                     let mut state = view.state.lock();
                     state.revision = state.revision.max(Some(watched.revision));
+                    state.heard = self.now();
                     for change in &watched.changes {
                         if let Change::Put(item) = change {
                             state.add(job, item);
@@ -177,7 +183,9 @@
     /// Whether a watch can go on from where a view stands.
     fn sure(&self, view: &View) -> bool {
         let state = view.state.lock();
-        state.revision.is_some() && state.doubts == self.doubts.load(Ordering::Relaxed)
+        let rested = self.now().saturating_sub(state.heard);
+        let whole = state.doubts == self.doubts.load(Ordering::Relaxed) && rested < RESTED;
+        state.revision.is_some() && whole
     }
 
     async fn fill(&self, job: &str, view: &View) -> Result<(), StoreError> {
@@ -189,6 +197,7 @@
         }
         state.revision = state.revision.max(Some(page.revision));
         state.doubts = doubts;
+        state.heard = self.now();
         Ok(())
     }
 
--- a/standins/src/kv/line.rs
+++ b/standins/src/kv/line.rs
@@ -107,6 +107,11 @@
         self.cuts.send_modify(|n| *n += 1);
     }
 
+    /// Forgets the history as it grows old: no watch is cut.
+    pub fn age(&self) {
+        self.state.lock().compact();
+    }
+
     /// Ends all leases at once, as an outage may.
     pub fn lapse(&self) {
         self.state.lock().end(|_, _| true);
--- a/tests/entry/reads.rs
+++ b/tests/entry/reads.rs
@@ -49,6 +49,22 @@
     assert_eq!(b.page("j", 1).await.len(), 1);
 }
 
+/// Guards: a view that had rested for longer than the store keeps its history went on from
+/// there and heard nothing (112 results read, none at the last position).
+#[tokio::test(start_paused = true)]
+async fn a_view_that_rested_for_long_reads_the_whole_again() {
+    let world = World::new();
+    let (a, b) = (world.node("a").await, world.node("b").await);
+    world.replicas.length("i2", 40);
+    a.submit("j", &["i1", "i2"]).await;
+    until(|| !world.kv.items("mulberry/job/j/results").is_empty()).await;
+    assert_eq!(b.page("j", 0).await.len(), 1);
+    until(|| world.kv.items("mulberry/job/j/results").len() == 2).await;
+    pass(18_000).await;
+    world.kv.age();
+    assert_eq!(b.page("j", 1).await.len(), 1);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_node_that_cannot_be_sure_says_so() {
     use std::time::Duration;
