--- a/src/entry/sample.rs
+++ b/src/entry/sample.rs
@@ -50,7 +50,7 @@
     }
     let score = match &item.scorer {
         None => None,
-        Some(scorer) => match score(app, scorer, begun).await {
+        Some(scorer) => match score(app, &item.id, scorer, begun).await {
             Some(score) => Some(score),
             None => return State::Dead,
         },
--- a/src/entry/score.rs
+++ b/src/entry/score.rs
@@ -22,7 +22,12 @@
 
 /// Asks a scorer until it answers; none once it has failed as often as its route allows, or
 /// the sample's time since `begun` is over.
-pub(super) async fn score(app: &Arc<App>, scorer: &Scorer, begun: Moment) -> Option<Score> {
+pub(super) async fn score(
+    app: &Arc<App>,
+    item: &Name,
+    scorer: &Scorer,
+    begun: Moment,
+) -> Option<Score> {
     let mut failed = 0;
     let mut idle = 0;
     loop {
@@ -30,7 +35,7 @@
         let route = routes.and_then(|r| r.find(&scorer.host, &scorer.path).cloned());
         let kept = route.as_ref().map_or(KEPT, |r| r.retention.max(KEPT));
         if app.now().saturating_sub(begun) > kept {
-            tracing::info!(event = "score_given_up", request = %scorer.id, reason = "retention");
+            tracing::info!(event = "score_given_up", %item, request = %scorer.id, reason = "retention");
             return None;
         }
         let Some(route) = route else {
@@ -44,11 +49,11 @@
             Given::Whole { failures, .. } => failed += failures.max(1),
             Given::Stream { .. } => failed += 1,
             Given::Refused(refusal) => {
-                tracing::info!(event = "score_refused", request = %scorer.id, kind = %refusal.kind);
+                tracing::info!(event = "score_refused", %item, request = %scorer.id, kind = %refusal.kind);
             }
         }
         if failed >= route.attempts {
-            tracing::info!(event = "score_given_up", request = %scorer.id, reason = "failed", failed);
+            tracing::info!(event = "score_given_up", %item, request = %scorer.id, reason = "failed", failed);
             return None;
         }
         idle += 1;
