--- a/src/edge/replica/call.rs
+++ b/src/edge/replica/call.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use futures_util::stream::BoxStream;
 use http::{HeaderMap, Method, StatusCode};
+use prometheus_client::encoding::EncodeLabelValue;
 
 use crate::Name;
 
@@ -117,7 +118,7 @@
 }
 
 /// The end of an order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum OrderEnd {
     /// It is being carried out.
     Accepted,
--- a/src/entry/mover.rs
+++ b/src/entry/mover.rs
@@ -17,7 +17,6 @@
 use crate::decide::rank;
 use crate::edge::replica::{Order, OrderEnd, Target};
 use crate::edge::store::{Txn, TxnEnd};
-use crate::metrics::OrderResult;
 
 /// How much longer each next node in rank waits before it tries to be holder.
 const STEP: Duration = Duration::from_millis(400);
@@ -194,7 +193,7 @@
         sequence = stance.sequence,
         outcome = ?end
     );
-    app.tally.order(result(end));
+    app.tally.order(end);
     match end {
         OrderEnd::Accepted | OrderEnd::Unknown => wait(app, &target, &wanted).await,
         OrderEnd::Holds => {
@@ -206,17 +205,6 @@
     }
 }
 
-fn result(end: OrderEnd) -> OrderResult {
-    match end {
-        OrderEnd::Accepted => OrderResult::Accepted,
-        OrderEnd::Holds => OrderResult::Holds,
-        OrderEnd::Busy => OrderResult::Busy,
-        OrderEnd::Fenced => OrderResult::Fenced,
-        OrderEnd::Refused => OrderResult::Refused,
-        OrderEnd::Unknown => OrderResult::Unknown,
-    }
-}
-
 /// Waits until a replica has loaded what it was ordered to.
 async fn wait(app: &App, target: &Target, wanted: &Move) -> Moved {
     tokio::time::sleep(LOAD).await;
--- a/src/metrics/metrics.rs
+++ b/src/metrics/metrics.rs
@@ -163,11 +163,15 @@
 
     /// The text that `/metrics` answers.
     pub fn text(&self) -> String {
-        let mut text = String::new();
-        let registry = self.registry.lock();
-        match prometheus_client::encoding::text::encode(&mut text, &registry) {
-            Ok(()) => text,
-            Err(e) => format!("# {e}\n"),
-        }
+        encoded(&self.registry)
+    }
+}
+
+/// A registry in the text format.
+pub(super) fn encoded(registry: &Mutex<Registry>) -> String {
+    let mut text = String::new();
+    match prometheus_client::encoding::text::encode(&mut text, &registry.lock()) {
+        Ok(()) => text,
+        Err(e) => format!("# {e}\n"),
     }
 }
--- a/src/metrics/tally.rs
+++ b/src/metrics/tally.rs
@@ -12,7 +12,9 @@
 use prometheus_client::registry::Registry;
 
 use super::labels::KindLabel;
+use super::metrics::encoded;
 use super::process::Process;
+use crate::edge::replica::OrderEnd;
 use crate::error::Kind;
 
 /// How an attempt at a replica ended, for requests and for samples.
@@ -66,23 +68,6 @@
     Ended,
 }
 
-/// How an order ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
-pub enum OrderResult {
-    /// Accepted.
-    Accepted,
-    /// It held already.
-    Holds,
-    /// Refused for now.
-    Busy,
-    /// A later holder has given orders.
-    Fenced,
-    /// Not taken.
-    Refused,
-    /// Not answered.
-    Unknown,
-}
-
 /// A call to the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum StoreCall {
@@ -127,7 +112,7 @@
 label!(AttemptLabel, end: AttemptEnd);
 label!(SampleLabel, end: SampleEnd);
 label!(JobLabel, step: JobStep);
-label!(OrderLabel, result: OrderResult);
+label!(OrderLabel, result: OrderEnd);
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct StoreLabel {
@@ -231,7 +216,7 @@
     }
 
     /// Counts an order.
-    pub fn order(&self, result: OrderResult) {
+    pub fn order(&self, result: OrderEnd) {
         self.orders.get_or_create(&OrderLabel { result }).inc();
     }
 
@@ -250,11 +235,6 @@
 
     /// The text that `/metrics` answers.
     pub fn text(&self) -> String {
-        let mut text = String::new();
-        let registry = self.registry.lock();
-        match prometheus_client::encoding::text::encode(&mut text, &registry) {
-            Ok(()) => text,
-            Err(e) => format!("# {e}\n"),
-        }
+        encoded(&self.registry)
     }
 }
--- a/tests/entry/views.rs
+++ b/tests/entry/views.rs
@@ -92,7 +92,7 @@
     nodes[0].submit("j", &["i1"]).await;
     pass(300).await;
     world.kv.lapse();
-    pass(50).await;
+    pass(300).await;
     assert_eq!(nodes[0].app().addresses("z").len(), 3);
     pass(2_000).await;
     assert_eq!(world.kv.items("mulberry/live/node/").len(), 3);
