--- a/src/entry/app.rs
+++ b/src/entry/app.rs
@@ -12,8 +12,8 @@
 
 use super::homes::Homes;
 use super::live::Live;
-use super::read::Views;
 use super::slots::Slots;
+use super::views::Views;
 use crate::decide::Routes;
 use crate::edge::notice::Notices;
 use crate::edge::replica::Replicas;
--- /dev/null
+++ b/src/entry/end.rs
@@ -0,0 +1,68 @@
+//! Ending a job, at any node.
+
+use std::time::Duration;
+
+use super::app::App;
+use super::keys::{HomeValue, home as home_key};
+use super::live::Seen;
+use super::read::Found;
+use crate::edge::store::{Txn, TxnEnd};
+use crate::metrics::JobStep;
+
+/// How long ending a job is tried while the store does not answer.
+const TRY: Duration = Duration::from_millis(1_500);
+/// The pause between tries.
+const PAUSE: Duration = Duration::from_millis(100);
+
+impl App {
+    /// Ends a job: nothing of it runs any more.
+    pub async fn end(&self, job: &str) -> Found<()> {
+        let begun = self.now();
+        let here = self.homes.get(job);
+        if let Some(home) = &here {
+            self.halt(home);
+        }
+        let known = match here {
+            Some(home) => Ok(Some(home.key.lock().clone())),
+            None => self.home_of(job).await,
+        };
+        let mut seen = match known {
+            Ok(Some(seen)) => seen,
+            Ok(None) => return Found::Unknown,
+            Err(_) => return Found::Unsure,
+        };
+        loop {
+            if seen.value.ended {
+                return Found::There(());
+            }
+            let value = HomeValue { ended: true, done: true, ..seen.value.clone() };
+            let Ok(value) = serde_json::to_vec(&value) else { return Found::Unsure };
+            let key = home_key(job);
+            let txn = Txn::when(key.clone(), seen.revision).put(key.clone(), value);
+            match self.store.txn(txn).await {
+                Ok(TxnEnd::Done(_)) => {
+                    self.tally.job(JobStep::Ended);
+                    tracing::info!(event = "job_ended", job);
+                    return Found::There(());
+                }
+                Ok(TxnEnd::Conflict(items)) => {
+                    let Some(item) = items.into_iter().find(|i| i.key == key) else {
+                        return Found::Unknown;
+                    };
+                    match serde_json::from_slice(&item.value) {
+                        Ok(value) => seen = Seen { value, revision: item.revision },
+                        Err(_) => return Found::Unsure,
+                    }
+                }
+                Ok(TxnEnd::NoLease) => return Found::Unsure,
+                Err(e) => {
+                    tracing::warn!(event = "end_not_written", job, error = %e);
+                    if self.now().saturating_sub(begun) > TRY {
+                        return Found::Unsure;
+                    }
+                    tokio::time::sleep(PAUSE).await;
+                }
+            }
+        }
+    }
+}
--- a/src/entry/homes.rs
+++ b/src/entry/homes.rs
@@ -1,6 +1,7 @@
 //! The jobs that this node is home to.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
@@ -81,9 +82,15 @@
 #[derive(Debug, Default)]
 pub(super) struct Homes {
     homes: Mutex<ByName<Arc<Home>>>,
+    ages: AtomicU64,
 }
 
 impl Homes {
+    /// The place of the next job in the order in which they came.
+    pub(super) fn age(&self) -> u64 {
+        self.ages.fetch_add(1, Ordering::Relaxed)
+    }
+
     pub(super) fn get(&self, job: &str) -> Option<Arc<Home>> {
         self.homes.lock().get(job).cloned()
     }
--- a/src/entry/keys.rs
+++ b/src/entry/keys.rs
@@ -104,3 +104,8 @@
 pub(super) fn all_texts(job: &str) -> Name {
     format!("{JOBS}{job}/texts/").into()
 }
+
+/// The prefix of all that a job is made of, its home's key aside.
+pub(super) fn whole_job(job: &str) -> Name {
+    format!("{JOBS}{job}/").into()
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -6,11 +6,13 @@
 
 mod addresses;
 mod app;
+mod end;
 mod entry;
 mod follow;
 mod home;
 mod homes;
 mod keys;
+mod listing;
 mod live;
 mod member;
 mod mover;
@@ -24,6 +26,7 @@
 mod stream;
 mod submit;
 mod takeover;
+mod views;
 
 pub use app::App;
 pub use entry::Entry;
--- a/src/entry/read.rs
+++ b/src/entry/read.rs
@@ -1,20 +1,19 @@
-//! Reading jobs and ending them, at any node.
+//! Reading jobs, at any node.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
-use parking_lot::Mutex;
 
-use super::app::{App, ByName};
+use super::app::App;
 use super::homes::Home;
-use super::keys::{HomeValue, all_results, home as home_key, parts, results};
+use super::keys::{HomeValue, all_results, home as home_key, parts};
 use super::live::Seen;
+use super::views::{View, ViewState};
 use crate::Moment;
 use crate::decide::job::{Listing, Spec, State};
-use crate::edge::store::{Change, Item, StoreError, Txn, TxnEnd};
-use crate::metrics::JobStep;
+use crate::edge::store::{Change, StoreError};
 
 /// Text in one answer, in bytes: half of the megabyte that answers may have, as text grows
 /// when it is quoted.
@@ -26,10 +25,6 @@
 const RESTED: Duration = Duration::from_secs(3);
 /// The shortest watch: what the store has already.
 const ONCE: Duration = Duration::from_millis(1);
-/// How long ending a job is tried while the store does not answer.
-const TRY: Duration = Duration::from_millis(1_500);
-/// The pause between tries.
-const PAUSE: Duration = Duration::from_millis(100);
 
 /// What a read of a job's results found.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -58,38 +53,6 @@
     Unsure,
 }
 
-/// Jobs of other homes, as far as they were read here.
-#[derive(Debug, Default)]
-pub(super) struct Views {
-    views: Mutex<ByName<Arc<View>>>,
-}
-
-#[derive(Debug, Default)]
-struct View {
-    state: Mutex<ViewState>,
-    spec: Mutex<Option<Arc<Spec>>>,
-}
-
-#[derive(Debug, Default)]
-struct ViewState {
-    /// The number of its samples, once that is known.
-    total: Option<usize>,
-    listed: Vec<Arc<Listing>>,
-    /// The revision from which a watch goes on; none before the first read.
-    revision: Option<u64>,
-    /// The node's count of cut watches at the last whole read.
-    doubts: u64,
-    /// When the store was last heard about it.
-    heard: Moment,
-}
-
-impl Views {
-    fn get(&self, job: &str) -> Arc<View> {
-        let mut views = self.views.lock();
-        views.entry(job.into()).or_default().clone()
-    }
-}
-
 impl App {
     /// Results of a job from a position on; waits for one if there is none yet.
     pub async fn read(&self, job: &str, after: usize, wait: Duration) -> Read {
@@ -262,71 +225,6 @@
         }
         Ok(state.listed)
     }
-
-    /// Ends a job: nothing of it runs any more.
-    pub async fn end(&self, job: &str) -> Found<()> {
-        let begun = self.now();
-        let here = self.homes.get(job);
-        if let Some(home) = &here {
-            self.halt(home);
-        }
-        let known = match here {
-            Some(home) => Ok(Some(home.key.lock().clone())),
-            None => self.home_of(job).await,
-        };
-        let mut seen = match known {
-            Ok(Some(seen)) => seen,
-            Ok(None) => return Found::Unknown,
-            Err(_) => return Found::Unsure,
-        };
-        loop {
-            if seen.value.ended {
-                return Found::There(());
-            }
-            let value = HomeValue { ended: true, done: true, ..seen.value.clone() };
-            let Ok(value) = serde_json::to_vec(&value) else { return Found::Unsure };
-            let key = home_key(job);
-            let txn = Txn::when(key.clone(), seen.revision).put(key.clone(), value);
-            match self.store.txn(txn).await {
-                Ok(TxnEnd::Done(_)) => {
-                    self.tally.job(JobStep::Ended);
-                    tracing::info!(event = "job_ended", job);
-                    return Found::There(());
-                }
-                Ok(TxnEnd::Conflict(items)) => {
-                    let Some(item) = items.into_iter().find(|i| i.key == key) else {
-                        return Found::Unknown;
-                    };
-                    match serde_json::from_slice(&item.value) {
-                        Ok(value) => seen = Seen { value, revision: item.revision },
-                        Err(_) => return Found::Unsure,
-                    }
-                }
-                Ok(TxnEnd::NoLease) => return Found::Unsure,
-                Err(e) => {
-                    tracing::warn!(event = "end_not_written", job, error = %e);
-                    if self.now().saturating_sub(begun) > TRY {
-                        return Found::Unsure;
-                    }
-                    tokio::time::sleep(PAUSE).await;
-                }
-            }
-        }
-    }
-}
-
-impl ViewState {
-    /// Takes over results, if they begin where the known ones end.
-    fn add(&mut self, job: &str, item: &Item) {
-        if *item.key != *results(job, self.listed.len()) {
-            return;
-        }
-        let config = bincode::config::standard();
-        match bincode::serde::decode_from_slice::<Vec<Arc<Listing>>, _>(&item.value, config) {
-            Ok((batch, _)) => self.listed.extend(batch),
-            Err(e) => tracing::error!(event = "results_unreadable", job, error = %e),
-        }
-    }
 }
 
 /// The results from a position on that fit one answer; at least one if there is one.
--- a/src/entry/submit.rs
+++ b/src/entry/submit.rs
@@ -130,6 +130,7 @@
     }
 }
 
-fn unix_millis() -> u64 {
+/// The time of day.
+pub(super) fn unix_millis() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
 }
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -10,8 +10,9 @@
 
 use super::app::{App, ByName};
 use super::home::Kept;
-use super::keys::{HOMES, HomeValue, all_texts, home as home_key};
+use super::keys::{HOMES, HomeValue, all_texts, home as home_key, whole_job};
 use super::live::Seen;
+use super::submit::unix_millis;
 use crate::decide::job::{Growth, Listing, Saved, Spec, Text};
 use crate::decide::rank;
 use crate::edge::store::{Page, StoreError, Txn, TxnEnd};
@@ -27,6 +28,8 @@
 const AGAIN: Duration = Duration::from_millis(300);
 /// How often the first in rank looks without a sign: what every other way has missed.
 const ROUTINE: Duration = Duration::from_secs(10);
+/// Keys that are removed by one write: a transaction takes 32 entries.
+const REMOVED: usize = 30;
 /// How long a write that was not answered may still take effect: six seconds were seen.
 const LATE: u32 = 8;
 /// How often it is looked for.
@@ -51,6 +54,7 @@
         let place = {
             let mut live = app.live.lock();
             live.forget(now);
+            app.tidy(now);
             let lives: BTreeSet<Name> = live.lives(now).into_iter().collect();
             let able = live.able();
             if lives != known {
@@ -94,7 +98,13 @@
             continue;
         };
         let job: Name = item.key.strip_prefix(HOMES).unwrap_or(&item.key).into();
-        if value.done || app.homes.get(&job).is_some() {
+        if value.done {
+            if old(app, &value) {
+                forget(app, &job, item.revision).await?;
+            }
+            continue;
+        }
+        if app.homes.get(&job).is_some() {
             continue;
         }
         let seen = Seen { value, revision: item.revision };
@@ -187,7 +197,43 @@
     (texts, page.items.len())
 }
 
+/// Whether nobody may ask for a job that is done any more. Twice the time it can be read:
+/// the times of day of two machines differ, and a client may have kept on asking.
+fn old(app: &App, value: &HomeValue) -> bool {
+    let age = Duration::from_millis(unix_millis().saturating_sub(value.since));
+    value.since > 0 && age >= app.settings.kept * 2
+}
+
+/// Removes a job that is done: what it is made of first, its home's key last, so that what
+/// a crash leaves behind is found again.
+async fn forget(app: &Arc<App>, job: &Name, revision: u64) -> Result<(), StoreError> {
+    let page = app.store.range(&whole_job(job)).await?;
+    let keys: Vec<Name> = page.items.into_iter().map(|item| item.key).collect();
+    let key = home_key(job);
+    for keys in keys.chunks(REMOVED) {
+        let txn = Txn::when(key.clone(), revision);
+        let txn = keys.iter().fold(txn, |txn, key| txn.remove(key.clone()));
+        app.store.txn(txn).await?;
+    }
+    app.store.txn(Txn::when(key.clone(), revision).remove(key)).await?;
+    app.homes.remove(job);
+    app.views.remove(job);
+    tracing::info!(event = "job_forgotten", %job, keys = keys.len());
+    Ok(())
+}
+
 impl App {
+    /// Forgets views and finished homes that nobody may ask for any more.
+    fn tidy(&self, now: Moment) {
+        self.views.forget(now, self.settings.kept * 2);
+        for (job, home) in self.homes.all() {
+            let over = home.job.lock().complete();
+            if over && old(self, &home.key.lock().value) {
+                self.homes.remove(&job);
+            }
+        }
+    }
+
     /// A write that makes this node home to a job was not answered: it may yet take effect.
     pub(super) fn expect(self: &Arc<Self>, job: Name) {
         let app = self.clone();
--- a/src/settings/entry.rs
+++ b/src/settings/entry.rs
@@ -13,6 +13,8 @@
 const TTL: u64 = 1;
 /// How long a holder of orders waits before its first order by default.
 const TURN: Duration = Duration::from_millis(3_000);
+/// How long a job can be read after its submission by default.
+const KEPT: Duration = Duration::from_secs(120);
 /// How long a process may take to stop by default.
 const GRACE: Duration = Duration::from_secs(8);
 /// The largest value of the store by default, in bytes.
@@ -41,6 +43,8 @@
     pub value: usize,
     /// `[store] lease`: how long a node counts as alive without a renewal.
     pub lease: Duration,
+    /// `[jobs] kept`: how long a job can be read after its submission.
+    pub kept: Duration,
     /// `[orders] turn`: how long orders of two holders must lie apart.
     pub turn: Duration,
     /// `[stop] grace`: how long stopping may take.
@@ -59,7 +63,7 @@
 
     /// Checks a parsed text.
     pub fn read(doc: &Document) -> Result<Self, Invalid> {
-        doc.only(&["node", "store", "orders", "stop", "answers", "log"], &[])?;
+        doc.only(&["node", "store", "jobs", "orders", "stop", "answers", "log"], &[])?;
         let node = doc.section("node")?;
         let store = doc.section("store")?;
         let mut settings = Self {
@@ -73,6 +77,7 @@
             store: store.value("address")?,
             value: store.within("value", 1_024..=64 << 20, VALUE)?,
             lease: store.duration("lease", LEASE)?,
+            kept: KEPT,
             turn: TURN,
             grace: GRACE,
             ttl: TTL,
@@ -80,6 +85,10 @@
         };
         node.finish()?;
         store.finish()?;
+        if let Some(jobs) = doc.optional("jobs") {
+            settings.kept = jobs.duration("kept", KEPT)?;
+            jobs.finish()?;
+        }
         if let Some(orders) = doc.optional("orders") {
             settings.turn = orders.duration("turn", TURN)?;
             orders.finish()?;
--- a/tests/entry/jobs.rs
+++ b/tests/entry/jobs.rs
@@ -193,6 +193,25 @@
     assert_eq!(world.replicas.ran().iter().filter(|r| &*r.id == "i1").count(), 3);
 }
 
+/// The time of day does not stand still on a paused clock, so the settings say that a job is
+/// kept for no time.
+#[tokio::test(start_paused = true)]
+async fn a_job_that_is_done_and_old_leaves_nothing_in_the_store() {
+    let world = World::new();
+    let a = world.node_that_keeps("a", Duration::ZERO).await;
+    world.replicas.length("i2", 900);
+    a.submit("j", &["i1"]).await;
+    a.submit("k", &["i2"]).await;
+    a.whole("j", 1).await;
+    pass(25_000).await;
+    assert!(world.kv.items("mulberry/job/j/").is_empty());
+    assert!(world.kv.items("mulberry/home/j").is_empty());
+    assert_eq!(a.app().read("j", 0, Duration::ZERO).await, Read::Unknown);
+    // What is still made stays.
+    assert!(!world.kv.items("mulberry/job/k/").is_empty());
+    a.whole("k", 1).await.iter().for_each(|l| check(l, 900));
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_store_that_is_away_for_a_while_loses_nothing() {
     let world = World::new();
--- a/tests/entry/world.rs
+++ b/tests/entry/world.rs
@@ -65,9 +65,14 @@
 
     /// Starts a node and waits until it is ready.
     pub(crate) async fn node(&self, name: &str) -> Node {
+        self.node_that_keeps(name, Duration::from_secs(120)).await
+    }
+
+    /// The same, where jobs are kept for so long.
+    pub(crate) async fn node_that_keeps(&self, name: &str, kept: Duration) -> Node {
         let line = self.kv.line();
         let entry = Entry::spawn(
-            settings(name),
+            EntrySettings { kept, ..settings(name) },
             Arc::new(line.clone()),
             Arc::new(self.replicas.clone()),
             Arc::new(self.words.clone()),
