A stream that goes on elsewhere has what is left of its client's time

Cause: found by reading. A stream taken up at another replica was sent with the time of its first attempt, so the replica was handed more than was left, and the route's bound on waiting for an answer also cut the whole stream. The test failed first (4 s where the client waits 9 s). Ruled out: samples and plain requests, which state the time anew at each attempt.

--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -92,6 +92,8 @@
     pub route: Arc<Route>,
     pub begun: Moment,
     pub ends: Moment,
+    /// When its client leaves: a stream may last until then, though its head may not.
+    pub leaves: Moment,
     pub made: u32,
     pub failures: u32,
     pub avoid: Vec<Name>,
@@ -114,11 +116,13 @@
         if let Some(timeout) = route.timeout {
             limit = limit.min(timeout);
         }
+        let leaves = self.now() + ask.deadline.unwrap_or(LONGEST);
         let mut course = Course {
             ask,
             route: route.clone(),
             begun: self.now(),
             ends: self.now() + limit,
+            leaves,
             made: 0,
             failures: 0,
             avoid: Vec::new(),
@@ -152,7 +156,7 @@
         };
         course.made += 1;
         let began = self.now();
-        let call = course.call(left);
+        let call = course.call(self.now());
         let limit = course.limit(left);
         let sending = self.replicas.send(&held.target, call);
         let reply = match tokio::time::timeout(limit, sending).await {
@@ -209,7 +213,8 @@
         }
     }
 
-    pub(super) fn call(&self, left: Duration) -> Call {
+    pub(super) fn call(&self, now: Moment) -> Call {
+        let ends = if self.route.streaming { self.leaves } else { self.ends };
         Call {
             id: self.ask.id.clone(),
             method: self.ask.method.clone(),
@@ -217,7 +222,7 @@
             host: self.ask.host.clone(),
             headers: self.ask.headers.clone(),
             body: self.ask.body.clone(),
-            limit: left,
+            limit: ends.saturating_sub(now),
             after: self.ask.after,
             rank: None,
         }
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -27,6 +27,7 @@
 struct Forward {
     app: Arc<App>,
     call: crate::edge::replica::Call,
+    leaves: crate::Moment,
     service: Option<crate::Name>,
     avoid: Vec<crate::Name>,
     resume: bool,
@@ -44,10 +45,10 @@
 
 /// Passes a stream on. It ends in an error if it can't be brought to its end.
 pub(super) fn forward(app: Arc<App>, course: &Course, target: Target, reply: Reply) -> Pieces {
-    let left = course.ends.saturating_sub(app.now());
     let listed = app.slots.fleet.lock().get(&target.id).map(|l| l.service.clone());
     let forward = Forward {
-        call: course.call(left),
+        call: course.call(app.now()),
+        leaves: course.leaves,
         service: listed,
         avoid: course.avoid.clone(),
         resume: course.route.again == Again::Resume,
@@ -94,11 +95,16 @@
     async fn again<'a>(&mut self, app: &'a App) -> (Option<Held<'a>>, Option<Reply>) {
         while self.resume && self.left > 0 {
             self.left -= 1;
+            let time = self.leaves.saturating_sub(app.now());
+            if time.is_zero() {
+                break;
+            }
             let Some(service) = self.service.clone() else { break };
             let wish = Wish { service: &service, weights: None, avoid: &self.avoid, over: true };
             let Some(held) = app.take(&wish) else { break };
             let mut call = self.call.clone();
             call.after = self.last;
+            call.limit = time;
             let sending = app.replicas.send(&held.target, call);
             if let Ok(Ok(reply)) = tokio::time::timeout(GAP, sending).await
                 && reply.status.is_success()
--- a/standins/src/replicas/fleet.rs
+++ b/standins/src/replicas/fleet.rs
@@ -157,6 +157,7 @@
             replica: to.id.clone(),
             id: call.id.clone(),
             after: call.after,
+            limit: call.limit,
             at: Instant::now(),
             cut: true,
         });
--- a/standins/src/replicas/replica.rs
+++ b/standins/src/replicas/replica.rs
@@ -35,6 +35,8 @@
     pub id: Name,
     /// The event after which it went on.
     pub after: Option<u64>,
+    /// How long its sender gave it.
+    pub limit: Duration,
     /// When it began.
     pub at: Instant,
     /// Whether its sender left before it ended.
--- a/tests/entry/relays.rs
+++ b/tests/entry/relays.rs
@@ -106,6 +106,29 @@
     assert!(text.contains(&ReplicaFleet::event("s1", 12)));
 }
 
+/// Guards: a stream that was taken up later gave the replica the time of its first attempt.
+#[tokio::test(start_paused = true)]
+async fn a_stream_that_goes_on_has_what_is_left_of_its_client_s_time() {
+    let world = World::new();
+    let node = world.node("a").await;
+    world.replicas.length("s1", 60);
+    for id in ["e1", "e2"] {
+        world.replicas.mood(id, Mood::Breaks(25));
+    }
+    let route = node.app().routes().unwrap().find(HOST, "/text/x").cloned().unwrap();
+    // The route keeps nobody waiting for over 4 s; its client waits longer for the whole.
+    let mut ask = ask("s1", "/text/x");
+    ask.deadline = Some(std::time::Duration::from_secs(9));
+    let Given::Stream { body, .. } = node.app().relay(&route, ask).await else { panic!() };
+    body.0.for_each(|piece| async { drop(piece.unwrap()) }).await;
+    let ran = world.replicas.ran();
+    assert!(ran.len() > 1);
+    assert!(ran[0].limit > std::time::Duration::from_secs(8), "{:?}", ran[0]);
+    for later in &ran[1..] {
+        assert!(later.limit + (later.at - ran[0].at) <= ran[0].limit, "{ran:?}");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_stream_that_can_t_go_on_is_cut() {
     let world = World::new();
