--- /dev/null
+++ b/src/decide/detour.rs
@@ -0,0 +1,89 @@
+//! Whether a node calls a service itself or through another node.
+//!
+//! Load pattern: the service turns some nodes away, or they are partitioned from it, while
+//! others reach it. What such a node holds would stand still until its lease ends and others
+//! take it: three seconds and more of a step. Where the service is away from everybody, asking
+//! others would double every call for nothing.
+
+use std::time::Duration;
+
+use crate::Moment;
+
+/// Until a first look whether the own way is open again: one lost answer is no outage.
+const FIRST: Duration = Duration::from_millis(300);
+/// The longest time between two looks; each costs a call.
+const LONGEST: Duration = Duration::from_millis(1_200);
+/// How long nobody is asked after nobody could help: the service is away from all then. One
+/// call then looks whether somebody can.
+const ALONE: Duration = Duration::from_millis(500);
+
+/// The way of one call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Way {
+    /// The own one; another node may help if it fails.
+    Direct,
+    /// The own one, and nobody is asked.
+    Alone,
+    /// The own one, for a short time, to see whether it is open again.
+    Probe,
+    /// Through another node.
+    Peer,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Away {
+    probe: Moment,
+    step: Duration,
+}
+
+/// What a node believes of its own way.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Detour {
+    away: Option<Away>,
+    /// Until when nobody is asked; none once somebody has helped.
+    alone: Option<Moment>,
+}
+
+impl Detour {
+    /// The way of a call. Only one that may be made again looks whether the own way is open.
+    pub fn way(&mut self, again: bool, now: Moment) -> Way {
+        let Some(away) = self.away else { return Way::Direct };
+        match self.alone {
+            Some(until) if now < until => Way::Alone,
+            Some(_) => {
+                self.alone(now);
+                Way::Peer
+            }
+            None if again && now >= away.probe => Way::Probe,
+            None => Way::Peer,
+        }
+    }
+
+    /// Whether the own way is open, as far as is known.
+    pub fn open(&self) -> bool {
+        self.away.is_none()
+    }
+
+    /// The service answered on the own way. True if it had not before.
+    pub fn answered(&mut self) -> bool {
+        self.away.take().is_some()
+    }
+
+    /// A call on the own way failed. True if it is news.
+    pub fn failed(&mut self, now: Moment) -> bool {
+        let step = self.away.map_or(FIRST, |away| (away.step * 2).min(LONGEST));
+        let news = self.away.is_none();
+        self.away = Some(Away { probe: now + step, step });
+        news
+    }
+
+    /// Nobody could help.
+    pub fn alone(&mut self, now: Moment) {
+        self.alone = Some(now + ALONE);
+    }
+
+    /// Somebody helped.
+    pub fn helped(&mut self) {
+        self.alone = None;
+    }
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -5,10 +5,12 @@
 
 mod address;
 mod admission;
+pub mod affinity;
 mod ahead;
 mod call;
 pub mod claim;
 mod deadlines;
+pub mod detour;
 mod dispatch;
 mod drag;
 mod eject;
--- a/src/decide/routes.rs
+++ b/src/decide/routes.rs
@@ -105,6 +105,12 @@
         self.hosts.values().flatten().any(|r| r.one_version)
     }
 
+    /// The names of the routes that take batch jobs.
+    pub fn batch(&self) -> Vec<Name> {
+        let routes = self.hosts.values().flatten().filter(|r| r.batch);
+        routes.map(|r| r.name.clone()).collect()
+    }
+
     /// The route of a request: the longest prefix of that host that begins the path.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         self.hosts.get(host)?.iter().find(|r| path.starts_with(&*r.prefix))
--- a/src/edge/peer/client.rs
+++ b/src/edge/peer/client.rs
@@ -14,8 +14,8 @@
 
 use super::codec::{CodecError, VERSION, decode, encode};
 use super::server::{VERSION_HEADER, collect};
-use super::{Reply, Request};
-use crate::metrics::{Metrics, Traffic};
+use super::{Message, Request};
+use crate::metrics::Traffic;
 
 /// How long a connection may take to open.
 const CONNECT: Duration = Duration::from_secs(1);
@@ -63,11 +63,20 @@
     Codec(#[from] CodecError),
 }
 
+/// Where the messages of one purpose are counted.
+type Counts<M> = Arc<dyn Fn(&M) -> Traffic + Send + Sync>;
+
 /// The client. Cloning it shares the connections.
-#[derive(Debug, Clone, Default)]
-pub struct PeerClient {
+#[derive(Clone)]
+pub struct PeerClient<M = Request> {
     open: Arc<Mutex<HashMap<SocketAddr, Open>>>,
-    metrics: Arc<Metrics>,
+    counts: Counts<M>,
+}
+
+impl<M> std::fmt::Debug for PeerClient<M> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("PeerClient").field("open", &self.open).finish_non_exhaustive()
+    }
 }
 
 #[derive(Debug)]
@@ -76,21 +85,21 @@
     used: Instant,
 }
 
-impl PeerClient {
+impl<M: Message> PeerClient<M> {
     /// A client whose messages are counted.
-    pub fn new(metrics: Arc<Metrics>) -> Self {
-        Self { metrics, ..Self::default() }
+    pub fn new(counts: impl Fn(&M) -> Traffic + Send + Sync + 'static) -> Self {
+        Self { open: Arc::default(), counts: Arc::new(counts) }
     }
 
     /// Sends a request and waits for the reply.
     pub async fn ask(
         &self,
         to: SocketAddr,
-        request: &Request,
+        request: &M,
         limit: Duration,
-    ) -> Result<Reply, PeerError> {
+    ) -> Result<M::Reply, PeerError> {
         let bytes = encode(request)?;
-        let traffic = self.metrics.traffic(request.purpose());
+        let traffic = (self.counts)(request);
         traffic.sent(bytes.len());
         match tokio::time::timeout(limit, self.exchange(to, bytes, &traffic)).await {
             Ok(Err(e @ PeerError::Broken { .. })) => {
@@ -110,7 +119,7 @@
         to: SocketAddr,
         bytes: Vec<u8>,
         traffic: &Traffic,
-    ) -> Result<Reply, PeerError> {
+    ) -> Result<M::Reply, PeerError> {
         let broken = |e: h2::Error| PeerError::Broken { to, reason: e.to_string() };
         let sender = self.connection(to).await?;
         let mut sender = sender.ready().await.map_err(broken)?;
--- a/src/edge/peer/message.rs
+++ b/src/edge/peer/message.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 use crate::Name;
@@ -12,6 +13,16 @@
 use crate::decide::quarantine::Notice;
 use crate::metrics::Purpose;
 
+/// A request between nodes.
+pub trait Message: Serialize + DeserializeOwned + Send + Sync + 'static {
+    /// What answers it.
+    type Reply: Serialize + DeserializeOwned + Send;
+}
+
+impl Message for Request {
+    type Reply = Reply;
+}
+
 /// What a node says of itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeInfo {
--- a/src/edge/peer/mod.rs
+++ b/src/edge/peer/mod.rs
@@ -8,5 +8,5 @@
 pub use crate::decide::members::NodeState;
 pub use client::{PeerClient, PeerError};
 pub use codec::{CodecError, VERSION, decode, encode};
-pub use message::{NodeInfo, Place, Reply, Request};
+pub use message::{Message, NodeInfo, Place, Reply, Request};
 pub use server::{PeerHandler, PeerListener};
--- a/src/edge/peer/server.rs
+++ b/src/edge/peer/server.rs
@@ -13,10 +13,10 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::Message;
 use super::codec::{MESSAGE_LIMIT, VERSION, decode, encode};
-use super::{Reply, Request};
 use crate::edge::socket::Socket;
-use crate::metrics::Metrics;
+use crate::metrics::Traffic;
 
 /// How long the other side may take to begin: a peer sends its preface with the connection.
 const HANDSHAKE: Duration = Duration::from_secs(2);
@@ -25,11 +25,17 @@
 
 /// What answers the requests of peers.
 pub trait PeerHandler: Send + Sync + 'static {
+    /// The requests that it answers.
+    type Asked: Message;
+
     /// Answers one request.
-    fn reply(self: Arc<Self>, request: Request) -> impl Future<Output = Reply> + Send;
+    fn reply(
+        self: Arc<Self>,
+        request: Self::Asked,
+    ) -> impl Future<Output = <Self::Asked as Message>::Reply> + Send;
 
-    /// Where messages are counted.
-    fn metrics(&self) -> &Metrics;
+    /// Where a request and its reply are counted.
+    fn traffic(&self, request: &Self::Asked) -> Traffic;
 }
 
 /// A listener that is bound but does not accept yet.
@@ -128,9 +134,9 @@
         respond.send_reset(Reason::ENHANCE_YOUR_CALM);
         return;
     };
-    let (reply, traffic) = match decode::<Request>(&bytes) {
+    let (reply, traffic) = match decode::<H::Asked>(&bytes) {
         Ok(request) => {
-            let traffic = handler.metrics().traffic(request.purpose());
+            let traffic = handler.traffic(&request);
             traffic.received(bytes.len());
             (handler.reply(request).await, traffic)
         }
--- a/src/edge/store/item.rs
+++ b/src/edge/store/item.rs
@@ -1,11 +1,12 @@
 //! What goes into and comes out of the store.
 
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 
 use crate::Name;
 
 /// A key as it stands.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Item {
     /// The key.
     pub key: Name,
@@ -16,7 +17,7 @@
 }
 
 /// A change of a key.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Change {
     /// It was written.
     Put(Item),
@@ -30,7 +31,7 @@
 }
 
 /// All keys under a prefix.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Page {
     /// The keys.
     pub items: Vec<Item>,
@@ -39,7 +40,7 @@
 }
 
 /// The answer of a watch.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Watched {
     /// The changes, oldest first; none if the wait was over.
     pub changes: Vec<Change>,
@@ -48,7 +49,7 @@
 }
 
 /// A key to write.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Put {
     /// The key.
     pub key: Name,
@@ -59,7 +60,7 @@
 }
 
 /// A write of all or nothing.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Txn {
     /// Keys and the revisions they must have; revision 0 for a key that must not exist.
     pub expected: Vec<(Name, u64)>,
@@ -94,7 +95,7 @@
 }
 
 /// The end of a write that was answered.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TxnEnd {
     /// It took effect, at this revision.
     Done(u64),
--- a/src/edge/store/store.rs
+++ b/src/edge/store/store.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use futures_util::future::BoxFuture;
+use serde::{Deserialize, Serialize};
 
 use super::{Item, Page, Txn, TxnEnd, Watched};
 
 /// Why a call to the store has no good answer.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error, Serialize, Deserialize)]
 pub enum StoreError {
     /// Nothing was done: it was not sent, or it was refused.
     #[error("the store did nothing: {0}")]
--- a/src/entry/app.rs
+++ b/src/entry/app.rs
@@ -1,6 +1,7 @@
 //! What all tasks of a process share.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
@@ -12,6 +13,7 @@
 
 use super::homes::Homes;
 use super::live::Live;
+use super::peer::{Detour, Peers};
 use super::slots::Slots;
 use super::views::Views;
 use crate::decide::Routes;
@@ -29,7 +31,14 @@
     pub settings: EntrySettings,
     /// What it counts.
     pub tally: Arc<Tally>,
+    /// The store, if need be through another node.
     pub(super) store: Arc<dyn Store>,
+    /// The store as this node reaches it itself.
+    pub(super) direct: Arc<dyn Store>,
+    pub(super) detour: Detour,
+    pub(super) peers: Arc<dyn Peers>,
+    /// Nodes that did not answer, and until when they are not asked.
+    pub(super) shunned: Mutex<HashMap<SocketAddr, Moment>>,
     pub(super) replicas: Arc<dyn Replicas>,
     pub(super) notices: Arc<dyn Notices>,
     /// This incarnation of the process.
@@ -71,15 +80,22 @@
         store: Arc<dyn Store>,
         replicas: Arc<dyn Replicas>,
         notices: Arc<dyn Notices>,
+        peers: impl FnOnce(Arc<Tally>) -> Arc<dyn Peers>,
     ) -> Arc<Self> {
         let life = format!("{}.{:08x}", settings.name, rand::random::<u32>()).into();
         let tally = Arc::new(Tally::default());
-        let store = Arc::new(Counted::new(store, tally.clone()));
+        let peers = peers(tally.clone());
+        let direct = Arc::new(Counted::new(store, tally.clone()));
+        let detour = Detour::new(direct.clone(), peers.clone(), settings.seeds.clone());
         let slots = Slots::new(settings.zone.clone());
         Arc::new(Self {
             settings,
             tally,
-            store,
+            store: Arc::new(detour.clone()),
+            direct,
+            detour,
+            peers,
+            shunned: Mutex::default(),
             replicas,
             notices,
             life,
@@ -153,6 +169,11 @@
         self.news.send_modify(|n| *n += 1);
     }
 
+    /// Whether the store answers this node itself, as far as is known.
+    pub(super) fn reaches(&self) -> bool {
+        self.detour.open()
+    }
+
     /// Whether the node's lease surely holds now.
     pub(super) fn leased(&self) -> bool {
         self.lease.lock().until > self.now()
--- a/src/entry/entry.rs
+++ b/src/entry/entry.rs
@@ -6,10 +6,12 @@
 
 use super::app::App;
 use super::follow::{Topic, follow};
+use super::peer::Peers;
 use super::{member, mover, takeover};
 use crate::edge::notice::Notices;
 use crate::edge::replica::Replicas;
 use crate::edge::store::Store;
+use crate::metrics::Tally;
 use crate::settings::EntrySettings;
 
 /// How many times the life of an address answer some clients keep it.
@@ -30,8 +32,9 @@
         store: Arc<dyn Store>,
         replicas: Arc<dyn Replicas>,
         notices: Arc<dyn Notices>,
+        peers: impl FnOnce(Arc<Tally>) -> Arc<dyn Peers>,
     ) -> Self {
-        let app = App::new(settings, store, replicas, notices);
+        let app = App::new(settings, store, replicas, notices, peers);
         tracing::info!(event = "process_begins", node = %app.settings.name, life = %app.life);
         if app.settings.keeps {
             app.spawn(follow(app.clone(), Topic::Retirements));
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -6,6 +6,7 @@
 
 use super::app::App;
 use super::keys::LIVE;
+use crate::decide::rank;
 use crate::edge::notice::Notice;
 use crate::edge::store::{Change, Item, Page, StoreError};
 
@@ -146,7 +147,10 @@
     fn load(self: &Arc<Self>, topic: Topic, page: &Page, prefix: &str) {
         match topic {
             Topic::Replicas => self.relist(page, prefix),
-            Topic::Live => self.live.lock().load(page, self.now()),
+            Topic::Live => {
+                self.live.lock().load(page, self.now());
+                self.know_peers();
+            }
             Topic::Routes | Topic::Versions | Topic::Retirements => {
                 page.items.iter().for_each(|item| self.notice(item));
             }
@@ -164,13 +168,24 @@
                     tracing::info!(event = "replica_gone", replica = %id);
                 }
             }
-            (Topic::Live, change) => self.live.lock().change(change, self.now()),
+            (Topic::Live, change) => {
+                self.live.lock().change(change, self.now());
+                self.know_peers();
+            }
             (_, Change::Put(item)) => self.notice(item),
             // A configuration and a version are only ever replaced by newer ones.
             (_, Change::Removed { .. }) => {}
         }
     }
 
+    /// Who can be asked for a call to the store, in an order of this node's own.
+    fn know_peers(&self) {
+        let nodes = self.live.lock().peers();
+        let others = nodes.keys().filter(|n| **n != self.settings.name).map(|n| &**n);
+        let ranked = rank(&self.settings.name, others);
+        self.detour.know(ranked.iter().filter_map(|n| nodes.get(*n).copied()).collect());
+    }
+
     fn notice(&self, item: &Item) {
         match self.notices.notice(&item.key, &item.value) {
             Ok(None) => {}
--- a/src/entry/home.rs
+++ b/src/entry/home.rs
@@ -1,6 +1,7 @@
 //! Running a job at its home: its samples, its end, and its hand-over.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use parking_lot::Mutex;
@@ -53,6 +54,7 @@
             saves: Mutex::new(saves),
             fresh: Notify::new(),
             listed: watch::Sender::new(count),
+            unsure: AtomicBool::new(false),
             stop: CancellationToken::new(),
             age: self.homes.age(),
         });
--- a/src/entry/homes.rs
+++ b/src/entry/homes.rs
@@ -1,7 +1,7 @@
 //! The jobs that this node is home to.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
@@ -36,6 +36,8 @@
     pub fresh: Notify,
     /// The number of results that last.
     pub listed: watch::Sender<usize>,
+    /// Whether a write of results was not answered.
+    pub unsure: AtomicBool,
     /// Cancelled when its samples are to stop.
     pub stop: CancellationToken,
     /// The order in which jobs came to this node.
--- a/src/entry/keys.rs
+++ b/src/entry/keys.rs
@@ -27,6 +27,9 @@
     pub life: Name,
     /// Where clients connect; none where nobody does.
     pub callers: Option<SocketAddr>,
+    /// Where other nodes connect; none where nobody does.
+    #[serde(default)]
+    pub peers: Option<SocketAddr>,
 }
 
 /// Where a job is.
--- a/src/entry/listing.rs
+++ b/src/entry/listing.rs
@@ -1,6 +1,7 @@
 //! Writing a job's results and its unfinished texts, under the key that makes a node its home.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use super::app::App;
@@ -8,7 +9,7 @@
 use super::keys::{HomeValue, home as home_key, results, texts};
 use super::live::Seen;
 use crate::Name;
-use crate::edge::store::{Item, Txn, TxnEnd};
+use crate::edge::store::{Item, StoreError, Txn, TxnEnd};
 use crate::metrics::JobStep;
 
 /// How long results are gathered for one write. A sample takes a second; a write for each
@@ -112,6 +113,9 @@
             Ok(TxnEnd::NoLease) => {}
             Err(e) => {
                 tracing::warn!(event = "results_not_written", job = %id, error = %e);
+                if matches!(e, StoreError::Unknown(_)) && !batch.is_empty() {
+                    home.unsure.store(true, Ordering::Relaxed);
+                }
                 if home.stop.is_cancelled() {
                     return false;
                 }
@@ -123,6 +127,7 @@
 }
 
 fn kept(home: &Home, count: usize) {
+    home.unsure.store(false, Ordering::Relaxed);
     if count == 0 {
         return;
     }
--- a/src/entry/live.rs
+++ b/src/entry/live.rs
@@ -29,6 +29,8 @@
     gone: HashMap<Name, (NodeValue, Moment)>,
     holder: Option<Seen<HolderValue>>,
     loaded: bool,
+    /// Counts nodes whose key went.
+    departures: u64,
 }
 
 impl Live {
@@ -42,6 +44,7 @@
         for (name, value) in before {
             if !self.nodes.contains_key(&name) {
                 self.gone.insert(name, (value, now));
+                self.departures += 1;
             }
         }
         self.loaded = true;
@@ -55,6 +58,7 @@
                 Some(LiveKey::Node(name)) => {
                     if let Some((name, value)) = self.nodes.remove_entry(name) {
                         self.gone.insert(name, (value, now));
+                        self.departures += 1;
                     }
                 }
                 Some(LiveKey::Holder) => {
@@ -93,6 +97,22 @@
         nodes.filter_map(|(name, value)| Some((name.clone(), value.callers?))).collect()
     }
 
+    /// How many nodes' keys have gone so far.
+    pub(super) fn departures(&self) -> u64 {
+        self.departures
+    }
+
+    /// Where the nodes that have their key are asked.
+    pub(super) fn peers(&self) -> BTreeMap<Name, SocketAddr> {
+        let nodes = self.nodes.iter();
+        nodes.filter_map(|(name, value)| Some((name.clone(), value.peers?))).collect()
+    }
+
+    /// Where an incarnation that has its key is asked.
+    pub(super) fn peer(&self, life: &str) -> Option<SocketAddr> {
+        self.nodes.values().find(|v| *v.life == *life)?.peers
+    }
+
     /// The incarnations that are alive, or whose keys went together a moment ago.
     pub(super) fn lives(&self, now: Moment) -> Vec<Name> {
         let held = self.held_back(now).into_iter().map(|(_, (value, _))| value.life.clone());
--- a/src/entry/member.rs
+++ b/src/entry/member.rs
@@ -33,7 +33,8 @@
     let ttl = app.settings.lease;
     let sent = app.now();
     let lease = app.store.grant(ttl).await?;
-    let value = NodeValue { life: app.life.clone(), callers: app.settings.callers };
+    let (callers, peers) = (app.settings.callers, app.settings.peers);
+    let value = NodeValue { life: app.life.clone(), callers, peers };
     let value = serde_json::to_vec(&value).map_err(|e| StoreError::Refused(e.to_string()))?;
     let key = node(&app.settings.name);
     let txn = Txn::default().put_leased(key, value, lease);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -16,6 +16,7 @@
 mod live;
 mod member;
 mod mover;
+mod peer;
 mod read;
 mod relay;
 mod retire;
@@ -30,6 +31,7 @@
 
 pub use app::App;
 pub use entry::Entry;
+pub use peer::{Door, PeerAsk, PeerDoor, PeerLine, PeerReply, Peers, StoreAsk, StoreReply};
 pub use read::{Found, Read};
 pub use relay::{Ask, Given};
 pub use submit::Submitted;
--- /dev/null
+++ b/src/entry/peer/detour.rs
@@ -0,0 +1,233 @@
+//! The store, through another node where it turns this one away.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::time::Instant;
+
+use super::message::{PeerAsk, PeerReply, StoreAsk, StoreReply};
+use super::port::Peers;
+use crate::Name;
+use crate::decide::detour::{self, Way};
+use crate::edge::peer::PeerError;
+use crate::edge::store::{Answer, Item, Page, Store, StoreError, Txn, TxnEnd, Watched};
+
+/// How long another node may take with a call: its own call may take a third of it, and a
+/// lease has to be renewed within two seconds.
+const LIMIT: Duration = Duration::from_millis(1_000);
+/// How long a watch through another node waits at most: that node may be gone meanwhile.
+const WATCH: Duration = Duration::from_millis(2_000);
+/// How long a look at the own way takes at most, for the same reason.
+const PROBE: Duration = Duration::from_millis(300);
+/// Nodes that are asked for one call.
+const ASKED: usize = 2;
+
+/// The store as a node reaches it. Cloning it shares what is believed.
+#[derive(Debug, Clone)]
+pub(in crate::entry) struct Detour {
+    direct: Arc<dyn Store>,
+    peers: Arc<dyn Peers>,
+    state: Arc<Mutex<State>>,
+    begun: Instant,
+}
+
+#[derive(Debug)]
+struct State {
+    way: detour::Detour,
+    /// Who can be asked, the one that helped last first.
+    nodes: Vec<SocketAddr>,
+}
+
+/// How a call through another node ended.
+enum Helped<T> {
+    Answered(Result<T, StoreError>),
+    /// It did nothing.
+    Not(StoreError),
+    /// It may have done it.
+    Unsure(StoreError),
+}
+
+impl Detour {
+    pub(in crate::entry) fn new(
+        direct: Arc<dyn Store>,
+        peers: Arc<dyn Peers>,
+        seeds: Vec<SocketAddr>,
+    ) -> Self {
+        let state = State { way: detour::Detour::default(), nodes: seeds };
+        Self { direct, peers, state: Arc::new(Mutex::new(state)), begun: Instant::now() }
+    }
+
+    /// Whether the store answers this node, as far as is known.
+    pub(in crate::entry) fn open(&self) -> bool {
+        self.state.lock().way.open()
+    }
+
+    /// Takes over who can be asked.
+    pub(in crate::entry) fn know(&self, nodes: Vec<SocketAddr>) {
+        if nodes.is_empty() {
+            return;
+        }
+        let mut state = self.state.lock();
+        let first = state.nodes.first().copied();
+        state.nodes = nodes;
+        if let Some(place) = state.nodes.iter().position(|n| Some(*n) == first) {
+            state.nodes.swap(0, place);
+        }
+    }
+
+    /// Makes a call. `again` for one that may be made more than once.
+    async fn call<T>(
+        self,
+        direct: Answer<T>,
+        ask: StoreAsk,
+        again: bool,
+        open: fn(StoreReply) -> Option<T>,
+    ) -> Result<T, StoreError> {
+        let way = self.state.lock().way.way(again, self.begun.elapsed());
+        let tried = match way {
+            Way::Peer => None,
+            Way::Direct | Way::Alone => Some(direct.await),
+            Way::Probe => Some(
+                tokio::time::timeout(PROBE, direct)
+                    .await
+                    .unwrap_or_else(|_| Err(StoreError::Unknown("no answer to a look".to_owned()))),
+            ),
+        };
+        let failed = match tried {
+            None => None,
+            Some(Ok(answer)) => {
+                self.answered();
+                return Ok(answer);
+            }
+            Some(Err(StoreError::Compacted)) => {
+                self.answered();
+                return Err(StoreError::Compacted);
+            }
+            Some(Err(e)) => {
+                // Whoever watches has to learn that the watch was cut. That is one connection's
+                // end; the next call shows whether the way is closed.
+                if matches!(ask, StoreAsk::Watch { .. }) {
+                    return Err(e);
+                }
+                self.failed(&e);
+                if way == Way::Alone || (!again && matches!(e, StoreError::Unknown(_))) {
+                    return Err(e);
+                }
+                Some(e)
+            }
+        };
+        self.ask(ask, again, failed, open).await
+    }
+
+    async fn ask<T>(
+        self,
+        ask: StoreAsk,
+        again: bool,
+        failed: Option<StoreError>,
+        open: fn(StoreReply) -> Option<T>,
+    ) -> Result<T, StoreError> {
+        let nodes: Vec<SocketAddr> = self.state.lock().nodes.iter().copied().take(ASKED).collect();
+        let mut last = failed.unwrap_or_else(|| StoreError::Refused("no node to ask".to_owned()));
+        for node in nodes {
+            match self.help(node, ask.clone(), open).await {
+                Helped::Answered(answer) => {
+                    self.state.lock().way.helped();
+                    return answer;
+                }
+                Helped::Unsure(e) if !again => return Err(e),
+                Helped::Not(e) | Helped::Unsure(e) => last = e,
+            }
+            // The next call asks another one first.
+            self.state.lock().nodes.rotate_left(1);
+        }
+        self.state.lock().way.alone(self.begun.elapsed());
+        Err(last)
+    }
+
+    async fn help<T>(
+        &self,
+        node: SocketAddr,
+        ask: StoreAsk,
+        open: fn(StoreReply) -> Option<T>,
+    ) -> Helped<T> {
+        let limit = match &ask {
+            StoreAsk::Watch { wait, .. } => LIMIT + *wait,
+            _ => LIMIT,
+        };
+        match self.peers.ask(node, PeerAsk::Store(ask), limit).await {
+            Ok(PeerReply::Store(Ok(reply))) => Helped::Answered(
+                open(reply).ok_or_else(|| StoreError::Unknown("another answer".to_owned())),
+            ),
+            Ok(PeerReply::Store(Err(StoreError::Compacted))) => {
+                Helped::Answered(Err(StoreError::Compacted))
+            }
+            Ok(PeerReply::Store(Err(e @ StoreError::Refused(_)))) => Helped::Not(e),
+            Ok(PeerReply::Store(Err(e))) => Helped::Unsure(e),
+            Ok(_) => Helped::Unsure(StoreError::Unknown("another answer".to_owned())),
+            Err(e @ PeerError::Connect { .. }) => Helped::Not(StoreError::Refused(e.to_string())),
+            Err(e) => Helped::Unsure(StoreError::Unknown(e.to_string())),
+        }
+    }
+
+    fn answered(&self) {
+        if self.state.lock().way.answered() {
+            tracing::info!(event = "store_reached", way = "direct");
+        }
+    }
+
+    fn failed(&self, e: &StoreError) {
+        if self.state.lock().way.failed(self.begun.elapsed()) {
+            tracing::info!(event = "store_not_reached", way = "direct", error = %e);
+        }
+    }
+}
+
+macro_rules! reply {
+    ($kind:ident) => {
+        |reply| match reply {
+            StoreReply::$kind(value) => Some(value),
+            _ => None,
+        }
+    };
+}
+
+impl Store for Detour {
+    fn get(&self, key: &str) -> Answer<Option<Item>> {
+        let ask = StoreAsk::Get(Name::from(key));
+        Box::pin(self.clone().call(self.direct.get(key), ask, true, reply!(Item)))
+    }
+
+    fn range(&self, prefix: &str) -> Answer<Page> {
+        let ask = StoreAsk::Range(Name::from(prefix));
+        Box::pin(self.clone().call(self.direct.range(prefix), ask, true, reply!(Page)))
+    }
+
+    fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Answer<Watched> {
+        let direct = self.direct.watch(prefix, after, wait);
+        let ask = StoreAsk::Watch { prefix: prefix.into(), after, wait: wait.min(WATCH) };
+        Box::pin(self.clone().call(direct, ask, false, reply!(Watched)))
+    }
+
+    fn txn(&self, txn: Txn) -> Answer<TxnEnd> {
+        let ask = StoreAsk::Txn(txn.clone());
+        Box::pin(self.clone().call(self.direct.txn(txn), ask, false, reply!(Txn)))
+    }
+
+    fn grant(&self, ttl: Duration) -> Answer<u64> {
+        let ask = StoreAsk::Grant(ttl);
+        Box::pin(self.clone().call(self.direct.grant(ttl), ask, true, reply!(Lease)))
+    }
+
+    fn keep(&self, lease: u64) -> Answer<bool> {
+        let ask = StoreAsk::Keep(lease);
+        Box::pin(self.clone().call(self.direct.keep(lease), ask, true, reply!(Kept)))
+    }
+
+    fn end(&self, lease: u64) -> Answer<()> {
+        let open = |reply| matches!(reply, StoreReply::Ended).then_some(());
+        let ask = StoreAsk::End(lease);
+        Box::pin(self.clone().call(self.direct.end(lease), ask, true, open))
+    }
+}
--- /dev/null
+++ b/src/entry/peer/home.rs
@@ -0,0 +1,116 @@
+//! Submissions and reads at the node that is home to a job.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use super::message::{PeerAsk, PeerReply};
+use crate::Name;
+use crate::decide::affinity;
+use crate::decide::job::Spec;
+use crate::edge::store::StoreError;
+use crate::entry::app::App;
+use crate::entry::read::Read;
+use crate::entry::submit::Submitted;
+use crate::entry::views::{At, View};
+
+/// How long a home may take to accept a job: one write, in the slowest store that was seen
+/// a quarter of a second.
+const SUBMIT: Duration = Duration::from_millis(600);
+/// How much longer than it may wait a home may take to answer a read.
+const READ: Duration = Duration::from_millis(400);
+/// How long a node that did not answer is not asked: its lease ends within two seconds.
+const SHUNNED: Duration = Duration::from_millis(2_500);
+
+impl App {
+    /// Hands a job to the node that is to be its home. None if that is this node, or does not
+    /// take it.
+    pub(in crate::entry) async fn pass_on(self: &Arc<Self>, spec: &Spec) -> Option<Submitted> {
+        let to = self.preferred(spec)?;
+        match self.ask(to, PeerAsk::Submit(spec.clone()), SUBMIT).await {
+            Some(PeerReply::Submitted(Submitted::Kept)) => {
+                tracing::info!(event = "job_passed_on", job = %spec.id, %to);
+                Some(Submitted::Kept)
+            }
+            // What it may have written is found there as this node writes.
+            other => {
+                tracing::info!(event = "job_not_passed_on", job = %spec.id, %to, reply = ?other);
+                None
+            }
+        }
+    }
+
+    /// Where the jobs of a route are to run; none for this node.
+    fn preferred(&self, spec: &Spec) -> Option<SocketAddr> {
+        let routes = self.routes()?;
+        let route = routes.find(&spec.host, &spec.path)?;
+        let nodes = self.live.lock().peers();
+        let names: Vec<Name> = nodes.keys().cloned().collect();
+        let homes = affinity::preferred(&routes.batch(), &names);
+        let home = homes.get(&route.name).filter(|home| **home != self.settings.name)?;
+        let to = *nodes.get(home)?;
+        (!self.shunned(to)).then_some(to)
+    }
+
+    /// Reads at a job's home; none if that does not answer, or is this node.
+    pub(in crate::entry) async fn read_at_home(
+        self: &Arc<Self>,
+        job: &str,
+        after: usize,
+        wait: Duration,
+    ) -> Result<Option<Read>, StoreError> {
+        let view = self.views.get(job);
+        let Some(life) = self.at(job, &view).await? else { return Ok(None) };
+        let Some(to) = self.live.lock().peer(&life).filter(|to| !self.shunned(*to)) else {
+            return Ok(None);
+        };
+        let ask = PeerAsk::Read { job: job.into(), after, wait };
+        match self.ask(to, ask, wait + READ).await {
+            Some(PeerReply::Read(Some(read))) => Ok(Some(read)),
+            Some(_) => {
+                view.state.lock().at = At::Store;
+                Ok(None)
+            }
+            None => Ok(None),
+        }
+    }
+
+    /// The life that is home to a job, from what the store said since nodes last went.
+    async fn at(&self, job: &str, view: &View) -> Result<Option<Name>, StoreError> {
+        let sure = (self.doubts.load(Ordering::Relaxed), self.live.lock().departures());
+        match &view.state.lock().at {
+            At::Home { life, sure: then } if *then == sure => return Ok(Some(life.clone())),
+            At::Store => return Ok(None),
+            At::Home { .. } | At::Unknown => {}
+        }
+        let Some(seen) = self.home_of(job).await? else { return Ok(None) };
+        let mut state = view.state.lock();
+        state.total = Some(seen.value.total);
+        if seen.value.ended {
+            state.at = At::Store;
+            return Ok(None);
+        }
+        state.at = At::Home { life: seen.value.life.clone(), sure };
+        Ok(Some(seen.value.life))
+    }
+
+    async fn ask(&self, to: SocketAddr, ask: PeerAsk, limit: Duration) -> Option<PeerReply> {
+        match self.peers.ask(to, ask, limit).await {
+            Ok(reply) => Some(reply),
+            Err(e) => {
+                tracing::info!(event = "peer_not_reached", %to, error = %e);
+                let until = self.now() + SHUNNED;
+                self.shunned.lock().insert(to, until);
+                None
+            }
+        }
+    }
+
+    fn shunned(&self, to: SocketAddr) -> bool {
+        let now = self.now();
+        let mut shunned = self.shunned.lock();
+        shunned.retain(|_, until| *until > now);
+        shunned.contains_key(&to)
+    }
+}
--- /dev/null
+++ b/src/entry/peer/message.rs
@@ -0,0 +1,102 @@
+//! What nodes say to each other.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::Name;
+use crate::decide::job::Spec;
+use crate::edge::peer::Message;
+use crate::edge::store::{Item, Page, StoreError, Txn, TxnEnd, Watched};
+use crate::entry::read::Read;
+use crate::entry::submit::Submitted;
+use crate::metrics::PeerUse;
+
+/// A request to another node.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerAsk {
+    /// Be home to this job.
+    Submit(Spec),
+    /// The results of a job that you are home to.
+    Read {
+        /// The job.
+        job: Name,
+        /// From this position on.
+        after: usize,
+        /// How long to wait for one.
+        wait: Duration,
+    },
+    /// Call the store for me.
+    Store(StoreAsk),
+}
+
+/// A call to the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StoreAsk {
+    /// A key.
+    Get(Name),
+    /// All keys under a prefix.
+    Range(Name),
+    /// Changes under a prefix after a revision.
+    Watch {
+        /// The prefix.
+        prefix: Name,
+        /// The revision.
+        after: u64,
+        /// How long to wait for one.
+        wait: Duration,
+    },
+    /// A write.
+    Txn(Txn),
+    /// A new lease.
+    Grant(Duration),
+    /// The renewal of a lease.
+    Keep(u64),
+    /// The end of a lease.
+    End(u64),
+}
+
+/// The answer of another node.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerReply {
+    /// What became of a submission.
+    Submitted(Submitted),
+    /// The results; none where this node is not surely home.
+    Read(Option<Read>),
+    /// What the store said.
+    Store(Result<StoreReply, StoreError>),
+}
+
+/// The answer of the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StoreReply {
+    /// To `Get`.
+    Item(Option<Item>),
+    /// To `Range`.
+    Page(Page),
+    /// To `Watch`.
+    Watched(Watched),
+    /// To `Txn`.
+    Txn(TxnEnd),
+    /// To `Grant`.
+    Lease(u64),
+    /// To `Keep`.
+    Kept(bool),
+    /// To `End`.
+    Ended,
+}
+
+impl Message for PeerAsk {
+    type Reply = PeerReply;
+}
+
+impl PeerAsk {
+    /// What its bytes, and those of its reply, count for.
+    pub fn purpose(&self) -> PeerUse {
+        match self {
+            Self::Submit(_) => PeerUse::Submit,
+            Self::Read { .. } => PeerUse::Read,
+            Self::Store(_) => PeerUse::Store,
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/peer/mod.rs
@@ -0,0 +1,15 @@
+//! What entry nodes do for each other: a job's home takes its submission and answers its
+//! reads, and a node that the store turns away reaches it through another.
+
+mod detour;
+mod door;
+mod home;
+mod line;
+mod message;
+mod port;
+
+pub(super) use detour::Detour;
+pub use door::{Door, PeerDoor};
+pub use line::PeerLine;
+pub use message::{PeerAsk, PeerReply, StoreAsk, StoreReply};
+pub use port::Peers;
--- /dev/null
+++ b/src/entry/peer/port.rs
@@ -0,0 +1,20 @@
+//! The port.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures_util::future::BoxFuture;
+
+use super::message::{PeerAsk, PeerReply};
+use crate::edge::peer::PeerError;
+
+/// The other nodes.
+pub trait Peers: std::fmt::Debug + Send + Sync + 'static {
+    /// Asks one of them.
+    fn ask(
+        &self,
+        to: SocketAddr,
+        ask: PeerAsk,
+        limit: Duration,
+    ) -> BoxFuture<'static, Result<PeerReply, PeerError>>;
+}
--- a/src/entry/read.rs
+++ b/src/entry/read.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 
 use super::app::App;
 use super::homes::Home;
@@ -27,7 +28,7 @@
 const ONCE: Duration = Duration::from_millis(1);
 
 /// What a read of a job's results found.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Read {
     /// Results from the asked position on.
     Page {
@@ -55,14 +56,19 @@
 
 impl App {
     /// Results of a job from a position on; waits for one if there is none yet.
-    pub async fn read(&self, job: &str, after: usize, wait: Duration) -> Read {
+    pub async fn read(self: &Arc<Self>, job: &str, after: usize, wait: Duration) -> Read {
         let ends = self.now() + wait;
         if let Some(home) = self.homes.get(job)
             && let Some(read) = self.read_home(&home, after, ends).await
         {
             return read;
         }
-        match self.read_view(job, after, ends).await {
+        let read = match self.read_at_home(job, after, wait).await {
+            Ok(Some(read)) => return read,
+            Ok(None) => self.read_view(job, after, ends).await,
+            Err(e) => Err(e),
+        };
+        match read {
             Ok(read) => read,
             Err(e) => {
                 tracing::info!(event = "read_unsure", job, error = %e);
@@ -72,12 +78,13 @@
     }
 
     /// Reads from the home itself; none if it lost the job meanwhile.
-    async fn read_home(&self, home: &Home, after: usize, ends: Moment) -> Option<Read> {
+    pub(super) async fn read_home(&self, home: &Home, after: usize, ends: Moment) -> Option<Read> {
         let total = home.job.lock().spec.items.len();
         let mut listed = home.listed.subscribe();
         loop {
             let results = page(home.job.lock().listed(), after);
-            if home.job.lock().ended() {
+            // A write that was not answered may show at other nodes already.
+            if home.job.lock().ended() || home.unsure.load(Ordering::Relaxed) {
                 return None;
             }
             let over = home.job.lock().complete();
--- a/src/entry/submit.rs
+++ b/src/entry/submit.rs
@@ -4,12 +4,14 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 
 use super::app::App;
 use super::home::Kept;
 use super::keys::{HomeValue, home, part};
 use super::live::Seen;
 use super::takeover;
+use crate::Name;
 use crate::decide::job::Spec;
 use crate::edge::store::{StoreError, Txn, TxnEnd};
 use crate::metrics::JobStep;
@@ -25,12 +27,12 @@
 const PAUSE: Duration = Duration::from_millis(100);
 
 /// The end of a submission.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Submitted {
     /// The job is kept, from this submission or an earlier one.
     Kept,
     /// It is not kept, and never will be from this submission.
-    Refused(&'static str),
+    Refused(Name),
     /// It may be kept.
     Unknown,
 }
@@ -38,6 +40,16 @@
 impl App {
     /// Takes in a job.
     pub async fn submit(self: &Arc<Self>, spec: Spec) -> Submitted {
+        let kept = self.homes.get(&spec.id).is_some();
+        let passed = if kept || self.draining() { None } else { self.pass_on(&spec).await };
+        match passed {
+            Some(submitted) => submitted,
+            None => self.accept(spec).await,
+        }
+    }
+
+    /// Takes in a job at this node.
+    pub(super) async fn accept(self: &Arc<Self>, spec: Spec) -> Submitted {
         let submitted = self.take_in(spec).await;
         self.tally.job(match submitted {
             Submitted::Kept => JobStep::Accepted,
@@ -53,17 +65,17 @@
             return Submitted::Kept;
         }
         if self.draining() {
-            return Submitted::Refused("draining");
+            return Submitted::Refused("draining".into());
         }
         let Ok(bytes) = bincode::serde::encode_to_vec(&spec, bincode::config::standard()) else {
-            return Submitted::Refused("unreadable");
+            return Submitted::Refused("unreadable".into());
         };
         let parts: Vec<Bytes> = Bytes::from(bytes)
             .chunks(self.settings.value - SPARE)
             .map(Bytes::copy_from_slice)
             .collect();
         if parts.len() > PARTS {
-            return Submitted::Refused("too_large");
+            return Submitted::Refused("too_large".into());
         }
         let value = HomeValue {
             life: self.life.clone(),
@@ -74,7 +86,7 @@
             since: unix_millis(),
         };
         let Ok(written) = serde_json::to_vec(&value) else {
-            return Submitted::Refused("unreadable");
+            return Submitted::Refused("unreadable".into());
         };
         let key = home(&id);
         let mut txn = Txn::when(key.clone(), 0).put(key, written);
@@ -109,7 +121,7 @@
                     }
                     return Submitted::Kept;
                 }
-                Ok(TxnEnd::NoLease) => return Submitted::Refused("no_lease"),
+                Ok(TxnEnd::NoLease) => return Submitted::Refused("no_lease".into()),
                 Err(StoreError::Unknown(reason)) => {
                     unsure = true;
                     reason
@@ -123,7 +135,7 @@
                     self.expect(spec.id.clone());
                     return Submitted::Unknown;
                 }
-                return Submitted::Refused("store_away");
+                return Submitted::Refused("store_away".into());
             }
             tokio::time::sleep(PAUSE).await;
         }
--- a/src/entry/views.rs
+++ b/src/entry/views.rs
@@ -7,9 +7,9 @@
 
 use super::app::ByName;
 use super::keys::results;
-use crate::Moment;
 use crate::decide::job::{Listing, Spec};
 use crate::edge::store::Item;
+use crate::{Moment, Name};
 
 /// Jobs of other homes, as far as they were read here.
 #[derive(Debug, Default)]
@@ -34,6 +34,24 @@
     pub doubts: u64,
     /// When the store was last heard about it.
     pub heard: Moment,
+    pub at: At,
+}
+
+/// Where a job is read.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(super) enum At {
+    /// Nobody has asked yet.
+    #[default]
+    Unknown,
+    /// At its home.
+    Home {
+        /// The incarnation that runs it.
+        life: Name,
+        /// The counts of cut watches and of nodes that went as the store said so.
+        sure: (u64, u64),
+    },
+    /// In the store: its home has no more of it.
+    Store,
 }
 
 impl Views {
--- a/src/metrics/tally.rs
+++ b/src/metrics/tally.rs
@@ -14,6 +14,7 @@
 use super::labels::KindLabel;
 use super::metrics::encoded;
 use super::process::Process;
+use super::{Traffic, Way};
 use crate::edge::replica::OrderEnd;
 use crate::error::Kind;
 
@@ -100,6 +101,17 @@
     Compacted,
 }
 
+/// What entry nodes ask each other for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum PeerUse {
+    /// Submissions.
+    Submit,
+    /// Reads of results.
+    Read,
+    /// Calls to the store.
+    Store,
+}
+
 macro_rules! label {
     ($name:ident, $field:ident: $kind:ty) => {
         #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -114,6 +126,12 @@
 label!(JobLabel, step: JobStep);
 label!(OrderLabel, result: OrderEnd);
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PeerLabel {
+    purpose: PeerUse,
+    way: Way,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct StoreLabel {
     call: StoreCall,
@@ -131,6 +149,8 @@
     jobs: Family<JobLabel, Counter>,
     orders: Family<OrderLabel, Counter>,
     store: Family<StoreLabel, Counter>,
+    peer_bytes: Family<PeerLabel, Counter>,
+    peer_messages: Family<PeerLabel, Counter>,
     store_seconds: Histogram,
     request_seconds: Histogram,
     /// Jobs that run here.
@@ -154,6 +174,8 @@
             jobs: Family::default(),
             orders: Family::default(),
             store: Family::default(),
+            peer_bytes: Family::default(),
+            peer_messages: Family::default(),
             store_seconds: seconds(),
             request_seconds: seconds(),
             open_jobs: Gauge::default(),
@@ -179,6 +201,10 @@
         all.register("jobs", "What jobs went through here", self.jobs.clone());
         all.register("orders", "Orders given, by result", self.orders.clone());
         all.register("store_calls", "Calls to the store, by end", self.store.clone());
+        let help = "Bytes between nodes, by purpose and way";
+        all.register("peer_bytes", help, self.peer_bytes.clone());
+        let help = "Messages between nodes, by purpose and way";
+        all.register("peer_messages", help, self.peer_messages.clone());
         let help = "Time of answered calls to the store, watches aside";
         all.register("store_seconds", help, self.store_seconds.clone());
         let help = "Time from a request's head to the head of its answer";
@@ -228,6 +254,18 @@
         }
     }
 
+    /// The counters of what nodes ask each other for.
+    pub fn peer(&self, purpose: PeerUse) -> Traffic {
+        let bytes = |way| self.peer_bytes.get_or_create(&PeerLabel { purpose, way }).clone();
+        let messages = |way| self.peer_messages.get_or_create(&PeerLabel { purpose, way }).clone();
+        Traffic {
+            sent: bytes(Way::Out),
+            received: bytes(Way::In),
+            messages_out: messages(Way::Out),
+            messages_in: messages(Way::In),
+        }
+    }
+
     /// A request has its answer.
     pub fn answered(&self, took: Duration) {
         self.request_seconds.observe(took.as_secs_f64());
--- a/src/node/app.rs
+++ b/src/node/app.rs
@@ -19,7 +19,7 @@
 use crate::Name;
 use crate::bundle::Adopted;
 use crate::decide::{Served, rank};
-use crate::edge::peer::{NodeInfo, NodeState, PeerClient};
+use crate::edge::peer::{NodeInfo, NodeState, PeerClient, Request};
 use crate::edge::platform::Platform;
 use crate::edge::upstream::{EngineClient, PlainClient};
 use crate::error::{Kind, Refusal};
@@ -59,7 +59,7 @@
         Self {
             clock: Clock::default(),
             platform,
-            peers: PeerClient::new(metrics.clone()),
+            peers: counted(metrics.clone()),
             engines: EngineClient::counted(metrics.traffic(Purpose::Order)),
             plain: PlainClient,
             bundles: Bundles::new(settings.operators.clone()),
@@ -154,3 +154,7 @@
         dispatchers.retain(|name, _| adopted.bundle.services.contains_key(name));
     }
 }
+
+fn counted(metrics: Arc<Metrics>) -> PeerClient {
+    PeerClient::new(move |request: &Request| metrics.traffic(request.purpose()))
+}
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -14,7 +14,7 @@
 use crate::bundle::Envelope;
 use crate::decide::members::{Heard, News};
 use crate::edge::peer::{NodeInfo, PeerError, PeerHandler, Place, Reply, Request};
-use crate::metrics::{Metrics, PlatformUse, Task};
+use crate::metrics::{PlatformUse, Task, Traffic};
 
 /// Time between two rounds.
 const ROUND: Duration = Duration::from_millis(500);
@@ -48,6 +48,8 @@
 }
 
 impl PeerHandler for Peers {
+    type Asked = Request;
+
     async fn reply(self: Arc<Self>, request: Request) -> Reply {
         let app = &self.app;
         match request {
@@ -93,8 +95,8 @@
         }
     }
 
-    fn metrics(&self) -> &Metrics {
-        &self.app.metrics
+    fn traffic(&self, request: &Request) -> Traffic {
+        self.app.metrics.traffic(request.purpose())
     }
 }
 
--- a/src/settings/entry.rs
+++ b/src/settings/entry.rs
@@ -35,6 +35,10 @@
     pub ready: Option<SocketAddr>,
     /// `[node] addresses`: where clients ask which nodes to use.
     pub addresses: Option<SocketAddr>,
+    /// `[node] peers`: where other nodes connect; none where nobody does.
+    pub peers: Option<SocketAddr>,
+    /// `[node] seeds`: where some other nodes may be asked before any is known.
+    pub seeds: Vec<SocketAddr>,
     /// `[node] metrics`: where metrics are asked for.
     pub metrics: Option<SocketAddr>,
     /// `[node] keeps`: whether the machine has a disk that an operator may ask to empty.
@@ -77,6 +81,8 @@
             callers: address(&node, "callers")?,
             ready: address(&node, "ready")?,
             addresses: address(&node, "addresses")?,
+            peers: address(&node, "peers")?,
+            seeds: node.list("seeds")?,
             metrics: address(&node, "metrics")?,
             keeps: node.value_or("keeps", false)?,
             store: store.value("address")?,
--- /dev/null
+++ b/tests/detour.rs
@@ -0,0 +1,58 @@
+//! When a node calls a service through another.
+
+use std::time::Duration;
+
+use mulberrycourse::decide::detour::{Detour, Way};
+use proptest::prelude::*;
+
+const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+#[test]
+fn a_failure_sends_calls_through_others_until_a_look_finds_the_way_open() {
+    let mut detour = Detour::default();
+    assert_eq!(detour.way(false, ms(0)), Way::Direct);
+    assert!(detour.failed(ms(0)));
+    assert!(!detour.open());
+    assert_eq!(detour.way(true, ms(100)), Way::Peer);
+    assert_eq!(detour.way(true, ms(400)), Way::Probe);
+    assert_eq!(detour.way(false, ms(400)), Way::Peer, "a write is no look");
+    assert!(!detour.failed(ms(400)));
+    assert_eq!(detour.way(true, ms(900)), Way::Peer, "looks grow rare");
+    assert_eq!(detour.way(true, ms(1_100)), Way::Probe);
+    assert!(detour.answered());
+    assert_eq!(detour.way(false, ms(1_100)), Way::Direct);
+}
+
+#[test]
+fn nobody_is_asked_for_a_while_after_nobody_could_help() {
+    let mut detour = Detour::default();
+    detour.failed(ms(0));
+    detour.alone(ms(0));
+    assert_eq!(detour.way(false, ms(300)), Way::Alone);
+    assert_eq!(detour.way(false, ms(600)), Way::Peer);
+    assert_eq!(detour.way(false, ms(601)), Way::Alone, "one call looks at a time");
+    detour.helped();
+    assert_eq!(detour.way(false, ms(602)), Way::Peer);
+}
+
+proptest! {
+    /// Whatever happened before, an open way is found within some looks.
+    #[test]
+    fn an_open_way_is_found_again(events in proptest::collection::vec((0_u8..4, 0_u64..900), 0..40)) {
+        let mut detour = Detour::default();
+        let mut now = ms(0);
+        for (event, later) in events {
+            now += ms(later);
+            match event {
+                0 => drop(detour.failed(now)),
+                1 => detour.alone(now),
+                2 => detour.helped(),
+                _ => drop(detour.answered()),
+            }
+        }
+        let found = (0..30).any(|step| detour.way(true, now + ms(step * 50)) != Way::Peer);
+        prop_assert!(found);
+    }
+}
--- a/tests/entry/jobs.rs
+++ b/tests/entry/jobs.rs
@@ -46,7 +46,7 @@
     let world = World::new();
     let a = world.node("a").await;
     a.line.fail(Faults { away: Some(Away::Refusing), ..Faults::default() });
-    assert_eq!(a.submit("j", &["i1"]).await, Submitted::Refused("store_away"));
+    assert_eq!(a.submit("j", &["i1"]).await, Submitted::Refused("store_away".into()));
     a.line.fail(Faults::default());
     pass(20_000).await;
     assert!(world.replicas.ran().is_empty());
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -2,7 +2,9 @@
 #![allow(clippy::unwrap_used)]
 
 mod jobs;
+mod links;
 mod orders;
+mod peers;
 mod reads;
 mod relays;
 mod views;
--- /dev/null
+++ b/tests/entry/peers.rs
@@ -0,0 +1,260 @@
+//! What nodes do for each other: homes that stay the same, reads at the home, and the store
+//! through another node.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use mulberrycourse::edge::store::Store;
+use mulberrycourse::entry::{PeerAsk, Read, StoreAsk, Submitted};
+use standins::kv::{Away, Faults};
+
+use crate::links::Link;
+use crate::world::{Node, World, calls, pass, spec, until};
+
+/// The incarnations that the store has as homes.
+fn homes(world: &World) -> BTreeSet<String> {
+    let items = world.kv.items("mulberry/home/");
+    let life = |value: &[u8]| {
+        let value: serde_json::Value = serde_json::from_slice(value).unwrap();
+        value["life"].as_str().unwrap().to_owned()
+    };
+    items.iter().map(|item| life(&item.value)).collect()
+}
+
+/// Three linked nodes that know each other, the home of all jobs first.
+async fn three(world: &World) -> [Node; 3] {
+    let mut nodes = Vec::new();
+    for name in ["a", "b", "c"] {
+        nodes.push(world.linked(name).await);
+    }
+    pass(1_000).await;
+    assert_eq!(nodes[0].submit("first", &["f1"]).await, Submitted::Kept);
+    let home = homes(world).first().unwrap().split('.').next().unwrap().to_owned();
+    nodes.sort_by_key(|node| *node.app().settings.name != *home);
+    let nodes: [Node; 3] = nodes.try_into().unwrap_or_else(|_| unreachable!());
+    nodes[0].whole("first", 1).await;
+    nodes
+}
+
+fn away(how: Away) -> Faults {
+    Faults { away: Some(how), ..Faults::default() }
+}
+
+/// Guards: each step had another home, which knew nothing of the replicas or of the step
+/// before and opened all connections anew (3,300 of them in a quiet day, 2,200 after).
+#[tokio::test(start_paused = true)]
+async fn the_jobs_of_a_route_have_one_home() {
+    let world = World::new();
+    let nodes = three(&world).await;
+    for (i, node) in nodes.iter().enumerate() {
+        assert_eq!(node.submit(&format!("j{i}"), &[&format!("i{i}")]).await, Submitted::Kept);
+    }
+    assert_eq!(homes(&world).len(), 1);
+    for (i, node) in nodes.iter().enumerate() {
+        node.whole(&format!("j{i}"), 1).await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_home_that_does_not_answer_costs_no_job() {
+    for link in [Link::Cut, Link::Silent, Link::Deaf] {
+        let world = World::new();
+        let [home, other, _third] = three(&world).await;
+        home.link(link);
+        for (job, item) in [("j1", "i1"), ("j2", "i2")] {
+            assert_eq!(other.submit(job, &[item]).await, Submitted::Kept, "{link:?}");
+            other.whole(job, 1).await;
+        }
+        let runs = world.replicas.ran().iter().filter(|r| &*r.id == "i1").count();
+        assert_eq!(runs, 1, "{link:?}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_home_that_leaves_takes_no_jobs() {
+    let world = World::new();
+    let [home, other, _third] = three(&world).await;
+    let leaving = home.entry.leave();
+    let submitting = async {
+        pass(1).await;
+        assert_eq!(other.submit("j1", &["i1"]).await, Submitted::Kept);
+        other.whole("j1", 1).await;
+    };
+    tokio::join!(leaving, submitting);
+}
+
+/// Guards: each read at another node took two or three calls to the store.
+#[tokio::test(start_paused = true)]
+async fn reads_at_other_nodes_take_one_call_to_the_store() {
+    let world = World::new();
+    let [_home, other, _third] = three(&world).await;
+    let items = ["i1", "i2", "i3", "i4"];
+    for (i, item) in items.iter().enumerate() {
+        world.replicas.length(item, 20 * (i as u64 + 1));
+    }
+    other.submit("j", &items).await;
+    let before = calls(&other, "Get") + calls(&other, "Range");
+    let watches = calls(&other, "Watch");
+    other.whole("j", 4).await;
+    assert_eq!(calls(&other, "Get") + calls(&other, "Range") - before, 1);
+    assert!(calls(&other, "Watch") - watches <= 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_reader_follows_a_job_to_its_next_home() {
+    let world = World::new();
+    let [home, other, third] = three(&world).await;
+    world.replicas.length("i2", 200);
+    other.submit("j", &["i1", "i2"]).await;
+    until(|| !world.kv.items("mulberry/job/j/results").is_empty()).await;
+    let shown = other.page("j", 0).await;
+    assert_eq!(shown.len(), 1);
+    home.link(Link::Cut);
+    drop(home);
+    let whole = other.whole("j", 2).await;
+    assert_eq!(whole[..1], shown[..]);
+    assert_eq!(third.whole("j", 2).await, whole);
+}
+
+/// Guards: a home whose lease has ended shows less than the next one has shown.
+#[tokio::test(start_paused = true)]
+async fn a_home_without_a_lease_answers_no_reads() {
+    let world = World::new();
+    let [home, other, third] = three(&world).await;
+    world.replicas.length("i2", 150);
+    other.submit("j", &["i1", "i2"]).await;
+    until(|| !world.kv.items("mulberry/job/j/results").is_empty()).await;
+    // The home reaches neither the store nor the others, which reach it.
+    home.line.fail(away(Away::Silent));
+    other.line.fail(away(Away::Refusing));
+    third.line.fail(away(Away::Refusing));
+    pass(400).await;
+    other.line.fail(Faults::default());
+    third.line.fail(Faults::default());
+    home.isolate();
+    pass(4_000).await;
+    let ask = PeerAsk::Read { job: "j".into(), after: 0, wait: Duration::ZERO };
+    assert_eq!(other.ask(&home, ask).await, Some(None));
+    assert_eq!(other.whole("j", 2).await.len(), 2);
+}
+
+/// Guards: results whose write was not answered show at nodes that read the store, not yet
+/// at the home that wrote them.
+#[tokio::test(start_paused = true)]
+async fn a_home_that_is_unsure_of_a_write_answers_from_the_store() {
+    let world = World::new();
+    let [home, other, _third] = three(&world).await;
+    world.replicas.length("i2", 500);
+    other.submit("j", &["i1", "i2"]).await;
+    home.line.fail(Faults { lose: 3, ..Faults::default() });
+    until(|| !world.kv.items("mulberry/job/j/results").is_empty()).await;
+    pass(1_200).await;
+    assert_eq!(home.page("j", 0).await.len(), 1);
+    assert_eq!(other.page("j", 0).await.len(), 1);
+}
+
+/// Guards: a node that the store turned away lost its lease, and its jobs stood still until
+/// others took them.
+#[tokio::test(start_paused = true)]
+async fn a_home_that_is_turned_away_goes_on_through_others() {
+    for how in [Away::Refusing, Away::Silent] {
+        let world = World::new();
+        let [home, other, _third] = three(&world).await;
+        world.replicas.length("i2", 300);
+        other.submit("j", &["i1", "i2"]).await;
+        let before = homes(&world);
+        home.line.fail(away(how));
+        assert_eq!(other.whole("j", 2).await.len(), 2, "{how:?}");
+        assert_eq!(homes(&world), before, "{how:?}");
+        assert_eq!(home.submit("k", &["k1"]).await, Submitted::Kept, "{how:?}");
+        let asked = world.links.asked().len();
+        home.line.fail(Faults::default());
+        pass(3_000).await;
+        home.app().read("j", 0, Duration::ZERO).await;
+        pass(5_000).await;
+        let after = world.links.asked();
+        let detours = after[asked..].iter().filter(|a| matches!(a, PeerAsk::Store(_))).count();
+        assert!(detours < 20, "{how:?}: {detours} calls through others with the own way open");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_configuration_reaches_a_node_that_is_turned_away() {
+    let world = World::new();
+    let [_home, other, _third] = three(&world).await;
+    other.line.fail(away(Away::Refusing));
+    pass(1_000).await;
+    world.configure(7);
+    pass(1_500).await;
+    assert_eq!(other.app().routes().unwrap().version, 7);
+}
+
+/// A write that may have taken effect is the caller's to settle: made again, a removal or
+/// a second put could undo what came between.
+#[tokio::test(start_paused = true)]
+async fn a_write_without_an_answer_is_not_made_through_another() {
+    let world = World::new();
+    let [home, other, _third] = three(&world).await;
+    let writes = || {
+        let asked = world.links.asked();
+        asked.iter().filter(|a| matches!(a, PeerAsk::Store(StoreAsk::Txn(_)))).count()
+    };
+    home.line.fail(Faults { lose: 1, ..Faults::default() });
+    assert_eq!(home.submit("j", &["i1"]).await, Submitted::Kept);
+    assert!(writes() <= 1, "the try after it may go through another");
+    other.whole("j", 1).await;
+    let runs = world.replicas.ran().iter().filter(|r| &*r.id == "i1").count();
+    assert_eq!(runs, 1);
+}
+
+/// Guards: an outage for everybody doubled every call.
+#[tokio::test(start_paused = true)]
+async fn an_outage_for_all_is_no_storm() {
+    let world = World::new();
+    let nodes = three(&world).await;
+    nodes.iter().for_each(|node| node.line.fail(away(Away::Refusing)));
+    pass(1_000).await;
+    let before = world.links.asked().len();
+    pass(10_000).await;
+    let asked = world.links.asked().len() - before;
+    assert!(asked <= 3 * 10 * 5, "{asked} requests in ten seconds of three nodes");
+    nodes.iter().for_each(|node| node.line.fail(Faults::default()));
+    pass(3_000).await;
+    assert_eq!(nodes[1].submit("j", &["i1"]).await, Submitted::Kept);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_unknown_job_is_unknown_at_linked_nodes() {
+    let world = World::new();
+    let [_home, other, _third] = three(&world).await;
+    assert_eq!(other.app().read("none", 0, Duration::ZERO).await, Read::Unknown);
+}
+
+/// The same over sockets.
+#[tokio::test]
+async fn nodes_ask_each_other_over_sockets() {
+    use std::sync::Arc;
+
+    use mulberrycourse::entry::{PeerDoor, PeerLine, PeerReply, Peers, StoreReply};
+
+    let world = World::new();
+    let node = world.node("a").await;
+    let door = PeerDoor::bind(node.app().clone(), ([127, 0, 0, 1], 0).into()).await.unwrap();
+    let line = PeerLine::new(Arc::default());
+    let limit = Duration::from_secs(20);
+    world.kv.put("some/key", "value");
+    let get = PeerAsk::Store(StoreAsk::Get("some/key".into()));
+    let item = node.line.get("some/key").await.unwrap();
+    let got = line.ask(door.address(), get, limit).await.unwrap();
+    assert_eq!(got, PeerReply::Store(Ok(StoreReply::Item(item))));
+    let submitted = line.ask(door.address(), PeerAsk::Submit(spec("j", &["i1"])), limit).await;
+    assert_eq!(submitted.unwrap(), PeerReply::Submitted(Submitted::Kept));
+    node.whole("j", 1).await;
+    let read = PeerAsk::Read { job: "j".into(), after: 0, wait: Duration::ZERO };
+    let PeerReply::Read(Some(Read::Page { total: 1, results })) =
+        line.ask(door.address(), read, limit).await.unwrap()
+    else {
+        panic!("no page");
+    };
+    assert_eq!(results, node.page("j", 0).await);
+}
--- a/tests/entry/views.rs
+++ b/tests/entry/views.rs
@@ -4,7 +4,7 @@
 use standins::kv::{Away, Faults};
 use std::time::Duration;
 
-use crate::world::{World, pass, until};
+use crate::world::{World, calls, pass, until};
 
 fn version(node: &crate::world::Node) -> u64 {
     node.app().routes().unwrap().version
@@ -150,14 +150,6 @@
     assert!(world.kv.items("retired/").is_empty());
 }
 
-/// Calls to the store that ended well.
-fn calls(node: &crate::world::Node, call: &str) -> u64 {
-    let text = node.app().metrics();
-    let name = format!("mulberry_store_calls_total{{call=\"{call}\",end=\"Answered\"}} ");
-    let line = text.lines().find_map(|l| l.strip_prefix(&*name));
-    line.map_or(0, |count| count.parse().unwrap())
-}
-
 /// Guards: every node was woken once a second by the loads of all replicas, while only the
 /// homes of jobs use what they say; gathered for as long at homes, steps waited for weights.
 #[tokio::test(start_paused = true)]
--- a/tests/entry/world.rs
+++ b/tests/entry/world.rs
@@ -1,5 +1,6 @@
 //! Nodes over one service and one fleet of replicas.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,11 +9,13 @@
 use mulberrycourse::decide::job::{ItemSpec, Listing, Scorer, Spec, State};
 use mulberrycourse::decide::{Again, Bounds, Route, Routes};
 use mulberrycourse::edge::notice::Notice;
-use mulberrycourse::entry::{App, Ask, Entry, Read, Submitted};
+use mulberrycourse::entry::{App, Ask, Entry, PeerAsk, PeerReply, Peers, Read, Submitted};
 use mulberrycourse::settings::{Document, EntrySettings};
 use standins::kv::{KvLine, KvService, Words};
 use standins::replicas::ReplicaFleet;
 
+use crate::links::{Link, Links};
+
 pub(crate) const HOST: &str = "host.example";
 pub(crate) const MODEL: &str = "coach";
 /// Guards a test against hanging; no verdict depends on it.
@@ -22,11 +25,13 @@
     pub(crate) kv: KvService,
     pub(crate) words: Words,
     pub(crate) replicas: ReplicaFleet,
+    pub(crate) links: Links,
 }
 
 pub(crate) struct Node {
     pub(crate) entry: Entry,
     pub(crate) line: KvLine,
+    links: Links,
 }
 
 impl World {
@@ -40,7 +45,7 @@
         for id in ["p1", "p2"] {
             replicas.add("plain", id, &[]);
         }
-        let world = Self { kv, words, replicas };
+        let world = Self { kv, words, replicas, links: Links::default() };
         world.configure(1);
         world
     }
@@ -78,15 +83,26 @@
         self.node_with(EntrySettings { drain, ..settings(name) }).await
     }
 
+    /// The same, linked to others.
+    pub(crate) async fn linked(&self, name: &str) -> Node {
+        let port = 1_000 + u16::from(name.as_bytes()[0]);
+        let at = SocketAddr::from(([127, 0, 0, 1], port));
+        let node = self.node_with(EntrySettings { peers: Some(at), ..settings(name) }).await;
+        self.links.open(at, node.app().clone());
+        node
+    }
+
     async fn node_with(&self, settings: EntrySettings) -> Node {
         let line = self.kv.line();
+        let links = Arc::new(self.links.of(settings.peers));
         let entry = Entry::spawn(
             settings,
             Arc::new(line.clone()),
             Arc::new(self.replicas.clone()),
             Arc::new(self.words.clone()),
+            |_| links,
         );
-        let node = Node { entry, line };
+        let node = Node { entry, line, links: self.links.clone() };
         until(|| node.app().ready()).await;
         node
     }
@@ -97,6 +113,25 @@
         self.entry.app()
     }
 
+    /// Sets what this node does with requests of others.
+    pub(crate) fn link(&self, link: Link) {
+        self.links.set(self.app().settings.peers.unwrap(), link);
+    }
+
+    /// From now on this node's requests reach no other.
+    pub(crate) fn isolate(&self) {
+        self.links.isolate(self.app().settings.peers.unwrap());
+    }
+
+    /// Asks another node for results.
+    pub(crate) async fn ask(&self, to: &Node, ask: PeerAsk) -> Option<Option<Read>> {
+        let to = to.app().settings.peers.unwrap();
+        match self.links.ask(to, ask, Duration::from_secs(1)).await {
+            Ok(PeerReply::Read(read)) => Some(read),
+            _ => None,
+        }
+    }
+
     /// Reads from a position without waiting.
     pub(crate) async fn page(&self, job: &str, after: usize) -> Vec<Arc<Listing>> {
         match self.app().read(job, after, Duration::ZERO).await {
@@ -221,3 +256,11 @@
     assert!(!versions.is_empty());
     assert_eq!(score.as_deref(), Some(&*format!("signed score-{}", listing.id)));
 }
+
+/// Calls to the store that ended well.
+pub(crate) fn calls(node: &Node, call: &str) -> u64 {
+    let text = node.app().metrics();
+    let name = format!("mulberry_store_calls_total{{call=\"{call}\",end=\"Answered\"}} ");
+    let line = text.lines().find_map(|l| l.strip_prefix(&*name));
+    line.map_or(0, |count| count.parse().unwrap())
+}
