A replica's version is what its own run shows; an older one is believed, and what was made stays

Cause: the version that a run was seen at was taken from the whole text, other replicas' events included. Ruled out: the list of replicas (its entry said 1 all the while), late orders (none given).

--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -167,6 +167,12 @@
         }
     }
 
+    /// A replica made an event under a version that is older than was believed.
+    pub fn shown(&mut self, id: &str, model: &str, version: u64) {
+        let Some(replica) = self.replicas.get_mut(id) else { return };
+        replica.versions.insert(model.into(), version);
+    }
+
     /// What a replica said of its load.
     pub fn load(&mut self, id: &str, load: Load, now: Moment) {
         let Some(replica) = self.replicas.get_mut(id) else { return };
--- a/src/decide/job/text.rs
+++ b/src/decide/job/text.rs
@@ -208,6 +208,11 @@
         Ok(())
     }
 
+    /// The version of the run that goes on now, as far as it has said so.
+    pub fn current(&self) -> Option<u64> {
+        self.current
+    }
+
     /// The versions that made it, oldest first.
     pub fn versions(&self) -> Vec<u64> {
         let mut versions = self.versions.clone();
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -110,6 +110,11 @@
                 held.ended(Ended::Failed);
                 Tried::Again(AttemptEnd::Broken)
             }
+            Err(Fault::Version(version)) if version < self.spec.oldest => {
+                // The event was not taken: what came before it stays.
+                self.shown(held, version);
+                Tried::Again(AttemptEnd::Fault)
+            }
             Err(fault) => {
                 let replica = &held.target.id;
                 tracing::info!(event = "text_begun_anew", item = %self.item.id, %replica, %fault);
@@ -151,10 +156,10 @@
                 Ok(None) => return Ok(Read::Whole),
                 Ok(Some(Ok(bytes))) => bytes,
             };
-            let newest = self.add(&reader.push(&piece)?)?;
-            if seen != newest {
-                seen = newest;
-                self.saw(held, newest);
+            let version = self.add(&reader.push(&piece)?)?;
+            if version.is_some() && seen != version {
+                seen = version;
+                self.saw(held, version);
             }
             let last = self.last();
             let (since, from) = *first.get_or_insert_with(|| (self.app.now(), last));
@@ -165,7 +170,7 @@
         }
     }
 
-    /// Adds events to the text and returns its newest version.
+    /// Adds events to the text and returns the version that made the last.
     fn add(self, events: &[Event]) -> Result<Option<u64>, Fault> {
         self.home.text(&self.item.id, |text| {
             for event in events {
@@ -173,7 +178,7 @@
                 let fits = |v| !self.route.one_version || known.iter().all(|k| *k == v);
                 text.push(event, |v| v >= self.spec.oldest && fits(v))?;
             }
-            Ok(text.versions().last().copied())
+            Ok(text.current().filter(|_| !events.is_empty()))
         })
     }
 
@@ -184,6 +189,16 @@
         }
     }
 
+    /// A replica was seen to have an older version than its work asks for. A load that came
+    /// meanwhile shows in its next entry.
+    fn shown(self, held: &Held<'_>, version: u64) {
+        if let Some(model) = &self.spec.model {
+            let replica = &held.target.id;
+            tracing::info!(event = "replica_older", %replica, %model, version);
+            self.app.slots.fleet.lock().shown(replica, model, version);
+        }
+    }
+
     fn slow(self, held: &Held<'_>, since: Moment, events: u64) -> bool {
         let now = self.app.now();
         let pace = now.saturating_sub(since).as_secs_f64() / events as f64;
--- a/standins/src/replicas/fleet.rs
+++ b/standins/src/replicas/fleet.rs
@@ -75,6 +75,17 @@
         self.words.list(&self.service, listed);
     }
 
+    /// Gives a replica a version, as it had it when it came.
+    pub fn load(&self, id: &str, model: &str, version: u64) {
+        self.set(id, model, version);
+        self.list("engines", id, false);
+    }
+
+    /// Gives a replica a version that its entry does not show.
+    pub fn set(&self, id: &str, model: &str, version: u64) {
+        self.with(id, |r| r.versions.insert(model.into(), version));
+    }
+
     /// Sets how a replica behaves.
     pub fn mood(&self, id: &str, mood: Mood) {
         self.with(id, |r| r.mood = mood);
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -7,5 +7,6 @@
 mod peers;
 mod reads;
 mod relays;
+mod versions;
 mod views;
 mod world;
--- /dev/null
+++ b/tests/entry/versions.rs
@@ -0,0 +1,84 @@
+//! What nodes believe of the versions that replicas have.
+
+use standins::replicas::Mood;
+
+use crate::world::{MODEL, World, check, pass, spec_from};
+
+/// Guards: a text that had come partly from a newer version made its node believe that every
+/// replica that went on with it has that version (330 runs in vain in a day).
+#[tokio::test(start_paused = true)]
+async fn a_text_says_nothing_of_replicas_that_made_other_parts_of_it() {
+    let world = World::new();
+    let a = world.node("a").await;
+    world.replicas.load("e1", MODEL, 2);
+    world.replicas.mood("e2", Mood::Unreachable);
+    world.replicas.mood("e3", Mood::Unreachable);
+    pass(2_000).await;
+    world.replicas.mood("e1", Mood::Breaks(3));
+    world.replicas.length("i1", 9);
+    a.submit("j", &["i1"]).await;
+    pass(60).await;
+    world.replicas.mood("e3", Mood::Good);
+    world.replicas.mood("e1", Mood::Silent);
+    a.whole("j", 1).await.iter().for_each(|l| check(l, 9));
+    let ran = world.replicas.ran();
+    assert!(ran.iter().any(|r| &*r.replica == "e3" && r.after.is_some()), "{ran:?}");
+    world.replicas.mood("e1", Mood::Good);
+    pass(6_000).await;
+    a.app().submit(spec_from("k", &["k1", "k2"], 2)).await;
+    a.whole("k", 2).await;
+    let ran = world.replicas.ran();
+    let vain = ran.iter().filter(|r| r.id.starts_with('k') && &*r.replica == "e3");
+    assert_eq!(vain.count(), 0);
+}
+
+/// Guards: a replica that turned out to have an older version than believed was tried again
+/// and again for as long as it had the most room.
+#[tokio::test(start_paused = true)]
+async fn a_replica_that_shows_an_older_version_is_believed() {
+    let world = World::new();
+    let a = world.node("a").await;
+    world.replicas.load("e1", MODEL, 2);
+    // The list has e2 and e3 newer than they are.
+    for id in ["e2", "e3"] {
+        world.replicas.load(id, MODEL, 2);
+        world.replicas.set(id, MODEL, 1);
+    }
+    pass(2_000).await;
+    let items: Vec<String> = (0..60).map(|i| format!("i{i}")).collect();
+    let items: Vec<&str> = items.iter().map(|i| &**i).collect();
+    a.app().submit(spec_from("j", &items, 2)).await;
+    a.whole("j", 60).await.iter().for_each(|l| check(l, 5));
+    let vain = world
+        .replicas
+        .ran()
+        .iter()
+        .filter(|r| r.id.starts_with('i') && &*r.replica != "e1")
+        .count();
+    assert!(vain <= 16, "{vain} runs in vain");
+}
+
+/// Guards: events that were made under versions that do were thrown away with one that does
+/// not.
+#[tokio::test(start_paused = true)]
+async fn what_was_made_stays_when_a_replica_shows_an_older_version() {
+    let world = World::new();
+    let a = world.node("a").await;
+    world.replicas.load("e1", MODEL, 2);
+    world.replicas.load("e2", MODEL, 2);
+    world.replicas.set("e2", MODEL, 1);
+    world.replicas.mood("e2", Mood::Unreachable);
+    world.replicas.mood("e1", Mood::Breaks(3));
+    pass(2_000).await;
+    world.replicas.length("i1", 9);
+    a.app().submit(spec_from("j", &["i1"], 2)).await;
+    pass(60).await;
+    world.replicas.mood("e2", Mood::Good);
+    a.whole("j", 1).await.iter().for_each(|l| check(l, 9));
+    let ran = world.replicas.ran();
+    let made = ran.iter().filter(|r| &*r.id == "i1");
+    let made: Vec<(&str, Option<u64>)> = made.map(|r| (&*r.replica, r.after)).collect();
+    let vain = made.iter().position(|(replica, _)| *replica == "e2").unwrap();
+    assert!(vain > 0, "{made:?}");
+    assert_eq!(made[vain + 1].1, made[vain].1, "{made:?}");
+}
--- a/tests/entry/world.rs
+++ b/tests/entry/world.rs
@@ -209,6 +209,11 @@
     }
 }
 
+/// The same, from this version on.
+pub(crate) fn spec_from(job: &str, items: &[&str], oldest: u64) -> Spec {
+    Spec { oldest, ..spec(job, items) }
+}
+
 fn item(id: &str) -> ItemSpec {
     ItemSpec {
         id: id.into(),
