Results that do not fit one value of the store are written in turn

Also: a sample whose growth does not fit no longer keeps back that of all others; the setting of a value's size starts at 16 KiB (below 4 KiB it would have underflowed). Tests, failed first: what_was_made_in_an_outage_is_listed_in_parts; the pure ones came with the change.

--- a/src/decide/job/job.rs
+++ b/src/decide/job/job.rs
@@ -11,6 +11,9 @@
 use super::{ItemSpec, Score};
 use crate::Name;
 
+/// Bytes that a result takes up beside its parts.
+const FRAME: usize = 64;
+
 /// A batch job as it was submitted.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Spec {
@@ -53,6 +56,20 @@
     pub state: State,
 }
 
+impl Listing {
+    /// About how many bytes it takes up.
+    fn size(&self) -> usize {
+        let state = match &self.state {
+            State::Completed { output, versions, score } => {
+                let score = score.as_ref().map_or(0, |score| score.len());
+                output.len() + versions.len() * size_of::<u64>() + score
+            }
+            State::Dead => 0,
+        };
+        self.id.len() + state + FRAME
+    }
+}
+
 /// What the end of a sample comes to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Finished {
@@ -117,9 +134,32 @@
         }
     }
 
-    /// The results to write next, after the position of the first.
-    pub fn batch(&self) -> (usize, Vec<Arc<Listing>>) {
-        (self.listed.len(), self.fresh.clone())
+    /// The position of the next result that is written.
+    pub fn position(&self) -> usize {
+        self.listed.len()
+    }
+
+    /// The results to write next, after the position of the first: those that come to `most`
+    /// bytes, at least one if there is one.
+    ///
+    /// Load pattern: everything that was made in an outage is written in one go after it. A
+    /// step of 128 samples comes to more than the megabyte that a value may have.
+    pub fn batch(&self, most: usize) -> (usize, Vec<Arc<Listing>>) {
+        let mut size = 0;
+        let mut batch = Vec::new();
+        for listing in &self.fresh {
+            size += listing.size();
+            if size > most && !batch.is_empty() {
+                break;
+            }
+            batch.push(listing.clone());
+        }
+        (self.listed.len(), batch)
+    }
+
+    /// Whether results wait to be written.
+    pub fn fresh(&self) -> bool {
+        !self.fresh.is_empty()
     }
 
     /// The first `count` fresh results last now.
--- a/src/decide/job/text.rs
+++ b/src/decide/job/text.rs
@@ -132,6 +132,13 @@
     versions: Vec<u64>,
 }
 
+impl Growth {
+    /// The bytes of text that it brings.
+    pub fn bytes(&self) -> usize {
+        self.output.len()
+    }
+}
+
 impl Text {
     /// The number of the last event.
     pub fn last(&self) -> u64 {
--- a/src/entry/home.rs
+++ b/src/entry/home.rs
@@ -11,7 +11,7 @@
 use super::app::{App, ByName};
 use super::homes::Home;
 use super::keys::{HomeValue, home as home_key};
-use super::listing::{list, lose, still, write};
+use super::listing::{list, lose, still, write_all};
 use super::live::Seen;
 use super::sample;
 use crate::Name;
@@ -46,7 +46,7 @@
         let id = spec.id.clone();
         let job = Job::new(spec, listed);
         let todo = job.todo();
-        let count = job.batch().0;
+        let count = job.position();
         let home = Arc::new(Home {
             job: Mutex::new(job),
             key: Mutex::new(key),
@@ -93,7 +93,7 @@
         let writes = homes.into_iter().map(|(id, home)| {
             let app = self.clone();
             async move {
-                write(&app, &home, &id, HANDOVER).await;
+                write_all(&app, &home, &id, HANDOVER).await;
                 app.homes.remove(&id);
                 app.tally.job(JobStep::HandedOver);
                 tracing::info!(event = "job_handed_over", job = %id);
--- a/src/entry/homes.rs
+++ b/src/entry/homes.rs
@@ -58,10 +58,10 @@
         let mut unsaved = Unsaved::default();
         for (item, (text, saved)) in &*texts {
             let Some((growth, after)) = text.growth(*saved) else { continue };
-            size += text.output().len();
-            if size > most {
-                break;
+            if size + growth.bytes() > most {
+                continue;
             }
+            size += growth.bytes();
             unsaved.growths.push((item.clone(), growth));
             unsaved.after.push((item.clone(), after));
         }
--- a/src/entry/listing.rs
+++ b/src/entry/listing.rs
@@ -8,6 +8,7 @@
 use super::homes::{Home, Unsaved};
 use super::keys::{HomeValue, home as home_key, results, texts};
 use super::live::Seen;
+use super::submit::SPARE;
 use crate::Name;
 use crate::edge::store::{Item, StoreError, Txn, TxnEnd};
 use crate::metrics::JobStep;
@@ -42,7 +43,7 @@
         if !home.job.lock().made() {
             tokio::time::sleep(WINDOW).await;
         }
-        if !write(&app, &home, &id, usize::MAX).await {
+        if !write_all(&app, &home, &id, usize::MAX).await {
             return;
         }
         if home.job.lock().complete() {
@@ -53,9 +54,24 @@
     }
 }
 
-/// Writes what is fresh, at most `tries` times. False if another node is home.
-pub(super) async fn write(app: &Arc<App>, home: &Home, id: &Name, tries: usize) -> bool {
-    let (position, batch) = home.job.lock().batch();
+/// Writes all that is fresh, a value at a time, each at most `tries` times. False if another
+/// node is home.
+pub(super) async fn write_all(app: &Arc<App>, home: &Home, id: &Name, tries: usize) -> bool {
+    loop {
+        let before = home.job.lock().position();
+        if !write(app, home, id, tries).await {
+            return false;
+        }
+        let job = home.job.lock();
+        if !job.fresh() || job.position() == before {
+            return true;
+        }
+    }
+}
+
+/// Writes what is fresh and fits a value.
+async fn write(app: &Arc<App>, home: &Home, id: &Name, tries: usize) -> bool {
+    let (position, batch) = home.job.lock().batch(app.settings.value - SPARE);
     let encoded = bincode::serde::encode_to_vec(&batch, bincode::config::standard());
     let bytes = match encoded {
         Ok(bytes) => bytes,
@@ -133,7 +149,7 @@
     }
     let mut job = home.job.lock();
     job.written(count);
-    let listed = job.batch().0;
+    let listed = job.position();
     drop(job);
     home.listed.send_replace(listed);
 }
--- a/src/entry/submit.rs
+++ b/src/entry/submit.rs
@@ -19,7 +19,7 @@
 /// Writes of one transaction, less the home's own key.
 const PARTS: usize = 24;
 /// Room that a value keeps free, in bytes.
-const SPARE: usize = 4_096;
+pub(super) const SPARE: usize = 4_096;
 /// How long a submission whose write was not answered is tried again: a trainer's own
 /// limit for the answer is a few seconds.
 const TRY: Duration = Duration::from_millis(1_500);
--- a/src/settings/entry.rs
+++ b/src/settings/entry.rs
@@ -19,6 +19,8 @@
 const KEPT: Duration = Duration::from_secs(120);
 /// How long a process may take to stop by default.
 const GRACE: Duration = Duration::from_secs(8);
+/// A value below this would hold little beside its frame, in bytes.
+const LEAST_VALUE: usize = 16 << 10;
 /// The largest value of the store by default, in bytes.
 const VALUE: usize = 1 << 20;
 
@@ -86,7 +88,7 @@
             metrics: address(&node, "metrics")?,
             keeps: node.value_or("keeps", false)?,
             store: store.value("address")?,
-            value: store.within("value", 1_024..=64 << 20, VALUE)?,
+            value: store.within("value", LEAST_VALUE..=64 << 20, VALUE)?,
             lease: store.duration("lease", LEASE)?,
             drain: DRAIN,
             kept: KEPT,
--- a/standins/src/kv/line.rs
+++ b/standins/src/kv/line.rs
@@ -112,6 +112,11 @@
         self.state.lock().compact();
     }
 
+    /// Refuses values of more bytes from now on.
+    pub fn most(&self, bytes: usize) {
+        self.state.lock().most = Some(bytes);
+    }
+
     /// Ends all leases at once, as an outage may.
     pub fn lapse(&self) {
         self.state.lock().end(|_, _| true);
@@ -206,6 +211,9 @@
         Box::pin(async move {
             line.pass().await?;
             let service = line.service.clone();
+            if service.state.lock().too_large(&txn) {
+                return Err(StoreError::Refused("a value is too large".to_owned()));
+            }
             let Some(late) = line.lost() else {
                 let end = service.state.lock().txn(&txn);
                 service.tell();
--- a/standins/src/kv/state.rs
+++ b/standins/src/kv/state.rs
@@ -15,6 +15,8 @@
     floor: u64,
     leases: BTreeMap<u64, Instant>,
     next_lease: u64,
+    /// The most bytes of a value; none for any number.
+    pub most: Option<usize>,
 }
 
 impl State {
@@ -64,6 +66,12 @@
         TxnEnd::Done(self.revision)
     }
 
+    /// Whether a value is larger than values may be.
+    pub(super) fn too_large(&self, txn: &Txn) -> bool {
+        let most = self.most.unwrap_or(usize::MAX);
+        txn.puts.iter().any(|put| put.value.len() > most)
+    }
+
     fn put(&mut self, put: &Put) {
         let item = Item { key: put.key.clone(), value: put.value.clone(), revision: self.revision };
         self.items.insert(put.key.clone(), (item.clone(), put.lease));
--- a/tests/entry/jobs.rs
+++ b/tests/entry/jobs.rs
@@ -222,3 +222,21 @@
     a.line.fail(Faults::default());
     a.whole("j", 2).await.iter().for_each(|l| check(l, 5));
 }
+
+/// Guards: what was made in an outage of the store came to one value that was too large for
+/// it, and was refused until the step ran out of time.
+#[tokio::test(start_paused = true)]
+async fn what_was_made_in_an_outage_is_listed_in_parts() {
+    let world = World::new();
+    world.kv.most(16 << 10);
+    let a = world.node_that_writes("a", 16 << 10).await;
+    let items: Vec<String> = (0..60).map(|i| format!("i{i:02}")).collect();
+    let items: Vec<&str> = items.iter().map(|i| &**i).collect();
+    items.iter().for_each(|item| world.replicas.length(item, LONG));
+    a.submit("j", &items).await;
+    a.line.fail(Faults { away: Some(Away::Refusing), ..Faults::default() });
+    pass(15_000).await;
+    a.line.fail(Faults::default());
+    a.whole("j", 60).await.iter().for_each(|l| check(l, LONG));
+    assert!(world.kv.items("mulberry/job/j/results").len() > 1);
+}
--- a/tests/entry/world.rs
+++ b/tests/entry/world.rs
@@ -83,6 +83,11 @@
         self.node_with(EntrySettings { drain, ..settings(name) }).await
     }
 
+    /// The same, where a value may have so many bytes.
+    pub(crate) async fn node_that_writes(&self, name: &str, value: usize) -> Node {
+        self.node_with(EntrySettings { value, ..settings(name) }).await
+    }
+
     /// The same, linked to others.
     pub(crate) async fn linked(&self, name: &str) -> Node {
         let port = 1_000 + u16::from(name.as_bytes()[0]);
--- a/tests/jobs.rs
+++ b/tests/jobs.rs
@@ -77,7 +77,7 @@
                     job.finish(&format!("i{n}"), State::Dead);
                 }
                 1 => {
-                    let (position, batch) = job.batch();
+                    let (position, batch) = job.batch(usize::MAX);
                     prop_assert_eq!(position, lasting.len());
                     let count = n.min(batch.len());
                     lasting.extend(batch.into_iter().take(count));
@@ -94,3 +94,31 @@
         }
     }
 }
+
+/// Guards: all results of a step came at once after an outage, were larger than a value of
+/// the store may be, and were refused for good.
+#[test]
+fn results_that_do_not_fit_one_value_are_written_in_turn() {
+    let mut job = Job::new(spec(&[None; 6]), Vec::new());
+    for i in 0..6 {
+        let output = "x".repeat(1_000);
+        let state = State::Completed { output, versions: vec![1], score: None };
+        job.finish(&format!("i{i}"), state);
+    }
+    let mut batches = Vec::new();
+    while !job.complete() {
+        let (position, batch) = job.batch(3_000);
+        assert_eq!(position, batches.iter().sum::<usize>());
+        batches.push(batch.len());
+        job.written(batch.len());
+    }
+    assert_eq!(batches, [2, 2, 2]);
+}
+
+#[test]
+fn a_result_that_does_not_fit_is_tried_alone() {
+    let mut job = Job::new(spec(&[None; 2]), Vec::new());
+    job.finish("i0", State::Dead);
+    job.finish("i1", State::Dead);
+    assert_eq!(job.batch(1).1.len(), 1);
+}
