Watches on the own way to the store are given up as it is found closed

Ruled out: probes of the connection (the store's machine answers them). Test, failed first: watches_that_hang_are_given_up_with_the_way_to_the_store.

--- a/src/entry/peer/detour.rs
+++ b/src/entry/peer/detour.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 use super::message::{PeerAsk, PeerReply, StoreAsk, StoreReply};
@@ -30,6 +31,8 @@
     direct: Arc<dyn Store>,
     peers: Arc<dyn Peers>,
     state: Arc<Mutex<State>>,
+    /// Counts how often the own way was found closed.
+    closed: watch::Sender<u64>,
     begun: Instant,
 }
 
@@ -56,7 +59,13 @@
         seeds: Vec<SocketAddr>,
     ) -> Self {
         let state = State { way: detour::Detour::default(), nodes: seeds };
-        Self { direct, peers, state: Arc::new(Mutex::new(state)), begun: Instant::now() }
+        Self {
+            direct,
+            peers,
+            state: Arc::new(Mutex::new(state)),
+            closed: watch::Sender::new(0),
+            begun: Instant::now(),
+        }
     }
 
     /// Whether the store answers this node, as far as is known.
@@ -171,6 +180,19 @@
         }
     }
 
+    /// A watch on the own way, which hangs unnoticed where the store has fallen silent.
+    fn until_closed(&self, watched: Answer<Watched>) -> Answer<Watched> {
+        let mut closed = self.closed.subscribe();
+        Box::pin(async move {
+            tokio::select! {
+                watched = watched => watched,
+                _ = closed.changed() => {
+                    Err(StoreError::Unknown("the way to the store is closed".to_owned()))
+                }
+            }
+        })
+    }
+
     fn answered(&self) {
         if self.state.lock().way.answered() {
             tracing::info!(event = "store_reached", way = "direct");
@@ -179,6 +201,7 @@
 
     fn failed(&self, e: &StoreError) {
         if self.state.lock().way.failed(self.begun.elapsed()) {
+            self.closed.send_modify(|n| *n += 1);
             tracing::info!(event = "store_not_reached", way = "direct", error = %e);
         }
     }
@@ -205,7 +228,7 @@
     }
 
     fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Answer<Watched> {
-        let direct = self.direct.watch(prefix, after, wait);
+        let direct = self.until_closed(self.direct.watch(prefix, after, wait));
         let ask = StoreAsk::Watch { prefix: prefix.into(), after, wait: wait.min(WATCH) };
         Box::pin(self.clone().call(direct, ask, false, reply!(Watched)))
     }
--- a/standins/src/kv/line.rs
+++ b/standins/src/kv/line.rs
@@ -28,6 +28,8 @@
     Refusing,
     /// Calls are not answered and nothing is done.
     Silent,
+    /// The same, and watches that wait are not cut: they stay without an answer.
+    Hanging,
 }
 
 /// The faults of one line.
@@ -132,7 +134,9 @@
     /// Sets the faults from now on.
     pub fn fail(&self, faults: Faults) {
         *self.faults.lock() = faults;
-        self.service.cuts.send_modify(|n| *n += 1);
+        if faults.away != Some(Away::Hanging) {
+            self.service.cuts.send_modify(|n| *n += 1);
+        }
     }
 
     async fn pass(&self) -> Result<(), StoreError> {
@@ -141,7 +145,7 @@
         match away {
             None => Ok(()),
             Some(Away::Refusing) => Err(StoreError::Refused("turned away".to_owned())),
-            Some(Away::Silent) => {
+            Some(Away::Silent | Away::Hanging) => {
                 tokio::time::sleep(SILENT).await;
                 Err(StoreError::Unknown("silent".to_owned()))
             }
@@ -184,6 +188,9 @@
             let mut changed = line.service.changed.subscribe();
             line.pass().await?;
             loop {
+                if line.faults.lock().away == Some(Away::Hanging) {
+                    std::future::pending::<()>().await;
+                }
                 let seen = line.service.state.lock().watch(&prefix, after);
                 match seen {
                     None if line.service.state.lock().stirred(&prefix) => {
--- a/tests/entry/peers.rs
+++ b/tests/entry/peers.rs
@@ -189,6 +189,19 @@
     assert_eq!(other.app().routes().unwrap().version, 7);
 }
 
+/// Guards: a node whose calls were no longer answered went on waiting for its watches, 7 s on
+/// a day with 63 nodes, and gave no orders for the versions that were named meanwhile.
+#[tokio::test(start_paused = true)]
+async fn watches_that_hang_are_given_up_with_the_way_to_the_store() {
+    let world = World::new();
+    let [_home, other, _third] = three(&world).await;
+    other.line.fail(away(Away::Hanging));
+    pass(1_000).await;
+    world.configure(7);
+    pass(2_000).await;
+    assert_eq!(other.app().routes().unwrap().version, 7);
+}
+
 /// A write that may have taken effect is the caller's to settle: made again, a removal or
 /// a second put could undo what came between.
 #[tokio::test(start_paused = true)]
