The return of the store is found by short looks, and calls from before it are given up

A renewal that failed was made again only after a third of the lease. A lease that had ended still counted until its old time was over. Ruled out: a lower bound on patience (a store sixty times as slow needs it). The stand-in of the store now has the callers' patience instead of a fixed second. Test, failed first: the_return_of_the_store_is_used_within_a_second.

--- a/src/entry/member.rs
+++ b/src/entry/member.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use super::app::App;
+use super::app::{App, Lease};
 use super::keys::{NodeValue, node};
 use crate::edge::store::{StoreError, Txn, TxnEnd};
 
@@ -49,23 +49,27 @@
     app.listed.store(true, Ordering::Relaxed);
     tracing::info!(event = "node_listed", life = %app.life, lease);
     app.tell();
+    let mut pause = ttl / RENEWALS;
     loop {
         tokio::select! {
             () = app.stop.cancelled() => return Ok(()),
-            () = tokio::time::sleep(ttl / RENEWALS) => {}
+            () = tokio::time::sleep(pause) => {}
         }
         let sent = app.now();
         match app.store.keep(lease).await {
-            Ok(true) => app.lease.lock().until = sent + ttl,
+            Ok(true) => {
+                app.lease.lock().until = sent + ttl;
+                pause = ttl / RENEWALS;
+            }
             Ok(false) => {
                 tracing::warn!(event = "lease_ended", lease);
-                app.lease.lock().id = 0;
+                *app.lease.lock() = Lease::default();
                 app.tell();
                 return Ok(());
             }
             Err(e) => {
                 tracing::warn!(event = "lease_not_renewed", lease, error = %e);
-                tokio::time::sleep(PAUSE).await;
+                pause = PAUSE;
             }
         }
     }
--- a/src/entry/peer/detour.rs
+++ b/src/entry/peer/detour.rs
@@ -22,6 +22,8 @@
 const WATCH: Duration = Duration::from_millis(2_000);
 /// How long a look at the own way takes at most, for the same reason.
 const PROBE: Duration = Duration::from_millis(300);
+/// How long a call that began before the store came back may still take after that.
+const GRACE: Duration = Duration::from_millis(100);
 /// Nodes that are asked for one call.
 const ASKED: usize = 2;
 
@@ -33,6 +35,8 @@
     state: Arc<Mutex<State>>,
     /// Counts how often the own way was found closed.
     closed: watch::Sender<u64>,
+    /// Counts how often it was found open again.
+    opened: watch::Sender<u64>,
     begun: Instant,
 }
 
@@ -64,6 +68,7 @@
             peers,
             state: Arc::new(Mutex::new(state)),
             closed: watch::Sender::new(0),
+            opened: watch::Sender::new(0),
             begun: Instant::now(),
         }
     }
@@ -97,12 +102,9 @@
         let way = self.state.lock().way.way(again, self.begun.elapsed());
         let tried = match way {
             Way::Peer => None,
-            Way::Direct | Way::Alone => Some(direct.await),
-            Way::Probe => Some(
-                tokio::time::timeout(PROBE, direct)
-                    .await
-                    .unwrap_or_else(|_| Err(StoreError::Unknown("no answer to a look".to_owned()))),
-            ),
+            Way::Probe => Some(look(direct).await),
+            Way::Alone if again => Some(look(direct).await),
+            Way::Direct | Way::Alone => Some(self.until_opened(direct).await),
         };
         let failed = match tried {
             None => None,
@@ -180,6 +182,19 @@
         }
     }
 
+    /// A call on the own way. One that began while the store was away is not answered after
+    /// its return either, and is given up then.
+    async fn until_opened<T>(&self, called: Answer<T>) -> Result<T, StoreError> {
+        let mut opened = self.opened.subscribe();
+        tokio::select! {
+            answer = called => answer,
+            () = async {
+                let _ = opened.changed().await;
+                tokio::time::sleep(GRACE).await;
+            } => Err(StoreError::Unknown("no answer as the store came back".to_owned())),
+        }
+    }
+
     /// A watch on the own way, which hangs unnoticed where the store has fallen silent.
     fn until_closed(&self, watched: Answer<Watched>) -> Answer<Watched> {
         let mut closed = self.closed.subscribe();
@@ -195,6 +210,7 @@
 
     fn answered(&self) {
         if self.state.lock().way.answered() {
+            self.opened.send_modify(|n| *n += 1);
             tracing::info!(event = "store_reached", way = "direct");
         }
     }
@@ -207,6 +223,12 @@
     }
 }
 
+/// A call that is to show soon whether the own way is open.
+async fn look<T>(called: Answer<T>) -> Result<T, StoreError> {
+    let late = || StoreError::Unknown("no answer to a look".to_owned());
+    tokio::time::timeout(PROBE, called).await.unwrap_or_else(|_| Err(late()))
+}
+
 macro_rules! reply {
     ($kind:ident) => {
         |reply| match reply {
--- a/standins/src/kv/line.rs
+++ b/standins/src/kv/line.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use mulberrycourse::Name;
+use mulberrycourse::decide::Patience;
 use mulberrycourse::edge::store::{
     Answer, Item, Page, Put, Store, StoreError, Txn, TxnEnd, Watched,
 };
@@ -16,8 +17,6 @@
 
 /// How long an answer takes.
 const ANSWER: Duration = Duration::from_millis(4);
-/// How long a caller waits for an answer that does not come.
-const SILENT: Duration = Duration::from_secs(1);
 /// How often leases are looked at.
 const LEASES: Duration = Duration::from_millis(20);
 
@@ -56,6 +55,8 @@
 pub struct KvLine {
     service: KvService,
     faults: Arc<Mutex<Faults>>,
+    /// How long a caller waits for an answer that does not come.
+    patience: Arc<Mutex<Patience>>,
 }
 
 impl KvService {
@@ -81,7 +82,7 @@
 
     /// A line without faults.
     pub fn line(&self) -> KvLine {
-        KvLine { service: self.clone(), faults: Arc::default() }
+        KvLine { service: self.clone(), faults: Arc::default(), patience: Arc::default() }
     }
 
     /// Writes a key, as an operator or a replica does.
@@ -143,15 +144,25 @@
         tokio::time::sleep(ANSWER).await;
         let away = self.faults.lock().away;
         match away {
-            None => Ok(()),
+            None => {
+                self.patience.lock().answered(ANSWER);
+                Ok(())
+            }
             Some(Away::Refusing) => Err(StoreError::Refused("turned away".to_owned())),
             Some(Away::Silent | Away::Hanging) => {
-                tokio::time::sleep(SILENT).await;
+                self.wait().await;
                 Err(StoreError::Unknown("silent".to_owned()))
             }
         }
     }
 
+    /// Waits for an answer that does not come.
+    async fn wait(&self) {
+        let limit = self.patience.lock().limit();
+        tokio::time::sleep(limit).await;
+        self.patience.lock().gave_up();
+    }
+
     /// Whether the answer of a write is lost, and how much later it is done.
     fn lost(&self) -> Option<Duration> {
         let mut faults = self.faults.lock();
@@ -231,7 +242,7 @@
                 service.state.lock().txn(&txn);
                 service.tell();
             });
-            tokio::time::sleep(SILENT).await;
+            line.wait().await;
             Err(StoreError::Unknown("the answer was lost".to_owned()))
         })
     }
--- a/tests/entry/peers.rs
+++ b/tests/entry/peers.rs
@@ -202,6 +202,24 @@
     assert_eq!(other.app().routes().unwrap().version, 7);
 }
 
+/// Guards: calls that had begun in an outage were waited for up to 2 s after it, and leases
+/// that could have been renewed ended.
+#[tokio::test(start_paused = true)]
+async fn the_return_of_the_store_is_used_within_a_second() {
+    for quiet in [0, 100, 200, 300, 400] {
+        let world = World::new();
+        let nodes = three(&world).await;
+        world.replicas.length("i1", 10);
+        nodes[1].submit("j", &["i1"]).await;
+        nodes.iter().for_each(|node| node.line.fail(away(Away::Silent)));
+        pass(2_900 + quiet).await;
+        nodes.iter().for_each(|node| node.line.fail(Faults::default()));
+        pass(1_000).await;
+        assert!(!world.kv.items("mulberry/job/j/results").is_empty(), "after {quiet} ms");
+        assert_eq!(world.kv.items("mulberry/live/node/").len(), 3, "after {quiet} ms");
+    }
+}
+
 /// A write that may have taken effect is the caller's to settle: made again, a removal or
 /// a second put could undo what came between.
 #[tokio::test(start_paused = true)]
