A submission whose time is over is tried once more if the store answers a look

Tests: a_submission_is_kept_as_the_store_comes_back failed first. a_submission_that_takes_effect_late_is_run_by_its_home lost nine writes, which the holder's writes and the new try used up, so that the last try truly wrote; it loses a hundred now and checks the same.

--- a/src/entry/submit.rs
+++ b/src/entry/submit.rs
@@ -100,6 +100,7 @@
     async fn write(self: &Arc<Self>, spec: Arc<Spec>, value: HomeValue, txn: Txn) -> Submitted {
         let begun = self.now();
         let mut unsure = false;
+        let mut looked = false;
         loop {
             let reason = match self.store.txn(txn.clone()).await {
                 Ok(TxnEnd::Done(revision)) => {
@@ -131,6 +132,11 @@
             };
             tracing::warn!(event = "submission_not_written", job = %spec.id, unsure, %reason);
             if self.now().saturating_sub(begun) > TRY {
+                // An outage that has just ended costs no step: one look, and one try more.
+                if !looked && self.home_of(&spec.id).await.is_ok() {
+                    looked = true;
+                    continue;
+                }
                 if unsure {
                     self.expect(spec.id.clone());
                     return Submitted::Unknown;
