Watches are shorter than the store's history; entries that go without an outage go at once

Now: a watch waits at most three quarters of the history ([store] history); a missing entry is kept two seconds only after an outage of the store, counted from its end. Tests, failed first: watches_are_shorter_than_the_history_of_the_store, a_replica_that_goes_beside_a_cut_watch_gets_no_new_work.

--- a/src/decide/detour.rs
+++ b/src/decide/detour.rs
@@ -82,8 +82,8 @@
         self.alone = Some(now + ALONE);
     }
 
-    /// Somebody helped.
-    pub fn helped(&mut self) {
-        self.alone = None;
+    /// Somebody helped. True if nobody could before.
+    pub fn helped(&mut self) -> bool {
+        self.alone.take().is_some()
     }
 }
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -10,10 +10,13 @@
 use crate::edge::notice::Notice;
 use crate::edge::store::{Change, Item, Page, StoreError};
 
-/// How long a watch may stay without news: the store takes 30 s at most. Every further watch
+/// The longest that a watch may stay without news: the store takes 30 s. Every further watch
 /// is a call that the platform counts; a connection that has gone silent is found by the
 /// client's keep-alive probes.
 const WAIT: Duration = Duration::from_secs(28);
+/// The part of the store's history that a watch may take up, in quarters: one that goes on
+/// from before the history comes to nothing.
+const QUARTERS: u32 = 3;
 /// How long before work must have stopped going to a replica that leaves its report has to
 /// be seen here: for the answer of a store that is sixty times as slow as usual, an attempt
 /// on its way, and one look more.
@@ -106,6 +109,7 @@
     lost: &mut bool,
 ) -> Result<(), StoreError> {
     let doubts = app.doubts.load(Ordering::Relaxed);
+    let wait = WAIT.min(app.settings.history / 4 * QUARTERS);
     let page = app.store.range(prefix).await?;
     back(topic, pause, lost);
     let mut revision = page.revision;
@@ -113,7 +117,7 @@
     loop {
         // A watch that was cut may go on from a history that is gone and hear nothing for
         // seconds, without an error: the whole is read again.
-        let watched = match app.store.watch(prefix, revision, WAIT).await {
+        let watched = match app.store.watch(prefix, revision, wait).await {
             Ok(watched) => watched,
             Err(e) => {
                 app.doubts.fetch_add(1, Ordering::Relaxed);
@@ -163,10 +167,7 @@
         match (topic, change) {
             (Topic::Replicas, Change::Put(item)) => self.list(item),
             (Topic::Replicas, Change::Removed { key, .. }) => {
-                let id = self.notices.replica_id(key);
-                if self.slots.fleet.lock().remove(&id) {
-                    tracing::info!(event = "replica_gone", replica = %id);
-                }
+                self.unlist(&self.notices.replica_id(key));
             }
             (Topic::Live, change) => {
                 self.live.lock().change(change, self.now());
@@ -223,8 +224,14 @@
         }
     }
 
-    /// Takes over the whole list. Who is missing counts as gone after [`LAPSE`], for entries
-    /// also lapse while the store is away.
+    fn unlist(&self, id: &str) {
+        if self.slots.fleet.lock().remove(id) {
+            tracing::info!(event = "replica_gone", replica = %id);
+        }
+    }
+
+    /// Takes over the whole list. Who is missing is gone; after an outage of the store only
+    /// once [`LAPSE`] is over, for entries also lapse while the store is away.
     fn relist(self: &Arc<Self>, page: &Page, prefix: &str) {
         let mut missing = self.slots.fleet.lock().ids();
         for item in &page.items {
@@ -232,18 +239,22 @@
             let id = self.notices.replica_id(&item.key);
             missing.retain(|m| *m != id);
         }
+        let since = self.detour.since_back().unwrap_or(LAPSE);
+        let wait = LAPSE.saturating_sub(since);
+        if wait.is_zero() {
+            missing.iter().for_each(|id| self.unlist(id));
+            return;
+        }
         if missing.is_empty() {
             return;
         }
         let (app, prefix) = (self.clone(), prefix.to_owned());
         self.spawn(async move {
-            tokio::time::sleep(LAPSE).await;
+            tokio::time::sleep(wait).await;
             for id in missing {
                 let key = format!("{prefix}{id}");
-                if let Ok(None) = app.store.get(&key).await
-                    && app.slots.fleet.lock().remove(&id)
-                {
-                    tracing::info!(event = "replica_gone", replica = %id);
+                if let Ok(None) = app.store.get(&key).await {
+                    app.unlist(&id);
                 }
             }
         });
--- a/src/entry/peer/detour.rs
+++ b/src/entry/peer/detour.rs
@@ -10,10 +10,10 @@
 
 use super::message::{PeerAsk, PeerReply, StoreAsk, StoreReply};
 use super::port::Peers;
-use crate::Name;
 use crate::decide::detour::{self, Way};
 use crate::edge::peer::PeerError;
 use crate::edge::store::{Answer, Item, Page, Store, StoreError, Txn, TxnEnd, Watched};
+use crate::{Moment, Name};
 
 /// How long another node may take with a call: its own call may take a third of it, and a
 /// lease has to be renewed within two seconds.
@@ -24,6 +24,9 @@
 const PROBE: Duration = Duration::from_millis(300);
 /// How long a call that began before the store came back may still take after that.
 const GRACE: Duration = Duration::from_millis(100);
+/// A silence of the store that counts as an outage: longer than between two renewals of a
+/// lease, shorter than what makes entries of replicas lapse.
+const OUTAGE: Duration = Duration::from_millis(1_000);
 /// Nodes that are asked for one call.
 const ASKED: usize = 2;
 
@@ -45,6 +48,20 @@
     way: detour::Detour,
     /// Who can be asked, the one that helped last first.
     nodes: Vec<SocketAddr>,
+    /// When the store last said something, on whichever way.
+    heard: Moment,
+    /// When it did so again after an outage.
+    back: Option<Moment>,
+}
+
+impl State {
+    /// The store said something; `news` if it had not before.
+    fn hear(&mut self, news: bool, now: Moment) {
+        if news || now.saturating_sub(self.heard) > OUTAGE {
+            self.back = Some(now);
+        }
+        self.heard = now;
+    }
 }
 
 /// How a call through another node ended.
@@ -62,7 +79,8 @@
         peers: Arc<dyn Peers>,
         seeds: Vec<SocketAddr>,
     ) -> Self {
-        let state = State { way: detour::Detour::default(), nodes: seeds };
+        let way = detour::Detour::default();
+        let state = State { way, nodes: seeds, heard: Moment::ZERO, back: None };
         Self {
             direct,
             peers,
@@ -78,6 +96,12 @@
         self.state.lock().way.open()
     }
 
+    /// How long ago the store came back after an outage; none if there was none.
+    pub(in crate::entry) fn since_back(&self) -> Option<Duration> {
+        let back = self.state.lock().back?;
+        Some(self.begun.elapsed().saturating_sub(back))
+    }
+
     /// Takes over who can be asked.
     pub(in crate::entry) fn know(&self, nodes: Vec<SocketAddr>) {
         if nodes.is_empty() {
@@ -144,7 +168,9 @@
         for node in nodes {
             match self.help(node, ask.clone(), open).await {
                 Helped::Answered(answer) => {
-                    self.state.lock().way.helped();
+                    let mut state = self.state.lock();
+                    let news = state.way.helped();
+                    state.hear(news, self.begun.elapsed());
                     return answer;
                 }
                 Helped::Unsure(e) if !again => return Err(e),
@@ -209,7 +235,13 @@
     }
 
     fn answered(&self) {
-        if self.state.lock().way.answered() {
+        let news = {
+            let mut state = self.state.lock();
+            let news = state.way.answered();
+            state.hear(news, self.begun.elapsed());
+            news
+        };
+        if news {
             self.opened.send_modify(|n| *n += 1);
             tracing::info!(event = "store_reached", way = "direct");
         }
--- a/src/settings/entry.rs
+++ b/src/settings/entry.rs
@@ -13,6 +13,8 @@
 const TTL: u64 = 1;
 /// How long a holder of orders waits before its first order by default.
 const TURN: Duration = Duration::from_millis(3_000);
+/// How long the store keeps its history by default.
+const HISTORY: Duration = Duration::from_secs(20);
 /// How long after a replica has reported that it leaves it may still get work, by default.
 const DRAIN: Duration = Duration::from_millis(2_000);
 /// How long a job can be read after its submission by default.
@@ -49,6 +51,8 @@
     pub store: SocketAddr,
     /// `[store] value`: the largest value, in bytes.
     pub value: usize,
+    /// `[store] history`: how long the store keeps its history.
+    pub history: Duration,
     /// `[store] lease`: how long a node counts as alive without a renewal.
     pub lease: Duration,
     /// `[replicas] drain`: how long after a replica has reported that it leaves it may still
@@ -89,6 +93,7 @@
             keeps: node.value_or("keeps", false)?,
             store: store.value("address")?,
             value: store.within("value", LEAST_VALUE..=64 << 20, VALUE)?,
+            history: store.duration("history", HISTORY)?,
             lease: store.duration("lease", LEASE)?,
             drain: DRAIN,
             kept: KEPT,
--- a/standins/src/kv/line.rs
+++ b/standins/src/kv/line.rs
@@ -57,6 +57,8 @@
     faults: Arc<Mutex<Faults>>,
     /// How long a caller waits for an answer that does not come.
     patience: Arc<Mutex<Patience>>,
+    /// The longest wait that a watch asked for.
+    longest: Arc<Mutex<Duration>>,
 }
 
 impl KvService {
@@ -82,7 +84,12 @@
 
     /// A line without faults.
     pub fn line(&self) -> KvLine {
-        KvLine { service: self.clone(), faults: Arc::default(), patience: Arc::default() }
+        KvLine {
+            service: self.clone(),
+            faults: Arc::default(),
+            patience: Arc::default(),
+            longest: Arc::default(),
+        }
     }
 
     /// Writes a key, as an operator or a replica does.
@@ -140,6 +147,11 @@
         }
     }
 
+    /// The longest wait that a watch has asked for.
+    pub fn longest(&self) -> Duration {
+        *self.longest.lock()
+    }
+
     async fn pass(&self) -> Result<(), StoreError> {
         tokio::time::sleep(ANSWER).await;
         let away = self.faults.lock().away;
@@ -193,6 +205,8 @@
 
     fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Answer<Watched> {
         let (line, prefix) = (self.clone(), Name::from(prefix));
+        let longest = wait.max(*self.longest.lock());
+        *self.longest.lock() = longest;
         Box::pin(async move {
             let ends = Instant::now() + wait;
             let mut cuts = line.service.cuts.subscribe();
--- a/tests/detour.rs
+++ b/tests/detour.rs
@@ -33,7 +33,7 @@
     assert_eq!(detour.way(false, ms(300)), Way::Alone);
     assert_eq!(detour.way(false, ms(600)), Way::Peer);
     assert_eq!(detour.way(false, ms(601)), Way::Alone, "one call looks at a time");
-    detour.helped();
+    assert!(detour.helped());
     assert_eq!(detour.way(false, ms(602)), Way::Peer);
 }
 
@@ -48,7 +48,7 @@
             match event {
                 0 => drop(detour.failed(now)),
                 1 => detour.alone(now),
-                2 => detour.helped(),
+                2 => drop(detour.helped()),
                 _ => drop(detour.answered()),
             }
         }
--- a/tests/entry/views.rs
+++ b/tests/entry/views.rs
@@ -188,3 +188,33 @@
     }
     assert!(world.replicas.ran().iter().all(|r| &*r.replica == "p2"));
 }
+
+/// Guards: a replica whose entry went as a watch was cut counted as one that had lapsed in an
+/// outage, and got work for two seconds more (DRAIN on two days of a hunt).
+#[tokio::test(start_paused = true)]
+async fn a_replica_that_goes_beside_a_cut_watch_gets_no_new_work() {
+    let world = World::new();
+    let node = world.node("a").await;
+    pass(2_000).await;
+    world.words.unlist(&world.kv, "p1");
+    world.kv.compact();
+    pass(1_500).await;
+    let route = node.app().routes().unwrap().find("host.example", "/plain/x").cloned().unwrap();
+    for i in 0..6 {
+        node.app().relay(&route, crate::world::ask(&format!("r{i}"), "/plain/x")).await;
+    }
+    assert!(world.replicas.ran().iter().all(|r| &*r.replica == "p2"));
+}
+
+/// Guards: a watch that waited for longer than the store keeps its history came to nothing,
+/// and every view was read anew, at all nodes at the same time.
+#[tokio::test(start_paused = true)]
+async fn watches_are_shorter_than_the_history_of_the_store() {
+    let world = World::new();
+    for history in [20, 8] {
+        let history = Duration::from_secs(history);
+        let node = world.node_that_remembers("a", history).await;
+        pass(60_000).await;
+        assert!(node.line.longest() <= history * 3 / 4, "{:?}", node.line.longest());
+    }
+}
--- a/tests/entry/world.rs
+++ b/tests/entry/world.rs
@@ -88,6 +88,11 @@
         self.node_with(EntrySettings { value, ..settings(name) }).await
     }
 
+    /// The same, where the store keeps its history for so long.
+    pub(crate) async fn node_that_remembers(&self, name: &str, history: Duration) -> Node {
+        self.node_with(EntrySettings { history, ..settings(name) }).await
+    }
+
     /// The same, linked to others.
     pub(crate) async fn linked(&self, name: &str) -> Node {
         let port = 1_000 + u16::from(name.as_bytes()[0]);
