One node in sixteen watches for the others

Where there are more than sixteen nodes, three or one in sixteen watch, keep the last changes (entry::feed) and are asked for them once a second; a node that gets no answer watches for itself for three seconds. Ruled out: longer rests (the time to drain), stale reads (seconds old), fewer nodes that follow (each sends work). The routes stay watched by every node: that watch is cut when the history goes, which readers of jobs depend on. Tests: tests/feed.rs, tests/entry/feeds.rs (twenty watch without it; a watcher that is cut, silent, turned away or killed).

--- a/src/edge/store/item.rs
+++ b/src/edge/store/item.rs
@@ -30,6 +30,16 @@
     },
 }
 
+impl Change {
+    /// The revision that it was made at.
+    pub fn revision(&self) -> u64 {
+        match self {
+            Self::Put(item) => item.revision,
+            Self::Removed { revision, .. } => *revision,
+        }
+    }
+}
+
 /// All keys under a prefix.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Page {
--- a/src/entry/app.rs
+++ b/src/entry/app.rs
@@ -16,6 +16,7 @@
 use super::live::Live;
 use super::peer::{Detour, Peers};
 use super::slots::Slots;
+use super::source::Feeds;
 use super::views::Views;
 use crate::decide::Routes;
 use crate::edge::notice::Notices;
@@ -49,6 +50,7 @@
     pub(super) slots: Slots,
     pub(super) live: Mutex<Live>,
     pub(super) homes: Homes,
+    pub(super) feeds: Feeds,
     pub(super) views: Views,
     /// Counts changes of versions, replicas and nodes.
     pub(super) news: watch::Sender<u64>,
@@ -109,6 +111,7 @@
             slots,
             live: Mutex::default(),
             homes: Homes::default(),
+            feeds: Feeds::default(),
             views: Views::default(),
             news: watch::Sender::new(0),
             lease: Mutex::default(),
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -6,6 +6,8 @@
 
 use super::app::App;
 use super::keys::LIVE;
+use super::peer::Followed;
+use super::source::Fed;
 use crate::decide::rank;
 use crate::edge::notice::Notice;
 use crate::edge::store::{Change, Item, Page, StoreError};
@@ -58,15 +60,31 @@
     async fn rest(self, app: &App) {
         match self {
             Self::Routes | Self::Versions | Self::Retirements => {}
+            // Whoever is asked for changes has gathered them.
+            Self::Replicas | Self::Live if app.source().is_some() => {}
             Self::Live => tokio::time::sleep(LIVE_GATHER).await,
             Self::Replicas => {
                 tokio::time::sleep(GATHER).await;
+                // Others hear of changes here.
+                if app.watchers().is_some() {
+                    return;
+                }
                 let longer = app.settings.drain.saturating_sub(AHEAD + GATHER);
                 let _ = tokio::time::timeout(longer, app.homes.work()).await;
             }
         }
     }
 
+    /// What other nodes may follow of it. The routes are watched by every node: that watch
+    /// is cut when the store drops its history.
+    fn followed(self) -> Option<Followed> {
+        match self {
+            Self::Replicas => Some(Followed::Replicas),
+            Self::Live => Some(Followed::Live),
+            Self::Routes | Self::Versions | Self::Retirements => None,
+        }
+    }
+
     fn as_str(self) -> &'static str {
         match self {
             Self::Routes => "routes",
@@ -114,10 +132,15 @@
     back(topic, pause, lost);
     let mut revision = page.revision;
     app.load(topic, &page, prefix);
+    let _fed = topic.followed().map(|followed| Fed::begin(app, followed, revision));
     loop {
         // A watch that was cut may go on from a history that is gone and hear nothing for
         // seconds, without an error: the whole is read again.
-        let watched = match app.store.watch(prefix, revision, wait).await {
+        let watched = match topic.followed() {
+            Some(followed) => app.changes(followed, prefix, revision, wait).await,
+            None => app.store.watch(prefix, revision, wait).await,
+        };
+        let watched = match watched {
             Ok(watched) => watched,
             Err(e) => {
                 app.doubts.fetch_add(1, Ordering::Relaxed);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -8,6 +8,7 @@
 mod app;
 mod end;
 mod entry;
+mod feed;
 mod follow;
 mod home;
 mod homes;
@@ -24,6 +25,7 @@
 mod sample;
 mod score;
 mod slots;
+mod source;
 mod stream;
 mod submit;
 mod takeover;
@@ -31,7 +33,10 @@
 
 pub use app::App;
 pub use entry::Entry;
-pub use peer::{Door, PeerAsk, PeerDoor, PeerLine, PeerReply, Peers, StoreAsk, StoreReply};
+pub use feed::Feed;
+pub use peer::{
+    Door, Followed, PeerAsk, PeerDoor, PeerLine, PeerReply, Peers, StoreAsk, StoreReply,
+};
 pub use read::{Found, Read};
 pub use relay::{Ask, Given};
 pub use submit::Submitted;
--- a/src/entry/peer/door.rs
+++ b/src/entry/peer/door.rs
@@ -85,6 +85,11 @@
                 };
                 PeerReply::Read(read.filter(|_| app.leased()))
             }
+            PeerAsk::Follow { followed, after, wait } => {
+                let feed = app.feeds.of(followed);
+                let watched = if app.reaches() { feed.after(after, wait).await } else { None };
+                PeerReply::Followed(watched.filter(|_| app.reaches()))
+            }
             PeerAsk::Store(ask) => PeerReply::Store(self.store(ask).await),
         }
     }
--- a/src/entry/peer/home.rs
+++ b/src/entry/peer/home.rs
@@ -5,11 +5,11 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use super::message::{PeerAsk, PeerReply};
+use super::message::{Followed, PeerAsk, PeerReply};
 use crate::Name;
 use crate::decide::affinity;
 use crate::decide::job::Spec;
-use crate::edge::store::StoreError;
+use crate::edge::store::{StoreError, Watched};
 use crate::entry::app::App;
 use crate::entry::read::Read;
 use crate::entry::submit::Submitted;
@@ -20,6 +20,9 @@
 const SUBMIT: Duration = Duration::from_millis(600);
 /// How much longer than it may wait a home may take to answer a read.
 const READ: Duration = Duration::from_millis(400);
+/// How long another node may wait for a change: its silence is found this much later, and
+/// the time to drain is two or three seconds.
+const FOLLOW: Duration = Duration::from_millis(1_000);
 /// How long a node that did not answer is not asked: its lease ends within two seconds.
 const SHUNNED: Duration = Duration::from_millis(2_500);
 
@@ -95,6 +98,25 @@
         Ok(Some(seen.value.life))
     }
 
+    /// Whether nothing keeps this node from asking another.
+    pub(in crate::entry) fn open_to(&self, to: SocketAddr) -> bool {
+        !self.shunned(to)
+    }
+
+    /// Asks a node for changes after a revision; none if it can't say.
+    pub(in crate::entry) async fn follow_at(
+        &self,
+        to: SocketAddr,
+        followed: Followed,
+        after: u64,
+    ) -> Option<Watched> {
+        let ask = PeerAsk::Follow { followed, after, wait: FOLLOW };
+        match self.ask(to, ask, FOLLOW + READ).await {
+            Some(PeerReply::Followed(watched)) => watched,
+            _ => None,
+        }
+    }
+
     async fn ask(&self, to: SocketAddr, ask: PeerAsk, limit: Duration) -> Option<PeerReply> {
         match self.peers.ask(to, ask, limit).await {
             Ok(reply) => Some(reply),
--- a/src/entry/peer/message.rs
+++ b/src/entry/peer/message.rs
@@ -26,10 +26,28 @@
         /// How long to wait for one.
         wait: Duration,
     },
+    /// Changes that you have watched.
+    Follow {
+        /// Of what.
+        followed: Followed,
+        /// After this revision.
+        after: u64,
+        /// How long to wait for one.
+        wait: Duration,
+    },
     /// Call the store for me.
     Store(StoreAsk),
 }
 
+/// What one node may follow at another.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Followed {
+    /// The list of replicas.
+    Replicas,
+    /// Nodes and the holder of orders.
+    Live,
+}
+
 /// A call to the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StoreAsk {
@@ -63,6 +81,8 @@
     Submitted(Submitted),
     /// The results; none where this node is not surely home.
     Read(Option<Read>),
+    /// The changes; none where this node's watch can't say.
+    Followed(Option<Watched>),
     /// What the store said.
     Store(Result<StoreReply, StoreError>),
 }
@@ -96,6 +116,7 @@
         match self {
             Self::Submit(_) => PeerUse::Submit,
             Self::Read { .. } => PeerUse::Read,
+            Self::Follow { .. } => PeerUse::Follow,
             Self::Store(_) => PeerUse::Store,
         }
     }
--- a/src/entry/peer/mod.rs
+++ b/src/entry/peer/mod.rs
@@ -11,5 +11,5 @@
 pub(super) use detour::Detour;
 pub use door::{Door, PeerDoor};
 pub use line::PeerLine;
-pub use message::{PeerAsk, PeerReply, StoreAsk, StoreReply};
+pub use message::{Followed, PeerAsk, PeerReply, StoreAsk, StoreReply};
 pub use port::Peers;
--- a/src/metrics/tally.rs
+++ b/src/metrics/tally.rs
@@ -108,6 +108,8 @@
     Submit,
     /// Reads of results.
     Read,
+    /// Changes.
+    Follow,
     /// Calls to the store.
     Store,
 }
--- /dev/null
+++ b/tests/entry/feeds.rs
@@ -0,0 +1,126 @@
+//! Nodes that hear of changes from others.
+
+use std::time::Duration;
+
+use standins::kv::{Away, Faults};
+
+use crate::links::Link;
+use crate::world::{Node, World, ask, calls, pass};
+
+/// More nodes than watch for themselves.
+const MANY: u8 = 20;
+
+async fn many(world: &World) -> Vec<Node> {
+    let mut nodes = Vec::new();
+    for letter in b'a'..b'a' + MANY {
+        nodes.push(world.linked_that_drains(&char::from(letter).to_string(), drain()).await);
+    }
+    pass(5_000).await;
+    nodes
+}
+
+fn drain() -> Duration {
+    Duration::from_secs(3)
+}
+
+fn watches(nodes: &[Node]) -> Vec<u64> {
+    nodes.iter().map(|node| calls(node, "Watch")).collect()
+}
+
+/// The replicas that a node sends plain requests to.
+async fn used(world: &World, node: &Node, turn: &str) -> Vec<String> {
+    let route = node.app().routes().unwrap().find("host.example", "/plain/x").cloned().unwrap();
+    let name = &node.app().settings.name;
+    for i in 0..6 {
+        node.app().relay(&route, ask(&format!("{turn}-{name}-{i}"), "/plain/x")).await;
+    }
+    let prefix = format!("{turn}-{name}-");
+    let ran = world.replicas.ran();
+    let ran = ran.iter().filter(|r| r.id.starts_with(&prefix));
+    ran.map(|r| r.replica.to_string()).collect()
+}
+
+/// Those that watch for others: they have watched most.
+async fn watchers(world: &World, nodes: &[Node]) -> Vec<usize> {
+    let before = watches(nodes);
+    for turn in 0..40 {
+        world.replicas.list("plain", "p2", turn % 2 == 0);
+        pass(250).await;
+    }
+    world.replicas.list("plain", "p2", false);
+    pass(2_000).await;
+    let after = watches(nodes);
+    (0..nodes.len()).filter(|i| after[*i] - before[*i] > 5).collect()
+}
+
+/// Guards: every node watched for itself, 2,771 of 6,700 calls in a quiet day with 63 nodes.
+#[tokio::test(start_paused = true)]
+async fn three_nodes_of_twenty_watch_the_list_of_replicas() {
+    let world = World::new();
+    let nodes = many(&world).await;
+    assert_eq!(watchers(&world, &nodes).await.len(), 3);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_replica_that_leaves_is_known_to_all_in_time() {
+    let world = World::new();
+    let nodes = many(&world).await;
+    world.replicas.list("plain", "p2", false);
+    pass(50).await;
+    world.replicas.list("plain", "p1", true);
+    pass(2_000).await;
+    for node in &nodes {
+        let used = used(&world, node, "t").await;
+        assert!(used.iter().all(|r| r == "p2"), "{}: {used:?}", node.app().settings.name);
+    }
+}
+
+/// Whatever becomes of the nodes that watch, the others know of a change before the time to
+/// drain is over.
+#[tokio::test(start_paused = true)]
+async fn changes_are_known_in_time_though_the_watchers_are_gone() {
+    for fate in ["cut", "silent", "turned away", "killed"] {
+        let world = World::new();
+        let mut nodes = many(&world).await;
+        let watchers = watchers(&world, &nodes).await;
+        for i in &watchers {
+            match fate {
+                "cut" => nodes[*i].link(Link::Cut),
+                "silent" => nodes[*i].link(Link::Silent),
+                "turned away" => {
+                    nodes[*i].isolate();
+                    nodes[*i].line.fail(Faults { away: Some(Away::Hanging), ..Faults::default() });
+                }
+                _ => nodes[*i].link(Link::Cut),
+            }
+        }
+        if fate == "killed" {
+            for i in watchers.iter().rev() {
+                drop(nodes.remove(*i));
+            }
+        }
+        world.replicas.list("plain", "p1", true);
+        pass(2_800).await;
+        for (i, node) in nodes.iter().enumerate() {
+            if fate == "turned away" && watchers.contains(&i) {
+                continue;
+            }
+            let used = used(&world, node, "t").await;
+            assert!(used.iter().all(|r| r == "p2"), "{fate}: {used:?}");
+        }
+    }
+}
+
+/// A node that watches for others reads the whole again after a cut; the others go on.
+#[tokio::test(start_paused = true)]
+async fn a_dropped_history_is_no_gap_for_those_who_follow() {
+    let world = World::new();
+    let nodes = many(&world).await;
+    world.replicas.list("plain", "p1", true);
+    world.kv.compact();
+    pass(2_500).await;
+    for node in &nodes {
+        let used = used(&world, node, "t").await;
+        assert!(used.iter().all(|r| r == "p2"), "{used:?}");
+    }
+}
--- a/tests/entry/world.rs
+++ b/tests/entry/world.rs
@@ -95,9 +95,14 @@
 
     /// The same, linked to others.
     pub(crate) async fn linked(&self, name: &str) -> Node {
+        self.linked_that_drains(name, settings(name).drain).await
+    }
+
+    /// The same, where a replica that leaves may get work for so long.
+    pub(crate) async fn linked_that_drains(&self, name: &str, drain: Duration) -> Node {
         let port = 1_000 + u16::from(name.as_bytes()[0]);
         let at = SocketAddr::from(([127, 0, 0, 1], port));
-        let node = self.node_with(EntrySettings { peers: Some(at), ..settings(name) }).await;
+        let node = self.node_with(EntrySettings { peers: Some(at), drain, ..settings(name) }).await;
         self.links.open(at, node.app().clone());
         node
     }
--- /dev/null
+++ b/tests/feed.rs
@@ -0,0 +1,102 @@
+//! The changes that one node keeps for others.
+
+use std::time::Duration;
+
+use mulberrycourse::edge::store::{Change, Item, Watched};
+use mulberrycourse::entry::Feed;
+use proptest::prelude::*;
+
+const NOW: Duration = Duration::ZERO;
+
+fn change(revision: u64) -> Change {
+    Change::Put(Item { key: format!("k{}", revision % 3).into(), value: "v".into(), revision })
+}
+
+fn watched(from: u64, to: u64) -> Watched {
+    Watched { changes: (from + 1..=to).map(change).collect(), revision: to }
+}
+
+fn revisions(watched: &Watched) -> Vec<u64> {
+    watched.changes.iter().map(Change::revision).collect()
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_feed_that_is_closed_or_too_young_says_nothing() {
+    let feed = Feed::default();
+    assert_eq!(feed.after(0, NOW).await, None);
+    feed.open(5);
+    assert_eq!(feed.after(4, NOW).await, None);
+    assert_eq!(feed.after(5, NOW).await, Some(Watched { changes: Vec::new(), revision: 5 }));
+    feed.close();
+    assert_eq!(feed.after(5, NOW).await, None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_change_ends_the_wait() {
+    let feed = Feed::default();
+    feed.open(5);
+    let begun = tokio::time::Instant::now();
+    let (seen, ()) = tokio::join!(feed.after(5, Duration::from_secs(9)), async {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        feed.add(&watched(5, 6));
+    });
+    assert_eq!(seen.map(|w| revisions(&w)), Some(vec![6]));
+    assert_eq!(begun.elapsed(), Duration::from_secs(1));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_feed_that_closes_ends_the_wait() {
+    let feed = Feed::default();
+    feed.open(5);
+    let (seen, ()) = tokio::join!(feed.after(5, Duration::from_secs(9)), async {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        feed.close();
+    });
+    assert_eq!(seen, None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn old_changes_are_let_go_and_missed_by_nobody() {
+    let feed = Feed::default();
+    feed.open(0);
+    feed.add(&watched(0, 2_000));
+    assert_eq!(feed.after(10, NOW).await, None);
+    let seen = feed.after(1_990, NOW).await;
+    assert_eq!(seen.map(|w| revisions(&w)), Some((1_991..=2_000).collect()));
+}
+
+proptest! {
+    /// Whoever follows sees every change once, in order, or is told that it can't.
+    #[test]
+    fn followers_miss_nothing(steps in proptest::collection::vec((0_u8..4, 1_u64..300), 1..60)) {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build();
+        let Ok(runtime) = runtime else { return Ok(()) };
+        let feed = Feed::default();
+        let (mut last, mut at, mut open) = (0, 0, false);
+        for (step, count) in steps {
+            match step {
+                0 => {
+                    last += count;
+                    feed.open(last);
+                    open = true;
+                }
+                1 if open => {
+                    feed.add(&watched(last, last + count));
+                    last += count;
+                }
+                2 => {
+                    feed.close();
+                    open = false;
+                }
+                _ => match runtime.block_on(feed.after(at, NOW)) {
+                    Some(seen) => {
+                        prop_assert_eq!(revisions(&seen), (at + 1..=last).collect::<Vec<u64>>());
+                        at = seen.revision;
+                    }
+                    // Read whole again.
+                    None => at = last,
+                },
+            }
+        }
+    }
+}
