What is usual is what a quarter of the replicas keep up with, and runs are judged by their last events

Cause: a run was judged by its mean since its beginning against the mean of all runs, waits and prompts and the slow replicas' own among them. Now: each run tells the time between its last six events; what is usual is the lower quarter of the replicas; samples are also placed by it. Ruled out: the median (two slow ones of three hide each other: an older test failed). Tests: many_slow_replicas_do_not_hide_that_they_are_slow.

--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -44,6 +44,8 @@
     running: u32,
     others: Others,
     pace: Pace,
+    /// Time between the events of its streams.
+    beat: Pace,
     failures: Failures,
     out: Moment,
     versions: HashMap<Name, u64>,
@@ -92,6 +94,8 @@
     zone: Option<Name>,
     replicas: BTreeMap<Name, Replica>,
     typical: HashMap<Name, Pace>,
+    /// The beat that a quarter of the replicas keep up with, by service, in seconds.
+    beats: HashMap<Name, f64>,
 }
 
 impl Fleet {
@@ -112,6 +116,7 @@
                     running: 0,
                     others: Others::default(),
                     pace: Pace::default(),
+                    beat: Pace::default(),
                     failures: Failures::default(),
                     out: Moment::ZERO,
                     versions,
@@ -183,6 +188,7 @@
     /// The replica for an attempt. Without `over`, only one with a free place.
     pub fn choose(&self, wish: &Wish<'_>, now: Moment) -> Option<Target> {
         let typical = self.typical.get(wish.service).and_then(Pace::mean).unwrap_or(0.001);
+        let beat = self.beats.get(wish.service).copied();
         let total = self.of(wish.service).count();
         let out = self.of(wish.service).filter(|r| r.out > now).count();
         let heed = out <= most_out(total);
@@ -192,7 +198,11 @@
             let far = self.zone.as_ref().is_some_and(|z| *z != r.listed.zone);
             let load = f64::from(r.running) + r.others.faded(now);
             let room = load < f64::from(r.listed.slots);
-            let time = expected(load, r.pace.faded(typical, now), 1, far);
+            let pace = match (wish.weights, beat) {
+                (Some(_), Some(beat)) => r.beat.faded(beat, now),
+                _ => r.pace.faded(typical, now),
+            };
+            let time = expected(load, pace, 1, far);
             (avoided, !room, time, r)
         });
         rated
@@ -200,13 +210,33 @@
             .map(|(.., r)| r.listed.target.clone())
     }
 
+    /// An event of a replica's streams took so many seconds.
+    ///
+    /// Load pattern: a third of the replicas slow down to a quarter. Measured against the mean
+    /// of all runs, their own among them, none of these would count as slow; so what is usual
+    /// is what a quarter of the replicas keep up with, two of three being slow now and then,
+    /// and the time between events, without waits and prompts.
+    pub fn beat(&mut self, id: &str, seconds: f64, now: Moment) {
+        let Some(replica) = self.replicas.get_mut(id) else { return };
+        replica.beat.record(1, Duration::from_secs_f64(seconds.max(0.0)), now);
+        let service = replica.listed.service.clone();
+        let mut known: Vec<f64> = self.of(&service).filter_map(|r| r.beat.mean()).collect();
+        known.sort_unstable_by(f64::total_cmp);
+        if let Some(usual) = known.get(known.len().saturating_sub(1) / 4) {
+            self.beats.insert(service, *usual);
+        }
+    }
+
     /// Whether a run that goes at `pace`, in seconds a unit, is better cut and taken up at
     /// another replica with a free place. Reading the prompt and what is there already costs
     /// about as much as one event.
     pub fn faster(&self, id: &str, weights: Option<(&str, u64)>, pace: f64, now: Moment) -> bool {
         let Some(here) = self.replicas.get(id) else { return false };
         let service = &here.listed.service;
-        let Some(typical) = self.typical.get(service).and_then(Pace::mean) else { return false };
+        let beat = self.beats.get(service).copied();
+        let Some(typical) = beat.or_else(|| self.typical.get(service)?.mean()) else {
+            return false;
+        };
         if pace < SLOW * typical {
             return false;
         }
@@ -214,7 +244,8 @@
         let others = self.of(service).filter(|r| r.listed.target.id != here.listed.target.id);
         others
             .filter(|r| fits(r, &wish, now, true))
-            .any(|r| SLOW * r.pace.faded(typical, now) < pace)
+            .map(|r| if beat.is_some() { r.beat } else { r.pace })
+            .any(|known| SLOW * known.faded(typical, now) < pace)
     }
 
     /// An attempt begins.
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -19,8 +19,8 @@
 const HEAD: Duration = Duration::from_millis(1_500);
 /// How long the next event may take: 35 ms usually, four times that at a slow replica.
 const GAP: Duration = Duration::from_millis(1_200);
-/// Events of one run after which its pace is judged: fewer say more of the load of weights
-/// or of a prompt than of the replica.
+/// Events of one run after which its pace is judged, each time anew: fewer say more of the
+/// load of weights or of a prompt than of the replica.
 const JUDGED: u64 = 6;
 
 /// What an attempt is made of.
@@ -147,7 +147,7 @@
         let mut body = reply.body;
         self.home.text(&self.item.id, |text| text.at(reply.version));
         let mut seen = None;
-        let mut first: Option<(Moment, u64)> = None;
+        let mut mark: Option<(Moment, u64)> = None;
         loop {
             let piece = match tokio::time::timeout(GAP, body.next()).await {
                 Err(_) => return Ok(Read::Silent),
@@ -162,10 +162,15 @@
                 self.saw(held, version);
             }
             let last = self.last();
-            let (since, from) = *first.get_or_insert_with(|| (self.app.now(), last));
+            let now = self.app.now();
+            let (since, from) = *mark.get_or_insert((now, last));
             let events = last - from;
-            if events >= JUDGED && events.is_multiple_of(JUDGED) && self.slow(held, since, events) {
-                return Ok(Read::Slow);
+            if events >= JUDGED {
+                mark = Some((now, last));
+                let beat = now.saturating_sub(since).as_secs_f64() / events as f64;
+                if self.slow(held, beat) {
+                    return Ok(Read::Slow);
+                }
             }
         }
     }
@@ -199,10 +204,12 @@
         }
     }
 
-    fn slow(self, held: &Held<'_>, since: Moment, events: u64) -> bool {
+    /// Takes note of the time that an event took of late. True if the run is better moved.
+    fn slow(self, held: &Held<'_>, beat: f64) -> bool {
         let now = self.app.now();
-        let pace = now.saturating_sub(since).as_secs_f64() / events as f64;
         let weights = self.spec.model.as_deref().map(|model| (model, self.spec.oldest));
-        self.app.slots.fleet.lock().faster(&held.target.id, weights, pace, now)
+        let mut fleet = self.app.slots.fleet.lock();
+        fleet.beat(&held.target.id, beat, now);
+        fleet.faster(&held.target.id, weights, beat, now)
     }
 }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -138,3 +138,30 @@
     let later = NOW + Duration::from_secs(5);
     assert!(fleet.choose(&wish(false), later).is_some());
 }
+
+/// Guards: with a third of the replicas slow the mean of all paces rose so far that runs at
+/// half the usual pace stayed where they were (a text of 133 events took 11.0 s, not 5.5 s).
+#[test]
+fn many_slow_replicas_do_not_hide_that_they_are_slow() {
+    let ids: Vec<String> = (0..12).map(|i| format!("r{i:02}")).collect();
+    let ids: Vec<&str> = ids.iter().map(|id| &**id).collect();
+    let mut fleet = fleet(&ids);
+    for _ in 0..20 {
+        for (i, id) in ids.iter().enumerate() {
+            let event = if i < 4 { 0.140 } else { 0.040 };
+            let took = Duration::from_secs_f64(event * 10.0);
+            fleet.end(id, None, Ended::Answered { took, cost: 10 }, NOW);
+            fleet.beat(id, event, NOW);
+        }
+    }
+    assert!(fleet.faster("r05", None, 0.082, NOW), "twice the usual time an event");
+    assert!(!fleet.faster("r05", None, 0.050, NOW));
+    // Samples go where events come fast.
+    let weights = Some(("m", 1));
+    for _ in 0..24 {
+        let wish = Wish { service: S, weights, avoid: &[], over: false };
+        let target = fleet.choose(&wish, NOW).unwrap();
+        assert!(&*target.id >= "r04", "{target:?}");
+        fleet.start(&target.id);
+    }
+}
