--- a/src/decide/fleet.rs
+++ b/src/decide/fleet/fleet.rs
@@ -7,7 +7,8 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use super::{Failures, Others, Pace, expected, most_out};
+use super::{Ended, Listed, Wish};
+use crate::decide::{Failures, Others, Pace, expected, most_out};
 use crate::edge::replica::{Load, Target};
 use crate::{Moment, Name};
 
@@ -21,23 +22,6 @@
 /// half with their load; one in trouble is two to four times as slow.
 const SLOW: f64 = 1.7;
 
-/// A replica as the platform lists it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Listed {
-    /// Its incarnation and address.
-    pub target: Target,
-    /// The service it belongs to.
-    pub service: Name,
-    /// Its availability zone.
-    pub zone: Name,
-    /// Requests that it runs at the same time.
-    pub slots: u32,
-    /// Whether it is leaving.
-    pub draining: bool,
-    /// Model and version of its weights.
-    pub versions: Vec<(Name, u64)>,
-}
-
 #[derive(Debug)]
 struct Replica {
     listed: Listed,
@@ -53,41 +37,6 @@
     loading: HashMap<Name, Moment>,
 }
 
-/// What an attempt asks for.
-#[derive(Debug, Clone, Copy)]
-pub struct Wish<'a> {
-    /// The service.
-    pub service: &'a str,
-    /// The model and the oldest version that will do.
-    pub weights: Option<(&'a str, u64)>,
-    /// Replicas that failed it.
-    pub avoid: &'a [Name],
-    /// Whether it may go where all places are taken.
-    pub over: bool,
-}
-
-/// How an attempt ended, for the choice of the next ones.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Ended {
-    /// With a whole answer.
-    Answered {
-        /// How long it took.
-        took: Duration,
-        /// What it came to, in units that can be compared within a service.
-        cost: u32,
-    },
-    /// The replica was full.
-    Full,
-    /// The replica is loading weights of the model.
-    Loading,
-    /// No connection.
-    Unreachable,
-    /// It broke off or fell silent.
-    Failed,
-    /// It was given up for a reason that says nothing of the replica.
-    Dropped,
-}
-
 /// The table.
 #[derive(Debug, Default)]
 pub struct Fleet {
--- /dev/null
+++ b/src/decide/fleet/mod.rs
@@ -0,0 +1,11 @@
+//! The replicas of all services, and which of them gets an attempt.
+
+mod ended;
+mod fleet;
+mod listed;
+mod wish;
+
+pub use ended::Ended;
+pub use fleet::Fleet;
+pub use listed::Listed;
+pub use wish::Wish;
--- a/src/entry/peer/detour.rs
+++ b/src/entry/peer/detour.rs
@@ -10,16 +10,14 @@
 
 use super::message::{PeerAsk, PeerReply, StoreAsk, StoreReply};
 use super::port::Peers;
+use crate::Moment;
 use crate::decide::detour::{self, Way};
 use crate::edge::peer::PeerError;
-use crate::edge::store::{Answer, Item, Page, Store, StoreError, Txn, TxnEnd, Watched};
-use crate::{Moment, Name};
+use crate::edge::store::{Answer, Store, StoreError, Watched};
 
 /// How long another node may take with a call: its own call may take a third of it, and a
 /// lease has to be renewed within two seconds.
 const LIMIT: Duration = Duration::from_millis(1_000);
-/// How long a watch through another node waits at most: that node may be gone meanwhile.
-const WATCH: Duration = Duration::from_millis(2_000);
 /// How long a look at the own way takes at most, for the same reason.
 const PROBE: Duration = Duration::from_millis(300);
 /// How long a call that began before the store came back may still take after that.
@@ -33,7 +31,7 @@
 /// The store as a node reaches it. Cloning it shares what is believed.
 #[derive(Debug, Clone)]
 pub(in crate::entry) struct Detour {
-    direct: Arc<dyn Store>,
+    pub(super) direct: Arc<dyn Store>,
     peers: Arc<dyn Peers>,
     state: Arc<Mutex<State>>,
     /// Counts how often the own way was found closed.
@@ -116,7 +114,7 @@
     }
 
     /// Makes a call. `again` for one that may be made more than once.
-    async fn call<T>(
+    pub(super) async fn call<T>(
         self,
         direct: Answer<T>,
         ask: StoreAsk,
@@ -222,7 +220,7 @@
     }
 
     /// A watch on the own way, which hangs unnoticed where the store has fallen silent.
-    fn until_closed(&self, watched: Answer<Watched>) -> Answer<Watched> {
+    pub(super) fn until_closed(&self, watched: Answer<Watched>) -> Answer<Watched> {
         let mut closed = self.closed.subscribe();
         Box::pin(async move {
             tokio::select! {
@@ -260,51 +258,3 @@
     let late = || StoreError::Unknown("no answer to a look".to_owned());
     tokio::time::timeout(PROBE, called).await.unwrap_or_else(|_| Err(late()))
 }
-
-macro_rules! reply {
-    ($kind:ident) => {
-        |reply| match reply {
-            StoreReply::$kind(value) => Some(value),
-            _ => None,
-        }
-    };
-}
-
-impl Store for Detour {
-    fn get(&self, key: &str) -> Answer<Option<Item>> {
-        let ask = StoreAsk::Get(Name::from(key));
-        Box::pin(self.clone().call(self.direct.get(key), ask, true, reply!(Item)))
-    }
-
-    fn range(&self, prefix: &str) -> Answer<Page> {
-        let ask = StoreAsk::Range(Name::from(prefix));
-        Box::pin(self.clone().call(self.direct.range(prefix), ask, true, reply!(Page)))
-    }
-
-    fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Answer<Watched> {
-        let direct = self.until_closed(self.direct.watch(prefix, after, wait));
-        let ask = StoreAsk::Watch { prefix: prefix.into(), after, wait: wait.min(WATCH) };
-        Box::pin(self.clone().call(direct, ask, false, reply!(Watched)))
-    }
-
-    fn txn(&self, txn: Txn) -> Answer<TxnEnd> {
-        let ask = StoreAsk::Txn(txn.clone());
-        Box::pin(self.clone().call(self.direct.txn(txn), ask, false, reply!(Txn)))
-    }
-
-    fn grant(&self, ttl: Duration) -> Answer<u64> {
-        let ask = StoreAsk::Grant(ttl);
-        Box::pin(self.clone().call(self.direct.grant(ttl), ask, true, reply!(Lease)))
-    }
-
-    fn keep(&self, lease: u64) -> Answer<bool> {
-        let ask = StoreAsk::Keep(lease);
-        Box::pin(self.clone().call(self.direct.keep(lease), ask, true, reply!(Kept)))
-    }
-
-    fn end(&self, lease: u64) -> Answer<()> {
-        let open = |reply| matches!(reply, StoreReply::Ended).then_some(());
-        let ask = StoreAsk::End(lease);
-        Box::pin(self.clone().call(self.direct.end(lease), ask, true, open))
-    }
-}
--- a/src/entry/peer/mod.rs
+++ b/src/entry/peer/mod.rs
@@ -7,6 +7,7 @@
 mod line;
 mod message;
 mod port;
+mod store;
 
 pub(super) use detour::Detour;
 pub use door::{Door, PeerDoor};
--- a/src/metrics/metrics.rs
+++ b/src/metrics/metrics.rs
@@ -137,12 +137,7 @@
     pub fn traffic(&self, purpose: Purpose) -> Traffic {
         let bytes = |way| self.traffic.get_or_create(&TrafficLabel { purpose, way }).clone();
         let messages = |way| self.messages.get_or_create(&TrafficLabel { purpose, way }).clone();
-        Traffic {
-            sent: bytes(Way::Out),
-            received: bytes(Way::In),
-            messages_out: messages(Way::Out),
-            messages_in: messages(Way::In),
-        }
+        Traffic::new(bytes, messages)
     }
 
     /// Counts the processor time of a control task.
--- a/src/metrics/tally.rs
+++ b/src/metrics/tally.rs
@@ -260,12 +260,7 @@
     pub fn peer(&self, purpose: PeerUse) -> Traffic {
         let bytes = |way| self.peer_bytes.get_or_create(&PeerLabel { purpose, way }).clone();
         let messages = |way| self.peer_messages.get_or_create(&PeerLabel { purpose, way }).clone();
-        Traffic {
-            sent: bytes(Way::Out),
-            received: bytes(Way::In),
-            messages_out: messages(Way::Out),
-            messages_in: messages(Way::In),
-        }
+        Traffic::new(bytes, messages)
     }
 
     /// A request has its answer.
--- a/src/metrics/traffic.rs
+++ b/src/metrics/traffic.rs
@@ -2,16 +2,28 @@
 
 use prometheus_client::metrics::counter::Counter;
 
+use super::Way;
+
 /// Counts messages and bytes of bodies and messages; heads and framing are not counted.
 #[derive(Debug, Clone, Default)]
 pub struct Traffic {
-    pub(super) sent: Counter,
-    pub(super) received: Counter,
-    pub(super) messages_out: Counter,
-    pub(super) messages_in: Counter,
+    sent: Counter,
+    received: Counter,
+    messages_out: Counter,
+    messages_in: Counter,
 }
 
 impl Traffic {
+    /// The counters of bytes and of messages, by way.
+    pub(super) fn new(bytes: impl Fn(Way) -> Counter, messages: impl Fn(Way) -> Counter) -> Self {
+        Self {
+            sent: bytes(Way::Out),
+            received: bytes(Way::In),
+            messages_out: messages(Way::Out),
+            messages_in: messages(Way::In),
+        }
+    }
+
     /// Bytes received so far.
     pub fn bytes_received(&self) -> u64 {
         self.received.get()
--- a/tests/entry/feeds.rs
+++ b/tests/entry/feeds.rs
@@ -5,7 +5,7 @@
 use standins::kv::{Away, Faults};
 
 use crate::links::Link;
-use crate::world::{Node, World, ask, calls, pass};
+use crate::world::{Node, World, calls, pass, used};
 
 /// More nodes than watch for themselves.
 const MANY: u8 = 20;
@@ -27,19 +27,6 @@
     nodes.iter().map(|node| calls(node, "Watch")).collect()
 }
 
-/// The replicas that a node sends plain requests to.
-async fn used(world: &World, node: &Node, turn: &str) -> Vec<String> {
-    let route = node.app().routes().unwrap().find("host.example", "/plain/x").cloned().unwrap();
-    let name = &node.app().settings.name;
-    for i in 0..6 {
-        node.app().relay(&route, ask(&format!("{turn}-{name}-{i}"), "/plain/x")).await;
-    }
-    let prefix = format!("{turn}-{name}-");
-    let ran = world.replicas.ran();
-    let ran = ran.iter().filter(|r| r.id.starts_with(&prefix));
-    ran.map(|r| r.replica.to_string()).collect()
-}
-
 /// Those that watch for others: they have watched most.
 async fn watchers(world: &World, nodes: &[Node]) -> Vec<usize> {
     let before = watches(nodes);
--- a/tests/entry/views.rs
+++ b/tests/entry/views.rs
@@ -4,7 +4,7 @@
 use standins::kv::{Away, Faults};
 use std::time::Duration;
 
-use crate::world::{World, calls, pass, until};
+use crate::world::{World, calls, pass, until, used};
 
 fn version(node: &crate::world::Node) -> u64 {
     node.app().routes().unwrap().version
@@ -50,11 +50,7 @@
     world.replicas.list("plain", "p1", true);
     world.kv.compact();
     pass(1_500).await;
-    let route = node.app().routes().unwrap().find("host.example", "/plain/x").cloned().unwrap();
-    for i in 0..6 {
-        node.app().relay(&route, crate::world::ask(&format!("r{i}"), "/plain/x")).await;
-    }
-    assert!(world.replicas.ran().iter().all(|r| &*r.replica == "p2"));
+    assert_eq!(used(&world, &node, "t").await, ["p2"; 6]);
 }
 
 #[tokio::test(start_paused = true)]
@@ -182,11 +178,7 @@
     // The change before it has just come, so that this one is gathered for the longest time.
     world.replicas.list("plain", "p1", true);
     pass(2_000).await;
-    let route = node.app().routes().unwrap().find("host.example", "/plain/x").cloned().unwrap();
-    for i in 0..6 {
-        node.app().relay(&route, crate::world::ask(&format!("r{i}"), "/plain/x")).await;
-    }
-    assert!(world.replicas.ran().iter().all(|r| &*r.replica == "p2"));
+    assert_eq!(used(&world, &node, "t").await, ["p2"; 6]);
 }
 
 /// Guards: a replica whose entry went as a watch was cut counted as one that had lapsed in an
@@ -199,11 +191,7 @@
     world.words.unlist(&world.kv, "p1");
     world.kv.compact();
     pass(1_500).await;
-    let route = node.app().routes().unwrap().find("host.example", "/plain/x").cloned().unwrap();
-    for i in 0..6 {
-        node.app().relay(&route, crate::world::ask(&format!("r{i}"), "/plain/x")).await;
-    }
-    assert!(world.replicas.ran().iter().all(|r| &*r.replica == "p2"));
+    assert_eq!(used(&world, &node, "t").await, ["p2"; 6]);
 }
 
 /// Guards: a watch that waited for longer than the store keeps its history came to nothing,
--- a/tests/entry/world.rs
+++ b/tests/entry/world.rs
@@ -284,3 +284,16 @@
     let line = text.lines().find_map(|l| l.strip_prefix(&*name));
     line.map_or(0, |count| count.parse().unwrap())
 }
+
+/// The replicas that a node sends plain requests to.
+pub(crate) async fn used(world: &World, node: &Node, turn: &str) -> Vec<String> {
+    let route = node.app().routes().unwrap().find("host.example", "/plain/x").cloned().unwrap();
+    let name = &node.app().settings.name;
+    for i in 0..6 {
+        node.app().relay(&route, ask(&format!("{turn}-{name}-{i}"), "/plain/x")).await;
+    }
+    let prefix = format!("{turn}-{name}-");
+    let ran = world.replicas.ran();
+    let ran = ran.iter().filter(|r| r.id.starts_with(&prefix));
+    ran.map(|r| r.replica.to_string()).collect()
+}
