--- a/src/entry/entry.rs
+++ b/src/entry/entry.rs
@@ -16,6 +16,9 @@
 
 /// How many times the life of an address answer some clients keep it.
 const KEPT: u32 = 3;
+/// The part of the grace that telling the store may take: a quarter, two calls that are not
+/// answered. Half of the grace is for clients that still come, the rest for what was read.
+const TELLING: u32 = 4;
 /// Time for a connection that was begun just before an answer ran out.
 const MARGIN: Duration = Duration::from_millis(200);
 
@@ -66,10 +69,19 @@
         if self.app.settings.callers.is_none() {
             return;
         }
-        self.app.hand_over().await;
-        self.app.leave().await;
+        let begun = self.app.now();
+        let grace = self.app.settings.grace;
+        // In an outage others take the jobs, and clients go elsewhere, once the lease ends.
+        let told = async {
+            self.app.hand_over().await;
+            self.app.leave().await;
+        };
+        if tokio::time::timeout(grace / TELLING, told).await.is_err() {
+            tracing::warn!(event = "leaving_not_told", node = %self.app.settings.name);
+        }
         let kept = Duration::from_secs(self.app.settings.ttl) * KEPT + MARGIN;
-        tokio::time::sleep(kept.min(self.app.settings.grace / 2)).await;
+        let left = (grace / 2 + MARGIN).saturating_sub(self.app.now() - begun);
+        tokio::time::sleep(kept.min(left)).await;
     }
 }
 
--- a/tests/entry/jobs.rs
+++ b/tests/entry/jobs.rs
@@ -279,3 +279,21 @@
         assert_eq!(a.whole("j", 3).await, whole, "after {after} ms");
     }
 }
+
+/// Guards: a process that was stopped while the store was silent was still there at the end of
+/// its grace, and was killed with whatever it had in flight.
+#[tokio::test(start_paused = true)]
+async fn a_node_that_leaves_in_an_outage_has_time_left_for_requests() {
+    for after in [0, 300, 900, 2_000] {
+        let world = World::new();
+        let a = world.node("a").await;
+        a.submit("j", &["i1", "i2"]).await;
+        pass(300).await;
+        a.line.fail(Faults { away: Some(Away::Silent), ..Faults::default() });
+        pass(after).await;
+        let begun = tokio::time::Instant::now();
+        a.entry.leave().await;
+        let left = a.app().settings.grace.saturating_sub(begun.elapsed());
+        assert!(left >= Duration::from_millis(3_200), "{after} ms into it: {left:?} left");
+    }
+}
