--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -27,7 +27,8 @@
 const LIVE_GATHER: Duration = Duration::from_millis(250);
 /// For how long changes of the list of replicas are gathered at least, and at most where a
 /// job runs: its samples want to know soon which replicas have new weights. Gathered for
-/// 1.9 s at homes as well, a heavy day of 71 nodes came to 0.56 of its worth instead of 0.60.
+/// 1.9 s at homes as well, 71 nodes in trouble served 0.56 instead of 0.60 of what was asked,
+/// weighted by its worth to callers (means of six and twelve plays).
 const GATHER: Duration = Duration::from_millis(900);
 /// Pauses between failed calls: the first is short, as a cut connection is the usual cause.
 const FIRST: Duration = Duration::from_millis(50);
--- a/tests/entry/jobs.rs
+++ b/tests/entry/jobs.rs
@@ -299,7 +299,7 @@
 }
 
 /// Guards: answers that the time was over counted like failures, and samples were given up
-/// that could have been made (MIXED on a day with 300 machines, whose scorers were slow).
+/// that could have been made (seen at 300 nodes, whose scorers were slow).
 #[tokio::test(start_paused = true)]
 async fn answers_that_came_too_late_give_no_sample_up() {
     for slow in [["p1", "p2"].as_slice(), ["e1", "e2", "e3"].as_slice()] {
--- a/tests/entry/views.rs
+++ b/tests/entry/views.rs
@@ -182,7 +182,7 @@
 }
 
 /// Guards: a replica whose entry went as a watch was cut counted as one that had lapsed in an
-/// outage, and got work for two seconds more (DRAIN on two days of a hunt).
+/// outage, and got work for two seconds more.
 #[tokio::test(start_paused = true)]
 async fn a_replica_that_goes_beside_a_cut_watch_gets_no_new_work() {
     let world = World::new();
