A job that its home may have taken is not refused

Cause, found by reading: a submission that was passed on without an answer was then refused (503: nothing of it runs) where this node reached neither the store nor another node, though the home had written it and ran it. Now: what is not known is said to be so (502). Test, failed first: a_job_that_a_home_may_have_taken_is_not_refused.

--- a/src/entry/peer/home.rs
+++ b/src/entry/peer/home.rs
@@ -1,7 +1,6 @@
 //! Submissions and reads at the node that is home to a job.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -9,6 +8,7 @@
 use crate::Name;
 use crate::decide::affinity;
 use crate::decide::job::Spec;
+use crate::edge::peer::PeerError;
 use crate::edge::store::{StoreError, Watched};
 use crate::entry::app::App;
 use crate::entry::read::Read;
@@ -26,22 +26,34 @@
 /// How long a node that did not answer is not asked: its lease ends within two seconds.
 const SHUNNED: Duration = Duration::from_millis(2_500);
 
+/// What became of a job that was handed to another node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(in crate::entry) enum Passed {
+    /// It is kept there.
+    Kept,
+    /// It is not.
+    Not,
+    /// It may be.
+    Unsure,
+}
+
 impl App {
-    /// Hands a job to the node that is to be its home. None if that is this node, or does not
-    /// take it.
-    pub(in crate::entry) async fn pass_on(self: &Arc<Self>, spec: &Spec) -> Option<Submitted> {
-        let to = self.preferred(spec)?;
-        match self.ask(to, PeerAsk::Submit(spec.clone()), SUBMIT).await {
-            Some(PeerReply::Submitted(Submitted::Kept)) => {
-                tracing::info!(event = "job_passed_on", job = %spec.id, %to);
-                Some(Submitted::Kept)
-            }
-            // What it may have written is found there as this node writes.
-            other => {
-                tracing::info!(event = "job_not_passed_on", job = %spec.id, %to, reply = ?other);
-                None
-            }
+    /// Hands a job to the node that is to be its home, if that is another one.
+    pub(in crate::entry) async fn pass_on(&self, spec: &Spec) -> Passed {
+        let Some(to) = self.preferred(spec) else { return Passed::Not };
+        let reply = self.ask(to, PeerAsk::Submit(spec.clone()), SUBMIT).await;
+        let passed = match &reply {
+            Ok(PeerReply::Submitted(Submitted::Kept)) => Passed::Kept,
+            Ok(PeerReply::Submitted(Submitted::Refused(_))) => Passed::Not,
+            Err(PeerError::Connect { .. }) => Passed::Not,
+            Ok(_) | Err(_) => Passed::Unsure,
+        };
+        if passed == Passed::Kept {
+            tracing::info!(event = "job_passed_on", job = %spec.id, %to);
+        } else {
+            tracing::info!(event = "job_not_passed_on", job = %spec.id, %to, ?passed, ?reply);
         }
+        passed
     }
 
     /// Where the jobs of a route are to run; none for this node.
@@ -58,7 +70,7 @@
 
     /// Reads at a job's home; none if that does not answer, or is this node.
     pub(in crate::entry) async fn read_at_home(
-        self: &Arc<Self>,
+        &self,
         job: &str,
         after: usize,
         wait: Duration,
@@ -70,12 +82,12 @@
         };
         let ask = PeerAsk::Read { job: job.into(), after, wait };
         match self.ask(to, ask, wait + READ).await {
-            Some(PeerReply::Read(Some(read))) => Ok(Some(read)),
-            Some(_) => {
+            Ok(PeerReply::Read(Some(read))) => Ok(Some(read)),
+            Ok(_) => {
                 view.state.lock().at = At::Store;
                 Ok(None)
             }
-            None => Ok(None),
+            Err(_) => Ok(None),
         }
     }
 
@@ -112,21 +124,24 @@
     ) -> Option<Watched> {
         let ask = PeerAsk::Follow { followed, after, wait: FOLLOW };
         match self.ask(to, ask, FOLLOW + READ).await {
-            Some(PeerReply::Followed(watched)) => watched,
+            Ok(PeerReply::Followed(watched)) => watched,
             _ => None,
         }
     }
 
-    async fn ask(&self, to: SocketAddr, ask: PeerAsk, limit: Duration) -> Option<PeerReply> {
-        match self.peers.ask(to, ask, limit).await {
-            Ok(reply) => Some(reply),
-            Err(e) => {
-                tracing::info!(event = "peer_not_reached", %to, error = %e);
-                let until = self.now() + SHUNNED;
-                self.shunned.lock().insert(to, until);
-                None
-            }
+    async fn ask(
+        &self,
+        to: SocketAddr,
+        ask: PeerAsk,
+        limit: Duration,
+    ) -> Result<PeerReply, PeerError> {
+        let reply = self.peers.ask(to, ask, limit).await;
+        if let Err(e) = &reply {
+            tracing::info!(event = "peer_not_reached", %to, error = %e);
+            let until = self.now() + SHUNNED;
+            self.shunned.lock().insert(to, until);
         }
+        reply
     }
 
     fn shunned(&self, to: SocketAddr) -> bool {
--- a/src/entry/peer/mod.rs
+++ b/src/entry/peer/mod.rs
@@ -11,6 +11,7 @@
 
 pub(super) use detour::Detour;
 pub use door::{Door, PeerDoor};
+pub(super) use home::Passed;
 pub use line::PeerLine;
 pub use message::{Followed, PeerAsk, PeerReply, StoreAsk, StoreReply};
 pub use port::Peers;
--- a/src/entry/submit.rs
+++ b/src/entry/submit.rs
@@ -10,6 +10,7 @@
 use super::home::Kept;
 use super::keys::{HomeValue, home, part};
 use super::live::Seen;
+use super::peer::Passed;
 use super::takeover;
 use crate::Name;
 use crate::decide::job::Spec;
@@ -41,10 +42,16 @@
     /// Takes in a job.
     pub async fn submit(self: &Arc<Self>, spec: Spec) -> Submitted {
         let kept = self.homes.get(&spec.id).is_some();
-        let passed = if kept || self.draining() { None } else { self.pass_on(&spec).await };
+        let passed = if kept || self.draining() { Passed::Not } else { self.pass_on(&spec).await };
         match passed {
-            Some(submitted) => submitted,
-            None => self.accept(spec).await,
+            Passed::Kept => Submitted::Kept,
+            Passed::Not => self.accept(spec).await,
+            // What the other may have written is found there as this node writes. Where it
+            // can't, nobody knows.
+            Passed::Unsure => match self.accept(spec).await {
+                Submitted::Refused(_) => Submitted::Unknown,
+                submitted => submitted,
+            },
         }
     }
 
--- a/tests/entry/peers.rs
+++ b/tests/entry/peers.rs
@@ -70,6 +70,24 @@
     }
 }
 
+/// A refusal says that no part of a job runs: it may not be said where the home may have
+/// taken the job and only its answer is missing.
+#[tokio::test(start_paused = true)]
+async fn a_job_that_a_home_may_have_taken_is_not_refused() {
+    let world = World::new();
+    let [home, other, third] = three(&world).await;
+    home.link(Link::Deaf);
+    third.link(Link::Cut);
+    other.line.fail(away(Away::Refusing));
+    let cut = async {
+        pass(100).await;
+        home.link(Link::Cut);
+    };
+    let (submitted, ()) = tokio::join!(other.submit("j", &["i1"]), cut);
+    assert_eq!(submitted, Submitted::Unknown);
+    assert_eq!(home.whole("j", 1).await.len(), 1);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_home_that_leaves_takes_no_jobs() {
     let world = World::new();
