Calls to the store are counted by what they are about

Change: each call is counted with its purpose, told from the key in entry::counted, which moved there from edge::store as the keys are this service's own.

--- a/src/edge/store/mod.rs
+++ b/src/edge/store/mod.rs
@@ -1,9 +1,7 @@
 //! The edge to the key-value service that holds what has to be agreed or to last.
 
-mod counted;
 mod item;
 mod store;
 
-pub use counted::Counted;
 pub use item::{Change, Item, Page, Put, Txn, TxnEnd, Watched};
 pub use store::{Answer, Store, StoreError};
--- a/src/entry/app.rs
+++ b/src/entry/app.rs
@@ -12,6 +12,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::counted::Counted;
 use super::homes::Homes;
 use super::live::Live;
 use super::peer::{Detour, Peers};
@@ -21,7 +22,7 @@
 use crate::decide::Routes;
 use crate::edge::notice::Notices;
 use crate::edge::replica::Replicas;
-use crate::edge::store::{Counted, Store};
+use crate::edge::store::Store;
 use crate::metrics::Tally;
 use crate::settings::EntrySettings;
 use crate::{Moment, Name};
@@ -92,7 +93,7 @@
         let life = format!("{}.{:08x}", settings.name, rand::random::<u32>()).into();
         let tally = Arc::new(Tally::default());
         let peers = peers(tally.clone());
-        let direct = Arc::new(Counted::new(store, tally.clone()));
+        let direct = Arc::new(Counted::new(store, notices.clone(), tally.clone()));
         let detour = Detour::new(direct.clone(), peers.clone(), settings.seeds.clone());
         let slots = Slots::new(settings.zone.clone());
         Arc::new(Self {
--- /dev/null
+++ b/src/entry/counted.rs
@@ -0,0 +1,98 @@
+//! A store whose calls are counted by kind, end and purpose.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::keys::{LIVE, own_use};
+use crate::edge::notice::Notices;
+use crate::edge::store::{Answer, Item, Page, Store, StoreError, Txn, TxnEnd, Watched};
+use crate::metrics::{StoreCall, StoreEnd, StoreUse, Tally};
+
+/// The store behind it, and where calls are counted.
+#[derive(Debug)]
+pub(super) struct Counted {
+    store: Arc<dyn Store>,
+    notices: Arc<dyn Notices>,
+    tally: Arc<Tally>,
+}
+
+impl Counted {
+    /// Counts the calls to a store.
+    pub(super) fn new(store: Arc<dyn Store>, notices: Arc<dyn Notices>, tally: Arc<Tally>) -> Self {
+        Self { store, notices, tally }
+    }
+
+    fn purpose(&self, key: &str) -> StoreUse {
+        let notices = &self.notices;
+        match key {
+            LIVE => StoreUse::Nodes,
+            key if key.starts_with(notices.replicas()) => StoreUse::Replicas,
+            key if key.starts_with(notices.versions()) => StoreUse::Versions,
+            key if key.starts_with(notices.retirements()) => StoreUse::Retirements,
+            key if key.starts_with(notices.routes()) => StoreUse::Routes,
+            key => own_use(key),
+        }
+    }
+
+    /// A write is about what it changes first; a job's results go before its home's key.
+    fn written(&self, txn: &Txn) -> StoreUse {
+        let put = txn.puts.iter().map(|put| &*put.key);
+        let mut keys = put.chain(txn.removes.iter().map(|key| &**key));
+        keys.next().map_or(StoreUse::Other, |key| self.purpose(key))
+    }
+
+    fn count<T: Send + 'static>(
+        &self,
+        call: StoreCall,
+        purpose: StoreUse,
+        answer: Answer<T>,
+    ) -> Answer<T> {
+        let tally = self.tally.clone();
+        Box::pin(async move {
+            let begun = Instant::now();
+            let result = answer.await;
+            let end = match &result {
+                Ok(_) => StoreEnd::Answered,
+                Err(StoreError::Refused(_)) => StoreEnd::Refused,
+                Err(StoreError::Unknown(_)) => StoreEnd::Unknown,
+                Err(StoreError::Compacted) => StoreEnd::Compacted,
+            };
+            let timed = result.is_ok() && call != StoreCall::Watch;
+            tally.store(call, end, purpose, timed.then(|| begun.elapsed()));
+            result
+        })
+    }
+}
+
+impl Store for Counted {
+    fn get(&self, key: &str) -> Answer<Option<Item>> {
+        self.count(StoreCall::Get, self.purpose(key), self.store.get(key))
+    }
+
+    fn range(&self, prefix: &str) -> Answer<Page> {
+        self.count(StoreCall::Range, self.purpose(prefix), self.store.range(prefix))
+    }
+
+    fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Answer<Watched> {
+        let answer = self.store.watch(prefix, after, wait);
+        self.count(StoreCall::Watch, self.purpose(prefix), answer)
+    }
+
+    fn txn(&self, txn: Txn) -> Answer<TxnEnd> {
+        self.count(StoreCall::Txn, self.written(&txn), self.store.txn(txn))
+    }
+
+    fn grant(&self, ttl: Duration) -> Answer<u64> {
+        self.count(StoreCall::Grant, StoreUse::Lease, self.store.grant(ttl))
+    }
+
+    fn keep(&self, lease: u64) -> Answer<bool> {
+        self.count(StoreCall::Keep, StoreUse::Lease, self.store.keep(lease))
+    }
+
+    fn end(&self, lease: u64) -> Answer<()> {
+        self.count(StoreCall::End, StoreUse::Lease, self.store.end(lease))
+    }
+}
--- a/src/entry/keys.rs
+++ b/src/entry/keys.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Name;
+use crate::metrics::StoreUse;
 
 /// Nodes and the holder of orders: followed by every node.
 pub(super) const LIVE: &str = "mulberry/live/";
@@ -70,6 +71,28 @@
     key.strip_prefix(NODES).map(LiveKey::Node)
 }
 
+/// What a key or prefix of this service is about.
+pub(super) fn own_use(key: &str) -> StoreUse {
+    if let Some(live) = live_key(key) {
+        return match live {
+            LiveKey::Node(_) => StoreUse::Nodes,
+            LiveKey::Holder => StoreUse::Holder,
+        };
+    }
+    if key.starts_with(HOMES) {
+        return StoreUse::Homes;
+    }
+    let Some(part) = key.strip_prefix(JOBS).and_then(|rest| rest.split('/').nth(1)) else {
+        return StoreUse::Other;
+    };
+    match part {
+        "spec" => StoreUse::Submissions,
+        "results" => StoreUse::Results,
+        "texts" => StoreUse::Texts,
+        _ => StoreUse::Other,
+    }
+}
+
 pub(super) fn node(name: &str) -> Name {
     format!("{NODES}{name}").into()
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -6,6 +6,7 @@
 
 mod addresses;
 mod app;
+mod counted;
 mod end;
 mod entry;
 mod feed;
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -9,6 +9,6 @@
 
 pub use labels::{Entry, OrderCause, PlatformUse, Purpose, RetryReason, Task, Way};
 pub use metrics::Metrics;
-pub use tally::{AttemptEnd, JobStep, PeerUse, SampleEnd, StoreCall, StoreEnd, Tally};
+pub use tally::{AttemptEnd, JobStep, PeerUse, SampleEnd, StoreCall, StoreEnd, StoreUse, Tally};
 pub use timed::Timed;
 pub use traffic::Traffic;
--- a/src/metrics/tally.rs
+++ b/src/metrics/tally.rs
@@ -101,6 +101,35 @@
     Compacted,
 }
 
+/// What a call to the store is about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum StoreUse {
+    /// The configuration.
+    Routes,
+    /// The versions that trainers name.
+    Versions,
+    /// The machines that are to be emptied.
+    Retirements,
+    /// The list of replicas.
+    Replicas,
+    /// Nodes.
+    Nodes,
+    /// The holder of orders.
+    Holder,
+    /// Where jobs are.
+    Homes,
+    /// What jobs were submitted with.
+    Submissions,
+    /// Results of jobs.
+    Results,
+    /// Unfinished texts.
+    Texts,
+    /// This node's lease.
+    Lease,
+    /// Something else.
+    Other,
+}
+
 /// What entry nodes ask each other for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum PeerUse {
@@ -138,6 +167,7 @@
 struct StoreLabel {
     call: StoreCall,
     end: StoreEnd,
+    purpose: StoreUse,
 }
 
 /// Everything that an entry process counts.
@@ -202,7 +232,7 @@
         all.register("samples", "Samples that ended here", self.samples.clone());
         all.register("jobs", "What jobs went through here", self.jobs.clone());
         all.register("orders", "Orders given, by result", self.orders.clone());
-        all.register("store_calls", "Calls to the store, by end", self.store.clone());
+        all.register("store_calls", "Calls to the store, by end and purpose", self.store.clone());
         let help = "Bytes between nodes, by purpose and way";
         all.register("peer_bytes", help, self.peer_bytes.clone());
         let help = "Messages between nodes, by purpose and way";
@@ -249,8 +279,8 @@
     }
 
     /// Counts a call to the store; `took` for one that was to be answered at once.
-    pub fn store(&self, call: StoreCall, end: StoreEnd, took: Option<Duration>) {
-        self.store.get_or_create(&StoreLabel { call, end }).inc();
+    pub fn store(&self, call: StoreCall, end: StoreEnd, purpose: StoreUse, took: Option<Duration>) {
+        self.store.get_or_create(&StoreLabel { call, end, purpose }).inc();
         if let Some(took) = took {
             self.store_seconds.observe(took.as_secs_f64());
         }
--- a/tests/entry/views.rs
+++ b/tests/entry/views.rs
@@ -206,3 +206,28 @@
         assert!(node.line.longest() <= history * 3 / 4, "{:?}", node.line.longest());
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn calls_to_the_store_are_counted_by_what_they_are_about() {
+    let world = World::new();
+    let node = world.node("a").await;
+    node.submit("j", &["i1"]).await;
+    node.whole("j", 1).await;
+    world.name(2);
+    pass(8_000).await;
+    let text = node.app().metrics();
+    for (call, purpose) in [
+        ("Range", "Routes"),
+        ("Range", "Replicas"),
+        ("Range", "Nodes"),
+        ("Range", "Versions"),
+        ("Txn", "Nodes"),
+        ("Txn", "Holder"),
+        ("Txn", "Homes"),
+        ("Txn", "Results"),
+        ("Keep", "Lease"),
+    ] {
+        let labels = format!("{{call=\"{call}\",end=\"Answered\",purpose=\"{purpose}\"}} ");
+        assert!(text.contains(&format!("mulberry_store_calls_total{labels}")), "{labels}\n{text}");
+    }
+}
--- a/tests/entry/world.rs
+++ b/tests/entry/world.rs
@@ -280,9 +280,9 @@
 /// Calls to the store that ended well.
 pub(crate) fn calls(node: &Node, call: &str) -> u64 {
     let text = node.app().metrics();
-    let name = format!("mulberry_store_calls_total{{call=\"{call}\",end=\"Answered\"}} ");
-    let line = text.lines().find_map(|l| l.strip_prefix(&*name));
-    line.map_or(0, |count| count.parse().unwrap())
+    let name = format!("mulberry_store_calls_total{{call=\"{call}\",end=\"Answered\",");
+    let counts = text.lines().filter_map(|l| l.strip_prefix(&*name)?.split(' ').nth(1));
+    counts.map(|count| count.parse::<u64>().unwrap()).sum()
 }
 
 /// The replicas that a node sends plain requests to.
