Whoever finds the store back tells the others, and refusals say when that may be

Refusals said 0.06 to 0.1 s, so that tries were spent at once. Change: the fleet looks about 16 times a second, whatever its size, and the first to find the store back tells the rest; duties that pause are woken. A refusal in an outage says half of its length so far, 0.25 to 1 s, spread by a quarter.

--- a/src/decide/detour.rs
+++ b/src/decide/detour.rs
@@ -17,10 +17,20 @@
 /// How long nobody is asked after nobody could help: the service is away from all then. One
 /// call then looks whether somebody can.
 const ALONE: Duration = Duration::from_millis(500);
-/// Until the next look while the service is away from everybody, at first; doubled each time.
-const LOOK: Duration = Duration::from_millis(150);
-/// The longest of these: a step of a trainer stands still for half of it more.
-const LOOKS: Duration = Duration::from_millis(600);
+/// Between two looks of any nodes while the service is away from everybody: a step of a
+/// trainer stands still for half of it more, and each look costs a call. Whoever finds the
+/// service back tells the others.
+const EACH: Duration = Duration::from_millis(60);
+/// The least time between two looks of one node, where there are few.
+const LEAST: Duration = Duration::from_millis(150);
+/// The most, where there are many: others may be cut off from whoever finds it back.
+const MOST: Duration = Duration::from_millis(2_000);
+
+/// The time between two looks of one node, where so many nodes look. `draw` keeps them apart.
+pub fn pace(nodes: usize, draw: u32) -> Duration {
+    let even = (EACH * nodes as u32).clamp(LEAST, MOST);
+    even.mul_f64(0.75 + 0.5 * f64::from(draw % 1_000) / 1_000.0)
+}
 
 /// The way of one call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -49,8 +59,10 @@
     away: Option<Away>,
     /// Until when nobody is asked; none once somebody has helped.
     alone: Option<Moment>,
-    /// When to look next while nobody can help, and how long after the look before.
-    look: Option<Away>,
+    /// When to look next while nobody can help.
+    look: Option<Moment>,
+    /// How long after a look that is.
+    pace: Option<Duration>,
 }
 
 impl Detour {
@@ -70,15 +82,18 @@
 
     /// Whether this call is the one that looks.
     fn look(&mut self, now: Moment) -> Way {
-        let step = match self.look {
-            Some(look) if now < look.probe => return Way::Not,
-            Some(look) => (look.step * 2).min(LOOKS),
-            None => LOOK,
-        };
-        self.look = Some(Away { probe: now + step, step });
+        if self.look.is_some_and(|at| now < at) {
+            return Way::Not;
+        }
+        self.look = Some(now + self.pace.unwrap_or(LEAST));
         Way::Alone
     }
 
+    /// Sets the time between two looks while nobody can help.
+    pub fn set_pace(&mut self, pace: Duration) {
+        self.pace = Some(pace);
+    }
+
     /// Whether the own way is open, as far as is known.
     pub fn open(&self) -> bool {
         self.away.is_none()
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -9,6 +9,7 @@
 mod ahead;
 mod call;
 pub mod claim;
+pub mod comeback;
 mod deadlines;
 pub mod detour;
 mod dispatch;
--- a/src/entry/app.rs
+++ b/src/entry/app.rs
@@ -20,6 +20,7 @@
 use super::slots::Slots;
 use super::views::Views;
 use crate::decide::Routes;
+use crate::decide::comeback::come_back;
 use crate::edge::notice::Notices;
 use crate::edge::replica::Replicas;
 use crate::edge::store::Store;
@@ -193,6 +194,11 @@
         self.detour.open()
     }
 
+    /// When a client that is refused now is to come back.
+    pub fn come_back(&self) -> Duration {
+        come_back(self.detour.away(), self.draw())
+    }
+
     /// Whether the node may give orders: it has renewed its lease within half of its time.
     /// Whoever is holder after it counts on that, see [`App::turn`].
     pub(super) fn may_order(&self) -> bool {
--- a/src/entry/end.rs
+++ b/src/entry/end.rs
@@ -60,7 +60,7 @@
                     if self.now().saturating_sub(begun) > TRY {
                         return Found::Unsure;
                     }
-                    tokio::time::sleep(PAUSE).await;
+                    self.detour.rest(PAUSE).await;
                 }
             }
         }
--- a/src/entry/follow/follow.rs
+++ b/src/entry/follow/follow.rs
@@ -173,7 +173,7 @@
             self.lost = true;
         }
         tracing::debug!(event = "read_failed", topic = self.topic.as_str(), error = %e);
-        tokio::time::sleep(self.pause).await;
+        self.app.detour.rest(self.pause).await;
         self.pause = (self.pause * 2).min(LONGEST);
     }
 }
--- a/src/entry/follow/source.rs
+++ b/src/entry/follow/source.rs
@@ -70,7 +70,7 @@
             if round > ROUNDS {
                 return None;
             }
-            tokio::time::sleep(PAUSE).await;
+            self.detour.rest(PAUSE).await;
         }
     }
 
--- a/src/entry/listing.rs
+++ b/src/entry/listing.rs
@@ -136,7 +136,7 @@
                 if home.stop.is_cancelled() {
                     return false;
                 }
-                tokio::time::sleep(PAUSE).await;
+                app.detour.rest(PAUSE).await;
             }
         }
     }
--- a/src/entry/member.rs
+++ b/src/entry/member.rs
@@ -23,7 +23,7 @@
     while !app.stop.is_cancelled() {
         if let Err(e) = hold(&app).await {
             tracing::warn!(event = "lease_failed", error = %e);
-            tokio::time::sleep(PAUSE).await;
+            app.detour.rest(PAUSE).await;
         }
     }
 }
@@ -47,7 +47,7 @@
     loop {
         tokio::select! {
             () = app.stop.cancelled() => return Ok(()),
-            () = tokio::time::sleep(pause) => {}
+            () = app.detour.rest(pause) => {}
         }
         let sent = app.now();
         match app.store.keep(lease).await {
--- a/src/entry/peer/detour.rs
+++ b/src/entry/peer/detour.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::StreamExt;
 use parking_lot::Mutex;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -41,6 +42,11 @@
     begun: Instant,
 }
 
+/// Nodes that are told at the same time that the store is back.
+const TOLD: usize = 16;
+/// How long one of them may take to say that it heard; it learns by itself otherwise.
+const TELL: Duration = Duration::from_millis(300);
+
 #[derive(Debug)]
 struct State {
     way: detour::Detour,
@@ -77,7 +83,8 @@
         peers: Arc<dyn Peers>,
         seeds: Vec<SocketAddr>,
     ) -> Self {
-        let way = detour::Detour::default();
+        let mut way = detour::Detour::default();
+        way.set_pace(detour::pace(seeds.len() + 1, rand::random()));
         let state = State { way, nodes: seeds, heard: Moment::ZERO, back: None };
         Self {
             direct,
@@ -99,6 +106,13 @@
         self.state.lock().way.nobody()
     }
 
+    /// How long the store has been away from everybody; none while it is not.
+    pub(in crate::entry) fn away(&self) -> Option<Duration> {
+        let state = self.state.lock();
+        let away = self.begun.elapsed().saturating_sub(state.heard);
+        state.way.nobody().then_some(away)
+    }
+
     /// How long ago the store came back after an outage; none if there was none.
     pub(in crate::entry) fn since_back(&self) -> Option<Duration> {
         let back = self.state.lock().back?;
@@ -112,6 +126,7 @@
         }
         let mut state = self.state.lock();
         let first = state.nodes.first().copied();
+        state.way.set_pace(detour::pace(nodes.len() + 1, rand::random()));
         state.nodes = nodes;
         if let Some(place) = state.nodes.iter().position(|n| Some(*n) == first) {
             state.nodes.swap(0, place);
@@ -267,16 +282,44 @@
     }
 
     fn answered(&self) {
-        let news = {
+        let (nobody, news) = {
             let mut state = self.state.lock();
+            let nobody = state.way.nobody();
             let news = state.way.answered();
             state.hear(news, self.begun.elapsed());
-            news
+            (nobody, news)
         };
-        if news {
-            self.opened.send_modify(|n| *n += 1);
-            tracing::info!(event = "store_reached", way = "direct");
+        if !news {
+            return;
         }
+        self.opened.send_modify(|n| *n += 1);
+        tracing::info!(event = "store_reached", way = "direct");
+        if nobody {
+            tokio::spawn(self.clone().tell());
+        }
+    }
+
+    /// Tells the others that the store is back: they look now and not in a while.
+    async fn tell(self) {
+        let nodes = self.state.lock().nodes.clone();
+        let asks = nodes.into_iter().map(|to| self.peers.ask(to, PeerAsk::Reached, TELL));
+        let mut asks = futures_util::stream::iter(asks).buffer_unordered(TOLD);
+        while asks.next().await.is_some() {}
+    }
+
+    /// Another node says that the store is back.
+    pub(super) async fn told(&self, key: &str) {
+        if self.nobody() {
+            // Whoever is told does not tell on.
+            self.state.lock().way.helped();
+            self.opens(key).await;
+        }
+    }
+
+    /// Waits for a pause to be over, or for the store to be back.
+    pub(in crate::entry) async fn rest(&self, pause: Duration) {
+        let mut opened = self.opened.subscribe();
+        let _ = tokio::time::timeout(pause, opened.changed()).await;
     }
 
     fn failed(&self, e: &StoreError) {
--- a/src/entry/peer/door.rs
+++ b/src/entry/peer/door.rs
@@ -10,6 +10,7 @@
 use crate::edge::peer::{PeerHandler, PeerListener};
 use crate::edge::store::StoreError;
 use crate::entry::app::App;
+use crate::entry::keys::HOLDER;
 use crate::entry::submit::Submitted;
 use crate::metrics::Traffic;
 
@@ -92,6 +93,10 @@
                 PeerReply::Followed(news.filter(|_| app.reaches()))
             }
             PeerAsk::Store(ask) => PeerReply::Store(self.store(ask).await),
+            PeerAsk::Reached => {
+                app.detour.told(HOLDER).await;
+                PeerReply::Noted
+            }
         }
     }
 
--- a/src/entry/peer/message.rs
+++ b/src/entry/peer/message.rs
@@ -40,6 +40,8 @@
     },
     /// Call the store for me.
     Store(StoreAsk),
+    /// The store answers again.
+    Reached,
 }
 
 /// What one node may follow at another.
@@ -90,6 +92,8 @@
     Followed(Option<News>),
     /// What the store said.
     Store(Result<StoreReply, StoreError>),
+    /// It was heard.
+    Noted,
 }
 
 /// The answer of the store.
@@ -122,7 +126,7 @@
             Self::Submit(_) => PeerUse::Submit,
             Self::Read { .. } => PeerUse::Read,
             Self::Whole(_) | Self::Follow { .. } => PeerUse::Follow,
-            Self::Store(_) => PeerUse::Store,
+            Self::Store(_) | Self::Reached => PeerUse::Store,
         }
     }
 }
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -9,6 +9,7 @@
 use super::app::App;
 use super::slots::Held;
 use super::stream;
+use crate::decide::comeback::SOON;
 use crate::decide::{Again, Ended, History, Outcome, Route, Wish};
 use crate::edge::http::gather;
 use crate::edge::replica::{Call, Failure, Pieces, Reply};
@@ -23,9 +24,6 @@
 const PART: u32 = 40;
 /// It is given at least this: ten times the usual work of a plain service.
 const LEAST: Duration = Duration::from_millis(250);
-/// When to come back after a refusal: a replica that was full has places again within some
-/// requests, and a client's objective is not spent by then.
-pub(super) const COME_BACK: Duration = Duration::from_millis(60);
 
 /// A request of a client.
 #[derive(Debug, Clone)]
@@ -275,7 +273,7 @@
 }
 
 fn refused(kind: Kind, detail: &str) -> Refusal {
-    Refusal::new(kind, detail).after(COME_BACK)
+    Refusal::new(kind, detail).after(SOON)
 }
 
 fn log(app: &App, course: &Course, given: &Given) {
--- a/src/entry/submit.rs
+++ b/src/entry/submit.rs
@@ -150,7 +150,7 @@
                 }
                 return Submitted::Refused("store_away".into());
             }
-            tokio::time::sleep(PAUSE).await;
+            self.detour.rest(PAUSE).await;
         }
     }
 }
--- /dev/null
+++ b/tests/comeback.rs
@@ -0,0 +1,51 @@
+//! When clients that were refused come back.
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use mulberrycourse::decide::comeback::{SOON, come_back};
+use proptest::prelude::*;
+
+const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// How often a client that waits as told comes within the time that it has.
+fn tries(outage: Duration, patience: Duration) -> (u32, bool) {
+    let (mut at, mut count) = (ms(0), 0);
+    while at < patience {
+        count += 1;
+        if at >= outage {
+            return (count, true);
+        }
+        at += come_back(Some(at), count * 317);
+    }
+    (count, false)
+}
+
+#[test]
+fn without_an_outage_clients_come_back_at_once() {
+    assert_eq!(come_back(None, 7), SOON);
+}
+
+/// Guards: told to come back after 0.1 s, a client spent 60 tries in an outage of six seconds.
+#[test]
+fn clients_spend_few_tries_in_an_outage_and_are_served_soon_after_it() {
+    for outage in [200, 700, 2_000, 4_000, 6_000] {
+        let (count, served) = tries(ms(outage), ms(outage + 1_250));
+        assert!(served, "an outage of {outage} ms");
+        assert!(count <= 11, "{count} tries in {outage} ms");
+    }
+}
+
+proptest! {
+    /// Clients that are refused in one moment do not come back in one.
+    #[test]
+    fn clients_are_spread(away in 0_u64..20_000, draws in proptest::collection::vec(0_u32..1_000, 20)) {
+        let waits: Vec<Duration> = draws.iter().map(|d| come_back(Some(ms(away)), *d)).collect();
+        let (least, most) = (waits.iter().min().unwrap(), waits.iter().max().unwrap());
+        prop_assert!(*least >= ms(250) && *most <= ms(1_250));
+        let apart = draws.iter().max().unwrap() - draws.iter().min().unwrap();
+        prop_assert!(*most - *least >= *least * apart / 8_000);
+    }
+}
--- a/tests/detour.rs
+++ b/tests/detour.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use mulberrycourse::decide::detour::{Detour, Way};
+use mulberrycourse::decide::detour::{Detour, Way, pace};
 use proptest::prelude::*;
 
 const fn ms(millis: u64) -> Duration {
@@ -78,7 +78,17 @@
             }
         }
     }
-    assert!((4..=9).contains(&looks), "{looks}");
+    assert!((15..=20).contains(&looks), "{looks}");
     assert!(detour.answered());
     assert_eq!(detour.way(false, ms(3_000)), Way::Direct);
 }
+
+#[test]
+fn a_fleet_looks_as_often_whatever_its_size() {
+    for nodes in [8, 20, 33] {
+        let looks: f64 = (0..nodes).map(|n| 1.0 / pace(nodes, n as u32 * 131).as_secs_f64()).sum();
+        assert!((13.0..22.0).contains(&looks), "{nodes} nodes: {looks} looks a second");
+    }
+    assert!(pace(1, 0) >= ms(100));
+    assert!(pace(400, 999) <= ms(2_500));
+}
--- a/tests/entry/feeds.rs
+++ b/tests/entry/feeds.rs
@@ -5,7 +5,7 @@
 use standins::kv::{Away, Faults};
 
 use crate::links::Link;
-use crate::world::{Node, World, calls, pass, used};
+use crate::world::{Node, World, calls, pass, refusals, used};
 
 /// More nodes than watch for themselves.
 const MANY: u8 = 20;
@@ -166,3 +166,24 @@
     assert!(begun.app().ready());
     assert_eq!(begun.app().routes().unwrap().version, 9);
 }
+
+/// Guards: nodes found the store back by themselves, up to 0.6 s apart, or made a call each
+/// 0.1 s in the outage.
+#[tokio::test(start_paused = true)]
+async fn whoever_finds_the_store_back_tells_the_others() {
+    let world = World::new();
+    let nodes = many(&world).await;
+    let away = Faults { away: Some(Away::Refusing), ..Faults::default() };
+    let refused = |nodes: &[Node]| nodes.iter().map(refusals).sum::<u64>();
+    nodes.iter().for_each(|n| n.line.fail(away));
+    pass(2_000).await;
+    let before = refused(&nodes);
+    pass(4_000).await;
+    let looks = refused(&nodes) - before;
+    assert!(looks <= 100, "{looks} calls in four seconds of an outage");
+    nodes.iter().for_each(|n| n.line.fail(Faults::default()));
+    world.configure(9);
+    pass(600).await;
+    let late = nodes.iter().filter(|n| n.app().routes().unwrap().version != 9).count();
+    assert_eq!(late, 0);
+}
--- a/tests/entry/world.rs
+++ b/tests/entry/world.rs
@@ -294,9 +294,19 @@
 
 /// Calls to the store that ended well.
 pub(crate) fn calls(node: &Node, call: &str) -> u64 {
+    counted(node, &format!("{{call=\"{call}\",end=\"Answered\","))
+}
+
+/// Calls to the store that it refused.
+pub(crate) fn refusals(node: &Node) -> u64 {
+    counted(node, "end=\"Refused\",")
+}
+
+/// Calls to the store whose labels contain this.
+fn counted(node: &Node, labels: &str) -> u64 {
     let text = node.app().metrics();
-    let name = format!("mulberry_store_calls_total{{call=\"{call}\",end=\"Answered\",");
-    let counts = text.lines().filter_map(|l| l.strip_prefix(&*name)?.split(' ').nth(1));
+    let calls = text.lines().filter(|l| l.starts_with("mulberry_store_calls_total{"));
+    let counts = calls.filter(|l| l.contains(labels)).filter_map(|l| l.split(' ').nth(1));
     counts.map(|count| count.parse::<u64>().unwrap()).sum()
 }
 
