Results are gathered for longer until their trainer may wait for them

Ruled out: a longer window throughout, which the trainer would wait for at the end. Change: until all but a tenth of the wanted groups are whole, results are gathered for 0.4 s. The number of wanted groups is decoded at the platform's edge; a submission that was stored without it is still read.

--- a/src/decide/job/job.rs
+++ b/src/decide/job/job.rs
@@ -3,7 +3,7 @@
 //! A result has a position only once it is written where it lasts: what a trainer has read
 //! stands there for good, whichever node is home.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -14,6 +14,10 @@
 /// Bytes that a result takes up beside its parts.
 const FRAME: usize = 64;
 
+/// One in so many of the wanted groups may still be missing as results become urgent: groups
+/// that came along from an earlier step are waited for beside the number that is wanted.
+const NEAR: usize = 10;
+
 /// A batch job as it was submitted.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Spec {
@@ -29,9 +33,23 @@
     pub oldest: u64,
     /// The samples, in order.
     pub items: Vec<Arc<ItemSpec>>,
+    /// The number of whole groups that its trainer waits for; none if it did not say.
+    pub wanted: Option<usize>,
 }
 
 impl Spec {
+    /// Decodes a submission as it lies in the store. One from before the number of wanted
+    /// groups was kept ends without it.
+    pub fn decode(mut bytes: Vec<u8>) -> Result<Self, bincode::error::DecodeError> {
+        let config = bincode::config::standard();
+        let decoded = bincode::serde::decode_from_slice(&bytes, config);
+        if let Err(bincode::error::DecodeError::UnexpectedEnd { .. }) = decoded {
+            bytes.push(0);
+            return bincode::serde::decode_from_slice(&bytes, config).map(|(spec, _)| spec);
+        }
+        decoded.map(|(spec, _)| spec)
+    }
+
     /// About how many bytes it takes up.
     pub fn size(&self) -> usize {
         self.items.iter().map(|item| item.body.len() + 2 * FRAME).sum()
@@ -99,6 +117,10 @@
     fresh: Vec<Arc<Listing>>,
     /// Index of each sample that has no result yet.
     open: HashMap<Name, usize>,
+    /// How many of these each group has that is not whole.
+    groups: HashMap<Name, usize>,
+    /// The number of groups.
+    total: usize,
     ended: bool,
 }
 
@@ -110,7 +132,12 @@
         for listing in &listed {
             open.remove(&listing.id);
         }
-        Self { spec, listed, fresh: Vec::new(), open, ended: false }
+        let mut groups: HashMap<Name, usize> = HashMap::new();
+        for index in open.values() {
+            *groups.entry(spec.items[*index].group.clone()).or_default() += 1;
+        }
+        let total = spec.items.iter().map(|item| &item.group).collect::<HashSet<_>>().len();
+        Self { spec, listed, fresh: Vec::new(), open, groups, total, ended: false }
     }
 
     /// The samples that are to be made, the longest first.
@@ -134,11 +161,21 @@
         let Some((id, index)) = self.open.remove_entry(id) else { return Finished::Unwanted };
         self.fresh.push(Arc::new(Listing { id, state }));
         let group = &self.spec.items[index].group;
-        if self.open.values().any(|i| self.spec.items[*i].group == *group) {
-            Finished::Sample
-        } else {
-            Finished::Group
+        let Some(left) = self.groups.get_mut(group) else { return Finished::Group };
+        *left -= 1;
+        if *left > 0 {
+            return Finished::Sample;
         }
+        self.groups.remove(group);
+        Finished::Group
+    }
+
+    /// Whether its trainer may be waiting for the next results to go on: the groups that it
+    /// wants are whole, or all but one in ten and one. Until then results are of no use to it.
+    pub fn awaited(&self) -> bool {
+        let wanted = self.spec.wanted.unwrap_or_default().min(self.total);
+        let whole = self.total - self.groups.len();
+        whole + wanted.div_ceil(NEAR) + 1 >= wanted || self.made()
     }
 
     /// The position of the next result that is written.
--- a/src/entry/listing.rs
+++ b/src/entry/listing.rs
@@ -13,9 +13,13 @@
 use crate::edge::store::{Item, StoreError, Txn, TxnEnd};
 use crate::metrics::JobStep;
 
-/// How long results are gathered for one write. A sample takes a second; a write for each
-/// would cost four times the calls, and a longer wait shows in the time of a step.
+/// How long results are gathered for one write once the trainer may wait for them. A sample
+/// takes a second; a write for each would cost four times the calls, and a longer wait shows
+/// in the time of a step.
 const WINDOW: Duration = Duration::from_millis(100);
+/// For how many windows they are gathered before that: what a step's first seconds bring is
+/// of no use to its trainer yet, and is lost with a home at most.
+const WINDOWS: u32 = 4;
 /// How often unfinished texts are written while no result comes: what is lost with a home.
 /// Only what has come since is written, so a shorter time costs calls but no bytes.
 const SAVE: Duration = Duration::from_millis(500);
@@ -40,8 +44,14 @@
             () = tokio::time::sleep(SAVE) => {}
             () = home.fresh.notified() => {}
         }
-        if !home.job.lock().made() {
+        for _ in 0..WINDOWS {
+            if home.job.lock().made() {
+                break;
+            }
             tokio::time::sleep(WINDOW).await;
+            if home.job.lock().awaited() {
+                break;
+            }
         }
         if !write_all(&app, &home, &id, usize::MAX).await {
             return;
--- a/src/entry/read.rs
+++ b/src/entry/read.rs
@@ -237,8 +237,7 @@
         for item in &page.items {
             bytes.extend_from_slice(&item.value);
         }
-        let decoded = bincode::serde::decode_from_slice(&bytes, bincode::config::standard());
-        let (spec, _) = decoded.map_err(|e| StoreError::Refused(e.to_string()))?;
+        let spec = Spec::decode(bytes).map_err(|e| StoreError::Refused(e.to_string()))?;
         Ok(Arc::new(spec))
     }
 
--- a/tests/entry/world.rs
+++ b/tests/entry/world.rs
@@ -236,6 +236,7 @@
         model: Some(MODEL.into()),
         oldest: 1,
         items: items.iter().map(|id| Arc::new(item(id))).collect(),
+        wanted: None,
     }
 }
 
--- a/tests/jobs.rs
+++ b/tests/jobs.rs
@@ -27,6 +27,7 @@
         model: None,
         oldest: 0,
         items: lengths.iter().enumerate().map(item).collect(),
+        wanted: None,
     })
 }
 
@@ -122,3 +123,53 @@
     job.finish("i1", State::Dead);
     assert_eq!(job.batch(1).1.len(), 1);
 }
+
+fn in_groups(groups: usize, size: usize, wanted: usize) -> Arc<Spec> {
+    let mut spec = Spec::clone(&spec(&vec![None; groups * size]));
+    for (i, item) in spec.items.iter_mut().enumerate() {
+        Arc::make_mut(item).group = format!("g{}", i / size).into();
+    }
+    spec.wanted = Some(wanted);
+    Arc::new(spec)
+}
+
+/// Guards: results were written each tenth of a second from the first on, 20 writes a step,
+/// though a trainer goes on only with the groups that it wants.
+#[test]
+fn results_are_awaited_once_nearly_all_wanted_groups_are_whole() {
+    let mut job = Job::new(in_groups(33, 4, 30), Vec::new());
+    let mut awaited_at = None;
+    for i in 0..33 * 4 {
+        if job.awaited() && awaited_at.is_none() {
+            awaited_at = Some(i / 4);
+        }
+        job.finish(&format!("i{i}"), State::Dead);
+    }
+    assert_eq!(awaited_at, Some(26));
+    assert!(job.made() && job.awaited());
+}
+
+#[test]
+fn results_of_a_trainer_that_did_not_say_are_always_awaited() {
+    assert!(Job::new(spec(&[None, None]), Vec::new()).awaited());
+}
+
+#[test]
+fn groups_that_lie_in_the_store_count_as_whole() {
+    let spec = in_groups(5, 2, 5);
+    let listed = (0..6).map(|i| Listing { id: format!("i{i}").into(), state: State::Dead });
+    assert!(!Job::new(spec.clone(), Vec::new()).awaited());
+    assert!(Job::new(spec, listed.map(Arc::new).collect()).awaited());
+}
+
+/// A submission of an earlier version, which did not keep the number of wanted groups.
+#[test]
+fn a_submission_without_wanted_groups_is_read() {
+    let spec = Spec::clone(&spec(&[Some(3), None]));
+    let mut bytes = bincode::serde::encode_to_vec(&spec, bincode::config::standard()).unwrap();
+    assert_eq!(Spec::decode(bytes.clone()).unwrap(), spec);
+    assert_eq!(bytes.pop(), Some(0));
+    assert_eq!(Spec::decode(bytes.clone()).unwrap(), spec);
+    bytes.truncate(bytes.len() / 2);
+    assert!(Spec::decode(bytes).is_err());
+}
