An entry of a replica that can't be read names no replica to use

Cause: an unreadable entry left the former entry of that id in use, in a change as in a whole reading. Change: the replica is taken off the list until its entry can be read; the others hold. The test failed first (p1 still got work).

--- a/src/entry/follow/apply.rs
+++ b/src/entry/follow/apply.rs
@@ -98,7 +98,9 @@
                 }
             }
             Err(reason) => {
+                // Whatever wrote it, it names no replica that may be used.
                 tracing::error!(event = "replica_unreadable", key = %item.key, %reason);
+                self.unlist(&self.notices.replica_id(&item.key));
             }
         }
     }
--- a/tests/entry/views.rs
+++ b/tests/entry/views.rs
@@ -231,3 +231,23 @@
         assert!(text.contains(&format!("mulberry_store_calls_total{labels}")), "{labels}\n{text}");
     }
 }
+
+/// An entry of another writer that can't be read names no replica; the others hold, and the
+/// replica is used again once its entry can be read.
+#[tokio::test(start_paused = true)]
+async fn a_replica_whose_entry_can_not_be_read_gets_no_work() {
+    let world = World::new();
+    let node = world.node("a").await;
+    pass(2_000).await;
+    let key =
+        world.kv.items("replicas/").iter().find(|i| i.key.ends_with("p1")).unwrap().key.clone();
+    world.kv.put(&key, "{\"serv");
+    pass(2_000).await;
+    assert_eq!(used(&world, &node, "t").await, ["p2"; 6]);
+    world.kv.compact();
+    pass(2_000).await;
+    assert_eq!(used(&world, &node, "u").await, ["p2"; 6]);
+    world.replicas.list("plain", "p1", false);
+    pass(2_000).await;
+    assert!(used(&world, &node, "v").await.contains(&"p1".to_owned()));
+}
