Nodes that start together wait for whoever is back first

Cause: after a loss of power the nodes asked one seed that was not back yet. Ruled out: full queues of new connections (sharing one connection changed nothing by itself; kept, it saves two of three connections to each seed). Change: seeds are asked 40 ms apart, each again until one answers; a connection to a node is given up after 150 ms; a seed reads the store at once and never waits for another.

--- a/src/edge/peer/client.rs
+++ b/src/edge/peer/client.rs
@@ -17,8 +17,9 @@
 use super::{Message, Request};
 use crate::metrics::Traffic;
 
-/// How long a connection may take to open.
-const CONNECT: Duration = Duration::from_secs(1);
+/// How long a connection may take to open: a few ways between regions. A machine without power
+/// does not refuse, and an attempt that was begun before it is back stays open for a second.
+const CONNECT: Duration = Duration::from_millis(150);
 /// A connection that was not used for so long is closed: gossip goes to random
 /// nodes, and a connection to each of 380 would take more memory than control may.
 const IDLE: Duration = Duration::from_secs(30);
@@ -70,6 +71,8 @@
 #[derive(Clone)]
 pub struct PeerClient<M = Request> {
     open: Arc<Mutex<HashMap<SocketAddr, Open>>>,
+    /// Held while a connection to a node is begun, so that requests of one moment share it.
+    begun: Arc<Mutex<HashMap<SocketAddr, Begun>>>,
     counts: Counts<M>,
 }
 
@@ -79,6 +82,8 @@
     }
 }
 
+type Begun = Arc<tokio::sync::Mutex<()>>;
+
 #[derive(Debug)]
 struct Open {
     sender: SendRequest<Bytes>,
@@ -88,7 +93,7 @@
 impl<M: Message> PeerClient<M> {
     /// A client whose messages are counted.
     pub fn new(counts: impl Fn(&M) -> Traffic + Send + Sync + 'static) -> Self {
-        Self { open: Arc::default(), counts: Arc::new(counts) }
+        Self { open: Arc::default(), begun: Arc::default(), counts: Arc::new(counts) }
     }
 
     /// Sends a request and waits for the reply.
@@ -142,10 +147,29 @@
     }
 
     async fn connection(&self, to: SocketAddr) -> Result<SendRequest<Bytes>, PeerError> {
-        if let Some(open) = self.open.lock().get_mut(&to) {
-            open.used = Instant::now();
-            return Ok(open.sender.clone());
+        if let Some(sender) = self.opened(to) {
+            return Ok(sender);
+        }
+        let begun = {
+            let mut begun = self.begun.lock();
+            begun.retain(|_, begun| Arc::strong_count(begun) > 1);
+            begun.entry(to).or_default().clone()
+        };
+        let _begun = begun.lock().await;
+        match self.opened(to) {
+            Some(sender) => Ok(sender),
+            None => self.connect(to).await,
         }
+    }
+
+    fn opened(&self, to: SocketAddr) -> Option<SendRequest<Bytes>> {
+        let mut opened = self.open.lock();
+        let open = opened.get_mut(&to)?;
+        open.used = Instant::now();
+        Some(open.sender.clone())
+    }
+
+    async fn connect(&self, to: SocketAddr) -> Result<SendRequest<Bytes>, PeerError> {
         let fail = |reason: String| PeerError::Connect { to, reason };
         let stream = tokio::time::timeout(CONNECT, TcpStream::connect(to))
             .await
--- a/src/entry/follow/source.rs
+++ b/src/entry/follow/source.rs
@@ -12,11 +12,11 @@
 use parking_lot::Mutex;
 
 use super::feed::{Feed, News};
-use crate::Name;
-use crate::decide::rank;
+use crate::decide::{rank, score};
 use crate::edge::store::Page;
 use crate::entry::app::App;
 use crate::entry::peer::Followed;
+use crate::{Moment, Name};
 
 /// Up to so many nodes each watches for itself: with three watchers nothing would be saved.
 const FEW: usize = 4;
@@ -37,7 +37,10 @@
 
 /// How long a node that starts waits for one of its settings that is starting as well: all
 /// start within a third of a second of each other, and those read the store at once.
-const START: Duration = Duration::from_millis(600);
+const START: Duration = Duration::from_millis(800);
+/// How much later each next of them is asked, and one that said nothing again: two ways between
+/// zones and the answer take a tenth of it, where somebody is there to answer.
+const NEXT: Duration = Duration::from_millis(40);
 
 /// The feeds of what other nodes may follow here.
 #[derive(Debug, Default)]
@@ -88,27 +91,38 @@
     /// Where each read the store, they made seven calls each, 1,750 of 250 nodes; now those
     /// that are named in the settings read it, and the others wait for one of them.
     pub(super) async fn hear_first(&self, followed: Followed) -> Option<News> {
+        if self.is_seed() {
+            return None;
+        }
         let seeds = self.other_seeds();
-        let named = seeds.len() < self.settings.seeds.len();
-        let wait = if named { Duration::ZERO } else { START };
-        let ends = self.now() + wait;
+        let ends = self.now() + START;
+        let asks = seeds.iter().zip(0..).map(|(seed, place)| async move {
+            tokio::time::sleep(NEXT * place).await;
+            self.first_at(*seed, followed, ends).await
+        });
+        let mut asked: FuturesUnordered<_> = asks.collect();
+        while let Some(first) = asked.next().await {
+            if first.is_some() {
+                return first;
+            }
+        }
+        None
+    }
+
+    /// What a node believes, as soon as it knows anything; none if it doesn't until `ends`, or
+    /// does not hear the store itself.
+    async fn first_at(&self, seed: SocketAddr, followed: Followed, ends: Moment) -> Option<News> {
         loop {
-            for seed in &seeds {
-                let left = ends.saturating_sub(self.now());
-                match self.whole_at(*seed, followed, left).await {
-                    Some(News::Whole { page, age }) if age <= FRESH => {
-                        *self.feeds.first.lock() = Some(*seed);
-                        return Some(News::Whole { page, age });
-                    }
-                    // It does not hear the store itself.
-                    Some(_) => return None,
-                    None => {}
+            let left = ends.saturating_sub(self.now());
+            match self.whole_at(seed, followed, left).await {
+                Some(News::Whole { page, age }) if age <= FRESH => {
+                    *self.feeds.first.lock() = Some(seed);
+                    return Some(News::Whole { page, age });
                 }
+                Some(_) => return None,
+                None if self.now() >= ends => return None,
+                None => tokio::time::sleep(NEXT).await,
             }
-            if seeds.is_empty() || self.now() >= ends {
-                return None;
-            }
-            tokio::time::sleep(PAUSE).await;
         }
     }
 
@@ -128,15 +142,17 @@
         best.map(|(age, page)| News::Whole { page, age })
     }
 
+    /// Whether other nodes ask this one as they start. It reads the store at once.
+    fn is_seed(&self) -> bool {
+        self.settings.peers.is_some_and(|own| self.settings.seeds.contains(&own))
+    }
+
     /// The nodes of the settings but this one, in an order of its own.
     fn other_seeds(&self) -> Vec<SocketAddr> {
         let own = self.settings.peers;
-        let mut seeds: Vec<SocketAddr> = self.settings.seeds.clone();
+        let mut seeds = self.settings.seeds.clone();
         seeds.retain(|seed| Some(*seed) != own);
-        if !seeds.is_empty() {
-            let first = self.draw() as usize % seeds.len();
-            seeds.rotate_left(first);
-        }
+        seeds.sort_by_cached_key(|seed| score(&self.settings.name, &seed.to_string()));
         seeds
     }
 
@@ -144,7 +160,7 @@
     /// are listed, as in the first second of all, that is who spoke first.
     fn sources(&self) -> Vec<SocketAddr> {
         let Some(watchers) = self.watchers() else {
-            let first = *self.feeds.first.lock();
+            let first = self.feeds.first.lock().filter(|_| !self.is_seed());
             return first.filter(|at| !self.shunned(*at)).into_iter().collect();
         };
         if !self.follows() {
