Replicas are dealt by the work of a step

Cause: each model had the same count of replicas, by the order of names, and as the first model was named every replica was dealt to it: 12 loads in the first 12 s, while the steps of the others waited. Steps of one trainer come to three times the work of another's. Change: homes note what a step comes to by its senders' estimates, the holder of orders asks them once a second, and the next replica goes to the model with the most work for each that it has. A model that was not named but has work has its share from the start. Ruled out: work a second as the weight: a trainer that is behind asks less often.

--- a/src/decide/job/job.rs
+++ b/src/decide/job/job.rs
@@ -50,6 +50,16 @@
         decoded.map(|(spec, _)| spec)
     }
 
+    /// What all its samples come to, by their senders' estimates; one without counts as the
+    /// mean.
+    pub fn work(&self) -> u64 {
+        let known: Vec<u64> = self.items.iter().filter_map(|item| item.length).collect();
+        let sum: u64 = known.iter().sum();
+        let count = known.len().max(1) as u64;
+        let mean = (sum / count).max(1);
+        sum + mean * (self.items.len() - known.len()) as u64
+    }
+
     /// About how many bytes it takes up.
     pub fn size(&self) -> usize {
         self.items.iter().map(|item| item.body.len() + 2 * FRAME).sum()
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -11,6 +11,7 @@
 pub mod claim;
 pub mod comeback;
 mod deadlines;
+mod demand;
 pub mod detour;
 mod dispatch;
 mod drag;
@@ -46,6 +47,7 @@
 pub use ahead::ahead;
 pub use call::{Call, Class, Repeat};
 pub use deadlines::Deadlines;
+pub use demand::Demand;
 pub use dispatch::{
     Action, Dispatch, Limits, LoadReport, Report, Shares, Ticket, UpstreamKey, UpstreamView,
 };
--- a/src/entry/app.rs
+++ b/src/entry/app.rs
@@ -20,8 +20,8 @@
 use super::peer::{Detour, Peers};
 use super::slots::Slots;
 use super::views::Views;
-use crate::decide::Routes;
 use crate::decide::comeback::come_back;
+use crate::decide::{Demand, Routes};
 use crate::edge::notice::Notices;
 use crate::edge::replica::Replicas;
 use crate::edge::store::Store;
@@ -50,6 +50,8 @@
     pub(super) life: Name,
     pub(super) routes: Mutex<Option<Arc<Routes>>>,
     pub(super) versions: Mutex<BTreeMap<Name, u64>>,
+    /// What steps bring, here and, at who gives orders, at other homes.
+    pub(super) demand: Mutex<Demand>,
     pub(super) slots: Slots,
     pub(super) live: Mutex<Live>,
     pub(super) homes: Homes,
@@ -114,6 +116,7 @@
             life,
             routes: Mutex::default(),
             versions: Mutex::default(),
+            demand: Mutex::default(),
             slots,
             live: Mutex::default(),
             homes: Homes::default(),
--- a/src/entry/home.rs
+++ b/src/entry/home.rs
@@ -44,6 +44,9 @@
     pub(super) fn run(self: &Arc<Self>, spec: Arc<Spec>, kept: Kept, key: Seen<HomeValue>) {
         let Kept { listed, texts, saves } = kept;
         let id = spec.id.clone();
+        if let Some(model) = &spec.model {
+            self.demand.lock().note(model, spec.work(), self.now());
+        }
         let job = Job::new(spec, listed);
         let todo = job.todo();
         let count = job.position();
--- a/src/entry/mover.rs
+++ b/src/entry/mover.rs
@@ -3,7 +3,7 @@
 //! The holder's key lies under its node's lease, and the revision that wrote it is the
 //! fencing token of its orders. A holder that can't be sure of its lease gives no order.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -48,6 +48,7 @@
                 tokio::select! {
                     () = app.stop.cancelled() => {}
                     () = hold(&app, fence) => {}
+                    () = app.hear_demand() => {}
                     () = follow(app.clone(), Topic::Versions) => {}
                 }
                 tracing::info!(event = "orders_given_up", fence);
@@ -142,9 +143,11 @@
 
 fn wanted(app: &App, busy: &BTreeMap<Name, Name>) -> Vec<Move> {
     let named = app.versions.lock().clone();
+    let demand = app.demand.lock().by_model(app.now());
+    let models: BTreeSet<&Name> = named.keys().chain(demand.keys()).collect();
     let mut standings: Vec<Standing> = Vec::new();
     let fleet = app.slots.fleet.lock();
-    for model in named.keys() {
+    for model in models {
         for (target, version) in fleet.serving(model) {
             let found = standings.iter().position(|s| s.id == target.id);
             let index = found.unwrap_or_else(|| {
@@ -155,7 +158,7 @@
             standings[index].versions.insert(model.clone(), version);
         }
     }
-    moves::next(&named, &standings)
+    moves::next(&named, &demand, &standings)
 }
 
 fn target(app: &App, id: &str) -> Option<Target> {
--- a/src/entry/peer/door.rs
+++ b/src/entry/peer/door.rs
@@ -101,6 +101,10 @@
                 let news = if app.reaches() { feed.after(after, wait).await } else { None };
                 PeerReply::Followed(news.filter(|_| app.reaches()))
             }
+            PeerAsk::Demand => {
+                let demand = app.demand.lock().by_model(app.now());
+                PeerReply::Demand(demand.into_iter().collect())
+            }
             PeerAsk::Store(ask) => PeerReply::Store(self.store(ask).await),
             PeerAsk::Reached => {
                 app.detour.told();
--- a/src/entry/peer/home.rs
+++ b/src/entry/peer/home.rs
@@ -33,6 +33,8 @@
 /// How long a node may take to say all that it believes to one that starts, beside the time
 /// that it may wait for it: it has it at hand, and without an answer the store is asked.
 const WHOLE: Duration = Duration::from_millis(200);
+/// How often homes are asked what their steps bring: steps come every few seconds.
+const DEMAND: Duration = Duration::from_secs(1);
 /// How long a node that did not answer is not asked: its lease ends within two seconds.
 const SHUNNED: Duration = Duration::from_millis(2_500);
 
@@ -151,6 +153,25 @@
         likely
     }
 
+    /// Asks the homes of the routes what their steps bring, for as long as this node gives
+    /// orders. What is not heard keeps its last value.
+    pub(in crate::entry) async fn hear_demand(&self) {
+        loop {
+            tokio::time::sleep(DEMAND).await;
+            let asks = self
+                .likely_homes(None)
+                .into_iter()
+                .map(|(_, to)| async move { self.peers.ask(to, PeerAsk::Demand, FIND).await });
+            let heard = futures_util::future::join_all(asks).await;
+            let now = self.now();
+            let mut demand = self.demand.lock();
+            for reply in heard {
+                let Ok(PeerReply::Demand(steps)) = reply else { continue };
+                steps.iter().for_each(|(model, work)| demand.note(model, *work, now));
+            }
+        }
+    }
+
     /// The life that is home to a job, from what the store said since nodes last went.
     async fn at(&self, job: &str, view: &View) -> Result<Option<Name>, StoreError> {
         let sure = (self.doubts.load(Ordering::Relaxed), self.live.lock().departures());
--- a/src/entry/peer/message.rs
+++ b/src/entry/peer/message.rs
@@ -53,6 +53,8 @@
         /// How long to wait for one.
         wait: Duration,
     },
+    /// Say what the steps of each model bring at you.
+    Demand,
     /// Call the store for me.
     Store(StoreAsk),
     /// The store answers again.
@@ -109,6 +111,8 @@
     Body(Option<Bytes>),
     /// What was heard; none where this node can't say.
     Followed(Option<News>),
+    /// The work of one step, by model.
+    Demand(Vec<(Name, u64)>),
     /// What the store said.
     Store(Result<StoreReply, StoreError>),
     /// It was heard.
@@ -144,7 +148,7 @@
         match self {
             Self::Submit(_) => PeerUse::Submit,
             Self::Find(_) | Self::Body { .. } | Self::Read { .. } => PeerUse::Read,
-            Self::Whole { .. } | Self::Follow { .. } => PeerUse::Follow,
+            Self::Whole { .. } | Self::Follow { .. } | Self::Demand => PeerUse::Follow,
             Self::Store(_) | Self::Reached => PeerUse::Store,
         }
     }
