Each node has its own phase of looks while the store is away

Ruled out: telling (all knew within 0.25 s of the first), calls refused in vain. Change: the first look lies at a random place of the pace.

--- a/src/decide/detour.rs
+++ b/src/decide/detour.rs
@@ -31,7 +31,12 @@
 /// The time between two looks of one node, where so many nodes look. `draw` keeps them apart.
 pub fn pace(nodes: usize, draw: u32) -> Duration {
     let even = (EACH * nodes as u32).clamp(LEAST, MOST);
-    even.mul_f64(0.75 + 0.5 * f64::from(draw % 1_000) / 1_000.0)
+    even.mul_f64(0.75 + 0.5 * part(draw))
+}
+
+/// A part of one.
+fn part(draw: u32) -> f64 {
+    f64::from(draw % 1_000) / 1_000.0
 }
 
 /// The way of one call.
@@ -65,6 +70,8 @@
     look: Option<Moment>,
     /// How long after a look that is.
     pace: Option<Duration>,
+    /// How long after the way closed the first look is.
+    phase: Duration,
 }
 
 impl Detour {
@@ -91,9 +98,12 @@
         Way::Alone
     }
 
-    /// Sets the time between two looks while nobody can help.
-    pub fn set_pace(&mut self, pace: Duration) {
+    /// Sets the time between two looks while nobody can help, and where in it the first one
+    /// lies. All find the way closed at the same moment: without their own phases 250 nodes
+    /// made no look for six seconds, and found the service back two seconds late.
+    pub fn set_pace(&mut self, pace: Duration, draw: u32) {
         self.pace = Some(pace);
+        self.phase = pace.mul_f64(part(draw));
     }
 
     /// Whether the own way is open, as far as is known.
@@ -115,13 +125,16 @@
     /// Another node says that the service answers again: the next call shows whether it does
     /// so here, and takes no look of its own.
     pub fn told(&mut self) {
-        *self = Self { pace: self.pace, ..Self::default() };
+        *self = Self { pace: self.pace, phase: self.phase, ..Self::default() };
     }
 
     /// A call on the own way failed. True if it is news.
     pub fn failed(&mut self, now: Moment) -> bool {
         let step = self.away.map_or(FIRST, |away| (away.step * 2).min(LONGEST));
         let news = self.away.is_none();
+        if news {
+            self.look = self.pace.map(|_| now + self.phase);
+        }
         self.away = Some(Away { probe: now + step, step });
         news
     }
--- a/src/entry/peer/detour.rs
+++ b/src/entry/peer/detour.rs
@@ -86,7 +86,7 @@
         seeds: Vec<SocketAddr>,
     ) -> Self {
         let mut way = detour::Detour::default();
-        way.set_pace(detour::pace(seeds.len() + 1, rand::random()));
+        way.set_pace(detour::pace(seeds.len() + 1, rand::random()), rand::random());
         let state = State { way, most: seeds.len(), nodes: seeds, heard: Moment::ZERO, back: None };
         Self {
             direct,
@@ -130,7 +130,8 @@
         let first = state.nodes.first().copied();
         if nodes.len() > state.most {
             state.most = nodes.len();
-            state.way.set_pace(detour::pace(nodes.len() + 1, rand::random()));
+            let pace = detour::pace(nodes.len() + 1, rand::random());
+            state.way.set_pace(pace, rand::random());
         }
         state.nodes = nodes;
         if let Some(place) = state.nodes.iter().position(|n| Some(*n) == first) {
--- a/tests/detour.rs
+++ b/tests/detour.rs
@@ -93,6 +93,38 @@
     assert!(pace(400, 999) <= ms(10_000), "one that is cut off from all others looks by itself");
 }
 
+/// Load pattern: hundreds of nodes find the way closed within a moment. Some of them looks
+/// every few tenths of a second from then on, so that the service is found back that soon.
+#[test]
+fn looks_of_a_crowd_lie_apart() {
+    let mut fleet: Vec<Detour> = (0_u32..250)
+        .map(|i| {
+            let mut detour = Detour::default();
+            detour.set_pace(pace(250, i * 7_919), i * 104_729);
+            detour.failed(ms(0));
+            detour.alone(ms(0));
+            detour
+        })
+        .collect();
+    let mut looks = Vec::new();
+    for now in (0..12_000).step_by(20) {
+        for detour in &mut fleet {
+            match detour.way(true, ms(now)) {
+                Way::Alone => {
+                    looks.push(now);
+                    detour.failed(ms(now));
+                }
+                Way::Peer => detour.alone(ms(now)),
+                Way::Not => {}
+                way => panic!("{way:?}"),
+            }
+        }
+    }
+    let gap = looks.windows(2).map(|pair| pair[1] - pair[0]).max().unwrap_or(u64::MAX);
+    assert!(gap <= 400, "{gap} ms without a look");
+    assert!(looks.len() <= 12 * 60, "{} looks in 12 s", looks.len());
+}
+
 /// One that is told makes no look of its own: its next call shows whether the way is open.
 #[test]
 fn a_node_that_is_told_calls_at_once() {
