A replica that starts again under its id is another incarnation

Cause: the larger of two versions of an id was kept, with its paces and failures. A replica that came back at version 1 was believed to be current: it got runs that it can't serve and was never ordered to load. A later start begins anew, an earlier entry, report or event says nothing of it, and an order in progress at it counts as failed.

--- a/src/decide/fleet/fleet.rs
+++ b/src/decide/fleet/fleet.rs
@@ -4,6 +4,7 @@
 //! slows down to a quarter, goes silent, or refuses for the second in which it loads weights.
 //! Without own counts a whole step would go to whichever replica reported the least load.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
@@ -37,6 +38,29 @@
     loading: HashMap<Name, Moment>,
 }
 
+impl Replica {
+    /// A replica of which nothing is known but its entry.
+    fn new(listed: Listed) -> Self {
+        Self {
+            versions: listed.versions.iter().cloned().collect(),
+            listed,
+            running: 0,
+            others: Others::default(),
+            pace: Pace::default(),
+            beat: Pace::default(),
+            failures: Failures::default(),
+            out: Moment::ZERO,
+            loading: HashMap::new(),
+        }
+    }
+
+    /// It started again under its id: nothing that was known holds. Attempts at the former
+    /// incarnation are still counted until they end.
+    fn begin_anew(&mut self, listed: Listed) {
+        *self = Self { running: self.running, ..Self::new(listed) };
+    }
+}
+
 /// The table.
 #[derive(Debug, Default)]
 pub struct Fleet {
@@ -57,23 +81,17 @@
     pub fn list(&mut self, listed: Listed) -> bool {
         let id = listed.target.id.clone();
         let Some(known) = self.replicas.get_mut(&id) else {
-            let versions = listed.versions.iter().cloned().collect();
-            self.replicas.insert(
-                id,
-                Replica {
-                    listed,
-                    running: 0,
-                    others: Others::default(),
-                    pace: Pace::default(),
-                    beat: Pace::default(),
-                    failures: Failures::default(),
-                    out: Moment::ZERO,
-                    versions,
-                    loading: HashMap::new(),
-                },
-            );
+            self.replicas.insert(id, Replica::new(listed));
             return true;
         };
+        match listed.target.born.cmp(&known.listed.target.born) {
+            Ordering::Less => return false,
+            Ordering::Greater => {
+                known.begin_anew(listed);
+                return true;
+            }
+            Ordering::Equal => {}
+        }
         let changed = known.listed.draining != listed.draining;
         for (model, version) in &listed.versions {
             let version = *version;
@@ -113,17 +131,17 @@
         open.filter_map(|r| Some((r.listed.target.clone(), *r.versions.get(model)?))).collect()
     }
 
-    /// A replica was seen to run a model at a version.
-    pub fn seen(&mut self, id: &str, model: &str, version: u64) {
-        let Some(replica) = self.replicas.get_mut(id) else { return };
+    /// An incarnation of a replica was seen to run a model at a version.
+    pub fn seen(&mut self, target: &Target, model: &str, version: u64) {
+        let Some(replica) = self.incarnation(target) else { return };
         if let Some(known) = replica.versions.get_mut(model) {
             *known = version.max(*known);
         }
     }
 
-    /// A replica made an event under a version that is older than was believed.
-    pub fn shown(&mut self, id: &str, model: &str, version: u64) {
-        let Some(replica) = self.replicas.get_mut(id) else { return };
+    /// An incarnation made an event under a version that is older than was believed.
+    pub fn shown(&mut self, target: &Target, model: &str, version: u64) {
+        let Some(replica) = self.incarnation(target) else { return };
         replica.versions.insert(model.into(), version);
     }
 
@@ -243,6 +261,12 @@
         open.map(|r| r.listed.slots.saturating_sub(r.running + r.others.faded(now) as u32)).sum()
     }
 
+    /// The replica, if this is still its incarnation.
+    fn incarnation(&mut self, target: &Target) -> Option<&mut Replica> {
+        let replica = self.replicas.get_mut(&target.id)?;
+        (replica.listed.target.born == target.born).then_some(replica)
+    }
+
     fn of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Replica> {
         self.replicas.values().filter(move |r| &*r.listed.service == service)
     }
--- a/src/edge/replica/call.rs
+++ b/src/edge/replica/call.rs
@@ -13,8 +13,11 @@
 /// One incarnation of a replica at its address. No other incarnation runs what is sent to it.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Target {
-    /// The incarnation's id.
+    /// The replica's id: a new one at each start, or the same with another time of birth.
     pub id: Name,
+    /// When this incarnation started, in milliseconds of the time of day; none where replicas
+    /// don't say so and each start has an id of its own.
+    pub born: Option<u64>,
     /// Where it listens.
     pub address: SocketAddr,
 }
@@ -137,6 +140,8 @@
 /// What a replica says of its orders and weights.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Stance {
+    /// When the incarnation that says this started, where it says so.
+    pub born: Option<u64>,
     /// The number of orders that it has accepted.
     pub sequence: u64,
     /// Whether one is in progress.
@@ -144,3 +149,11 @@
     /// Model and version.
     pub versions: Vec<(Name, u64)>,
 }
+
+impl Stance {
+    /// Whether another incarnation than the target says this, as far as both say when they
+    /// started.
+    pub fn is_of_another(&self, target: &Target) -> bool {
+        self.born.zip(target.born).is_some_and(|(said, meant)| said != meant)
+    }
+}
--- a/src/entry/mover.rs
+++ b/src/entry/mover.rs
@@ -167,11 +167,15 @@
 
 async fn carry_out(app: &Arc<App>, target: Target, wanted: Move, fence: u64) -> Moved {
     let Ok(stance) = app.replicas.stance(&target, CALL).await else { return Moved::Failed };
+    if stance.is_of_another(&target) {
+        // It started again; its entry will say so.
+        return Moved::Failed;
+    }
     let has = stance.versions.iter().find(|(m, _)| *m == wanted.model).map(|(_, v)| *v);
     if let Some(has) = has
         && has >= wanted.version
     {
-        app.slots.fleet.lock().seen(&target.id, &wanted.model, has);
+        app.slots.fleet.lock().seen(&target, &wanted.model, has);
         return Moved::Done;
     }
     if stance.busy || !holds(app, fence) {
@@ -201,7 +205,7 @@
     match end {
         OrderEnd::Accepted | OrderEnd::Unknown => wait(app, &target, &wanted).await,
         OrderEnd::Holds => {
-            app.slots.fleet.lock().seen(&target.id, &wanted.model, wanted.version);
+            app.slots.fleet.lock().seen(&target, &wanted.model, wanted.version);
             Moved::Done
         }
         OrderEnd::Busy | OrderEnd::Refused => Moved::Failed,
@@ -214,9 +218,12 @@
     tokio::time::sleep(LOAD).await;
     for _ in 0..ASKS {
         let Ok(stance) = app.replicas.stance(target, CALL).await else { return Moved::Failed };
+        if stance.is_of_another(target) {
+            return Moved::Failed;
+        }
         let has = stance.versions.iter().find(|(m, _)| *m == wanted.model).map(|(_, v)| *v);
         if has.is_some_and(|has| has >= wanted.version) {
-            app.slots.fleet.lock().seen(&target.id, &wanted.model, wanted.version);
+            app.slots.fleet.lock().seen(target, &wanted.model, wanted.version);
             app.slots.pump(app.now());
             return Moved::Done;
         }
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -194,7 +194,7 @@
     /// A replica was seen to have a version.
     fn saw(self, held: &Held<'_>, version: Option<u64>) {
         if let (Some(model), Some(version)) = (&self.spec.model, version) {
-            self.app.slots.fleet.lock().seen(&held.target.id, model, version);
+            self.app.slots.fleet.lock().seen(&held.target, model, version);
         }
     }
 
@@ -204,7 +204,7 @@
         if let Some(model) = &self.spec.model {
             let replica = &held.target.id;
             tracing::info!(event = "replica_older", %replica, %model, version);
-            self.app.slots.fleet.lock().shown(replica, model, version);
+            self.app.slots.fleet.lock().shown(&held.target, model, version);
         }
     }
 
--- a/standins/src/replicas/fleet.rs
+++ b/standins/src/replicas/fleet.rs
@@ -54,18 +54,24 @@
     /// Adds a replica and lists it.
     pub fn add(&self, service: &str, id: &str, models: &[&str]) {
         let versions: BTreeMap<Name, u64> = models.iter().map(|m| (Name::from(*m), 1)).collect();
-        let replica =
-            Replica { mood: Mood::Good, versions, sequence: 0, fence: 0, busy: None, late: None };
+        let replica = Replica::new(versions, None);
         self.state.lock().replicas.insert(id.into(), replica);
         self.list(service, id, false);
     }
 
+    /// A replica starts again under its id, with the version that it has from its start.
+    pub fn restart(&self, service: &str, id: &str, born: u64, versions: &[(&str, u64)]) {
+        let versions = versions.iter().map(|(m, v)| (Name::from(*m), *v)).collect();
+        self.state.lock().replicas.insert(id.into(), Replica::new(versions, Some(born)));
+        self.list(service, id, false);
+    }
+
     /// Lists a replica as it stands.
     pub fn list(&self, service: &str, id: &str, draining: bool) {
         let address = SocketAddr::from(([127, 0, 0, 1], 1));
         let versions = self.state.lock().replicas[id].versions.clone();
         let listed = Listed {
-            target: Target { id: id.into(), address },
+            target: Target { id: id.into(), born: self.state.lock().replicas[id].born, address },
             service: service.into(),
             zone: "z".into(),
             slots: 8,
@@ -271,6 +277,7 @@
         Box::pin(async move {
             tokio::time::sleep(Duration::from_millis(1)).await;
             let stance = fleet.with(&to.id, |r| Stance {
+                born: r.born,
                 sequence: r.sequence,
                 busy: r.busy.is_some_and(|until| until > Instant::now()),
                 versions: r.versions.iter().map(|(m, v)| (m.clone(), *v)).collect(),
--- a/standins/src/replicas/replica.rs
+++ b/standins/src/replicas/replica.rs
@@ -73,4 +73,13 @@
     pub busy: Option<Instant>,
     /// Orders to come get no answer and are carried out so much later.
     pub late: Option<Duration>,
+    /// When it started, where it says so.
+    pub born: Option<u64>,
+}
+
+impl Replica {
+    /// One that has just started.
+    pub(super) fn new(versions: BTreeMap<Name, u64>, born: Option<u64>) -> Self {
+        Self { mood: Mood::Good, versions, sequence: 0, fence: 0, busy: None, late: None, born }
+    }
 }
--- a/tests/entry/versions.rs
+++ b/tests/entry/versions.rs
@@ -82,3 +82,36 @@
     assert!(vain > 0, "{made:?}");
     assert_eq!(made[vain + 1].1, made[vain].1, "{made:?}");
 }
+
+/// Guards: a replica that started again under its id, at an older version, was believed to be
+/// current: it got runs that it could not serve and was never ordered to load.
+#[tokio::test(start_paused = true)]
+async fn a_replica_that_starts_again_under_its_id_is_loaded_anew() {
+    let world = World::new();
+    for id in ["e1", "e2", "e3"] {
+        world.replicas.restart("engines", id, 1, &[(MODEL, 1)]);
+    }
+    let a = world.node("a").await;
+    world.name(2);
+    pass(20_000).await;
+    let before = world.replicas.ordered().len();
+    // One starts again at rest, one as it loads, one as it runs a text.
+    world.replicas.restart("engines", "e1", 2, &[(MODEL, 1)]);
+    pass(5_000).await;
+    let first: Vec<_> = world.replicas.ordered().split_off(before);
+    assert!(first.iter().any(|o| &*o.replica == "e1" && o.version == 2), "{first:?}");
+    a.app().submit(spec_from("j", &["i1", "i2", "i3", "i4"], 2)).await;
+    world.name(3);
+    pass(300).await;
+    for id in ["e2", "e3"] {
+        world.replicas.restart("engines", id, 3, &[(MODEL, 1)]);
+    }
+    a.whole("j", 4).await;
+    pass(20_000).await;
+    let orders = world.replicas.ordered();
+    let again: Vec<_> = orders[before..].iter().filter(|o| o.accepted).collect();
+    for id in ["e1", "e2", "e3"] {
+        let newest = again.iter().filter(|o| &*o.replica == id).map(|o| o.version).max();
+        assert_eq!(newest, Some(3), "{id}: {again:?}");
+    }
+}
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -14,7 +14,7 @@
 
 fn listed(id: &str, draining: bool, version: u64) -> Listed {
     Listed {
-        target: Target { id: id.into(), address: SocketAddr::from(([10, 0, 0, 1], 1)) },
+        target: Target { id: id.into(), born: None, address: SocketAddr::from(([10, 0, 0, 1], 1)) },
         service: S.into(),
         zone: "z".into(),
         slots: 8,
@@ -104,7 +104,8 @@
     let mut fleet = fleet(&["a", "b"]);
     let wish = Wish { weights: Some(("m", 2)), ..wish(false) };
     assert_eq!(fleet.choose(&wish, NOW), None);
-    fleet.seen("b", "m", 2);
+    let b = listed("b", false, 1).target;
+    fleet.seen(&b, "m", 2);
     assert_eq!(&*fleet.choose(&wish, NOW).unwrap().id, "b");
     fleet.start("b");
     fleet.end("b", Some("m"), Ended::Loading, NOW);
@@ -165,3 +166,34 @@
         fleet.start(&target.id);
     }
 }
+
+/// Guards: a replica that was back under its id at version 1 was believed to have the version of
+/// before: it got runs that it can't serve and was never ordered to load.
+#[test]
+fn a_replica_that_starts_again_under_its_id_is_another() {
+    let at = |born, version| {
+        let mut listed = listed("a", false, version);
+        listed.target.born = Some(born);
+        listed
+    };
+    let weights = Wish { weights: Some(("m", 5)), ..wish(false) };
+    let mut fleet = Fleet::new("z".into());
+    fleet.list(at(100, 5));
+    for _ in 0..3 {
+        fleet.start("a");
+        fleet.end("a", None, Ended::Failed, NOW);
+    }
+    fleet.start("a");
+    assert!(fleet.list(at(200, 1)), "a new incarnation is news");
+    assert_eq!(fleet.choose(&weights, NOW), None, "it has version 1");
+    assert!(fleet.choose(&wish(false), NOW).is_some(), "failures of before are not its own");
+    // What comes later from the one before says nothing of this one.
+    assert!(!fleet.list(at(100, 6)));
+    fleet.seen(&at(100, 1).target, "m", 6);
+    assert_eq!(fleet.choose(&weights, NOW), None);
+    fleet.seen(&at(200, 1).target, "m", 5);
+    assert!(fleet.choose(&weights, NOW).is_some());
+    // The attempt of before ends after the start and is counted once.
+    fleet.end("a", None, Ended::Dropped, NOW);
+    assert_eq!(fleet.free(S, NOW), 8);
+}
