--- a/src/decide/fleet/fleet.rs
+++ b/src/decide/fleet/fleet.rs
@@ -8,16 +8,14 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
+use super::replica::{Replica, Told, fits};
 use super::{Ended, Listed, Wish};
-use crate::decide::{Failures, Others, Pace, expected, most_out};
+use crate::decide::{Others, Pace, expected, most_out};
 use crate::edge::replica::{Load, Target};
 use crate::{Moment, Name};
 
 /// How long a replica that refuses for want of room gets nothing: about one sample's events.
 const FULL: Duration = Duration::from_millis(100);
-/// How long a replica's word of its load counts: a text takes about as long, so that others'
-/// texts may have come or gone by then.
-const WORD: Duration = Duration::from_millis(500);
 /// How long a replica that is loading weights gets no sample of that model: a third of the
 /// usual load of 0.9 s, so that it is found ready soon after.
 const LOADING: Duration = Duration::from_millis(300);
@@ -26,86 +24,6 @@
 /// half with their load; one in trouble is two to four times as slow.
 const SLOW: f64 = 1.7;
 
-#[derive(Debug)]
-struct Replica {
-    listed: Listed,
-    running: u32,
-    others: Others,
-    pace: Pace,
-    /// Time between the events of its streams.
-    beat: Pace,
-    failures: Failures,
-    out: Moment,
-    versions: HashMap<Name, u64>,
-    /// When the last attempt began, and when it last told its load.
-    began: Moment,
-    told: Told,
-    /// Until when it takes no sample of a model.
-    loading: HashMap<Name, Moment>,
-}
-
-impl Replica {
-    /// A replica of which nothing is known but its entry.
-    fn new(listed: Listed) -> Self {
-        Self {
-            versions: listed.versions.iter().cloned().collect(),
-            listed,
-            running: 0,
-            others: Others::default(),
-            pace: Pace::default(),
-            beat: Pace::default(),
-            failures: Failures::default(),
-            out: Moment::ZERO,
-            began: Moment::ZERO,
-            told: Told::Unknown,
-            loading: HashMap::new(),
-        }
-    }
-
-    /// Whether its load is known well enough for one more text.
-    ///
-    /// Load pattern: the steps of several trainers begin at once at as many homes, and each
-    /// takes every place to be free. With six homes at ten replicas of six places, 188 texts
-    /// of 400 were turned away in the first two seconds, and 230 more waited at a replica for
-    /// longer than an answer may take and were begun again elsewhere. A replica gets one text at
-    /// a time, and the next once that has brought word of its load, within milliseconds; only
-    /// one that just said that nobody else uses it is filled at once.
-    fn heard(&self, now: Moment) -> bool {
-        let lost = now.saturating_sub(self.began) > WORD;
-        match self.told {
-            Told::Never => true,
-            Told::Unknown => self.running == 0 || lost,
-            Told::At(at) => {
-                let alone = self.others.faded(now) < 1.0 && now.saturating_sub(at) <= WORD;
-                alone || at >= self.began || lost
-            }
-        }
-    }
-
-    /// It answered: one that has not told its load by then never does.
-    fn silent(&mut self) {
-        if self.told == Told::Unknown {
-            self.told = Told::Never;
-        }
-    }
-
-    /// It started again under its id: nothing that was known holds. Attempts at the former
-    /// incarnation are still counted until they end.
-    fn begin_anew(&mut self, listed: Listed) {
-        *self = Self { running: self.running, ..Self::new(listed) };
-    }
-}
-
-/// What a replica tells of its load.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Told {
-    /// Nothing has come from it yet.
-    Unknown,
-    /// It answers without its load.
-    Never,
-    At(Moment),
-}
-
 /// A replica that may get an attempt.
 struct Rated<'a> {
     /// Whether it failed the attempt before, and whether its places are taken.
@@ -357,16 +275,3 @@
         self.replicas.values().filter(move |r| &*r.listed.service == service)
     }
 }
-
-fn fits(replica: &Replica, wish: &Wish<'_>, now: Moment, heed: bool) -> bool {
-    if replica.listed.draining || (heed && replica.out > now) {
-        return false;
-    }
-    let load = f64::from(replica.running) + replica.others.faded(now);
-    if !wish.over && load >= f64::from(replica.listed.slots) {
-        return false;
-    }
-    let Some((model, least)) = wish.weights else { return true };
-    let loading = replica.loading.get(model).is_some_and(|until| *until > now);
-    !loading && replica.versions.get(model).is_some_and(|v| *v >= least)
-}
--- a/src/decide/fleet/mod.rs
+++ b/src/decide/fleet/mod.rs
@@ -3,6 +3,7 @@
 mod ended;
 mod fleet;
 mod listed;
+mod replica;
 mod wish;
 
 pub use ended::Ended;
