--- a/src/decide/fleet/replica.rs
+++ b/src/decide/fleet/replica.rs
@@ -10,6 +10,8 @@
 /// How long a replica's word of its load counts: a text takes about as long, so that others'
 /// texts may have come or gone by then.
 const WORD: Duration = Duration::from_millis(500);
+
+/// A replica as far as this node knows it.
 #[derive(Debug)]
 pub(super) struct Replica {
     pub listed: Listed,
--- a/src/entry/home.rs
+++ b/src/entry/home.rs
@@ -50,7 +50,7 @@
         let job = Job::new(spec, listed);
         let places = match &job.spec.model {
             Some(model) => self.slots.fleet.lock().places(model, job.spec.oldest),
-            None => usize::MAX / 4,
+            None => job.spec.items.len(),
         };
         let todo = job.todo(places);
         let count = job.position();
