Choosing among thousands of replicas costs less

Each text rated every replica, each event sorted the times of all, and since this work each answer's head went through all texts that wait. Change: the first replica that is idle, near and as fast as usual is taken, from the last one on; what is usual is worked out twenty times a second with more than 64 replicas; heads give no places by themselves, those who wait are looked at each 50 ms.

--- a/src/decide/fleet/fleet.rs
+++ b/src/decide/fleet/fleet.rs
@@ -6,6 +6,7 @@
 
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, HashMap};
+use std::ops::Bound::{Excluded, Included, Unbounded};
 use std::time::Duration;
 
 use super::replica::{Replica, Told, fits};
@@ -20,11 +21,18 @@
 /// usual load of 0.9 s, so that it is found ready soon after.
 const LOADING: Duration = Duration::from_millis(300);
 
+/// With more replicas than this what is usual is worked out so often and not at each event:
+/// it takes all of them to be sorted.
+const MANY: usize = 64;
+/// A tenth of the time in which a run is judged.
+const JUDGE: Duration = Duration::from_millis(50);
+
 /// A run this much slower than usual is worth moving. Replicas of one kind differ by less than
 /// half with their load; one in trouble is two to four times as slow.
 const SLOW: f64 = 1.7;
 
 /// A replica that may get an attempt.
+#[derive(Clone, Copy)]
 struct Rated<'a> {
     /// Whether it failed the attempt before, and whether its places are taken.
     last: (bool, bool),
@@ -39,11 +47,17 @@
 }
 
 /// The table.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Fleet {
     zone: Option<Name>,
     replicas: BTreeMap<Name, Replica>,
+    /// The id that got the last attempt.
+    last: Name,
+    /// Until when any replica is left out.
+    latest: Moment,
     typical: HashMap<Name, Pace>,
+    /// When that was last worked out.
+    judged: HashMap<Name, Moment>,
     /// The beat that a quarter of the replicas keep up with, by service, in seconds.
     beats: HashMap<Name, f64>,
 }
@@ -51,7 +65,15 @@
 impl Fleet {
     /// A table for a node of this availability zone.
     pub fn new(zone: Name) -> Self {
-        Self { zone: Some(zone), ..Self::default() }
+        Self {
+            zone: Some(zone),
+            replicas: BTreeMap::new(),
+            last: "".into(),
+            latest: Moment::ZERO,
+            typical: HashMap::new(),
+            beats: HashMap::new(),
+            judged: HashMap::new(),
+        }
     }
 
     /// Takes over an entry of the list. True if it says something new of who may get work.
@@ -148,28 +170,54 @@
     pub fn choose(&self, wish: &Wish<'_>, now: Moment) -> Option<Target> {
         let typical = self.typical.get(wish.service).and_then(Pace::mean).unwrap_or(0.001);
         let beat = self.beats.get(wish.service).copied();
-        let total = self.of(wish.service).count();
-        let out = self.of(wish.service).filter(|r| r.out > now).count();
-        let heed = out <= most_out(total);
-        let fit = self.of(wish.service).filter(|r| fits(r, wish, now, heed));
-        let rated: Vec<Rated<'_>> = fit
-            .map(|replica| {
-                let pace = match (wish.weights, beat) {
-                    (Some(_), Some(beat)) => replica.beat.faded(beat, now),
-                    _ => replica.pace.faded(typical, now),
-                };
-                self.rate(replica, wish, pace, now)
-            })
-            .collect();
-        let best = rated.iter().min_by(|a, b| a.order(b))?;
+        let heed = self.heeds(wish.service, now);
         let blind = wish.over || wish.weights.is_none();
-        let heard = rated.iter().filter(|r| blind || r.replica.heard(now));
-        let chosen = heard.min_by(|a, b| a.order(b))?;
+        let mut best: Option<Rated<'_>> = None;
+        let mut chosen: Option<Rated<'_>> = None;
+        for replica in self.after_last(wish.service).filter(|r| fits(r, wish, now, heed)) {
+            let (known, usual) = match (wish.weights, beat) {
+                (Some(_), Some(beat)) => (&replica.beat, beat),
+                _ => (&replica.pace, typical),
+            };
+            let heard = blind || replica.heard(now);
+            let rated = self.rate(replica, wish, known.faded(usual, now), now);
+            if heard && rated.time <= expected(0.0, usual, 1, false) && !rated.last.0 {
+                return Some(replica.listed.target.clone());
+            }
+            if heard && chosen.as_ref().is_none_or(|c| rated.order(c).is_lt()) {
+                chosen = Some(rated);
+            }
+            if best.as_ref().is_none_or(|b| rated.order(b).is_lt()) {
+                best = Some(rated);
+            }
+        }
+        let (best, chosen) = (best?, chosen?);
         // The word of a better one comes within milliseconds.
         let worse = chosen.last > best.last || chosen.time > SLOW * best.time;
         (!worse).then(|| chosen.replica.listed.target.clone())
     }
 
+    /// Whether replicas that are left out are: not where that would be too many.
+    fn heeds(&self, service: &str, now: Moment) -> bool {
+        if self.latest <= now {
+            return true;
+        }
+        let out = self.of(service).filter(|r| r.out > now).count();
+        out <= most_out(self.of(service).count())
+    }
+
+    /// The replicas of a service, from the one after the last that got an attempt on.
+    ///
+    /// Load pattern: a step of thousands of texts before thousands of replicas. The first that
+    /// is idle, near and as fast as usual can't be bettered; looked for from the same end, each
+    /// text would pass by all that the ones before it have taken.
+    fn after_last<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Replica> {
+        let after = self.replicas.range::<str, _>((Excluded(&*self.last), Unbounded));
+        let before = self.replicas.range::<str, _>((Unbounded, Included(&*self.last)));
+        let all = after.chain(before).map(|(_, replica)| replica);
+        all.filter(move |r| &*r.listed.service == service)
+    }
+
     fn rate<'a>(&self, replica: &'a Replica, wish: &Wish<'_>, pace: f64, now: Moment) -> Rated<'a> {
         let listed = &replica.listed;
         let far = self.zone.as_ref().is_some_and(|zone| *zone != listed.zone);
@@ -189,6 +237,11 @@
         let Some(replica) = self.replicas.get_mut(id) else { return };
         replica.beat.record(1, Duration::from_secs_f64(seconds.max(0.0)), now);
         let service = replica.listed.service.clone();
+        let fresh = self.judged.get(&service).is_some_and(|at| now.saturating_sub(*at) < JUDGE);
+        if fresh && self.replicas.len() > MANY {
+            return;
+        }
+        self.judged.insert(service.clone(), now);
         let mut known: Vec<f64> = self.of(&service).filter_map(|r| r.beat.mean()).collect();
         known.sort_unstable_by(f64::total_cmp);
         if let Some(usual) = known.get(known.len().saturating_sub(1) / 4) {
@@ -222,6 +275,7 @@
         if let Some(replica) = self.replicas.get_mut(id) {
             replica.running += 1;
             replica.began = now;
+            self.last = replica.listed.target.id.clone();
         }
     }
 
@@ -257,6 +311,9 @@
             }
             Ended::Dropped => {}
         }
+        if let Some(replica) = self.replicas.get(id) {
+            self.latest = self.latest.max(replica.out);
+        }
     }
 
     /// Places of a service that are free, as far as this node knows.
--- a/src/entry/slots.rs
+++ b/src/entry/slots.rs
@@ -119,18 +119,14 @@
 }
 
 impl App {
-    /// The head of a replica's answer came, with its load if it tells that.
+    /// The head of a replica's answer came, with its load if it tells that. Those who wait are
+    /// looked at within [`LOOK`]: at each head, thousands of heads would go through thousands
+    /// who wait.
     pub(super) fn heard(&self, replica: &str, load: Option<Load>) {
-        let now = self.now();
-        {
-            let mut fleet = self.slots.fleet.lock();
-            match load {
-                Some(load) => fleet.load(replica, load, now),
-                None => fleet.untold(replica),
-            }
-        }
-        if self.slots.waits() {
-            self.slots.pump(now);
+        let mut fleet = self.slots.fleet.lock();
+        match load {
+            Some(load) => fleet.load(replica, load, self.now()),
+            None => fleet.untold(replica),
         }
     }
 
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -244,3 +244,19 @@
     }
     assert_eq!(fleet.choose(&text, NOW), None);
 }
+
+/// Load pattern: a step of thousands of texts begins before thousands of replicas. Each text
+/// goes to one that is idle, near and as fast as usual, and none of these gets two.
+#[test]
+fn a_large_step_is_spread_over_a_large_fleet() {
+    let ids: Vec<String> = (0..3_000).map(|i| format!("r{i:04}")).collect();
+    let ids: Vec<&str> = ids.iter().map(|id| &**id).collect();
+    let mut fleet = fleet(&ids);
+    let text = Wish { weights: Some(("m", 1)), ..wish(false) };
+    let mut chosen = std::collections::HashSet::new();
+    for _ in 0..3_000 {
+        let target = fleet.choose(&text, NOW).unwrap();
+        fleet.start(&target.id, NOW);
+        assert!(chosen.insert(target.id));
+    }
+}
