What came of a reply between nodes that was given up, and from whom a configuration was heard

Of a late configuration the logs said when a node had it and that replies of other nodes were given up, but not what had been asked for, how much had come, or from where the configuration came: three hypotheses could not be told apart by them. peer_not_reached says what was asked and how many bytes had come; routes_heard and whole_heard say from which node and how much; a counter by purpose.

--- a/src/edge/peer/client.rs
+++ b/src/edge/peer/client.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use h2::client::SendRequest;
 use http::StatusCode;
 use parking_lot::Mutex;
@@ -44,12 +44,14 @@
         reason: String,
     },
     /// No reply in time; the request may have been received.
-    #[error("{to} did not reply within {limit:?}")]
+    #[error("{to} did not reply within {limit:?}, {came} bytes had come")]
     Late {
         /// The peer.
         to: SocketAddr,
         /// How long was waited.
         limit: Duration,
+        /// Bytes of the reply that had come.
+        came: usize,
     },
     /// The peer speaks another version, or did not understand.
     #[error("{to} answered {status}")]
@@ -106,15 +108,21 @@
         let bytes = encode(request)?;
         let traffic = (self.counts)(request);
         traffic.sent(bytes.len());
-        match tokio::time::timeout(limit, self.exchange(to, bytes, &traffic)).await {
+        let mut reply = BytesMut::new();
+        let exchange = self.exchange(to, bytes, &mut reply);
+        match tokio::time::timeout(limit, exchange).await {
             Ok(Err(e @ PeerError::Broken { .. })) => {
                 self.open.lock().remove(&to);
                 Err(e)
             }
-            Ok(result) => result,
+            Ok(Err(e)) => Err(e),
+            Ok(Ok(())) => {
+                traffic.received(reply.len());
+                Ok(decode(&reply)?)
+            }
             Err(_) => {
                 self.open.lock().remove(&to);
-                Err(PeerError::Late { to, limit })
+                Err(PeerError::Late { to, limit, came: reply.len() })
             }
         }
     }
@@ -123,8 +131,8 @@
         &self,
         to: SocketAddr,
         bytes: Vec<u8>,
-        traffic: &Traffic,
-    ) -> Result<M::Reply, PeerError> {
+        reply: &mut BytesMut,
+    ) -> Result<(), PeerError> {
         let broken = |e: h2::Error| PeerError::Broken { to, reason: e.to_string() };
         let sender = self.connection(to).await?;
         let mut sender = sender.ready().await.map_err(broken)?;
@@ -138,12 +146,10 @@
         if response.status() != StatusCode::OK {
             return Err(PeerError::Status { to, status: response.status() });
         }
-        let bytes = collect(response.into_body()).await.ok_or_else(|| PeerError::Broken {
+        collect(response.into_body(), reply).await.ok_or_else(|| PeerError::Broken {
             to,
             reason: "the reply broke off or is too large".to_owned(),
-        })?;
-        traffic.received(bytes.len());
-        Ok(decode(&bytes)?)
+        })
     }
 
     async fn connection(&self, to: SocketAddr) -> Result<SendRequest<Bytes>, PeerError> {
--- a/src/edge/peer/server.rs
+++ b/src/edge/peer/server.rs
@@ -130,10 +130,11 @@
         answer(&mut respond, StatusCode::UPGRADE_REQUIRED, Vec::new());
         return;
     }
-    let Some(bytes) = collect(request.into_body()).await else {
+    let mut bytes = BytesMut::new();
+    if collect(request.into_body(), &mut bytes).await.is_none() {
         respond.send_reset(Reason::ENHANCE_YOUR_CALM);
         return;
-    };
+    }
     let (reply, traffic) = match decode::<H::Asked>(&bytes) {
         Ok(request) => {
             let traffic = handler.traffic(&request);
@@ -169,8 +170,7 @@
 }
 
 /// Reads a whole message; none if it is too large or breaks off.
-pub(super) async fn collect(mut body: RecvStream) -> Option<BytesMut> {
-    let mut bytes = BytesMut::new();
+pub(super) async fn collect(mut body: RecvStream, bytes: &mut BytesMut) -> Option<()> {
     while let Some(data) = body.data().await {
         let data = data.ok()?;
         bytes.extend_from_slice(&data);
@@ -179,5 +179,5 @@
             return None;
         }
     }
-    Some(bytes)
+    Some(())
 }
--- a/src/entry/follow/feed.rs
+++ b/src/entry/follow/feed.rs
@@ -35,6 +35,20 @@
     Changes(Watched),
 }
 
+impl News {
+    /// The bytes of all values in it.
+    pub(super) fn bytes(&self) -> usize {
+        let of = |change: &Change| match change {
+            Change::Put(item) => item.value.len(),
+            Change::Removed { .. } => 0,
+        };
+        match self {
+            Self::Whole { page, .. } => page.items.iter().map(|item| item.value.len()).sum(),
+            Self::Changes(watched) => watched.changes.iter().map(of).sum(),
+        }
+    }
+}
+
 /// The state of a prefix as a node believes it.
 #[derive(Debug)]
 pub struct Feed {
--- a/src/entry/follow/follow.rs
+++ b/src/entry/follow/follow.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::feed::News;
+use super::source::Told;
 use super::topic::Topic;
 use crate::edge::store::StoreError;
 use crate::entry::app::App;
@@ -64,37 +65,38 @@
     async fn step(&mut self) -> Result<(), StoreError> {
         if let Some(followed) = self.topic.followed() {
             if !self.begun
-                && let Some(news) = self.app.hear_first(followed).await
+                && let Some(told) = self.app.hear_first(followed).await
             {
-                self.take(news);
+                self.take(told);
                 return Ok(());
             }
             let after = self.heard.map_or(0, |heard| heard.revision);
             if self.begun
-                && let Some(news) = self.app.hear(followed, after).await
+                && let Some(told) = self.app.hear(followed, after).await
             {
-                self.take(news);
+                self.take(told);
                 return Ok(());
             }
         }
         let own = self.own().await;
         if let (Err(_), false, Some(followed)) = (&own, self.begun, self.topic.followed())
-            && let Some(news) = self.app.hear_old(followed).await
+            && let Some(told) = self.app.hear_old(followed).await
         {
             tracing::info!(event = "old_view_taken", topic = self.topic.as_str());
             if self.topic == Topic::Routes {
                 self.app.old_routes.store(true, Ordering::Relaxed);
             }
-            self.take(news);
+            self.take(told);
         }
         own
     }
 
     /// Takes over what another node said.
-    fn take(&mut self, news: News) {
+    fn take(&mut self, told: Told) {
         let Some(followed) = self.topic.followed() else { return };
         let feed = self.app.feeds.of(followed);
-        match news {
+        self.log(&told);
+        match told.news {
             News::Whole { page, age } => {
                 if self.begun {
                     // What readers of jobs have seen may have a gap as well.
@@ -114,6 +116,23 @@
         }
     }
 
+    /// One line for a view that was replaced and for a configuration; changes of replicas and
+    /// nodes show one by one.
+    fn log(&self, told: &Told) {
+        let (from, bytes, topic) = (told.from, told.news.bytes(), self.topic.as_str());
+        match &told.news {
+            News::Whole { page, .. } => {
+                let revision = page.revision;
+                tracing::info!(event = "whole_heard", topic, %from, revision, bytes);
+            }
+            News::Changes(watched) if self.topic == Topic::Routes && bytes > 0 => {
+                let revision = watched.revision;
+                tracing::info!(event = "routes_heard", %from, revision, bytes);
+            }
+            News::Changes(_) => {}
+        }
+    }
+
     /// Reads the whole from the store, or goes on with the own watch.
     async fn own(&mut self) -> Result<(), StoreError> {
         let app = self.app.clone();
--- a/src/entry/follow/source.rs
+++ b/src/entry/follow/source.rs
@@ -42,6 +42,13 @@
 /// zones and the answer take a tenth of it, where somebody is there to answer.
 const NEXT: Duration = Duration::from_millis(40);
 
+/// What another node said.
+#[derive(Debug)]
+pub(super) struct Told {
+    pub(super) from: SocketAddr,
+    pub(super) news: News,
+}
+
 /// The feeds of what other nodes may follow here.
 #[derive(Debug, Default)]
 pub(in crate::entry) struct Feeds {
@@ -64,16 +71,16 @@
 
 impl App {
     /// News from a node that watches for others; none where this node is to watch itself.
-    pub(super) async fn hear(&self, followed: Followed, after: u64) -> Option<News> {
+    pub(super) async fn hear(&self, followed: Followed, after: u64) -> Option<Told> {
         let mut round = 0;
         loop {
             let sources = self.sources();
             if sources.is_empty() {
                 return None;
             }
-            for to in sources {
-                if let Some(news) = self.follow_at(to, followed, after).await {
-                    return Some(news);
+            for from in sources {
+                if let Some(news) = self.follow_at(from, followed, after).await {
+                    return Some(Told { from, news });
                 }
             }
             // Where the store is away from everybody, an own watch would bring nothing.
@@ -90,7 +97,7 @@
     /// Load pattern: hundreds of nodes start at once, first of all or after a loss of power.
     /// Where each read the store, they made seven calls each, 1,750 of 250 nodes; now those
     /// that are named in the settings read it, and the others wait for one of them.
-    pub(super) async fn hear_first(&self, followed: Followed) -> Option<News> {
+    pub(super) async fn hear_first(&self, followed: Followed) -> Option<Told> {
         if self.is_seed() {
             return None;
         }
@@ -111,13 +118,13 @@
 
     /// What a node believes, as soon as it knows anything; none if it doesn't until `ends`, or
     /// does not hear the store itself.
-    async fn first_at(&self, seed: SocketAddr, followed: Followed, ends: Moment) -> Option<News> {
+    async fn first_at(&self, seed: SocketAddr, followed: Followed, ends: Moment) -> Option<Told> {
         loop {
             let left = ends.saturating_sub(self.now());
             match self.whole_at(seed, followed, left).await {
                 Some(News::Whole { page, age }) if age <= FRESH => {
                     *self.feeds.first.lock() = Some(seed);
-                    return Some(News::Whole { page, age });
+                    return Some(Told { from: seed, news: News::Whole { page, age } });
                 }
                 Some(_) => return None,
                 None if self.now() >= ends => return None,
@@ -128,18 +135,20 @@
 
     /// The newest of what they believed before: better than nothing where the store does not
     /// answer.
-    pub(super) async fn hear_old(&self, followed: Followed) -> Option<News> {
+    pub(super) async fn hear_old(&self, followed: Followed) -> Option<Told> {
         let seeds = self.other_seeds();
-        let asks = seeds.iter().map(|seed| self.whole_at(*seed, followed, Duration::ZERO));
+        let asks = seeds
+            .iter()
+            .map(|seed| async { (*seed, self.whole_at(*seed, followed, Duration::ZERO).await) });
         let mut asked: FuturesUnordered<_> = asks.collect();
-        let mut best: Option<(Duration, Page)> = None;
-        while let Some(news) = asked.next().await {
+        let mut best: Option<(Duration, Page, SocketAddr)> = None;
+        while let Some((seed, news)) = asked.next().await {
             let Some(News::Whole { page, age }) = news else { continue };
-            if best.as_ref().is_none_or(|(known, _)| age < *known) {
-                best = Some((age, page));
+            if best.as_ref().is_none_or(|(known, ..)| age < *known) {
+                best = Some((age, page, seed));
             }
         }
-        best.map(|(age, page)| News::Whole { page, age })
+        best.map(|(age, page, from)| Told { from, news: News::Whole { page, age } })
     }
 
     /// Whether other nodes ask this one as they start. It reads the store at once.
--- a/src/entry/peer/home.rs
+++ b/src/entry/peer/home.rs
@@ -233,9 +233,11 @@
         ask: PeerAsk,
         limit: Duration,
     ) -> Result<PeerReply, PeerError> {
+        let purpose = ask.purpose();
         let reply = self.peers.ask(to, ask, limit).await;
         if let Err(e) = &reply {
-            tracing::info!(event = "peer_not_reached", %to, error = %e);
+            self.tally.peer_given_up(purpose);
+            tracing::info!(event = "peer_not_reached", %to, asked = ?purpose, error = %e);
             let until = self.now() + SHUNNED;
             self.shunned.lock().insert(to, until);
         }
--- a/src/metrics/tally.rs
+++ b/src/metrics/tally.rs
@@ -156,6 +156,7 @@
 label!(SampleLabel, end: SampleEnd);
 label!(JobLabel, step: JobStep);
 label!(OrderLabel, result: OrderEnd);
+label!(UseLabel, purpose: PeerUse);
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct PeerLabel {
@@ -183,6 +184,7 @@
     store: Family<StoreLabel, Counter>,
     peer_bytes: Family<PeerLabel, Counter>,
     peer_messages: Family<PeerLabel, Counter>,
+    peer_given_up: Family<UseLabel, Counter>,
     store_seconds: Histogram,
     request_seconds: Histogram,
     /// Jobs that run here.
@@ -208,6 +210,7 @@
             store: Family::default(),
             peer_bytes: Family::default(),
             peer_messages: Family::default(),
+            peer_given_up: Family::default(),
             store_seconds: seconds(),
             request_seconds: seconds(),
             open_jobs: Gauge::default(),
@@ -237,6 +240,8 @@
         all.register("peer_bytes", help, self.peer_bytes.clone());
         let help = "Messages between nodes, by purpose and way";
         all.register("peer_messages", help, self.peer_messages.clone());
+        let help = "Requests to other nodes that ended without a reply, by purpose";
+        all.register("peer_given_up", help, self.peer_given_up.clone());
         let help = "Time of answered calls to the store, watches aside";
         all.register("store_seconds", help, self.store_seconds.clone());
         let help = "Time from a request's head to the head of its answer";
@@ -293,6 +298,11 @@
         Traffic::new(bytes, messages)
     }
 
+    /// Counts a request to another node that ended without a reply.
+    pub fn peer_given_up(&self, purpose: PeerUse) {
+        self.peer_given_up.get_or_create(&UseLabel { purpose }).inc();
+    }
+
     /// A request has its answer.
     pub fn answered(&self, took: Duration) {
         self.request_seconds.observe(took.as_secs_f64());
--- a/tests/entry/links.rs
+++ b/tests/entry/links.rs
@@ -80,7 +80,7 @@
         let found = found.filter(|_| !alone);
         Box::pin(async move {
             tokio::time::sleep(ANSWER).await;
-            let late = PeerError::Late { to, limit };
+            let late = PeerError::Late { to, limit, came: 0 };
             match found {
                 None | Some((_, Link::Cut)) => {
                     Err(PeerError::Connect { to, reason: "refused".to_owned() })
