Changes that a node keeps for others are bounded by their bytes

A node keeps the last 512 changes of a prefix for those that follow it there. Now two megabytes of values are kept, the newest always; who is further behind gets the whole, which for the configuration is the newest value alone.

The test (50 changes of a megabyte) fails without the change.

--- a/src/edge/store/item.rs
+++ b/src/edge/store/item.rs
@@ -31,6 +31,14 @@
 }
 
 impl Change {
+    /// The bytes of its value.
+    pub fn bytes(&self) -> usize {
+        match self {
+            Self::Put(item) => item.value.len(),
+            Self::Removed { .. } => 0,
+        }
+    }
+
     /// The revision that it was made at.
     pub fn revision(&self) -> u64 {
         match self {
--- a/src/entry/follow/feed.rs
+++ b/src/entry/follow/feed.rs
@@ -20,6 +20,9 @@
 
 /// Changes that are kept: several seconds of a fleet that loads weights on every replica.
 const KEPT: usize = 512;
+/// The bytes of values that changes are kept for: two of the largest. A configuration is one
+/// value, written anew with each change; hundreds of them are more memory than a node has.
+const KEPT_BYTES: usize = 2 << 20;
 
 /// What a node hears of a prefix.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -38,13 +41,9 @@
 impl News {
     /// The bytes of all values in it.
     pub(super) fn bytes(&self) -> usize {
-        let of = |change: &Change| match change {
-            Change::Put(item) => item.value.len(),
-            Change::Removed { .. } => 0,
-        };
         match self {
             Self::Whole { page, .. } => page.items.iter().map(|item| item.value.len()).sum(),
-            Self::Changes(watched) => watched.changes.iter().map(of).sum(),
+            Self::Changes(watched) => watched.changes.iter().map(Change::bytes).sum(),
         }
     }
 }
@@ -65,6 +64,8 @@
     /// The revision up to which it was heard.
     revision: u64,
     changes: VecDeque<Change>,
+    /// The bytes of the values in `changes`.
+    bytes: usize,
     items: BTreeMap<Name, Item>,
     /// When it was last heard of; none before the first time.
     heard: Option<Instant>,
@@ -95,6 +96,7 @@
             floor: page.revision,
             revision: page.revision,
             changes: VecDeque::new(),
+            bytes: 0,
             items,
             heard: Some(Instant::now()),
         };
@@ -116,13 +118,8 @@
                 Change::Removed { key, .. } => drop(state.items.remove(key)),
             }
         }
-        state.changes.extend(watched.changes.iter().cloned());
+        state.keep(&watched.changes);
         state.revision = state.revision.max(watched.revision);
-        while state.changes.len() > KEPT {
-            if let Some(change) = state.changes.pop_front() {
-                state.floor = change.revision();
-            }
-        }
         state.heard = Some(Instant::now());
         drop(state);
         self.tell();
@@ -190,6 +187,19 @@
 }
 
 impl State {
+    /// Keeps changes, and lets the oldest go for them; the newest stays, however large.
+    fn keep(&mut self, changes: &[Change]) {
+        for change in changes {
+            self.bytes += change.bytes();
+            self.changes.push_back(change.clone());
+        }
+        while self.changes.len() > KEPT || (self.changes.len() > 1 && self.bytes > KEPT_BYTES) {
+            let Some(change) = self.changes.pop_front() else { return };
+            self.bytes -= change.bytes();
+            self.floor = change.revision();
+        }
+    }
+
     fn whole(&self, age: Duration) -> News {
         let items = self.items.values().cloned().collect();
         News::Whole { page: Page { items, revision: self.revision }, age }
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -78,6 +78,21 @@
     assert_eq!(seen.map(|w| revisions(&w)), Some((1_991..=2_000).collect()));
 }
 
+/// A configuration of thousands of routes that changes four thousand times a day: five hundred
+/// kept changes of it would be half a gigabyte, where a node has 160 MB.
+#[tokio::test(start_paused = true)]
+async fn large_changes_are_let_go_sooner() {
+    let feed = Feed::default();
+    feed.open(&page(0));
+    for revision in 1..=50 {
+        let value = vec![b'v'; 1 << 20].into();
+        let changes = vec![Change::Put(Item { key: "routes".into(), value, revision })];
+        feed.add(&Watched { changes, revision });
+    }
+    assert!(matches!(feed.after(40, NOW).await, Some(News::Whole { .. })));
+    assert_eq!(changes(feed.after(49, NOW).await).map(|w| revisions(&w)), Some(vec![50]));
+}
+
 /// A node that starts in an outage takes what there is, and learns how old it is.
 #[tokio::test(start_paused = true)]
 async fn the_whole_is_there_with_its_age_though_the_watch_has_ended() {
