A head offers its replica to the first text that waits for it

Texts now wait in a queue for each kind of place, and a head offers its own replica to the first of the queues that it serves, which costs as much before 3,000 replicas and 20,000 texts as before ten; going through all who wait, which the looks replaced, is not needed. With up to 64 replicas the fastest is chosen, with more the first that can't be bettered. A replica that has told its load gets one text for that word, also where both fall into one moment: such a replica was filled at once.

--- a/src/decide/fleet/fleet.rs
+++ b/src/decide/fleet/fleet.rs
@@ -21,8 +21,9 @@
 /// usual load of 0.9 s, so that it is found ready soon after.
 const LOADING: Duration = Duration::from_millis(300);
 
-/// With more replicas than this what is usual is worked out so often and not at each event:
-/// it takes all of them to be sorted.
+/// With more replicas than this not all are looked at for each text and each event: the first
+/// that is idle, near and as fast as usual gets a text, and what is usual, for which all are
+/// sorted, is worked out so often. With few of them the fastest one is worth the look.
 const MANY: usize = 64;
 /// A tenth of the time in which a run is judged.
 const JUDGE: Duration = Duration::from_millis(50);
@@ -168,20 +169,16 @@
 
     /// The replica for an attempt. Without `over`, only one with a free place.
     pub fn choose(&self, wish: &Wish<'_>, now: Moment) -> Option<Target> {
-        let typical = self.typical.get(wish.service).and_then(Pace::mean).unwrap_or(0.001);
-        let beat = self.beats.get(wish.service).copied();
         let heed = self.heeds(wish.service, now);
         let blind = wish.over || wish.weights.is_none();
+        let many = self.replicas.len() > MANY;
         let mut best: Option<Rated<'_>> = None;
         let mut chosen: Option<Rated<'_>> = None;
         for replica in self.after_last(wish.service).filter(|r| fits(r, wish, now, heed)) {
-            let (known, usual) = match (wish.weights, beat) {
-                (Some(_), Some(beat)) => (&replica.beat, beat),
-                _ => (&replica.pace, typical),
-            };
+            let (known, usual) = self.usual(replica, wish);
             let heard = blind || replica.heard(now);
             let rated = self.rate(replica, wish, known.faded(usual, now), now);
-            if heard && rated.time <= expected(0.0, usual, 1, false) && !rated.last.0 {
+            if many && heard && rated.time <= expected(0.0, usual, 1, false) && !rated.last.0 {
                 return Some(replica.listed.target.clone());
             }
             if heard && chosen.as_ref().is_none_or(|c| rated.order(c).is_lt()) {
@@ -197,6 +194,27 @@
         (!worse).then(|| chosen.replica.listed.target.clone())
     }
 
+    /// The replica itself, if an attempt may go there now: for those who wait, after word from
+    /// it alone. One that is slow is left to [`Fleet::choose`], which knows the others.
+    pub fn offer(&self, id: &str, wish: &Wish<'_>, now: Moment) -> Option<Target> {
+        let replica = self.replicas.get(id).filter(|r| fits(r, wish, now, true))?;
+        let (known, usual) = self.usual(replica, wish);
+        let slow = known.faded(usual, now) > SLOW * usual;
+        let open = replica.heard(now) && !slow && !wish.avoid.contains(&replica.listed.target.id);
+        open.then(|| replica.listed.target.clone())
+    }
+
+    /// The pace that an attempt goes by at a replica, and what is usual of it.
+    fn usual<'a>(&self, replica: &'a Replica, wish: &Wish<'_>) -> (&'a Pace, f64) {
+        match (wish.weights, self.beats.get(wish.service)) {
+            (Some(_), Some(beat)) => (&replica.beat, *beat),
+            _ => {
+                let typical = self.typical.get(wish.service).and_then(Pace::mean);
+                (&replica.pace, typical.unwrap_or(0.001))
+            }
+        }
+    }
+
     /// Whether replicas that are left out are: not where that would be too many.
     fn heeds(&self, service: &str, now: Moment) -> bool {
         if self.latest <= now {
@@ -275,7 +293,9 @@
         if let Some(replica) = self.replicas.get_mut(id) {
             replica.running += 1;
             replica.began = now;
-            self.last = replica.listed.target.id.clone();
+            if self.replicas.len() > MANY {
+                self.last = id.into();
+            }
         }
     }
 
--- a/src/decide/fleet/mod.rs
+++ b/src/decide/fleet/mod.rs
@@ -4,9 +4,11 @@
 mod fleet;
 mod listed;
 mod replica;
+mod waiting;
 mod wish;
 
 pub use ended::Ended;
 pub use fleet::Fleet;
 pub use listed::Listed;
+pub use waiting::{Position, Waiting, Want};
 pub use wish::Wish;
--- a/src/decide/fleet/replica.rs
+++ b/src/decide/fleet/replica.rs
@@ -63,7 +63,7 @@
             Told::Unknown => self.running == 0 || lost,
             Told::At(at) => {
                 let alone = self.others.faded(now) < 1.0 && now.saturating_sub(at) <= WORD;
-                alone || at >= self.began || lost
+                alone || at > self.began || lost
             }
         }
     }
--- a/src/entry/sample.rs
+++ b/src/entry/sample.rs
@@ -9,10 +9,9 @@
 use super::homes::Home;
 use super::run::{Run, Tried};
 use super::score::score;
-use super::slots::Want;
 use crate::Name;
-use crate::decide::Route;
 use crate::decide::job::{Finished, ItemSpec, Spec, State};
+use crate::decide::{Route, Want};
 use crate::edge::replica::Call;
 use crate::metrics::SampleEnd;
 
--- a/src/entry/slots.rs
+++ b/src/entry/slots.rs
@@ -1,42 +1,25 @@
 //! Places at replicas: who waits for one, and who gets the next.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use parking_lot::Mutex;
 use tokio::sync::{Notify, oneshot};
 
 use super::app::App;
-use crate::decide::{Ended, Fleet, Wish};
+use crate::decide::{Ended, Fleet, Position, Waiting, Want, Wish};
 use crate::edge::replica::{Load, Target};
 use crate::{Moment, Name};
 
 /// How often those who wait are looked at again while replicas are left out for a time.
 const LOOK: Duration = Duration::from_millis(50);
 
-/// The order in which samples get places: rank of the route, age of the job, index.
-pub(super) type Turn = (u8, u64, u64);
-
-/// What a waiting sample asks for.
-#[derive(Debug)]
-pub(super) struct Want {
-    pub service: Name,
-    pub model: Option<Name>,
-    pub least: u64,
-    pub avoid: Vec<Name>,
-}
-
-#[derive(Debug)]
-struct Waiter {
-    want: Want,
-    grant: oneshot::Sender<Target>,
-}
+type Queue = Waiting<oneshot::Sender<Target>>;
 
 /// The replicas and those who wait for a place.
 #[derive(Debug)]
 pub(super) struct Slots {
     pub(super) fleet: Mutex<Fleet>,
-    waiting: Mutex<BTreeMap<Turn, Waiter>>,
+    waiting: Mutex<Queue>,
     /// Told when someone begins to wait.
     begun: Notify,
 }
@@ -57,29 +40,23 @@
 
     /// Gives free places to those who wait, in turn.
     pub(super) fn pump(&self, now: Moment) {
+        self.give(now, |waiting, fleet| waiting.pump(fleet, now));
+    }
+
+    /// Gives the free places of one replica, in turn.
+    fn offer(&self, replica: &str, now: Moment) {
+        self.give(now, |waiting, fleet| waiting.offer(replica, fleet, now));
+    }
+
+    fn give(
+        &self,
+        now: Moment,
+        choose: impl FnOnce(&mut Queue, &mut Fleet) -> Vec<(oneshot::Sender<Target>, Target)>,
+    ) {
         let mut waiting = self.waiting.lock();
         let mut fleet = self.fleet.lock();
-        let mut full: Vec<(Name, Option<Name>)> = Vec::new();
-        let turns: Vec<Turn> = waiting.keys().copied().collect();
-        for turn in turns {
-            let Some(waiter) = waiting.get(&turn) else { continue };
-            let kind = (waiter.want.service.clone(), waiter.want.model.clone());
-            if full.contains(&kind) {
-                continue;
-            }
-            let wish = Wish {
-                service: &waiter.want.service,
-                weights: waiter.want.model.as_deref().map(|m| (m, waiter.want.least)),
-                avoid: &waiter.want.avoid,
-                over: false,
-            };
-            let Some(target) = fleet.choose(&wish, now) else {
-                full.push(kind);
-                continue;
-            };
-            let Some(waiter) = waiting.remove(&turn) else { continue };
-            fleet.start(&target.id, now);
-            if let Err(target) = waiter.grant.send(target) {
+        for (grant, target) in choose(&mut waiting, &mut fleet) {
+            if let Err(target) = grant.send(target) {
                 fleet.end(&target.id, None, Ended::Dropped, now);
             }
         }
@@ -119,23 +96,27 @@
 }
 
 impl App {
-    /// The head of a replica's answer came, with its load if it tells that. Those who wait are
-    /// looked at within [`LOOK`]: at each head, thousands of heads would go through thousands
-    /// who wait.
+    /// The head of a replica's answer came, with its load if it tells that.
     pub(super) fn heard(&self, replica: &str, load: Option<Load>) {
-        let mut fleet = self.slots.fleet.lock();
-        match load {
-            Some(load) => fleet.load(replica, load, self.now()),
-            None => fleet.untold(replica),
+        let now = self.now();
+        {
+            let mut fleet = self.slots.fleet.lock();
+            match load {
+                Some(load) => fleet.load(replica, load, now),
+                None => fleet.untold(replica),
+            }
+        }
+        if self.slots.waits() {
+            self.slots.offer(replica, now);
         }
     }
 
     /// Waits for a free place.
-    pub(super) async fn place(&self, turn: Turn, want: Want) -> Option<Held<'_>> {
-        let model = want.model.clone();
+    pub(super) async fn place(&self, turn: Position, want: Want) -> Option<Held<'_>> {
+        let (service, model) = (want.service.clone(), want.model.clone());
         let (grant, granted) = oneshot::channel();
-        self.slots.waiting.lock().insert(turn, Waiter { want, grant });
-        let mut waiting = Waiting { app: self, turn, granted };
+        self.slots.waiting.lock().add(turn, want, grant);
+        let mut waiting = Wait { app: self, turn, service, model: model.clone(), granted };
         self.slots.pump(self.now());
         self.slots.begun.notify_one();
         let target = (&mut waiting.granted).await.ok()?;
@@ -165,15 +146,17 @@
 }
 
 /// Takes a waiter out of the queue when its sample gives up.
-struct Waiting<'a> {
+struct Wait<'a> {
     app: &'a App,
-    turn: Turn,
+    turn: Position,
+    service: Name,
+    model: Option<Name>,
     granted: oneshot::Receiver<Target>,
 }
 
-impl Drop for Waiting<'_> {
+impl Drop for Wait<'_> {
     fn drop(&mut self) {
-        self.app.slots.waiting.lock().remove(&self.turn);
+        self.app.slots.waiting.lock().remove(self.turn, &self.service, &self.model);
         // A place that was granted but never taken is given back.
         self.granted.close();
         if let Ok(target) = self.granted.try_recv() {
