Tenants: a key is judged with the routes' version, and jobs are their tenant's alone

Cause: `tenants` of the configuration was not read.

A job is kept under an id of its tenant's own, so that no lookup of another tenant can find it; a tenant's rank goes before its route's. The other way weighed for jobs, an owner beside each job that every read compares, needs the owner on five paths (home, ended, peer, view, store) and shows that an id exists.

Peers' protocol 6 (submissions carry their tenant); submissions of earlier formats decode.

--- a/src/decide/job/job.rs
+++ b/src/decide/job/job.rs
@@ -22,6 +22,11 @@
 /// are five times as long as usual.
 const TURNS: usize = 3;
 
+/// Fields that were added to a submission since its first format.
+const LATER_FIELDS: usize = 2;
+/// How an optional field without a value is encoded.
+const ABSENT: u8 = 0;
+
 /// A batch job as it was submitted.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Spec {
@@ -39,19 +44,22 @@
     pub items: Vec<Arc<ItemSpec>>,
     /// The number of whole groups that its trainer waits for; none if it did not say.
     pub wanted: Option<usize>,
+    /// Whose it is; none where it came without a key.
+    pub tenant: Option<Name>,
 }
 
 impl Spec {
-    /// Decodes a submission as it lies in the store. One from before the number of wanted
-    /// groups was kept ends without it.
+    /// Decodes a submission as it lies in the store. An earlier format ends before the last
+    /// one or two fields, which are none then.
     pub fn decode(mut bytes: Vec<u8>) -> Result<Self, bincode::error::DecodeError> {
         let config = bincode::config::standard();
-        let decoded = bincode::serde::decode_from_slice(&bytes, config);
-        if let Err(bincode::error::DecodeError::UnexpectedEnd { .. }) = decoded {
-            bytes.push(0);
-            return bincode::serde::decode_from_slice(&bytes, config).map(|(spec, _)| spec);
+        for _ in 0..LATER_FIELDS {
+            match bincode::serde::decode_from_slice(&bytes, config) {
+                Err(bincode::error::DecodeError::UnexpectedEnd { .. }) => bytes.push(ABSENT),
+                decoded => return decoded.map(|(spec, _)| spec),
+            }
         }
-        decoded.map(|(spec, _)| spec)
+        bincode::serde::decode_from_slice(&bytes, config).map(|(spec, _)| spec)
     }
 
     /// What all its samples come to, by their senders' estimates; one without counts as the
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -40,6 +40,7 @@
 mod step;
 mod straggler;
 mod subset;
+mod tenants;
 mod transfer;
 mod turns;
 
@@ -74,5 +75,6 @@
 pub use step::{Fill, Group, Prompt, Sample, Slot, Spec, Step};
 pub use straggler::{ORDINARY, RAISED, order, priority, window};
 pub use subset::subset;
+pub use tenants::{Caller, KeyDigest, Tenant, TenantFault, Tenants, public_job};
 pub use transfer::Transfer;
 pub use turns::Turns;
--- a/src/decide/routes.rs
+++ b/src/decide/routes.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::{Caller, KeyDigest, Tenants, public_job};
 use crate::Name;
 
 /// What may be done again of a request of a route.
@@ -46,6 +47,8 @@
     pub retention: Duration,
     /// Whether a text must come from one version of the weights.
     pub one_version: bool,
+    /// Whether it takes requests without a tenant's key, where there are tenants.
+    pub public: bool,
 }
 
 impl Route {
@@ -83,6 +86,8 @@
     pub version: u64,
     /// The limits.
     pub bounds: Bounds,
+    /// Who may call; none where anybody may.
+    tenants: Option<Tenants>,
     /// By host, the longest prefix first.
     hosts: HashMap<Name, Vec<Arc<Route>>>,
 }
@@ -97,7 +102,40 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
         }
-        Self { version, bounds, hosts }
+        Self { version, bounds, tenants: None, hosts }
+    }
+
+    /// The same routes, for these tenants.
+    pub fn for_tenants(self, tenants: Tenants) -> Self {
+        Self { tenants: Some(tenants), ..self }
+    }
+
+    /// Whom a request with this key acts for.
+    pub fn caller(&self, key: Option<KeyDigest>) -> Caller {
+        let Some(tenants) = &self.tenants else { return Caller::Anyone };
+        let holder = key.and_then(|key| tenants.holder(key));
+        holder.map_or(Caller::Unknown, |name| Caller::Tenant(name.clone()))
+    }
+
+    /// Whether a caller may use a route.
+    pub fn admits(&self, route: &Route, caller: &Caller) -> bool {
+        route.public || *caller != Caller::Unknown
+    }
+
+    /// The rank of a request: that of its tenant, or of its route.
+    pub fn priority(&self, route: &Route, tenant: Option<&Name>) -> u8 {
+        let own = tenant.zip(self.tenants.as_ref()).and_then(|(name, t)| t.priority(name));
+        own.unwrap_or(route.priority)
+    }
+
+    /// The ids under which a job that a caller asks for may be kept.
+    pub fn job_ids(&self, caller: &Caller, id: &str) -> Vec<Name> {
+        let mut ids = vec![caller.job(id)];
+        let public = || self.hosts.values().flatten().any(|r| r.batch && r.public);
+        if matches!(caller, Caller::Tenant(_)) && public() {
+            ids.push(public_job(id));
+        }
+        ids
     }
 
     /// Whether a route wants texts of one version only.
--- a/src/edge/peer/codec.rs
+++ b/src/edge/peer/codec.rs
@@ -7,7 +7,7 @@
 use serde::de::DeserializeOwned;
 
 /// The version of the protocol between nodes. Both sides have to speak the same.
-pub const VERSION: &str = "5";
+pub const VERSION: &str = "6";
 
 /// The largest message, in bytes: bounds what garbage can make a node allocate.
 pub(super) const MESSAGE_LIMIT: usize = 8 << 20;
--- a/src/entry/sample.rs
+++ b/src/entry/sample.rs
@@ -86,11 +86,12 @@
         };
         let want =
             Want { service, model: spec.model.clone(), least: spec.oldest, avoid: avoid.clone() };
-        let turn = (route.priority, home.age, index);
+        let priority = routes.priority(&route, spec.tenant.as_ref());
+        let turn = (priority, home.age, index);
         let Some(mut held) = app.place(turn, want).await else { continue };
         let before = home.text(&item.id, |text| text.last());
         let run = Run { app, home, item, spec, route: &route };
-        let tried = run.attempt(&mut held, call(&route, spec, item, before)).await;
+        let tried = run.attempt(&mut held, call(&route, priority, spec, item, before)).await;
         let replica = held.target.id.clone();
         drop(held);
         let events = home.text(&item.id, |text| text.last());
@@ -125,7 +126,7 @@
     }
 }
 
-fn call(route: &Route, spec: &Spec, item: &ItemSpec, last: u64) -> Call {
+fn call(route: &Route, priority: u8, spec: &Spec, item: &ItemSpec, last: u64) -> Call {
     let mut headers = HeaderMap::new();
     for (name, value) in &item.headers {
         if let (Ok(name), Ok(value)) =
@@ -139,10 +140,11 @@
         method: Method::POST,
         path: item.path.clone(),
         host: spec.host.clone(),
+        tenant: spec.tenant.clone(),
         headers,
         body: item.body.clone(),
         limit: route.retention,
         after: (last > 0).then_some(last),
-        rank: Some(route.priority.min(LAST)),
+        rank: Some(priority.min(LAST)),
     }
 }
--- a/src/error/kind.rs
+++ b/src/error/kind.rs
@@ -15,6 +15,8 @@
     BodyTooLarge,
     /// The content type is not the one that the path takes.
     UnsupportedMedia,
+    /// No tenant holds the key that the request came with.
+    UnknownKey,
     /// No such path.
     UnknownPath,
     /// The path does not take this method.
@@ -71,6 +73,7 @@
         Self::BadRequest,
         Self::BodyTooLarge,
         Self::UnsupportedMedia,
+        Self::UnknownKey,
         Self::UnknownPath,
         Self::WrongMethod,
         Self::UnknownService,
@@ -103,6 +106,7 @@
             Self::BadRequest => "bad_request",
             Self::BodyTooLarge => "body_too_large",
             Self::UnsupportedMedia => "unsupported_media",
+            Self::UnknownKey => "unknown_key",
             Self::UnknownPath => "unknown_path",
             Self::WrongMethod => "wrong_method",
             Self::UnknownService => "unknown_service",
--- a/tests/entry/world.rs
+++ b/tests/entry/world.rs
@@ -248,6 +248,7 @@
         attempts: 3,
         retention: Duration::from_secs(40),
         one_version: false,
+        public: false,
     }
 }
 
@@ -260,6 +261,7 @@
         oldest: 1,
         items: items.iter().map(|id| Arc::new(item(id))).collect(),
         wanted: None,
+        tenant: None,
     }
 }
 
@@ -293,6 +295,7 @@
         method: Method::POST,
         path: path.into(),
         host: HOST.into(),
+        tenant: None,
         headers,
         body: Bytes::new(),
         deadline: Some(Duration::from_secs(2)),
--- a/tests/jobs.rs
+++ b/tests/jobs.rs
@@ -29,6 +29,7 @@
         oldest: 0,
         items: lengths.iter().enumerate().map(item).collect(),
         wanted: None,
+        tenant: None,
     })
 }
 
@@ -209,14 +210,16 @@
     assert!(Job::new(spec, listed.map(Arc::new).collect()).awaited());
 }
 
-/// A submission of an earlier version, which did not keep the number of wanted groups.
+/// Submissions of earlier versions, which kept no tenant, or not the number of wanted groups either.
 #[test]
 fn a_submission_without_wanted_groups_is_read() {
     let spec = Spec::clone(&spec(&[Some(3), None]));
     let mut bytes = bincode::serde::encode_to_vec(&spec, bincode::config::standard()).unwrap();
     assert_eq!(Spec::decode(bytes.clone()).unwrap(), spec);
-    assert_eq!(bytes.pop(), Some(0));
-    assert_eq!(Spec::decode(bytes.clone()).unwrap(), spec);
+    for _ in 0..2 {
+        assert_eq!(bytes.pop(), Some(0));
+        assert_eq!(Spec::decode(bytes.clone()).unwrap(), spec);
+    }
     bytes.truncate(bytes.len() / 2);
     assert!(Spec::decode(bytes).is_err());
 }
--- a/tests/routes.rs
+++ b/tests/routes.rs
@@ -20,6 +20,7 @@
         attempts: 1,
         retention: Duration::ZERO,
         one_version: false,
+        public: false,
     }
 }
 
