--- a/src/decide/job/job.rs
+++ b/src/decide/job/job.rs
@@ -45,7 +45,7 @@
     /// The number of whole groups that its trainer waits for; none if it did not say.
     pub wanted: Option<usize>,
     /// Whose it is; none where it came without a key.
-    pub tenant: Option<Name>,
+    pub organisation: Option<Name>,
 }
 
 impl Spec {
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -25,6 +25,7 @@
 pub mod members;
 pub mod moves;
 mod open;
+mod organisations;
 mod outcome;
 mod pace;
 mod patience;
@@ -40,7 +41,6 @@
 mod step;
 mod straggler;
 mod subset;
-mod tenants;
 mod transfer;
 mod turns;
 
@@ -61,6 +61,9 @@
 pub use leaving::{Departure, Leaving};
 pub use limit::Limit;
 pub use open::Open;
+pub use organisations::{
+    Caller, KeyDigest, Organisation, OrganisationFault, Organisations, public_job,
+};
 pub use outcome::{History, Outcome};
 pub use pace::{Pace, per_cost};
 pub use patience::Patience;
@@ -75,6 +78,5 @@
 pub use step::{Fill, Group, Prompt, Sample, Slot, Spec, Step};
 pub use straggler::{ORDINARY, RAISED, order, priority, window};
 pub use subset::subset;
-pub use tenants::{Caller, KeyDigest, Tenant, TenantFault, Tenants, public_job};
 pub use transfer::Transfer;
 pub use turns::Turns;
--- a/src/decide/routes.rs
+++ b/src/decide/routes.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{Caller, KeyDigest, Tenants, public_job};
+use super::{Caller, KeyDigest, Organisations, public_job};
 use crate::Name;
 
 /// What may be done again of a request of a route.
@@ -47,7 +47,7 @@
     pub retention: Duration,
     /// Whether a text must come from one version of the weights.
     pub one_version: bool,
-    /// Whether it takes requests without a tenant's key, where there are tenants.
+    /// Whether it takes requests without an organisation's key, where there are organisations.
     pub public: bool,
 }
 
@@ -87,7 +87,7 @@
     /// The limits.
     pub bounds: Bounds,
     /// Who may call; none where anybody may.
-    tenants: Option<Tenants>,
+    organisations: Option<Organisations>,
     /// By host, the longest prefix first.
     hosts: HashMap<Name, Vec<Arc<Route>>>,
 }
@@ -102,19 +102,19 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
         }
-        Self { version, bounds, tenants: None, hosts }
+        Self { version, bounds, organisations: None, hosts }
     }
 
-    /// The same routes, for these tenants.
-    pub fn for_tenants(self, tenants: Tenants) -> Self {
-        Self { tenants: Some(tenants), ..self }
+    /// The same routes, for these organisations.
+    pub fn for_organisations(self, organisations: Organisations) -> Self {
+        Self { organisations: Some(organisations), ..self }
     }
 
     /// Whom a request with this key acts for.
     pub fn caller(&self, key: Option<KeyDigest>) -> Caller {
-        let Some(tenants) = &self.tenants else { return Caller::Anyone };
-        let holder = key.and_then(|key| tenants.holder(key));
-        holder.map_or(Caller::Unknown, |name| Caller::Tenant(name.clone()))
+        let Some(organisations) = &self.organisations else { return Caller::Anyone };
+        let holder = key.and_then(|key| organisations.holder(key));
+        holder.map_or(Caller::Unknown, |name| Caller::Organisation(name.clone()))
     }
 
     /// Whether a caller may use a route.
@@ -122,9 +122,10 @@
         route.public || *caller != Caller::Unknown
     }
 
-    /// The rank of a request: that of its tenant, or of its route.
-    pub fn priority(&self, route: &Route, tenant: Option<&Name>) -> u8 {
-        let own = tenant.zip(self.tenants.as_ref()).and_then(|(name, t)| t.priority(name));
+    /// The rank of a request: that of its organisation, or of its route.
+    pub fn priority(&self, route: &Route, organisation: Option<&Name>) -> u8 {
+        let own =
+            organisation.zip(self.organisations.as_ref()).and_then(|(name, t)| t.priority(name));
         own.unwrap_or(route.priority)
     }
 
@@ -132,7 +133,7 @@
     pub fn job_ids(&self, caller: &Caller, id: &str) -> Vec<Name> {
         let mut ids = vec![caller.job(id)];
         let public = || self.hosts.values().flatten().any(|r| r.batch && r.public);
-        if matches!(caller, Caller::Tenant(_)) && public() {
+        if matches!(caller, Caller::Organisation(_)) && public() {
             ids.push(public_job(id));
         }
         ids
--- a/src/edge/replica/call.rs
+++ b/src/edge/replica/call.rs
@@ -33,8 +33,8 @@
     pub path: Name,
     /// The host it was sent to.
     pub host: Name,
-    /// The tenant that it is made for.
-    pub tenant: Option<Name>,
+    /// The organisation that it is made for.
+    pub organisation: Option<Name>,
     /// All other headers of the sender that are passed on.
     pub headers: HeaderMap,
     /// The whole body.
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -36,8 +36,8 @@
     pub path: Name,
     /// The host.
     pub host: Name,
-    /// The tenant that asks; none without a key.
-    pub tenant: Option<Name>,
+    /// The organisation that asks; none without a key.
+    pub organisation: Option<Name>,
     /// The headers that are passed on.
     pub headers: HeaderMap,
     /// The whole body.
@@ -220,7 +220,7 @@
             method: self.ask.method.clone(),
             path: self.ask.path.clone(),
             host: self.ask.host.clone(),
-            tenant: self.ask.tenant.clone(),
+            organisation: self.ask.organisation.clone(),
             headers: self.ask.headers.clone(),
             body: self.ask.body.clone(),
             limit: ends.saturating_sub(now),
--- a/src/entry/sample.rs
+++ b/src/entry/sample.rs
@@ -86,7 +86,7 @@
         };
         let want =
             Want { service, model: spec.model.clone(), least: spec.oldest, avoid: avoid.clone() };
-        let priority = routes.priority(&route, spec.tenant.as_ref());
+        let priority = routes.priority(&route, spec.organisation.as_ref());
         let turn = (priority, home.age, index);
         let Some(mut held) = app.place(turn, want).await else { continue };
         let before = home.text(&item.id, |text| text.last());
@@ -140,7 +140,7 @@
         method: Method::POST,
         path: item.path.clone(),
         host: spec.host.clone(),
-        tenant: spec.tenant.clone(),
+        organisation: spec.organisation.clone(),
         headers,
         body: item.body.clone(),
         limit: route.retention,
--- a/src/entry/score.rs
+++ b/src/entry/score.rs
@@ -72,7 +72,7 @@
         method: Method::POST,
         path: scorer.path.clone(),
         host: scorer.host.clone(),
-        tenant: None,
+        organisation: None,
         headers: HeaderMap::new(),
         body: Bytes::clone(&scorer.body),
         deadline: Some(TRY),
--- a/src/error/answer.rs
+++ b/src/error/answer.rs
@@ -56,7 +56,9 @@
             Self::UnsupportedMedia => {
                 row(S::UNSUPPORTED_MEDIA_TYPE, NotRun, false, "the content type is not supported")
             }
-            Self::UnknownKey => row(S::UNAUTHORIZED, NotRun, false, "no tenant holds this key"),
+            Self::UnknownKey => {
+                row(S::UNAUTHORIZED, NotRun, false, "no organisation holds this key")
+            }
             Self::UnknownPath => row(S::NOT_FOUND, NotRun, false, "no such path"),
             Self::WrongMethod => {
                 row(S::METHOD_NOT_ALLOWED, NotRun, false, "the path does not take this method")
--- a/src/error/kind.rs
+++ b/src/error/kind.rs
@@ -15,7 +15,7 @@
     BodyTooLarge,
     /// The content type is not the one that the path takes.
     UnsupportedMedia,
-    /// No tenant holds the key that the request came with.
+    /// No organisation holds the key that the request came with.
     UnknownKey,
     /// No such path.
     UnknownPath,
--- a/standins/src/replicas/fleet.rs
+++ b/standins/src/replicas/fleet.rs
@@ -173,7 +173,7 @@
         state.ran.push(Ran {
             replica: to.id.clone(),
             id: call.id.clone(),
-            tenant: call.tenant.clone(),
+            organisation: call.organisation.clone(),
             after: call.after,
             limit: call.limit,
             at: Instant::now(),
--- a/standins/src/replicas/replica.rs
+++ b/standins/src/replicas/replica.rs
@@ -35,8 +35,8 @@
     pub replica: Name,
     /// The request.
     pub id: Name,
-    /// The tenant that it was for.
-    pub tenant: Option<Name>,
+    /// The organisation that it was for.
+    pub organisation: Option<Name>,
     /// The event after which it went on.
     pub after: Option<u64>,
     /// How long its sender gave it.
--- a/tests/entry/world.rs
+++ b/tests/entry/world.rs
@@ -261,7 +261,7 @@
         oldest: 1,
         items: items.iter().map(|id| Arc::new(item(id))).collect(),
         wanted: None,
-        tenant: None,
+        organisation: None,
     }
 }
 
@@ -295,7 +295,7 @@
         method: Method::POST,
         path: path.into(),
         host: HOST.into(),
-        tenant: None,
+        organisation: None,
         headers,
         body: Bytes::new(),
         deadline: Some(Duration::from_secs(2)),
--- a/tests/jobs.rs
+++ b/tests/jobs.rs
@@ -29,7 +29,7 @@
         oldest: 0,
         items: lengths.iter().enumerate().map(item).collect(),
         wanted: None,
-        tenant: None,
+        organisation: None,
     })
 }
 
@@ -210,7 +210,7 @@
     assert!(Job::new(spec, listed.map(Arc::new).collect()).awaited());
 }
 
-/// Submissions of earlier versions, which kept no tenant, or not the number of wanted groups either.
+/// Submissions of earlier versions, which kept no organisation, or not the number of wanted groups either.
 #[test]
 fn a_submission_without_wanted_groups_is_read() {
     let spec = Spec::clone(&spec(&[Some(3), None]));
--- /dev/null
+++ b/tests/organisations.rs
@@ -0,0 +1,56 @@
+//! Organisations and the jobs that are theirs.
+#![allow(clippy::unwrap_used)]
+
+use mulberrycourse::decide::{
+    Caller, KeyDigest, Organisation, OrganisationFault, Organisations, public_job,
+};
+use proptest::prelude::*;
+
+fn organisation(name: &str, keys: &[&str]) -> Organisation {
+    let keys = keys.iter().map(|key| KeyDigest::of(key.as_bytes())).collect();
+    Organisation { name: name.into(), priority: None, keys }
+}
+
+#[test]
+fn a_key_that_two_organisations_hold_acts_for_neither() {
+    let all = vec![
+        organisation("a", &["k", "ka"]),
+        organisation("b", &["k", "kb"]),
+        organisation("c", &["k"]),
+    ];
+    let (organisations, faults) = Organisations::new(all);
+    let holder = |key: &str| organisations.holder(KeyDigest::of(key.as_bytes())).map(|n| &**n);
+    assert_eq!((holder("k"), holder("ka"), holder("kb")), (None, Some("a"), Some("b")));
+    assert_eq!(faults, [OrganisationFault::SharedKey("a".into(), "b".into())]);
+}
+
+#[test]
+fn a_key_that_stands_twice_at_one_organisation_is_no_fault() {
+    let (organisations, faults) =
+        Organisations::new(vec![organisation("a", &["k", "k"]), organisation("a", &["l"])]);
+    assert_eq!(faults, []);
+    assert_eq!(organisations.holder(KeyDigest::of(b"l")).map(|n| &**n), Some("a"));
+}
+
+#[test]
+fn a_digest_shows_nothing_of_its_key() {
+    assert_eq!(format!("{:?}", KeyDigest::of(b"secret")), "KeyDigest");
+}
+
+#[test]
+fn a_job_fits_a_key_of_the_store_whatever_its_organisation_is_called() {
+    for length in [1, 40, 41, 5_000] {
+        let name = "%".repeat(length);
+        let id = Caller::Organisation(name.as_str().into()).job("7c41e09b52d6a3f8");
+        assert!(id.len() < 150 && !id.contains('/'), "{id}");
+    }
+}
+
+proptest! {
+    #[test]
+    fn no_two_callers_share_a_job(a in "[ -~]{1,50}", b in "[ -~]{1,50}", i in "[ -~]{1,20}", j in "[ -~]{1,20}") {
+        let job = |organisation: &str, id: &str| Caller::Organisation(organisation.into()).job(id);
+        prop_assert_eq!(job(&a, &i) == job(&b, &j), a == b && i == j);
+        prop_assert_ne!(job(&a, &i), public_job(&j));
+    }
+}
