Usage by organisation is counted at every node and reported once a window by the holder

Each node counts a request into the window of the time of day in which it sends it, unless the replica says that it did not run, or says nothing. Counts are cumulative by node and only grow; a node tells them to the holder of duties and to its next in rank within some hundred milliseconds, and says when a window is closed. The holder fixes a report in the store, under its own key's revision, before it sends it; a successor first repeats what was fixed. A clock that steps is not followed for a minute. The duty shares the term of orders: one lease, one fence.

Told to two nodes it costs no call but one write a window.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -43,6 +43,7 @@
 mod subset;
 mod transfer;
 mod turns;
+pub mod usage;
 
 pub use address::{ANSWER, Site, sites_of};
 pub use admission::{Outlook, Returns};
--- /dev/null
+++ b/src/edge/clock/clock.rs
@@ -0,0 +1,32 @@
+//! The port, and the clocks of the VM.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use rustix::time::{ClockId, clock_gettime};
+
+/// Two clocks, read together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Reading {
+    /// A clock that only runs, also while the VM is suspended.
+    pub running: Duration,
+    /// The time of day, since 1970.
+    pub wall: Duration,
+}
+
+/// Tells the time of day.
+pub trait Clock: std::fmt::Debug + Send + Sync + 'static {
+    /// Reads both clocks.
+    fn read(&self) -> Reading;
+}
+
+/// The clocks of the VM.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct SystemClock;
+
+impl Clock for SystemClock {
+    fn read(&self) -> Reading {
+        let running = Duration::try_from(clock_gettime(ClockId::Boottime)).unwrap_or_default();
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Reading { running, wall }
+    }
+}
--- /dev/null
+++ b/src/edge/clock/mod.rs
@@ -0,0 +1,5 @@
+//! The edge to the time of day.
+
+mod clock;
+
+pub use clock::{Clock, Reading, SystemClock};
--- /dev/null
+++ b/src/edge/duty/mod.rs
@@ -0,0 +1,5 @@
+//! The edge to the duties that one node at a time does for the platform.
+
+mod duty;
+
+pub use duty::{Duties, DutyEnd, Term, UsageReport};
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -1,5 +1,7 @@
 //! The edge: every socket of a process, and nothing that decides.
 
+pub mod clock;
+pub mod duty;
 pub mod http;
 pub mod notice;
 pub mod peer;
--- a/src/edge/store/item.rs
+++ b/src/edge/store/item.rs
@@ -94,6 +94,12 @@
         Self { expected: vec![(key.into(), revision)], ..Self::default() }
     }
 
+    /// Also expects this revision of a key.
+    pub fn and_when(mut self, key: impl Into<Name>, revision: u64) -> Self {
+        self.expected.push((key.into(), revision));
+        self
+    }
+
     /// Also writes a key that has no lease.
     pub fn put(self, key: impl Into<Name>, value: impl Into<Bytes>) -> Self {
         self.put_leased(key, value, 0)
--- a/src/entry/app.rs
+++ b/src/entry/app.rs
@@ -18,10 +18,13 @@
 use super::homes::Homes;
 use super::live::Live;
 use super::peer::{Detour, Peers};
+use super::ports::Ports;
 use super::slots::Slots;
+use super::usage::Usage;
 use super::views::Views;
 use crate::decide::comeback::come_back;
 use crate::decide::{Demand, Routes};
+use crate::edge::duty::Duties;
 use crate::edge::notice::Notices;
 use crate::edge::replica::Replicas;
 use crate::edge::store::Store;
@@ -46,6 +49,9 @@
     pub(super) shunned: Mutex<HashMap<SocketAddr, Moment>>,
     pub(super) replicas: Arc<dyn Replicas>,
     pub(super) notices: Arc<dyn Notices>,
+    pub(super) duties: Arc<dyn Duties>,
+    /// Usage; none where nobody wants it reported.
+    pub(super) usage: Option<Arc<Usage>>,
     /// This incarnation of the process.
     pub(super) life: Name,
     pub(super) routes: Mutex<Option<Arc<Routes>>>,
@@ -61,7 +67,7 @@
     /// Counts changes of versions, replicas and nodes.
     pub(super) news: watch::Sender<u64>,
     pub(super) lease: Mutex<Lease>,
-    /// When this node gave its last order.
+    /// When this node gave its last order, or did another duty.
     pub(super) ordered: Mutex<Option<Moment>>,
     pub(super) draining: AtomicBool,
     pub(super) listed: AtomicBool,
@@ -92,17 +98,17 @@
 impl App {
     pub(super) fn new(
         settings: EntrySettings,
-        store: Arc<dyn Store>,
-        replicas: Arc<dyn Replicas>,
-        notices: Arc<dyn Notices>,
+        ports: Ports,
         peers: impl FnOnce(Arc<Tally>) -> Arc<dyn Peers>,
     ) -> Arc<Self> {
+        let Ports { store, replicas, notices, duties, clock } = ports;
         let life = format!("{}.{:08x}", settings.name, rand::random::<u32>()).into();
         let tally = Arc::new(Tally::default());
         let peers = peers(tally.clone());
         let direct = Arc::new(Counted::new(store, notices.clone(), tally.clone()));
         let detour = Detour::new(direct.clone(), peers.clone(), settings.seeds.clone());
         let slots = Slots::new(settings.zone.clone());
+        let usage = settings.usage.map(|windows| Arc::new(Usage::new(windows, clock)));
         Arc::new(Self {
             settings,
             tally,
@@ -113,6 +119,8 @@
             shunned: Mutex::default(),
             replicas,
             notices,
+            duties,
+            usage,
             life,
             routes: Mutex::default(),
             versions: Mutex::default(),
@@ -217,6 +225,12 @@
         self.lease.lock().until > self.now() + half
     }
 
+    /// Whether a term surely lasts: the lease does, and no other holder was seen.
+    pub(super) fn holds(&self, fence: u64) -> bool {
+        let seen = self.live.lock().holder().map(|seen| seen.revision);
+        self.may_order() && seen.is_none_or(|revision| revision <= fence)
+    }
+
     /// How long a new holder waits before its first order. The one before gave its last
     /// order half a lease before its key went, at the latest.
     pub(super) fn turn(&self) -> Duration {
--- a/src/entry/entry.rs
+++ b/src/entry/entry.rs
@@ -7,10 +7,9 @@
 use super::app::App;
 use super::follow::{Topic, follow};
 use super::peer::Peers;
+use super::ports::Ports;
+use super::usage::send_notes;
 use super::{member, mover, takeover};
-use crate::edge::notice::Notices;
-use crate::edge::replica::Replicas;
-use crate::edge::store::Store;
 use crate::metrics::Tally;
 use crate::settings::EntrySettings;
 
@@ -32,12 +31,10 @@
     /// Begins to follow the store, and to serve once its view is whole.
     pub fn spawn(
         settings: EntrySettings,
-        store: Arc<dyn Store>,
-        replicas: Arc<dyn Replicas>,
-        notices: Arc<dyn Notices>,
+        ports: Ports,
         peers: impl FnOnce(Arc<Tally>) -> Arc<dyn Peers>,
     ) -> Self {
-        let app = App::new(settings, store, replicas, notices, peers);
+        let app = App::new(settings, ports, peers);
         tracing::info!(event = "process_begins", node = %app.settings.name, life = %app.life);
         if app.settings.keeps {
             app.spawn(follow(app.clone(), Topic::Retirements));
@@ -49,6 +46,9 @@
             app.spawn(member::keep(app.clone()));
             app.spawn(takeover::follow(app.clone()));
             app.spawn(mover::give(app.clone()));
+            if let Some(usage) = app.usage.clone() {
+                app.spawn(send_notes(app.clone(), usage));
+            }
             let looking = app.clone();
             app.spawn(async move { looking.look().await });
         }
--- a/src/entry/keys.rs
+++ b/src/entry/keys.rs
@@ -16,6 +16,9 @@
 /// The holder of orders.
 pub(super) const HOLDER: &str = "mulberry/live/holder";
 
+/// The last usage report that is fixed.
+pub(super) const USAGE: &str = "mulberry/usage";
+
 const NODES: &str = "mulberry/live/node/";
 /// Where each job is.
 pub(super) const HOMES: &str = "mulberry/home/";
@@ -79,6 +82,9 @@
             LiveKey::Holder => StoreUse::Holder,
         };
     }
+    if key == USAGE {
+        return StoreUse::Usage;
+    }
     if key.starts_with(HOMES) {
         return StoreUse::Homes;
     }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -19,6 +19,7 @@
 mod member;
 mod mover;
 mod peer;
+mod ports;
 mod read;
 mod relay;
 mod retire;
@@ -29,6 +30,7 @@
 mod stream;
 mod submit;
 mod takeover;
+mod usage;
 mod views;
 
 pub use app::App;
@@ -37,6 +39,7 @@
 pub use peer::{
     Door, Followed, PeerAsk, PeerDoor, PeerLine, PeerReply, Peers, StoreAsk, StoreReply,
 };
+pub use ports::Ports;
 pub use read::{Found, Read};
 pub use relay::{Ask, Given};
 pub use submit::Submitted;
--- a/src/entry/mover.rs
+++ b/src/entry/mover.rs
@@ -12,6 +12,7 @@
 use super::app::App;
 use super::follow::{Topic, follow};
 use super::keys::{HOLDER, HolderValue};
+use super::usage::report;
 use crate::Name;
 use crate::decide::moves::{self, Move, Standing};
 use crate::decide::rank;
@@ -49,6 +50,7 @@
                     () = app.stop.cancelled() => {}
                     () = hold(&app, fence) => {}
                     () = app.hear_demand() => {}
+                    () = report(&app, fence) => {}
                     () = follow(app.clone(), Topic::Versions) => {}
                 }
                 tracing::info!(event = "orders_given_up", fence);
@@ -107,7 +109,7 @@
     let mut busy: BTreeMap<Name, Name> = BTreeMap::new();
     let mut running: JoinSet<(Name, Moved)> = JoinSet::new();
     loop {
-        if !holds(app, fence) {
+        if !app.holds(fence) {
             return;
         }
         for wanted in wanted(app, &busy) {
@@ -135,12 +137,6 @@
     }
 }
 
-/// Whether the term surely lasts: the lease does, and no other key was seen.
-fn holds(app: &App, fence: u64) -> bool {
-    let seen = app.live.lock().holder().map(|seen| seen.revision);
-    app.may_order() && seen.is_none_or(|revision| revision <= fence)
-}
-
 fn wanted(app: &App, busy: &BTreeMap<Name, Name>) -> Vec<Move> {
     let named = app.versions.lock().clone();
     let demand = app.demand.lock().by_model(app.now());
@@ -178,7 +174,7 @@
         app.slots.fleet.lock().seen(&target, &wanted.model, has);
         return Moved::Done;
     }
-    if stance.busy || !holds(app, fence) {
+    if stance.busy || !app.holds(fence) {
         return Moved::Failed;
     }
     let one_version = app.routes().is_some_and(|r| r.any_one_version());
--- a/src/entry/peer/door.rs
+++ b/src/entry/peer/door.rs
@@ -106,6 +106,12 @@
                 PeerReply::Demand(demand.into_iter().collect())
             }
             PeerAsk::Store(ask) => PeerReply::Store(self.store(ask).await),
+            PeerAsk::Usage { life, notes } => {
+                if let Some(usage) = &app.usage {
+                    app.take_notes(usage, &life, &notes);
+                }
+                PeerReply::Noted
+            }
             PeerAsk::Reached => {
                 app.detour.told();
                 PeerReply::Noted
--- a/src/entry/peer/message.rs
+++ b/src/entry/peer/message.rs
@@ -7,6 +7,7 @@
 
 use crate::Name;
 use crate::decide::job::Spec;
+use crate::decide::usage::WindowNote;
 use crate::edge::peer::Message;
 use crate::edge::store::{Item, Page, StoreError, Txn, TxnEnd, Watched};
 use crate::entry::follow::News;
@@ -57,6 +58,13 @@
     Demand,
     /// Call the store for me.
     Store(StoreAsk),
+    /// What you should know of the requests that have begun at me.
+    Usage {
+        /// The incarnation that counted them.
+        life: Name,
+        /// Its counts.
+        notes: Vec<WindowNote>,
+    },
     /// The store answers again.
     Reached,
 }
@@ -150,6 +158,7 @@
             Self::Find(_) | Self::Body { .. } | Self::Read { .. } => PeerUse::Read,
             Self::Whole { .. } | Self::Follow { .. } | Self::Demand => PeerUse::Follow,
             Self::Store(_) | Self::Reached => PeerUse::Store,
+            Self::Usage { .. } => PeerUse::Usage,
         }
     }
 }
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -9,6 +9,7 @@
 use super::app::App;
 use super::slots::Held;
 use super::stream;
+use super::usage::MeteredRun;
 use crate::decide::comeback::SOON;
 use crate::decide::{Again, Ended, History, Outcome, Route, Wish};
 use crate::edge::http::gather;
@@ -155,14 +156,25 @@
             return Came::Over(refused(Kind::NoUpstream, "no replica takes work"));
         };
         course.made += 1;
+        let mut metered = course.metered(self);
         let began = self.now();
         let call = course.call(self.now());
         let limit = course.limit(left);
         let sending = self.replicas.send(&held.target, call);
         let reply = match tokio::time::timeout(limit, sending).await {
             Ok(Ok(reply)) => reply,
-            Ok(Err(failure)) => return course.failed(self, &mut held, failure),
-            Err(_) => return course.failed(self, &mut held, Failure::Broken("silent".to_owned())),
+            Ok(Err(failure)) => {
+                if let Some(metered) = metered.as_mut().filter(|_| failure.not_run()) {
+                    metered.not_run();
+                }
+                return course.failed(self, &mut held, failure);
+            }
+            Err(_) => {
+                if let Some(metered) = &mut metered {
+                    metered.not_run();
+                }
+                return course.failed(self, &mut held, Failure::Broken("silent".to_owned()));
+            }
         };
         self.heard(&held.target.id, reply.load);
         if course.route.streaming && reply.status.is_success() {
@@ -229,6 +241,12 @@
         }
     }
 
+    /// An attempt that counts as usage, if its organisation's usage is reported.
+    fn metered(&self, app: &App) -> Option<MeteredRun> {
+        let (usage, organisation) = (app.usage.as_ref()?, self.ask.organisation.clone()?);
+        Some(usage.begin(organisation))
+    }
+
     /// How long one attempt may take.
     fn limit(&self, left: Duration) -> Duration {
         if !self.may_repeat() || self.made >= self.route.attempts {
--- /dev/null
+++ b/src/entry/usage/meter.rs
@@ -0,0 +1,79 @@
+//! Counting requests as they begin.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::sync::Notify;
+
+use crate::Name;
+use crate::decide::usage::{Ledger, Meter, Steady, Windows};
+use crate::edge::clock::Clock;
+
+/// What a node counts, and what it knows of others' counts.
+#[derive(Debug)]
+pub(in crate::entry) struct Usage {
+    pub windows: Windows,
+    pub meter: Mutex<Meter>,
+    pub ledger: Mutex<Ledger>,
+    /// Told when a count has changed.
+    pub changed: Notify,
+    clock: Arc<dyn Clock>,
+    steady: Mutex<Steady>,
+}
+
+impl Usage {
+    pub(in crate::entry) fn new(windows: Windows, clock: Arc<dyn Clock>) -> Self {
+        Self {
+            windows,
+            meter: Mutex::default(),
+            ledger: Mutex::default(),
+            changed: Notify::new(),
+            clock,
+            steady: Mutex::default(),
+        }
+    }
+
+    /// The time of day.
+    pub(in crate::entry) fn time(&self) -> Duration {
+        let reading = self.clock.read();
+        self.steady.lock().read(reading.running, reading.wall)
+    }
+
+    /// The present window.
+    pub(in crate::entry) fn window(&self) -> u64 {
+        self.windows.at(self.time())
+    }
+
+    /// A request of an organisation is sent. It counts as begun now unless it is said not to
+    /// have run.
+    pub(in crate::entry) fn begin(self: &Arc<Self>, organisation: Name) -> MeteredRun {
+        let window = self.window();
+        self.meter.lock().sent(window);
+        MeteredRun { usage: self.clone(), window, organisation, ran: true }
+    }
+}
+
+/// A request that may have begun. It is counted when dropped.
+#[derive(Debug)]
+pub(in crate::entry) struct MeteredRun {
+    usage: Arc<Usage>,
+    window: u64,
+    organisation: Name,
+    ran: bool,
+}
+
+impl MeteredRun {
+    /// It did not run.
+    pub(in crate::entry) fn not_run(&mut self) {
+        self.ran = false;
+    }
+}
+
+impl Drop for MeteredRun {
+    fn drop(&mut self) {
+        let ran = self.ran.then_some(&self.organisation);
+        self.usage.meter.lock().settled(self.window, ran);
+        self.usage.changed.notify_one();
+    }
+}
--- /dev/null
+++ b/src/entry/usage/note.rs
@@ -0,0 +1,92 @@
+//! Telling the holder of duties, and who would follow it, what was counted here.
+//!
+//! A count is at two nodes besides its own within some hundred milliseconds, so that the loss
+//! of a node costs none.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::meter::Usage;
+use crate::decide::rank;
+use crate::decide::usage::WindowNote;
+use crate::entry::app::App;
+use crate::entry::keys::HOLDER;
+use crate::entry::peer::{PeerAsk, PeerReply};
+
+/// How long counts are gathered for one message.
+const GATHER: Duration = Duration::from_millis(100);
+/// How long a node may take to note them.
+const NOTE: Duration = Duration::from_millis(500);
+/// The pause after a node did not answer.
+const AGAIN: Duration = Duration::from_millis(500);
+/// Nodes that are told: the holder and the one that is to follow it.
+const TOLD: usize = 2;
+
+/// Tells counts for as long as the process lasts.
+pub(in crate::entry) async fn send_notes(app: Arc<App>, usage: Arc<Usage>) {
+    let mut news = app.news.subscribe();
+    let mut told: HashMap<SocketAddr, Vec<WindowNote>> = HashMap::new();
+    loop {
+        let left = usage.windows.end(usage.window()).saturating_sub(usage.time());
+        tokio::select! {
+            () = usage.changed.notified() => {}
+            _ = news.changed() => {}
+            () = tokio::time::sleep(left) => {}
+        }
+        tokio::time::sleep(GATHER).await;
+        let notes = usage.meter.lock().notes(usage.window());
+        app.take_notes(&usage, &app.life, &notes);
+        let to = app.collectors();
+        told.retain(|at, _| to.contains(at));
+        let mut failed = false;
+        for at in to {
+            let known = told.get(&at);
+            let fresh: Vec<WindowNote> =
+                notes.iter().filter(|n| known.is_none_or(|k| !k.contains(n))).cloned().collect();
+            if fresh.is_empty() {
+                continue;
+            }
+            let ask = PeerAsk::Usage { life: app.life.clone(), notes: fresh };
+            match app.peers.ask(at, ask, NOTE).await {
+                Ok(PeerReply::Noted) => drop(told.insert(at, notes.clone())),
+                reply => {
+                    tracing::info!(event = "usage_not_noted", to = %at, ?reply);
+                    failed = true;
+                }
+            }
+        }
+        if failed {
+            tokio::time::sleep(AGAIN).await;
+            usage.changed.notify_one();
+        }
+    }
+}
+
+impl App {
+    /// Takes over what a node has counted.
+    pub(in crate::entry) fn take_notes(
+        &self,
+        usage: &Usage,
+        life: &crate::Name,
+        notes: &[WindowNote],
+    ) {
+        let present = usage.window();
+        let strange = usage.ledger.lock().note(life, notes, present);
+        if !strange.is_empty() {
+            tracing::warn!(event = "usage_of_other_times", %life, windows = ?strange, present);
+        }
+    }
+
+    /// The other nodes that gather counts: the holder of duties and the next in its rank.
+    fn collectors(&self) -> Vec<SocketAddr> {
+        let live = self.live.lock();
+        let able = live.able();
+        let holder = live.holder().map(|seen| seen.value.life.clone());
+        let ranked = rank(HOLDER, able.iter().map(|l| &**l));
+        let followers = ranked.into_iter().filter(|l| holder.as_deref() != Some(*l));
+        let lives = holder.as_deref().into_iter().chain(followers).take(TOLD);
+        lives.filter(|l| **l != *self.life).filter_map(|l| live.peer(l)).collect()
+    }
+}
--- a/src/metrics/tally.rs
+++ b/src/metrics/tally.rs
@@ -15,6 +15,7 @@
 use super::metrics::encoded;
 use super::process::Process;
 use super::{Traffic, Way};
+use crate::edge::duty::DutyEnd;
 use crate::edge::replica::OrderEnd;
 use crate::error::Kind;
 
@@ -124,6 +125,8 @@
     Results,
     /// Unfinished texts.
     Texts,
+    /// Usage reports.
+    Usage,
     /// This node's lease.
     Lease,
     /// Something else.
@@ -141,6 +144,8 @@
     Follow,
     /// Calls to the store.
     Store,
+    /// Counts of usage.
+    Usage,
 }
 
 macro_rules! label {
@@ -156,6 +161,7 @@
 label!(SampleLabel, end: SampleEnd);
 label!(JobLabel, step: JobStep);
 label!(OrderLabel, result: OrderEnd);
+label!(DutyLabel, result: DutyEnd);
 label!(UseLabel, purpose: PeerUse);
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -181,6 +187,7 @@
     samples: Family<SampleLabel, Counter>,
     jobs: Family<JobLabel, Counter>,
     orders: Family<OrderLabel, Counter>,
+    usage: Family<DutyLabel, Counter>,
     store: Family<StoreLabel, Counter>,
     peer_bytes: Family<PeerLabel, Counter>,
     peer_messages: Family<PeerLabel, Counter>,
@@ -207,6 +214,7 @@
             samples: Family::default(),
             jobs: Family::default(),
             orders: Family::default(),
+            usage: Family::default(),
             store: Family::default(),
             peer_bytes: Family::default(),
             peer_messages: Family::default(),
@@ -235,6 +243,7 @@
         all.register("samples", "Samples that ended here", self.samples.clone());
         all.register("jobs", "What jobs went through here", self.jobs.clone());
         all.register("orders", "Orders given, by result", self.orders.clone());
+        all.register("usage_reports", "Usage reports sent, by result", self.usage.clone());
         all.register("store_calls", "Calls to the store, by end and purpose", self.store.clone());
         let help = "Bytes between nodes, by purpose and way";
         all.register("peer_bytes", help, self.peer_bytes.clone());
@@ -283,6 +292,11 @@
         self.orders.get_or_create(&OrderLabel { result }).inc();
     }
 
+    /// Counts a usage report.
+    pub fn usage(&self, result: DutyEnd) {
+        self.usage.get_or_create(&DutyLabel { result }).inc();
+    }
+
     /// Counts a call to the store; `took` for one that was to be answered at once.
     pub fn store(&self, call: StoreCall, end: StoreEnd, purpose: StoreUse, took: Option<Duration>) {
         self.store.get_or_create(&StoreLabel { call, end, purpose }).inc();
--- a/src/settings/entry.rs
+++ b/src/settings/entry.rs
@@ -6,6 +6,7 @@
 
 use super::{Document, Invalid};
 use crate::Name;
+use crate::decide::usage::Windows;
 
 /// How long the lease of a node lasts by default: two renewals may be lost.
 const LEASE: Duration = Duration::from_millis(2_000);
@@ -23,6 +24,11 @@
 const GRACE: Duration = Duration::from_secs(8);
 /// A value below this would hold little beside its frame, in bytes.
 const LEAST_VALUE: usize = 16 << 10;
+/// The shortest window that usage is reported by.
+const LEAST_WINDOW: Duration = Duration::from_secs(1);
+/// The sections that a file may have.
+const SECTIONS: [&str; 10] =
+    ["node", "store", "replicas", "jobs", "duties", "usage", "orders", "stop", "answers", "log"];
 /// The largest value of the store by default, in bytes.
 const VALUE: usize = 1 << 20;
 
@@ -60,6 +66,10 @@
     pub drain: Duration,
     /// `[jobs] kept`: how long a job can be read after its submission.
     pub kept: Duration,
+    /// `[duties] address`: where duties are done; none where there are none.
+    pub duties: Option<SocketAddr>,
+    /// `[usage] window`, `late`: how usage is reported; none where it is not.
+    pub usage: Option<Windows>,
     /// `[orders] turn`: how long orders of two holders must lie apart.
     pub turn: Duration,
     /// `[stop] grace`: how long stopping may take.
@@ -78,7 +88,7 @@
 
     /// Checks a parsed text.
     pub fn read(doc: &Document) -> Result<Self, Invalid> {
-        doc.only(&["node", "store", "replicas", "jobs", "orders", "stop", "answers", "log"], &[])?;
+        doc.only(&SECTIONS, &[])?;
         let node = doc.section("node")?;
         let store = doc.section("store")?;
         let mut settings = Self {
@@ -97,6 +107,8 @@
             lease: store.duration("lease", LEASE)?,
             drain: DRAIN,
             kept: KEPT,
+            duties: None,
+            usage: None,
             turn: TURN,
             grace: GRACE,
             ttl: TTL,
@@ -112,6 +124,14 @@
             settings.kept = jobs.duration("kept", KEPT)?;
             jobs.finish()?;
         }
+        if let Some(duties) = doc.optional("duties") {
+            settings.duties = address(&duties, "address")?;
+            duties.finish()?;
+        }
+        if let Some(usage) = doc.optional("usage") {
+            settings.usage = Some(windows(&usage)?);
+            usage.finish()?;
+        }
         if let Some(orders) = doc.optional("orders") {
             settings.turn = orders.duration("turn", TURN)?;
             orders.finish()?;
@@ -132,6 +152,15 @@
     }
 }
 
+fn windows(section: &super::Section<'_>) -> Result<Windows, Invalid> {
+    let length = section.duration("window", LEAST_WINDOW)?;
+    if length < LEAST_WINDOW {
+        let text = section.text("window").unwrap_or_default();
+        return Err(section.bad("window", text, "shorter than a second".to_owned()));
+    }
+    Ok(Windows { length, late: section.duration("late", length)? })
+}
+
 /// An address that may be left out or empty.
 fn address(section: &super::Section<'_>, key: &str) -> Result<Option<SocketAddr>, Invalid> {
     match section.text(key) {
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod caller;
 pub mod daemon;
+pub mod duties;
 pub mod engine;
 pub mod experiment;
 pub mod fleet;
--- a/tests/entry/world.rs
+++ b/tests/entry/world.rs
@@ -7,10 +7,12 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method};
 use mulberrycourse::decide::job::{ItemSpec, Listing, Scorer, Spec, State};
+use mulberrycourse::decide::usage::Windows;
 use mulberrycourse::decide::{Again, Bounds, Route, Routes};
 use mulberrycourse::edge::notice::Notice;
-use mulberrycourse::entry::{App, Ask, Entry, PeerAsk, PeerReply, Peers, Read, Submitted};
+use mulberrycourse::entry::{App, Ask, Entry, PeerAsk, PeerReply, Peers, Ports, Read, Submitted};
 use mulberrycourse::settings::{Document, EntrySettings};
+use standins::duties::{DutyLedger, TestClock};
 use standins::kv::{Faults, KvLine, KvService, Words};
 use standins::replicas::ReplicaFleet;
 
@@ -26,6 +28,11 @@
     pub(crate) words: Words,
     pub(crate) replicas: ReplicaFleet,
     pub(crate) links: Links,
+    pub(crate) duties: DutyLedger,
+    /// The clocks of the nodes that start from now on.
+    pub(crate) clock: TestClock,
+    /// The windows by which nodes report usage.
+    usage: Option<Windows>,
 }
 
 pub(crate) struct Node {
@@ -45,11 +52,18 @@
         for id in ["p1", "p2"] {
             replicas.add("plain", id, &[]);
         }
-        let world = Self { kv, words, replicas, links: Links::default() };
+        let (duties, clock) = (DutyLedger::default(), TestClock::default());
+        let world =
+            Self { kv, words, replicas, links: Links::default(), duties, clock, usage: None };
         world.configure(1);
         world
     }
 
+    /// The same, where usage is reported by windows of this length.
+    pub(crate) fn with_usage(self, length: Duration) -> Self {
+        Self { usage: Some(Windows { length, late: length * 2 }), ..self }
+    }
+
     /// Writes the routes under a version.
     pub(crate) fn configure(&self, version: u64) {
         self.configure_beside(version, "");
@@ -147,16 +161,18 @@
     }
 
     fn begin(&self, settings: EntrySettings, faults: Faults) -> Node {
+        let settings = EntrySettings { usage: self.usage, ..settings };
         let line = self.kv.line();
         line.fail(faults);
         let links = Arc::new(self.links.of(settings.peers));
-        let entry = Entry::spawn(
-            settings,
-            Arc::new(line.clone()),
-            Arc::new(self.replicas.clone()),
-            Arc::new(self.words.clone()),
-            |_| links,
-        );
+        let ports = Ports {
+            store: Arc::new(line.clone()),
+            replicas: Arc::new(self.replicas.clone()),
+            notices: Arc::new(self.words.clone()),
+            duties: Arc::new(self.duties.clone()),
+            clock: Arc::new(self.clock.clone()),
+        };
+        let entry = Entry::spawn(settings, ports, |_| links);
         Node { entry, line, links: self.links.clone() }
     }
 }
--- a/tests/entry_settings.rs
+++ b/tests/entry_settings.rs
@@ -32,6 +32,10 @@
         (GOOD.replace("drain = 4s", "drain = soon"), "drain"),
         (GOOD.replace("keeps", "kept"), "kept"),
         (GOOD.replace("[stop]", "[halt]"), "halt"),
+        (GOOD.replace("[stop]", "[usage]\nwindow = 0s\n[stop]"), "window"),
+        (GOOD.replace("[stop]", "[usage]\nwindow = soon\n[stop]"), "window"),
+        (GOOD.replace("[stop]", "[usage]\nwindow = 5s\nlater = 1s\n[stop]"), "later"),
+        (GOOD.replace("[stop]", "[duties]\naddress = there\n[stop]"), "address"),
         (GOOD.replace("[store]\naddress = 10.0.0.2:81", "[store]"), "address"),
     ];
     for (text, place) in cases {
--- /dev/null
+++ b/tests/usage.rs
@@ -0,0 +1,121 @@
+//! Counts of usage, without nodes: windows, clocks that step, notes that come twice or late.
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use mulberrycourse::Name;
+use mulberrycourse::decide::usage::{Counts, Ledger, Meter, Steady, WindowNote, Windows};
+use proptest::prelude::*;
+
+const WINDOWS: Windows = Windows { length: Duration::from_secs(5), late: Duration::from_secs(10) };
+const PRESENT: u64 = 356_731_765;
+
+fn name(text: &str) -> Name {
+    text.into()
+}
+
+#[test]
+fn a_window_ends_where_the_next_begins() {
+    let end = WINDOWS.end(PRESENT);
+    assert_eq!(WINDOWS.at(end), PRESENT + 1);
+    assert_eq!(WINDOWS.at(end - Duration::from_nanos(1)), PRESENT);
+    assert_eq!(WINDOWS.due(PRESENT), end + WINDOWS.late);
+    // A window that no time of day reaches is no panic.
+    assert!(WINDOWS.due(u64::MAX) > WINDOWS.end(PRESENT));
+}
+
+#[test]
+fn a_clock_that_steps_and_steps_back_is_not_followed() {
+    let (mut steady, start) = (Steady::default(), Duration::from_secs(1_800_000_000));
+    let mut read = |running: u64, wall: i64| {
+        let wall = Duration::from_millis((start.as_millis() as i64 + wall) as u64);
+        let time = steady.read(Duration::from_millis(running), wall);
+        time.as_millis() as i64 - start.as_millis() as i64
+    };
+    assert_eq!(read(1_000, 1_000), 1_000);
+    assert_eq!(read(2_000, 4_000), 2_000);
+    assert_eq!(read(3_000, 1_000), 3_000);
+    assert_eq!(read(4_000, 4_000), 4_000);
+    // A slewed clock is followed.
+    assert_eq!(read(5_000, 5_100), 5_100);
+    // A step that lasts is a correction.
+    assert_eq!(read(6_000, 9_000), 6_100);
+    assert_eq!(read(65_999, 68_999), 66_099);
+    assert_eq!(read(66_000, 69_000), 69_000);
+    assert_eq!(read(67_000, 70_000), 70_000);
+}
+
+#[test]
+fn a_window_is_closed_once_nothing_of_it_is_open() {
+    let mut meter = Meter::default();
+    meter.sent(PRESENT);
+    meter.sent(PRESENT);
+    meter.settled(PRESENT, Some(&name("o")));
+    let mut note =
+        |present| meter.notes(present).into_iter().find(|n| n.window == PRESENT).unwrap();
+    assert!(!note(PRESENT).closed && !note(PRESENT + 1).closed);
+    assert_eq!(note(PRESENT + 1).counts, Counts::from([(name("o"), 1)]));
+    meter.settled(PRESENT, None);
+    let closed = meter.notes(PRESENT + 1).into_iter().find(|n| n.window == PRESENT).unwrap();
+    assert!(closed.closed);
+    assert_eq!(closed.counts, Counts::from([(name("o"), 1)]));
+    // Windows without a request are closed too.
+    assert!(meter.notes(PRESENT + 2).iter().all(|n| n.closed == (n.window < PRESENT + 2)));
+}
+
+#[test]
+fn a_note_of_a_far_window_is_left_out_and_told() {
+    let mut ledger = Ledger::default();
+    let note = |window| WindowNote { window, closed: true, counts: Counts::from([(name("o"), 1)]) };
+    let life = name("a");
+    let strange = ledger.note(&life, &[note(u64::MAX), note(0), note(PRESENT)], PRESENT);
+    assert_eq!(strange, [u64::MAX, 0]);
+    assert_eq!(ledger.total(PRESENT, std::slice::from_ref(&life)).counts[&name("o")], 1);
+    assert_eq!(ledger.total(u64::MAX, &[life]).counts, Counts::new());
+}
+
+#[test]
+fn counts_that_overflow_stay_at_the_most() {
+    let mut ledger = Ledger::default();
+    for life in ["a", "b"] {
+        let counts = Counts::from([(name("o"), u64::MAX)]);
+        ledger.note(&name(life), &[WindowNote { window: PRESENT, closed: true, counts }], PRESENT);
+    }
+    assert_eq!(ledger.total(PRESENT, &[]).counts[&name("o")], u64::MAX);
+}
+
+proptest! {
+    /// Notes of growing counts may be lost, repeated and overtake each other: once each node's
+    /// last note was heard, every request is counted once.
+    #[test]
+    fn every_request_is_counted_once(
+        runs in prop::collection::vec((0..3_usize, 0..4_usize, any::<bool>()), 0..60),
+        order in prop::collection::vec((0..3_usize, 0..60_usize), 0..90),
+    ) {
+        let lives = ["a", "b", "c"].map(name);
+        let mut meters = [Meter::default(), Meter::default(), Meter::default()];
+        let mut told: [Vec<Vec<WindowNote>>; 3] = Default::default();
+        let mut truth = Counts::new();
+        for (node, organisation, ran) in runs {
+            let organisation = name(&format!("o{organisation}"));
+            meters[node].sent(PRESENT);
+            meters[node].settled(PRESENT, ran.then_some(&organisation));
+            if ran {
+                *truth.entry(organisation).or_default() += 1;
+            }
+            told[node].push(meters[node].notes(PRESENT));
+        }
+        let mut ledger = Ledger::default();
+        for (node, index) in order {
+            if let Some(notes) = told[node].get(index) {
+                ledger.note(&lives[node], notes, PRESENT);
+            }
+        }
+        prop_assert_eq!(ledger.total(PRESENT, &lives).missing.len(), 3);
+        for (node, meter) in meters.iter_mut().enumerate() {
+            ledger.note(&lives[node], &meter.notes(PRESENT + 1), PRESENT + 1);
+        }
+        let total = ledger.total(PRESENT, &lives);
+        prop_assert_eq!((total.counts, total.missing.len()), (truth, 0));
+    }
+}
