Replicas are ordered where samples want more places than there are

Trainers of the small twin of the shifted deployment fell 5 to 6 s behind: nine replicas have 54 places, and the samples of four trainers want 128 in the mean, those that wait included.

The holder of duties sums, once a second, how long samples have wanted places at the homes of jobs, and orders as many replicas as have the places wanted in the mean of eight seconds: beyond what there was at first, at the kind that may be taken back where that costs less, spread over availability zones by price, within the limits. The plan lies in the store before it is sent. An order that came to nothing is sent again; a zone that has none is left out for three seconds. What was ordered is given up after twenty seconds without need.

A fixed reserve by observed peak was not built: at full size the peak of a step (448 samples) is twice the places and waits for nothing.

--- a/benches/places.rs
+++ b/benches/places.rs
@@ -21,6 +21,7 @@
             zone: "z".into(),
             slots: SLOTS,
             draining: false,
+            spot: false,
             versions: vec![(MODELS[i % MODELS.len()].into(), 1)],
         });
     }
--- a/src/decide/fleet/fleet.rs
+++ b/src/decide/fleet/fleet.rs
@@ -131,6 +131,21 @@
         open.filter_map(|r| Some((r.listed.target.clone(), *r.versions.get(model)?))).collect()
     }
 
+    /// The replicas of a service that do not leave, by availability zone: those that may be
+    /// taken back at short notice, or the others.
+    pub fn count(&self, service: &str, spot: bool) -> BTreeMap<Name, u32> {
+        let mut zones = BTreeMap::new();
+        for replica in self.of(service).filter(|r| !r.listed.draining && r.listed.spot == spot) {
+            *zones.entry(replica.listed.zone.clone()).or_default() += 1;
+        }
+        zones
+    }
+
+    /// The places of one replica of a service; none where there is no replica.
+    pub fn slots(&self, service: &str) -> Option<u32> {
+        self.of(service).next().map(|r| r.listed.slots)
+    }
+
     /// Places at replicas that serve a model from this version on.
     pub fn places(&self, model: &str, least: u64) -> usize {
         let open = self.replicas.values().filter(|r| !r.listed.draining);
--- a/src/decide/fleet/listed.rs
+++ b/src/decide/fleet/listed.rs
@@ -16,6 +16,8 @@
     pub slots: u32,
     /// Whether it is leaving.
     pub draining: bool,
+    /// Whether it may be taken back at short notice.
+    pub spot: bool,
     /// Model and version of its weights.
     pub versions: Vec<(Name, u64)>,
 }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -38,6 +38,7 @@
 mod rollout;
 mod route;
 mod routes;
+pub mod scale;
 mod step;
 mod straggler;
 mod subset;
--- a/src/decide/routes.rs
+++ b/src/decide/routes.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::scale::Autoscale;
 use super::{Caller, KeyDigest, Organisations, public_job};
 use crate::Name;
 
@@ -80,7 +81,7 @@
 }
 
 /// All routes of one version of the configuration.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Routes {
     /// The version.
     pub version: u64,
@@ -88,6 +89,8 @@
     pub bounds: Bounds,
     /// Who may call; none where anybody may.
     organisations: Option<Organisations>,
+    /// The services whose replicas may be ordered.
+    autoscales: Vec<Autoscale>,
     /// By host, the longest prefix first.
     hosts: HashMap<Name, Vec<Arc<Route>>>,
 }
@@ -102,7 +105,7 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
         }
-        Self { version, bounds, organisations: None, hosts }
+        Self { version, bounds, organisations: None, autoscales: Vec::new(), hosts }
     }
 
     /// The same routes, for these organisations.
@@ -110,6 +113,16 @@
         Self { organisations: Some(organisations), ..self }
     }
 
+    /// The same routes, where replicas of these services may be ordered.
+    pub fn with_autoscales(self, autoscales: Vec<Autoscale>) -> Self {
+        Self { autoscales, ..self }
+    }
+
+    /// The services whose replicas may be ordered.
+    pub fn autoscales(&self) -> &[Autoscale] {
+        &self.autoscales
+    }
+
     /// Whom a request with this key acts for.
     pub fn caller(&self, key: Option<KeyDigest>) -> Caller {
         let Some(organisations) = &self.organisations else { return Caller::Anyone };
--- a/src/edge/duty/duty.rs
+++ b/src/edge/duty/duty.rs
@@ -26,6 +26,20 @@
     pub counts: Counts,
 }
 
+/// The number of replicas that a service is to have in an availability zone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ScaleOrder {
+    /// The service.
+    pub service: Name,
+    /// The availability zone.
+    pub zone: Name,
+    /// Whether these are replicas that may be taken back at short notice. Each kind is
+    /// counted by itself.
+    pub spot: bool,
+    /// The number.
+    pub desired: u32,
+}
+
 /// What a call came to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum DutyEnd {
@@ -48,4 +62,7 @@
         report: UsageReport,
         limit: Duration,
     ) -> BoxFuture<'static, DutyEnd>;
+
+    /// Orders replicas. `Refused` where there are none to be had.
+    fn scale(&self, term: Term, order: ScaleOrder, limit: Duration) -> BoxFuture<'static, DutyEnd>;
 }
--- a/src/edge/notice/notice.rs
+++ b/src/edge/notice/notice.rs
@@ -7,7 +7,7 @@
 use crate::edge::store::Put;
 
 /// Something that operators or trainers have written.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Notice {
     /// The newest configuration.
     Routes(Routes),
--- a/src/entry/app.rs
+++ b/src/entry/app.rs
@@ -23,6 +23,7 @@
 use super::usage::Usage;
 use super::views::Views;
 use crate::decide::comeback::come_back;
+use crate::decide::scale::Load;
 use crate::decide::{Demand, Routes};
 use crate::edge::duty::Duties;
 use crate::edge::notice::Notices;
@@ -58,6 +59,8 @@
     pub(super) versions: Mutex<BTreeMap<Name, u64>>,
     /// What steps bring, here and, at who gives orders, at other homes.
     pub(super) demand: Mutex<Demand>,
+    /// What the samples of all homes want, at the holder of duties.
+    pub(super) load: Mutex<Load>,
     pub(super) slots: Slots,
     pub(super) live: Mutex<Live>,
     pub(super) homes: Homes,
@@ -125,6 +128,7 @@
             routes: Mutex::default(),
             versions: Mutex::default(),
             demand: Mutex::default(),
+            load: Mutex::default(),
             slots,
             live: Mutex::default(),
             homes: Homes::default(),
--- a/src/entry/keys.rs
+++ b/src/entry/keys.rs
@@ -19,6 +19,9 @@
 /// The last usage report that is fixed.
 pub(super) const USAGE: &str = "mulberry/usage";
 
+/// What is ordered of each service.
+pub(super) const SCALE: &str = "mulberry/scale";
+
 const NODES: &str = "mulberry/live/node/";
 /// Where each job is.
 pub(super) const HOMES: &str = "mulberry/home/";
@@ -82,8 +85,10 @@
             LiveKey::Holder => StoreUse::Holder,
         };
     }
-    if key == USAGE {
-        return StoreUse::Usage;
+    match key {
+        USAGE => return StoreUse::Usage,
+        SCALE => return StoreUse::Scale,
+        _ => {}
     }
     if key.starts_with(HOMES) {
         return StoreUse::Homes;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -25,6 +25,7 @@
 mod retire;
 mod run;
 mod sample;
+mod scale;
 mod score;
 mod slots;
 mod stream;
--- a/src/entry/mover.rs
+++ b/src/entry/mover.rs
@@ -12,6 +12,7 @@
 use super::app::App;
 use super::follow::{Topic, follow};
 use super::keys::{HOLDER, HolderValue};
+use super::scale::scale;
 use super::usage::report;
 use crate::Name;
 use crate::decide::moves::{self, Move, Standing};
@@ -51,6 +52,7 @@
                     () = hold(&app, fence) => {}
                     () = app.hear_demand() => {}
                     () = report(&app, fence) => {}
+                    () = scale(&app, fence) => {}
                     () = follow(app.clone(), Topic::Versions) => {}
                 }
                 tracing::info!(event = "orders_given_up", fence);
--- a/src/entry/peer/door.rs
+++ b/src/entry/peer/door.rs
@@ -103,7 +103,11 @@
             }
             PeerAsk::Demand => {
                 let demand = app.demand.lock().by_model(app.now());
-                PeerReply::Demand(demand.into_iter().collect())
+                PeerReply::Demand {
+                    steps: demand.into_iter().collect(),
+                    life: app.life.clone(),
+                    wanted: app.slots.wanted.totals(),
+                }
             }
             PeerAsk::Store(ask) => PeerReply::Store(self.store(ask).await),
             PeerAsk::Usage { life, notes } => {
--- a/src/entry/peer/home.rs
+++ b/src/entry/peer/home.rs
@@ -164,10 +164,15 @@
                 .map(|(_, to)| async move { self.peers.ask(to, PeerAsk::Demand, FIND).await });
             let heard = futures_util::future::join_all(asks).await;
             let now = self.now();
-            let mut demand = self.demand.lock();
+            let (mut demand, mut load) = (self.demand.lock(), self.load.lock());
+            let mut note = |life: &Name, wanted: Vec<(Name, u64)>| {
+                wanted.iter().for_each(|(service, total)| load.note(life, service, *total, now));
+            };
+            note(&self.life, self.slots.wanted.totals());
             for reply in heard {
-                let Ok(PeerReply::Demand(steps)) = reply else { continue };
+                let Ok(PeerReply::Demand { steps, life, wanted }) = reply else { continue };
                 steps.iter().for_each(|(model, work)| demand.note(model, *work, now));
+                note(&life, wanted);
             }
         }
     }
--- a/src/entry/peer/message.rs
+++ b/src/entry/peer/message.rs
@@ -119,8 +119,15 @@
     Body(Option<Bytes>),
     /// What was heard; none where this node can't say.
     Followed(Option<News>),
-    /// The work of one step, by model.
-    Demand(Vec<(Name, u64)>),
+    /// What the steps of each model bring.
+    Demand {
+        /// The work of one step, by model.
+        steps: Vec<(Name, u64)>,
+        /// The incarnation that says so.
+        life: Name,
+        /// How long its samples have wanted places, by service, in place milliseconds.
+        wanted: Vec<(Name, u64)>,
+    },
     /// What the store said.
     Store(Result<StoreReply, StoreError>),
     /// It was heard.
--- a/src/entry/slots.rs
+++ b/src/entry/slots.rs
@@ -1,11 +1,13 @@
 //! Places at replicas: who waits for one, and who gets the next.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use parking_lot::Mutex;
 use tokio::sync::{Notify, oneshot};
 
 use super::app::App;
+use super::scale::{Wanted, WantedPlace};
 use crate::decide::{Ended, Fleet, Position, Waiting, Want, Wish};
 use crate::edge::replica::{Load, Target};
 use crate::{Moment, Name};
@@ -20,6 +22,8 @@
 pub(super) struct Slots {
     pub(super) fleet: Mutex<Fleet>,
     waiting: Mutex<Queue>,
+    /// The time that samples have wanted places.
+    pub(super) wanted: Arc<Wanted>,
     /// Told when someone begins to wait.
     begun: Notify,
 }
@@ -29,6 +33,7 @@
         Self {
             fleet: Mutex::new(Fleet::new(zone)),
             waiting: Mutex::default(),
+            wanted: Arc::default(),
             begun: Notify::new(),
         }
     }
@@ -70,12 +75,14 @@
     pub target: Target,
     model: Option<Name>,
     ended: Ended,
+    /// Of a sample, from when it began to wait.
+    _wanted: Option<WantedPlace>,
 }
 
 impl<'a> Held<'a> {
     /// A place that was counted by [`Fleet::start`] already.
     pub(super) fn began(app: &'a App, target: Target) -> Self {
-        Self { app, target, model: None, ended: Ended::Dropped }
+        Self { app, target, model: None, ended: Ended::Dropped, _wanted: None }
     }
 
     /// Says how the attempt ended.
@@ -114,13 +121,14 @@
     /// Waits for a free place.
     pub(super) async fn place(&self, turn: Position, want: Want) -> Option<Held<'_>> {
         let (service, model) = (want.service.clone(), want.model.clone());
+        let wanted = self.slots.wanted.begin(service.clone());
         let (grant, granted) = oneshot::channel();
         self.slots.waiting.lock().add(turn, want, grant);
         let mut waiting = Wait { app: self, turn, service, model: model.clone(), granted };
         self.slots.pump(self.now());
         self.slots.begun.notify_one();
         let target = (&mut waiting.granted).await.ok()?;
-        Some(Held { app: self, target, model, ended: Ended::Dropped })
+        Some(Held { app: self, target, model, ended: Ended::Dropped, _wanted: Some(wanted) })
     }
 
     /// Looks after those who wait, for as long as someone does.
@@ -141,7 +149,7 @@
         let target = fleet.choose(wish, now)?;
         fleet.start(&target.id, now);
         let model = wish.weights.map(|(model, _)| model.into());
-        Some(Held { app: self, target, model, ended: Ended::Dropped })
+        Some(Held { app: self, target, model, ended: Ended::Dropped, _wanted: None })
     }
 }
 
--- a/src/metrics/tally.rs
+++ b/src/metrics/tally.rs
@@ -127,6 +127,8 @@
     Texts,
     /// Usage reports.
     Usage,
+    /// The replicas that are ordered.
+    Scale,
     /// This node's lease.
     Lease,
     /// Something else.
@@ -188,6 +190,7 @@
     jobs: Family<JobLabel, Counter>,
     orders: Family<OrderLabel, Counter>,
     usage: Family<DutyLabel, Counter>,
+    scale: Family<DutyLabel, Counter>,
     store: Family<StoreLabel, Counter>,
     peer_bytes: Family<PeerLabel, Counter>,
     peer_messages: Family<PeerLabel, Counter>,
@@ -215,6 +218,7 @@
             jobs: Family::default(),
             orders: Family::default(),
             usage: Family::default(),
+            scale: Family::default(),
             store: Family::default(),
             peer_bytes: Family::default(),
             peer_messages: Family::default(),
@@ -244,6 +248,7 @@
         all.register("jobs", "What jobs went through here", self.jobs.clone());
         all.register("orders", "Orders given, by result", self.orders.clone());
         all.register("usage_reports", "Usage reports sent, by result", self.usage.clone());
+        all.register("scale_orders", "Orders of replicas, by result", self.scale.clone());
         all.register("store_calls", "Calls to the store, by end and purpose", self.store.clone());
         let help = "Bytes between nodes, by purpose and way";
         all.register("peer_bytes", help, self.peer_bytes.clone());
@@ -297,6 +302,11 @@
         self.usage.get_or_create(&DutyLabel { result }).inc();
     }
 
+    /// Counts an order of replicas.
+    pub fn scale(&self, result: DutyEnd) {
+        self.scale.get_or_create(&DutyLabel { result }).inc();
+    }
+
     /// Counts a call to the store; `took` for one that was to be answered at once.
     pub fn store(&self, call: StoreCall, end: StoreEnd, purpose: StoreUse, took: Option<Duration>) {
         self.store.get_or_create(&StoreLabel { call, end, purpose }).inc();
--- a/standins/src/duties/ledger.rs
+++ b/standins/src/duties/ledger.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use futures_util::future::BoxFuture;
-use mulberrycourse::edge::duty::{Duties, DutyEnd, Term, UsageReport};
+use mulberrycourse::edge::duty::{Duties, DutyEnd, ScaleOrder, Term, UsageReport};
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
@@ -28,6 +28,7 @@
 struct State {
     fence: u64,
     reported: Vec<Reported>,
+    ordered: Vec<(u64, ScaleOrder)>,
     /// So many calls to come are carried out and not answered.
     lost: u32,
     /// So many calls to come are refused.
@@ -56,6 +57,11 @@
         self.state.lock().reported.clone()
     }
 
+    /// All orders of replicas that came, with the fencing tokens.
+    pub fn ordered(&self) -> Vec<(u64, ScaleOrder)> {
+        self.state.lock().ordered.clone()
+    }
+
     fn take(&self, term: Term, report: UsageReport) -> Option<DutyEnd> {
         let mut state = self.state.lock();
         if state.refused > 0 {
@@ -92,4 +98,18 @@
             }
         })
     }
+
+    fn scale(&self, term: Term, order: ScaleOrder, _: Duration) -> BoxFuture<'static, DutyEnd> {
+        let platform = self.clone();
+        Box::pin(async move {
+            tokio::time::sleep(ANSWER).await;
+            let mut state = platform.state.lock();
+            if state.refused > 0 {
+                state.refused -= 1;
+                return DutyEnd::Refused;
+            }
+            state.ordered.push((term.fence, order));
+            DutyEnd::Done
+        })
+    }
 }
--- a/standins/src/replicas/fleet.rs
+++ b/standins/src/replicas/fleet.rs
@@ -76,6 +76,7 @@
             zone: "z".into(),
             slots: 8,
             draining,
+            spot: false,
             versions: versions.into_iter().collect(),
         };
         self.words.list(&self.service, listed);
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -10,6 +10,7 @@
 mod peers;
 mod reads;
 mod relays;
+mod scale;
 mod usage;
 mod versions;
 mod views;
--- a/tests/entry/world.rs
+++ b/tests/entry/world.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method};
 use mulberrycourse::decide::job::{ItemSpec, Listing, Scorer, Spec, State};
+use mulberrycourse::decide::scale::Autoscale;
 use mulberrycourse::decide::usage::Windows;
 use mulberrycourse::decide::{Again, Bounds, Route, Routes};
 use mulberrycourse::edge::notice::Notice;
@@ -33,6 +34,8 @@
     pub(crate) clock: TestClock,
     /// The windows by which nodes report usage.
     usage: Option<Windows>,
+    /// Whether nodes may order replicas.
+    ordering: bool,
 }
 
 pub(crate) struct Node {
@@ -53,8 +56,9 @@
             replicas.add("plain", id, &[]);
         }
         let (duties, clock) = (DutyLedger::default(), TestClock::default());
-        let world =
-            Self { kv, words, replicas, links: Links::default(), duties, clock, usage: None };
+        let links = Links::default();
+        let (usage, ordering) = (None, false);
+        let world = Self { kv, words, replicas, links, duties, clock, usage, ordering };
         world.configure(1);
         world
     }
@@ -64,6 +68,19 @@
         Self { usage: Some(Windows { length, late: length * 2 }), ..self }
     }
 
+    /// The same, where replicas may be ordered.
+    pub(crate) fn with_duties(self) -> Self {
+        Self { ordering: true, ..self }
+    }
+
+    /// Which of these nodes is the holder of duties.
+    pub(crate) fn holder(&self, nodes: &[Node]) -> usize {
+        let items = self.kv.items("mulberry/live/holder");
+        let text = String::from_utf8(items[0].value.to_vec()).unwrap();
+        let held = |n: &Node| text.contains(&format!("\"{}.", n.app().settings.name));
+        nodes.iter().position(held).unwrap()
+    }
+
     /// Writes the routes under a version.
     pub(crate) fn configure(&self, version: u64) {
         self.configure_beside(version, "");
@@ -77,7 +94,15 @@
             route("/once/", "plain", Again::Never),
             route("/text/", "engines", Again::Resume),
         ];
-        let routes = Routes::new(version, Bounds::default(), routes);
+        let routes =
+            Routes::new(version, Bounds::default(), routes).with_autoscales(vec![Autoscale {
+                service: "engines".into(),
+                least: 1,
+                most: 9,
+                boot: Duration::from_secs(4),
+                spot: false,
+                prices: [("z".into(), 1.0)].into(),
+            }]);
         self.words.write_long(&self.kv, "config", Notice::Routes(routes), others);
     }
 
@@ -161,7 +186,8 @@
     }
 
     fn begin(&self, settings: EntrySettings, faults: Faults) -> Node {
-        let settings = EntrySettings { usage: self.usage, ..settings };
+        let duties = self.ordering.then(|| SocketAddr::from(([127, 0, 0, 1], 3)));
+        let settings = EntrySettings { usage: self.usage, duties, ..settings };
         let line = self.kv.line();
         line.fail(faults);
         let links = Arc::new(self.links.of(settings.peers));
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -19,6 +19,7 @@
         zone: "z".into(),
         slots: 8,
         draining,
+        spot: false,
         versions: vec![("m".into(), version)],
     }
 }
--- a/tests/waiting.rs
+++ b/tests/waiting.rs
@@ -23,6 +23,7 @@
             zone: "z".into(),
             slots: SLOTS,
             draining: false,
+            spot: false,
             versions: vec![(model(i).into(), 1)],
         });
     }
