Jobs of several organisations take turns at their home

A step of one organisation that came after ten steps of another, greedy one was whole last, after 3.3 s where the greedy one's first three were whole within 0.9 s (test with the order in which jobs came). Now a job's turn is where its organisation's last job ends on a scale of samples, or where the home stands (start-time fair queueing with jobs as packets). Jobs of one organisation, and those without one, keep their order, so deployments without tenants see no change. Weighed: turns by sample instead of by job, which would interleave the steps of two trainers and make both late.

--- a/src/decide/job/mod.rs
+++ b/src/decide/job/mod.rs
@@ -1,9 +1,11 @@
 //! A batch job: many samples that are submitted at once, run, scored and listed.
 
 mod job;
+mod order;
 mod sample;
 mod text;
 
 pub use job::{Finished, Job, Listing, Spec, State};
+pub use order::JobOrder;
 pub use sample::{ItemSpec, Score, Scorer};
 pub use text::{Event, EventReader, Fault, Growth, Saved, Text};
--- a/src/entry/home.rs
+++ b/src/entry/home.rs
@@ -47,6 +47,7 @@
         if let Some(model) = &spec.model {
             self.demand.lock().note(model, spec.work(), self.now());
         }
+        let turn = self.homes.turn(&spec);
         let job = Job::new(spec, listed);
         let places = match &job.spec.model {
             Some(model) => self.slots.fleet.lock().places(model, job.spec.oldest),
@@ -64,7 +65,7 @@
             writing: tokio::sync::Mutex::default(),
             unsure: AtomicBool::new(false),
             stop: CancellationToken::new(),
-            age: self.homes.age(),
+            turn,
         });
         let Some(home) = self.homes.insert(&id, home) else { return };
         let unfinished = home.texts.lock().len();
--- a/src/entry/homes.rs
+++ b/src/entry/homes.rs
@@ -1,7 +1,7 @@
 //! The jobs that this node is home to.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::AtomicBool;
 
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
@@ -11,7 +11,7 @@
 use super::keys::HomeValue;
 use super::live::Seen;
 use crate::Name;
-use crate::decide::job::{Growth, Job, Saved, Text};
+use crate::decide::job::{Growth, Job, JobOrder, Saved, Spec, Text};
 
 /// What has come to unfinished texts.
 #[derive(Debug, Default)]
@@ -42,8 +42,8 @@
     pub unsure: AtomicBool,
     /// Cancelled when its samples are to stop.
     pub stop: CancellationToken,
-    /// The order in which jobs came to this node.
-    pub age: u64,
+    /// Its place among the jobs of this node.
+    pub turn: u64,
 }
 
 impl Home {
@@ -86,15 +86,15 @@
 #[derive(Debug, Default)]
 pub(super) struct Homes {
     homes: Mutex<ByName<Arc<Home>>>,
-    ages: AtomicU64,
+    order: Mutex<JobOrder>,
     /// Told when a job comes.
     come: Notify,
 }
 
 impl Homes {
-    /// The place of the next job in the order in which they came.
-    pub(super) fn age(&self) -> u64 {
-        self.ages.fetch_add(1, Ordering::Relaxed)
+    /// The place of a job that comes.
+    pub(super) fn turn(&self, spec: &Spec) -> u64 {
+        self.order.lock().begin(spec.organisation.clone(), spec.items.len())
     }
 
     pub(super) fn get(&self, job: &str) -> Option<Arc<Home>> {
@@ -105,6 +105,7 @@
     pub(super) fn insert(&self, id: &Name, home: Arc<Home>) -> Option<Arc<Home>> {
         let mut homes = self.homes.lock();
         if homes.contains_key(id) {
+            self.order.lock().end(home.turn);
             return None;
         }
         homes.insert(id.clone(), home.clone());
@@ -130,7 +131,11 @@
     }
 
     pub(super) fn remove(&self, job: &str) -> Option<Arc<Home>> {
-        self.homes.lock().remove(job)
+        let removed = self.homes.lock().remove(job);
+        if let Some(home) = &removed {
+            self.order.lock().end(home.turn);
+        }
+        removed
     }
 
     pub(super) fn all(&self) -> Vec<(Name, Arc<Home>)> {
--- a/src/entry/sample.rs
+++ b/src/entry/sample.rs
@@ -87,7 +87,7 @@
         let want =
             Want { service, model: spec.model.clone(), least: spec.oldest, avoid: avoid.clone() };
         let priority = routes.priority(&route, spec.organisation.as_ref());
-        let turn = (priority, home.age, index);
+        let turn = (priority, home.turn, index);
         let Some(mut held) = app.place(turn, want).await else { continue };
         let before = home.text(&item.id, |text| text.last());
         let run = Run { app, home, item, spec, route: &route };
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -11,6 +11,7 @@
 mod reads;
 mod relays;
 mod scale;
+mod shares;
 mod usage;
 mod versions;
 mod views;
