A node whose clock was wrong as it started counts by what most nodes say the time is

A step after the start was already not followed; a node can't see by itself that its clock was wrong before. Notes of usage and their replies now say the sender's time of day, and a node that has heard of two others goes by the median where its own differs by more than 0.3 s.

--- a/src/entry/peer/door.rs
+++ b/src/entry/peer/door.rs
@@ -110,11 +110,11 @@
                 }
             }
             PeerAsk::Store(ask) => PeerReply::Store(self.store(ask).await),
-            PeerAsk::Usage { life, notes } => {
-                if let Some(usage) = &app.usage {
-                    app.take_notes(usage, &life, &notes);
-                }
-                PeerReply::Noted
+            PeerAsk::Usage { life, time, notes } => {
+                let Some(usage) = &app.usage else { return PeerReply::Noted };
+                usage.hear(&life, time);
+                app.take_notes(usage, &life, &notes);
+                PeerReply::UsageNoted { life: app.life.clone(), time: usage.time() }
             }
             PeerAsk::Reached => {
                 app.detour.told();
--- a/src/entry/peer/message.rs
+++ b/src/entry/peer/message.rs
@@ -62,6 +62,8 @@
     Usage {
         /// The incarnation that counted them.
         life: Name,
+        /// The time of day there.
+        time: Duration,
         /// Its counts.
         notes: Vec<WindowNote>,
     },
@@ -130,6 +132,13 @@
     },
     /// What the store said.
     Store(Result<StoreReply, StoreError>),
+    /// The counts were heard.
+    UsageNoted {
+        /// The incarnation that heard them.
+        life: Name,
+        /// The time of day there.
+        time: Duration,
+    },
     /// It was heard.
     Noted,
 }
--- a/src/entry/usage/meter.rs
+++ b/src/entry/usage/meter.rs
@@ -7,7 +7,7 @@
 use tokio::sync::Notify;
 
 use crate::Name;
-use crate::decide::usage::{Ledger, Meter, Steady, Windows};
+use crate::decide::usage::{Agreed, Ledger, Meter, Windows};
 use crate::edge::clock::Clock;
 
 /// What a node counts, and what it knows of others' counts.
@@ -19,7 +19,7 @@
     /// Told when a count has changed.
     pub changed: Notify,
     clock: Arc<dyn Clock>,
-    steady: Mutex<Steady>,
+    agreed: Mutex<Agreed>,
 }
 
 impl Usage {
@@ -30,14 +30,20 @@
             ledger: Mutex::default(),
             changed: Notify::new(),
             clock,
-            steady: Mutex::default(),
+            agreed: Mutex::default(),
         }
     }
 
     /// The time of day.
     pub(in crate::entry) fn time(&self) -> Duration {
         let reading = self.clock.read();
-        self.steady.lock().read(reading.running, reading.wall)
+        self.agreed.lock().read(reading.running, reading.wall)
+    }
+
+    /// What another node says the time is.
+    pub(in crate::entry) fn hear(&self, node: &Name, time: Duration) {
+        let running = self.clock.read().running;
+        self.agreed.lock().hear(node, time, running);
     }
 
     /// The present window.
--- a/src/entry/usage/note.rs
+++ b/src/entry/usage/note.rs
@@ -48,9 +48,13 @@
             if fresh.is_empty() {
                 continue;
             }
-            let ask = PeerAsk::Usage { life: app.life.clone(), notes: fresh };
+            let (life, time) = (app.life.clone(), usage.time());
+            let ask = PeerAsk::Usage { life, time, notes: fresh };
             match app.peers.ask(at, ask, NOTE).await {
-                Ok(PeerReply::Noted) => drop(told.insert(at, notes.clone())),
+                Ok(PeerReply::UsageNoted { life, time }) => {
+                    usage.hear(&life, time);
+                    told.insert(at, notes.clone());
+                }
                 reply => {
                     tracing::info!(event = "usage_not_noted", to = %at, ?reply);
                     failed = true;
--- a/tests/entry/usage.rs
+++ b/tests/entry/usage.rs
@@ -206,3 +206,34 @@
     settle(&world).await;
     assert_eq!(reports(&world)[&window], Counts::from([("x".into(), 4)]));
 }
+
+/// A node that starts with a clock seven seconds ahead becomes holder. On a played day it fixed a
+/// window one second before its end, with what had been counted by then.
+#[tokio::test(start_paused = true)]
+async fn a_holder_whose_clock_is_wrong_from_its_start_reports_whole_windows() {
+    let mut world = World::new().with_usage(WINDOW);
+    let (mut nodes, holder) = three(&world).await;
+    let wrong = world.clock.beside();
+    wrong.step(Duration::from_secs(7));
+    let truth = std::mem::replace(&mut world.clock, wrong);
+    // Until one of those with the wrong clock is next in rank.
+    for name in ["d", "e"] {
+        nodes.push(world.linked(name).await);
+    }
+    world.clock = truth;
+    pass(6_000).await;
+    drop(nodes.remove(holder));
+    for i in 0..60 {
+        call(&nodes[i % 4], "x", &format!("r{i}")).await;
+        pass(211).await;
+    }
+    settle(&world).await;
+    assert_eq!(sum(&world), 60);
+    let ends = |r: &Reported| (r.report.window + 1) * WINDOW.as_secs();
+    let began = world.clock.truth().as_millis() as u64;
+    let now = tokio::time::Instant::now();
+    for report in world.duties.reported() {
+        let at = began - (now - report.at).as_millis() as u64;
+        assert!(at >= ends(&report) * 1_000, "window {} at {at}", report.report.window);
+    }
+}
--- a/tests/usage.rs
+++ b/tests/usage.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use mulberrycourse::Name;
-use mulberrycourse::decide::usage::{Counts, Ledger, Meter, Steady, WindowNote, Windows};
+use mulberrycourse::decide::usage::{Agreed, Counts, Ledger, Meter, Steady, WindowNote, Windows};
 use proptest::prelude::*;
 
 const WINDOWS: Windows = Windows { length: Duration::from_secs(5), late: Duration::from_secs(10) };
@@ -45,6 +45,30 @@
     assert_eq!(read(67_000, 70_000), 70_000);
 }
 
+/// A node whose clock was wrong as it started goes by what most say, a single one is not
+/// believed, and one that is right stays with its own clock.
+#[test]
+fn a_clock_that_was_wrong_from_the_start_gives_way_to_the_others() {
+    let (start, ahead) = (Duration::from_secs(1_800_000_000), Duration::from_secs(7));
+    let at = Duration::from_secs;
+    let mut agreed = Agreed::default();
+    assert_eq!(agreed.read(at(1), start + at(1) + ahead), start + at(1) + ahead);
+    agreed.hear(&name("a"), start + at(2), at(2));
+    assert_eq!(agreed.read(at(2), start + at(2) + ahead), start + at(2) + ahead);
+    agreed.hear(&name("b"), start + at(2), at(2));
+    assert_eq!(agreed.read(at(2), start + at(2) + ahead), start + at(2));
+    // Its clock is set right: nothing jumps.
+    assert_eq!(agreed.read(at(3), start + at(3)), start + at(3));
+    // Nobody says anything for long: it goes by itself, which has not followed the step yet.
+    assert_eq!(agreed.read(at(40), start + at(40)), start + at(40) + ahead);
+
+    let mut right = Agreed::default();
+    right.hear(&name("wrong"), start + at(1) + ahead, at(1));
+    right.hear(&name("a"), start + at(1), at(1));
+    assert_eq!(right.read(at(1), start + at(1)), start + at(1));
+    assert_eq!(right.read(at(1), start + at(1)), start + at(1));
+}
+
 #[test]
 fn a_window_is_closed_once_nothing_of_it_is_open() {
     let mut meter = Meter::default();
