What the holder of duties writes first stands once

Reports of usage and plans of replicas each had their own read, conditional write and look at who holds the key: one record now. No change of behaviour; the tests of both pass unchanged.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -21,6 +21,7 @@
 mod peer;
 mod ports;
 mod read;
+mod record;
 mod relay;
 mod retire;
 mod run;
--- a/src/entry/scale/order.rs
+++ b/src/entry/scale/order.rs
@@ -9,9 +9,10 @@
 
 use crate::decide::scale::{Autoscale, Planner};
 use crate::edge::duty::{DutyEnd, ScaleOrder, Term};
-use crate::edge::store::{StoreError, Txn, TxnEnd};
+use crate::edge::store::StoreError;
 use crate::entry::app::App;
-use crate::entry::keys::{HOLDER, SCALE};
+use crate::entry::keys::SCALE;
+use crate::entry::record::{Record, Written};
 use crate::{Moment, Name};
 
 /// How often plans are made: as often as homes are asked what their samples want.
@@ -34,8 +35,7 @@
 struct Orders {
     app: Arc<App>,
     fence: u64,
-    /// The revision of what is written; 0 before the first.
-    revision: u64,
+    record: Record,
     planners: BTreeMap<Name, Planner>,
     sent: BTreeMap<(Name, Name), Sent>,
 }
@@ -48,7 +48,7 @@
     let mut orders = Orders {
         app: app.clone(),
         fence,
-        revision: 0,
+        record: Record::new(SCALE, fence),
         planners: BTreeMap::new(),
         sent: BTreeMap::new(),
     };
@@ -71,16 +71,7 @@
 impl Orders {
     /// Reads what an earlier holder ordered.
     async fn read(&mut self) -> Result<bool, StoreError> {
-        self.planners.clear();
-        let Some(item) = self.app.store.get(SCALE).await? else {
-            self.revision = 0;
-            return Ok(true);
-        };
-        self.revision = item.revision;
-        match serde_json::from_slice(&item.value) {
-            Ok(planners) => self.planners = planners,
-            Err(e) => tracing::error!(event = "value_unreadable", key = SCALE, error = %e),
-        }
+        self.planners = self.record.read(&self.app).await?.unwrap_or_default();
         Ok(true)
     }
 
@@ -122,23 +113,10 @@
 
     /// Writes the plans. False if this node is holder no more.
     async fn write(&mut self) -> Result<bool, StoreError> {
-        let value = serde_json::to_vec(&self.planners);
-        let value = value.map_err(|e| StoreError::Refused(e.to_string()))?;
-        let txn = Txn::when(SCALE, self.revision).and_when(HOLDER, self.fence).put(SCALE, value);
-        match self.app.store.txn(txn).await? {
-            TxnEnd::Done(revision) => {
-                self.revision = revision;
-                Ok(true)
-            }
-            TxnEnd::Conflict(items) => {
-                let mut holder = items.iter().filter(|i| *i.key == *HOLDER);
-                if !holder.any(|i| i.revision == self.fence) {
-                    return Ok(false);
-                }
-                // An own write that was not answered has taken effect.
-                self.read().await
-            }
-            TxnEnd::NoLease => Ok(false),
+        match self.record.write(&self.app, &self.planners).await? {
+            Written::Done => Ok(true),
+            Written::Other => self.read().await,
+            Written::NotHolder => Ok(false),
         }
     }
 
--- a/src/entry/usage/report.rs
+++ b/src/entry/usage/report.rs
@@ -11,9 +11,10 @@
 use super::meter::Usage;
 use crate::decide::usage::{Counts, Total};
 use crate::edge::duty::{DutyEnd, Term, UsageReport};
-use crate::edge::store::{StoreError, Txn, TxnEnd};
+use crate::edge::store::StoreError;
 use crate::entry::app::App;
-use crate::entry::keys::{HOLDER, USAGE};
+use crate::entry::keys::USAGE;
+use crate::entry::record::{Record, Written};
 
 /// How long after its end a window is closed at the latest, in tenths of the time until its
 /// report is late: the rest is for the report.
@@ -39,8 +40,7 @@
     app: Arc<App>,
     usage: Arc<Usage>,
     fence: u64,
-    /// The revision of the last fixed report; 0 before the first.
-    revision: u64,
+    record: Record,
 }
 
 /// How a term goes on.
@@ -50,18 +50,11 @@
     Over,
 }
 
-/// What fixing a report came to.
-enum Fix {
-    Done,
-    /// Another report lies there, perhaps from a write of this node that was not answered.
-    Other,
-    NotHolder,
-}
-
 /// Reports until the term is over.
 pub(in crate::entry) async fn report(app: &Arc<App>, fence: u64) {
     let Some(usage) = app.usage.clone() else { return std::future::pending().await };
-    let mut reporter = Reporter { app: app.clone(), usage, fence, revision: 0 };
+    let mut reporter =
+        Reporter { app: app.clone(), usage, fence, record: Record::new(USAGE, fence) };
     tokio::time::sleep(app.turn()).await;
     let mut next = None;
     loop {
@@ -83,7 +76,7 @@
         let window = match *next {
             Some(window) => window,
             None => {
-                let Some(fixed) = self.last().await? else {
+                let Some(fixed) = self.record.read::<Fixed>(&self.app).await? else {
                     *next = Some(self.usage.window());
                     return Ok(Course::On);
                 };
@@ -97,13 +90,13 @@
             return Ok(Course::On);
         };
         let fixed = Fixed { window, counts: total.counts };
-        match self.fix(&fixed).await? {
-            Fix::Done => *next = Some(window + 1),
-            Fix::Other => {
+        match self.record.write(&self.app, &fixed).await? {
+            Written::Done => *next = Some(window + 1),
+            Written::Other => {
                 *next = None;
                 return Ok(Course::On);
             }
-            Fix::NotHolder => return Ok(Course::Over),
+            Written::NotHolder => return Ok(Course::Over),
         }
         let missing = total.missing.len();
         let requests: u64 = fixed.counts.values().sum();
@@ -111,21 +104,6 @@
         Ok(self.send(fixed).await)
     }
 
-    async fn last(&mut self) -> Result<Option<Fixed>, StoreError> {
-        let Some(item) = self.app.store.get(USAGE).await? else {
-            self.revision = 0;
-            return Ok(None);
-        };
-        self.revision = item.revision;
-        match serde_json::from_slice(&item.value) {
-            Ok(fixed) => Ok(Some(fixed)),
-            Err(e) => {
-                tracing::error!(event = "value_unreadable", key = USAGE, error = %e);
-                Ok(None)
-            }
-        }
-    }
-
     /// Waits until every node has closed a window, or has had the time to; none for one that
     /// is too old to be reported.
     async fn closed(&self, window: u64) -> Option<Total> {
@@ -146,23 +124,6 @@
         }
     }
 
-    async fn fix(&mut self, fixed: &Fixed) -> Result<Fix, StoreError> {
-        let value = serde_json::to_vec(fixed).map_err(|e| StoreError::Refused(e.to_string()))?;
-        let txn = Txn::when(USAGE, self.revision).and_when(HOLDER, self.fence).put(USAGE, value);
-        match self.app.store.txn(txn).await? {
-            TxnEnd::Done(revision) => {
-                self.revision = revision;
-                Ok(Fix::Done)
-            }
-            TxnEnd::Conflict(items) => {
-                let mut holder = items.iter().filter(|i| *i.key == *HOLDER);
-                let held = holder.any(|i| i.revision == self.fence);
-                Ok(if held { Fix::Other } else { Fix::NotHolder })
-            }
-            TxnEnd::NoLease => Ok(Fix::NotHolder),
-        }
-    }
-
     /// Sends a fixed report until it is taken, or too late.
     async fn send(&self, fixed: Fixed) -> Course {
         let window = fixed.window;
