A paused process has stopped before the test goes on

Seen: frozen_home_is_fenced (KNOWN-RED.txt) failed now and then: the call to the node that the test had frozen was answered, at claims_processes.rs:117.

Cause: in the rig. `Daemon::pause` returned when SIGSTOP had been sent; a process stops only once its threads are scheduled and take the signal. The test then let the held reply through, and the node, which still ran, granted the claim, as it should.

Change: `pause` waits until the kernel reports that the whole process has stopped. SIGCONT needs no such wait, it wakes all threads as it is sent; a process that is dropped is reaped before the drop returns. The other uses of `pause` (processes, bundles, sessions_processes) get the same wait.

Not ruled out: a rarer second cause, such as another node that takes the partition over before the pause.

--- a/standins/src/daemon.rs
+++ b/standins/src/daemon.rs
@@ -9,7 +9,7 @@
 
 use mulberrycourse::edge::http::JsonClient;
 use mulberrycourse::edge::peer::{NodeInfo, NodeState};
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Signal, WaitId, WaitIdOptions, kill_process, waitid};
 
 use crate::fleet::Fleet;
 
@@ -130,9 +130,24 @@
         }
     }
 
-    /// Sends SIGSTOP: the process stops running, as that of a paused VM does.
+    /// Sends SIGSTOP and waits until every thread of the process has stopped, as that of a paused
+    /// VM has: on a busy machine the process runs on for milliseconds after the signal is sent.
     pub fn pause(&self) -> std::io::Result<()> {
-        self.signal(Signal::STOP)
+        self.signal(Signal::STOP)?;
+        waitid(WaitId::Pid(Pid::from_child(&self.child)), WaitIdOptions::STOPPED)?;
+        Ok(())
+    }
+
+    /// The states of the process's threads, as `/proc` gives them: `T` is a stopped thread.
+    pub fn thread_states(&self) -> std::io::Result<Vec<char>> {
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id()))?;
+        let state = |task: std::io::Result<std::fs::DirEntry>| {
+            let text = std::fs::read_to_string(task?.path().join("stat"))?;
+            // The state follows the name of the program, which may have spaces in it.
+            let state = text.rsplit_once(") ").and_then(|(_, rest)| rest.chars().next());
+            state.ok_or_else(|| Error::other(text.clone()))
+        };
+        tasks.map(state).collect()
     }
 
     /// Sends SIGCONT: the process continues.
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -67,6 +67,21 @@
     tokio::time::timeout(TEST_TIMEOUT, all).await.unwrap();
 }
 
+/// Guards against a test going on while the process that it has paused still handles requests: a
+/// process is stopped only some time after the signal is sent.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_paused_process_has_stopped() {
+    let fleet = fleet().await;
+    let folder = TempDir::create().unwrap();
+    let daemons = spawn(&fleet, folder.path(), &["a"]);
+    for _ in 0..20 {
+        daemons[0].pause().unwrap();
+        let states = daemons[0].thread_states().unwrap();
+        daemons[0].resume().unwrap();
+        assert!(states.iter().all(|state| *state == 'T'), "{states:?}");
+    }
+}
+
 /// A process starts while the platform is down. It finds the others through the seeds in its
 /// settings, gets the bundle from them, and serves.
 #[tokio::test(flavor = "multi_thread")]
