A read from a cached view ends with a read of the store

What callers get: a position of a job that was read before comes back empty (LOST).

Cause: a node that reads a job of another owner while that owner can't be reached answers from its cached view, brought up to date by a watch of 1 ms or more. A watch from a history that the store has dropped brings no change and no error; a node learns of the dropped history only when one of its other watches is cut. A view that was updated less than three seconds ago went on by such a watch, and its empty answer counted as the store's.

Evidence: the new test puts a reader's view out of date in six ways at four steps, with and without its owner. It failed at "SilentCompaction AfterWrite owner reached false, position 1": the store had two results, the reader returned none after the first.

Change: an empty page is returned only after a read of the key of the next batch, which the store answers as of now. A read without a wait costs one call as before, one with a wait that brings nothing one more.

--- a/src/entry/read.rs
+++ b/src/entry/read.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::app::App;
-use super::keys::{JobRecord, job_record_key, results_prefix, spec_prefix};
+use super::keys::{JobRecord, job_record_key, results_key, results_prefix, spec_prefix};
 use super::membership::Stored;
 use super::owned_jobs::OwnedJob;
 use super::remote_jobs::{RemoteJob, RemoteJobState};
@@ -25,8 +25,6 @@
 /// watch. The store keeps its history for 20 s or less, and a watch from a revision before that
 /// gets nothing instead of an error.
 const MAX_CACHE_AGE: Duration = Duration::from_secs(3);
-/// Shortest wait of a watch for results: it returns only the changes that the store already has.
-const MIN_RESULT_WATCH: Duration = Duration::from_millis(1);
 
 /// The result of reading a job's results.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -122,7 +120,8 @@
         let Some(total) = self.sample_count(job, &remote).await? else {
             return Ok(ReadResult::Unknown);
         };
-        // An empty page is returned only if the store was read during this call.
+        // An empty page is returned only if the store was read during this call. A watch that
+        // brings no change does not count: it brings none either if its history was dropped.
         let mut fresh = false;
         if !self.can_continue_watch(&remote) {
             self.reload_remote(job, &remote).await?;
@@ -141,16 +140,14 @@
             if !results.is_empty() || finished || (fresh && left.is_zero()) {
                 return Ok(ReadResult::Page { total, results });
             }
-            fresh = true;
+            if left.is_zero() {
+                fresh = !self.load_next_batch(job, &remote).await?;
+                continue;
+            }
+            fresh = false;
             let revision = remote.state.lock().revision.unwrap_or_default();
-            let watched = self
-                .store
-                .watch(
-                    &results_prefix(job),
-                    revision,
-                    left.clamp(MIN_RESULT_WATCH, MAX_RESULT_WATCH),
-                )
-                .await;
+            let wait = left.min(MAX_RESULT_WATCH);
+            let watched = self.store.watch(&results_prefix(job), revision, wait).await;
             match watched {
                 Ok(watched) => {
                     let mut state = remote.state.lock();
@@ -211,6 +208,17 @@
         Ok(())
     }
 
+    /// Reads the batch of results that follows those of a cached job. False if the store has none.
+    async fn load_next_batch(&self, job: &str, remote: &RemoteJob) -> Result<bool, StoreError> {
+        let known = remote.state.lock().results.len();
+        let item = self.store.get(&results_key(job, known)).await?;
+        let mut state = remote.state.lock();
+        state.last_update = self.now();
+        let Some(item) = item else { return Ok(state.results.len() > known) };
+        state.append_results(job, &item);
+        Ok(state.results.len() > known)
+    }
+
     /// Reads a job's record; none if the job does not exist.
     pub(super) async fn job_record(
         &self,
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -12,6 +12,7 @@
 mod relays;
 mod scale;
 mod shares;
+mod stale_reads;
 mod usage;
 mod versions;
 mod views;
