An owner confirms that a job is still its own before it returns an empty page

What callers get: a position that was read at the new owner of a job comes back empty at the one before it (LOST).

Cause: an owner answers reads of its jobs from memory. Asked by a client it did not look at its lease at all, and asked by another node only at its present one, which may be newer than the loss of the job. It heard of its successor by the watch of the job's record alone.

Evidence: a_replaced_owner_hides_no_results failed at "Hanging, owner, cut, position 1": an owner that reached nobody for longer than its lease said that there is no result where its successor had listed one.

Change: before an empty page the owner reads the job's record, once for each lease of its own and each cut watch; what it has in memory it returns as before, since a position never changes. Without an answer of the store it says that it is not sure. A job that is lost is dropped only if it is the one that was lost: a node may have taken it over again.

Cost: a call a job and lease.

--- a/src/entry/owned_jobs.rs
+++ b/src/entry/owned_jobs.rs
@@ -22,12 +22,24 @@
     pub saved: Vec<(Name, SavedProgress)>,
 }
 
+/// What has to be unchanged since a job's record was last read or written for this node to be
+/// certain that the record is still its own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct OwnershipEvidence {
+    /// The lease of this node. Other nodes take its jobs over once the lease has ended.
+    pub lease: u64,
+    /// The count of watch gaps of this node: the watch of the record may have missed a change.
+    pub watch_gaps: u64,
+}
+
 /// A job that runs here.
 #[derive(Debug)]
 pub(super) struct OwnedJob {
     pub job: Mutex<Job>,
     /// The job's record. As long as the store has it at this revision, this node is the owner.
     pub record: Mutex<Stored<JobRecord>>,
+    /// What held when the record was last read. None before the first read.
+    pub confirmed: Mutex<Option<OwnershipEvidence>>,
     /// The texts of running samples, and how much of each the store has.
     pub texts: Mutex<ByName<(SampleText, SavedProgress)>>,
     /// The number of saves of unfinished texts.
@@ -142,6 +154,15 @@
         removed
     }
 
+    /// Removes a job and frees its rank, unless this node has taken the job over again meanwhile.
+    pub(super) fn remove_this(&self, job: &str, owned: &Arc<OwnedJob>) {
+        let mut jobs = self.jobs.lock();
+        if jobs.get(job).is_some_and(|known| Arc::ptr_eq(known, owned)) {
+            jobs.remove(job);
+            self.order.lock().end(owned.queue_order);
+        }
+    }
+
     /// All jobs with their ids.
     pub(super) fn all(&self) -> Vec<(Name, Arc<OwnedJob>)> {
         self.jobs.lock().iter().map(|(id, owned)| (id.clone(), owned.clone())).collect()
--- a/src/entry/read.rs
+++ b/src/entry/read.rs
@@ -81,15 +81,17 @@
     }
 
     /// Reads a job that this node owns; none if the job was stopped or lost meanwhile, or what
-    /// the store has of it is uncertain.
+    /// the store has of it is uncertain. An empty page is returned only if this node is certain
+    /// to be the owner still: another owner may have written more results.
     pub(super) async fn read_owned(
-        &self,
-        owned: &OwnedJob,
+        self: &Arc<Self>,
+        owned: &Arc<OwnedJob>,
         after: usize,
         ends: Moment,
     ) -> Option<ReadResult> {
         let total = owned.job.lock().spec.items.len();
         let mut result_count = owned.result_count.subscribe();
+        let mut confirmed = false;
         loop {
             let results = results_page(owned.job.lock().written_results(), after);
             // Other nodes may already see the results of a write whose answer was lost.
@@ -97,10 +99,22 @@
                 return None;
             }
             let finished = owned.job.lock().all_written();
-            if !results.is_empty() || finished || self.now() >= ends {
+            if !results.is_empty() || finished || confirmed {
                 return Some(ReadResult::Page { total, results });
             }
             let left = ends.saturating_sub(self.now());
+            if left.is_zero() {
+                match self.confirm_ownership(owned).await {
+                    Ok(true) => confirmed = true,
+                    Ok(false) => return None,
+                    Err(e) => {
+                        let job = owned.job.lock().spec.id.clone();
+                        tracing::info!(event = "owner_not_confirmed", %job, error = %e);
+                        return Some(ReadResult::Unsure);
+                    }
+                }
+                continue;
+            }
             tokio::select! {
                 () = owned.stop.cancelled() => return None,
                 _ = tokio::time::timeout(left, result_count.changed()) => {}
--- a/src/entry/results.rs
+++ b/src/entry/results.rs
@@ -230,9 +230,9 @@
 }
 
 /// Stops a job that another node owns now.
-pub(super) fn drop_lost_job(app: &App, owned: &OwnedJob, id: &Name) {
+pub(super) fn drop_lost_job(app: &App, owned: &Arc<OwnedJob>, id: &Name) {
     app.tally.count_job_event(JobEvent::Lost);
     tracing::warn!(event = "job_lost", job = %id, "another node is the owner");
     owned.stop.cancel();
-    app.owned_jobs.remove(id);
+    app.owned_jobs.remove_this(id, owned);
 }
--- a/src/entry/runner.rs
+++ b/src/entry/runner.rs
@@ -1,7 +1,7 @@
 //! Running a job at its owner: starting its samples, stopping it, and handing it over.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use parking_lot::Mutex;
@@ -11,12 +11,12 @@
 use super::app::{App, ByName};
 use super::keys::{JobRecord, job_record_key};
 use super::membership::Stored;
-use super::owned_jobs::OwnedJob;
+use super::owned_jobs::{OwnedJob, OwnershipEvidence};
 use super::results::{drop_lost_job, flush, update_record, write_results};
 use super::sample;
 use crate::Name;
 use crate::decide::job::{ItemResult, Job, JobSpec, SampleText, SavedProgress};
-use crate::edge::store::{Change, KeyValue};
+use crate::edge::store::{Change, KeyValue, StoreError};
 use crate::metrics::JobEvent;
 
 /// The delay after a failed read of the job's record.
@@ -64,6 +64,7 @@
         let owned = Arc::new(OwnedJob {
             job: Mutex::new(job),
             record: Mutex::new(record),
+            confirmed: Mutex::default(),
             texts: Mutex::new(texts),
             text_writes: Mutex::new(text_writes),
             sample_ended: Notify::new(),
@@ -90,6 +91,29 @@
         self.spawn(write_results(self.clone(), owned, id));
     }
 
+    /// Whether this node is certain to own a job still. Reads the job's record if the node's lease
+    /// has changed or the watch of the record may have missed a change since it was last read.
+    pub(super) async fn confirm_ownership(
+        self: &Arc<Self>,
+        owned: &Arc<OwnedJob>,
+    ) -> Result<bool, StoreError> {
+        let evidence = OwnershipEvidence {
+            lease: self.lease.lock().id,
+            watch_gaps: self.watch_gaps.load(Ordering::Relaxed),
+        };
+        if self.has_lease() && *owned.confirmed.lock() == Some(evidence) {
+            return Ok(true);
+        }
+        let id = owned.job.lock().spec.id.clone();
+        let item = self.store.get(&job_record_key(&id)).await?;
+        if !item.is_some_and(|item| update_record(self, owned, &item)) {
+            drop_lost_job(self, owned, &id);
+            return Ok(false);
+        }
+        *owned.confirmed.lock() = Some(evidence);
+        Ok(true)
+    }
+
     /// Stops a job that its trainer has ended. Its results are read from the store from now on,
     /// because a write whose answer was lost may have taken effect there.
     pub(super) fn stop_job(&self, owned: &OwnedJob) {
--- a/tests/entry/stale_reads.rs
+++ b/tests/entry/stale_reads.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use mulberrycourse::decide::job::ItemResult;
-use mulberrycourse::entry::{Lookup, ReadResult};
+use mulberrycourse::entry::{Lookup, PeerRequest, ReadResult};
 use standins::kv::{Faults, Outage};
 
 use crate::links::Link;
@@ -164,3 +164,34 @@
         }
     }
 }
+
+/// Guards against an owner that has lost its job to another node and still answers for it, itself or
+/// to other nodes, with fewer results than the new owner has written.
+#[tokio::test(start_paused = true)]
+async fn a_replaced_owner_hides_no_results() {
+    for outage in [Outage::Hanging, Outage::Refusing, Outage::Unresponsive] {
+        let world = World::new();
+        let [owner, b, c] = start_job(&world).await;
+        wait_for_results(&world, 1).await;
+        // The owner reaches neither the store nor other nodes, so that its lease ends.
+        owner.isolate();
+        owner.store.set_faults(Faults { outage: Some(outage), ..Faults::default() });
+        wait_for_results(&world, 3).await;
+        for (name, node) in [("owner", &owner), ("b", &b), ("c", &c)] {
+            assert_reads_all(&world, node, &format!("{outage:?}, {name}, cut")).await;
+        }
+        world.kv.compact_silently();
+        owner.store.set_faults(Faults::default());
+        for wait in [0, 20, 100, 500, 1_000, 2_000, 4_000] {
+            sleep_ms(wait).await;
+            for (name, node) in [("owner", &owner), ("b", &b), ("c", &c)] {
+                assert_reads_all(&world, node, &format!("{outage:?}, {name}, {wait} ms")).await;
+            }
+            let request = PeerRequest::Read { job: JOB.into(), after: 2, wait: Duration::ZERO };
+            let read = b.request_results(&owner, request).await;
+            if let Some(Some(ReadResult::Page { results, .. })) = read {
+                assert_eq!(results.len(), 1, "{outage:?}, peer read after {wait} ms");
+            }
+        }
+    }
+}
