A replaced owner keeps no results of a job that is ended there

What callers get: after the trainer has ended its job at a node that had owned it before, results that were read are gone at that node for good (LOST).

Cause: a node that ends a job which it believes to be its own keeps its results in memory and answers from them for two minutes. The write that ends the job is repeated on the record of the new owner when it meets a conflict; what this node kept then lacked what the new owner had written.

Evidence: a_job_that_is_ended_at_a_replaced_owner_keeps_all_results failed at "owner, 100 ms, position 1": the store had two results, the node returned one.

Change: the results are kept only if the ended record is this node's own.

--- a/src/entry/end_job.rs
+++ b/src/entry/end_job.rs
@@ -47,7 +47,10 @@
                 Ok(TxnOutcome::Done(_)) => {
                     self.tally.count_job_event(JobEvent::Ended);
                     tracing::info!(event = "job_ended", job);
-                    if let Some(owned) = owned {
+                    // Another owner may have written results that this node does not have.
+                    if let Some(owned) =
+                        owned.filter(|_| stored.value.incarnation == self.incarnation)
+                    {
                         self.retain_ended(owned);
                     }
                     return Lookup::Found(());
--- a/tests/entry/stale_reads.rs
+++ b/tests/entry/stale_reads.rs
@@ -195,3 +195,31 @@
         }
     }
 }
+
+/// Guards against a replaced owner that keeps its own results as those of an ended job, because its
+/// trainer ends the job there: the new owner has written more.
+#[tokio::test(start_paused = true)]
+async fn a_job_that_is_ended_at_a_replaced_owner_keeps_all_results() {
+    let world = World::new();
+    let [owner, b, c] = start_job(&world).await;
+    wait_for_results(&world, 1).await;
+    owner.isolate();
+    owner.store.set_faults(Faults { outage: Some(Outage::Hanging), ..Faults::default() });
+    wait_for_results(&world, 2).await;
+    let ended = async {
+        // The store answers again while the trainer's request is under way.
+        let end = owner.app().end_job(JOB);
+        let heal = async {
+            sleep_ms(1).await;
+            owner.store.set_faults(Faults::default());
+        };
+        tokio::join!(end, heal).0
+    };
+    assert_eq!(ended.await, Lookup::Found(()));
+    for wait in [0, 100, 1_000, 4_000] {
+        sleep_ms(wait).await;
+        for (name, node) in [("owner", &owner), ("b", &b), ("c", &c)] {
+            assert_reads_all(&world, node, &format!("{name}, {wait} ms")).await;
+        }
+    }
+}
