A refused event leaves no version behind in a text

Read in the code: `SampleText::push` took the version of an event before it refused the event, so that a following event without a version would have been labelled with one that made nothing of the text.

Whether callers can see it: no, as the code stands. Every run sets the version of its own response before its first event (`read_events`), reading ends with the first refused event, and a text restored from the store has no current version until then. The label of a stored part names only versions that made events of it.

Change: the version counts from the moment the event is accepted.

The test failed before: the text believed version 2 after refusing the event that had it.

--- a/src/decide/job/text.rs
+++ b/src/decide/job/text.rs
@@ -216,13 +216,11 @@
         if event.id != wanted {
             return Err(StreamError::OutOfOrder { wanted, got: event.id });
         }
-        if event.version.is_some() {
-            self.current = event.version;
-        }
-        let version = self.current.ok_or(StreamError::MissingVersion)?;
+        let version = event.version.or(self.current).ok_or(StreamError::MissingVersion)?;
         if !allowed(version) {
             return Err(StreamError::DisallowedVersion(version));
         }
+        self.current = Some(version);
         if !self.versions.contains(&version) {
             self.versions.push(version);
         }
--- a/tests/texts.rs
+++ b/tests/texts.rs
@@ -127,6 +127,21 @@
     assert_eq!(text.push(&events[0], |_| true), Err(StreamError::MissingVersion));
 }
 
+/// Guards against a refused event leaving its version behind: an event after it that states none
+/// would be labelled with a version that generated no event of the text.
+#[test]
+fn a_refused_event_leaves_no_version_behind() {
+    let events = read(&stream(3, Some(2)), &[]);
+    let unstated = Event { version: None, ..events[1].clone() };
+    let mut text = SampleText::default();
+    text.set_version(Some(1));
+    push(&mut text, &events[..1]);
+    assert_eq!(text.push(&events[1], |v| v == 1), Err(StreamError::DisallowedVersion(2)));
+    assert_eq!(text.current_version(), Some(1));
+    push(&mut text, &[unstated]);
+    assert_eq!(text.versions(), [1]);
+}
+
 #[test]
 fn malformed_events_are_errors() {
     for wire in ["no colon\n\n", "data: x\n\n", "id: 1\nversion: x\n\n", "id: \u{fffd}\n\n"] {
