A JSON request that can't be encoded is reported as not sent

Read in the code: a value without a JSON form failed as an answer that does not parse, so that a commit or an engine's call that was never sent counted as one of unknown outcome; a path that is no URI was replaced by an empty one, and the call failed as interrupted.

Callers: a completion whose request can't be encoded was answered "may have run", which keeps it from being tried elsewhere. No path of the service has been seen to do it.

Change: an error of its own, which the callers take for not sent.

--- a/src/client/caller/stream.rs
+++ b/src/client/caller/stream.rs
@@ -200,7 +200,9 @@
             JsonClientError::Connect { .. }
             | JsonClientError::Interrupted { .. }
             | JsonClientError::Timeout { .. } => true,
-            JsonClientError::Status { .. } | JsonClientError::Malformed { .. } => false,
+            JsonClientError::Status { .. }
+            | JsonClientError::Unencodable { .. }
+            | JsonClientError::Malformed { .. } => false,
         },
         // A refusal is final, except from a node that is draining, or from one that has used up its
         // attempts on a response that had begun; the rest of that is then a new request.
--- a/src/edge/http/json_client.rs
+++ b/src/edge/http/json_client.rs
@@ -6,7 +6,8 @@
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, ETAG, HeaderValue, IF_NONE_MATCH};
 use http::response::Parts;
-use http::{Method, Request, Response, StatusCode};
+use http::uri::InvalidUri;
+use http::{Method, Request, Response, StatusCode, Uri};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -61,8 +62,16 @@
         /// The body of the response.
         text: String,
     },
-    /// A response that does not parse, or a request that does not encode.
-    #[error("the exchange with {to} is not valid JSON: {reason}")]
+    /// The request can't be encoded, so it was not sent.
+    #[error("the request to {to} can't be encoded: {reason}")]
+    Unencodable {
+        /// The address of the server.
+        to: SocketAddr,
+        /// The cause.
+        reason: String,
+    },
+    /// A response that does not parse.
+    #[error("the response of {to} is not valid JSON: {reason}")]
     Malformed {
         /// The address of the server.
         to: SocketAddr,
@@ -121,7 +130,7 @@
         timeout: Duration,
     ) -> Result<T, JsonClientError> {
         self.traffic.count_sent(0);
-        let request = build_request(to, Method::GET, path, empty_body());
+        let request = build_request(to, Method::GET, path, empty_body())?;
         self.send_json(to, request, timeout).await
     }
 
@@ -135,7 +144,7 @@
         timeout: Duration,
     ) -> Result<Option<(Option<HeaderValue>, T)>, JsonClientError> {
         self.traffic.count_sent(0);
-        let mut request = build_request(to, Method::GET, path, empty_body());
+        let mut request = build_request(to, Method::GET, path, empty_body())?;
         if let Some(tag) = tag {
             request.headers_mut().insert(IF_NONE_MATCH, tag.clone());
         }
@@ -156,10 +165,9 @@
         value: &Q,
         timeout: Duration,
     ) -> Result<T, JsonClientError> {
-        let bytes = serde_json::to_vec(value)
-            .map_err(|e| JsonClientError::Malformed { to, reason: e.to_string() })?;
+        let bytes = encode(to, value)?;
         self.traffic.count_sent(bytes.len());
-        let request = build_request(to, method, path, full_body(bytes));
+        let request = build_request(to, method, path, full_body(bytes))?;
         self.send_json(to, request, timeout).await
     }
 
@@ -170,11 +178,10 @@
         path: &str,
         value: &Q,
     ) -> Result<Incoming, JsonClientError> {
-        let bytes = serde_json::to_vec(value)
-            .map_err(|e| JsonClientError::Malformed { to, reason: e.to_string() })?;
+        let bytes = encode(to, value)?;
         self.traffic.count_sent(bytes.len());
-        let response =
-            self.send(to, build_request(to, Method::POST, path, full_body(bytes))).await?;
+        let request = build_request(to, Method::POST, path, full_body(bytes))?;
+        let response = self.send(to, request).await?;
         let status = response.status();
         if status.is_success() {
             return Ok(response.into_body());
@@ -243,14 +250,27 @@
         .map_err(|e| JsonClientError::Malformed { to, reason: e.to_string() })
 }
 
+/// Encodes the body of a request.
+fn encode(to: SocketAddr, value: &impl Serialize) -> Result<Vec<u8>, JsonClientError> {
+    serde_json::to_vec(value)
+        .map_err(|e| JsonClientError::Unencodable { to, reason: e.to_string() })
+}
+
 /// Builds a request for a path at an address.
-fn build_request(to: SocketAddr, method: Method, path: &str, body: Body) -> Request<Body> {
-    let uri = format!("http://{to}{path}");
+fn build_request(
+    to: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Body,
+) -> Result<Request<Body>, JsonClientError> {
+    let uri: Uri = format!("http://{to}{path}").parse().map_err(|e: InvalidUri| {
+        JsonClientError::Unencodable { to, reason: format!("{path:?}: {e}") }
+    })?;
     let mut request = Request::new(body);
     *request.method_mut() = method;
-    *request.uri_mut() = uri.parse().unwrap_or_default();
+    *request.uri_mut() = uri;
     request.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    request
+    Ok(request)
 }
 
 /// The text of an error with those of its sources.
--- a/src/edge/platform/client.rs
+++ b/src/edge/platform/client.rs
@@ -218,11 +218,13 @@
     }
 }
 
-/// The outcome of a compare-and-swap whose call failed. Only a failed connect or a refusal by the
-/// server shows that nothing was written.
+/// The outcome of a compare-and-swap whose call failed. Only a request that was not sent or a
+/// refusal by the server shows that nothing was written.
 fn swap_outcome(e: JsonClientError) -> SwapOutcome {
     match e {
-        JsonClientError::Connect { .. } => SwapOutcome::Unsent(e.to_string()),
+        JsonClientError::Connect { .. } | JsonClientError::Unencodable { .. } => {
+            SwapOutcome::Unsent(e.to_string())
+        }
         JsonClientError::Status { status, .. } if status.is_client_error() => {
             SwapOutcome::Unsent(e.to_string())
         }
--- a/src/edge/upstream/engine.rs
+++ b/src/edge/upstream/engine.rs
@@ -183,7 +183,9 @@
 /// The failure of a call, with what it says about the request.
 fn attempt_failure(e: JsonClientError) -> AttemptFailure {
     let outcome = match &e {
-        JsonClientError::Connect { .. } => AttemptOutcome::Unsent,
+        JsonClientError::Connect { .. } | JsonClientError::Unencodable { .. } => {
+            AttemptOutcome::Unsent
+        }
         JsonClientError::Status { status, .. }
             if *status == http::StatusCode::TOO_MANY_REQUESTS =>
         {
