A call to the store that may have been made is never reported as refused

Read in the code: a call that got no answer directly and was then refused by other nodes returned the refusal, which says that nothing was done; so did a direct refusal after an unanswered call through another node.

Whether callers can see it: no write of a decision takes this way. Only calls that may be repeated are made both ways: reads, and the grant, renewal and end of a lease. Their callers treat both errors alike: a read is unsure, a lease is asked for again, and one that was granted unseen ends by itself. A transaction whose outcome is unknown is not passed on to another node at all (`call` returns at once), and every further attempt of a submission keeps the doubt (`outcome_unknown`).

Change: the unknown outcome prevails, whichever of the two came first. The test states it for the function that combines the errors, which is new.

--- a/src/edge/store/store.rs
+++ b/src/edge/store/store.rs
@@ -21,6 +21,17 @@
     Compacted,
 }
 
+impl StoreError {
+    /// The error of a call that was made in two ways which both failed: its outcome is unknown if
+    /// that of either is.
+    pub fn or_unknown(self, earlier: Option<Self>) -> Self {
+        match earlier {
+            Some(Self::Unknown(reason)) => Self::Unknown(reason),
+            _ => self,
+        }
+    }
+}
+
 /// The future of a call to the store.
 pub type StoreFuture<T> = BoxFuture<'static, Result<T, StoreError>>;
 
--- a/src/entry/peer/fallback_store.rs
+++ b/src/entry/peer/fallback_store.rs
@@ -193,6 +193,7 @@
         extract: fn(StoreReply) -> Option<T>,
     ) -> Result<T, StoreError> {
         let mut path = self.choose_path(repeatable);
+        let mut peer_error = None;
         if path == CallPath::ViaPeer {
             match self.clone().call_peers(request.clone(), repeatable, None, extract).await {
                 Err(e) if repeatable || matches!(e, StoreError::Refused(_)) => {
@@ -201,6 +202,7 @@
                     if path != CallPath::DirectOnly {
                         return Err(e);
                     }
+                    peer_error = Some(e);
                 }
                 answer => return answer,
             }
@@ -231,6 +233,7 @@
                     return Err(e);
                 }
                 self.record_failure(&e);
+                let e = e.or_unknown(peer_error);
                 if path == CallPath::DirectOnly
                     || (!repeatable && matches!(e, StoreError::Unknown(_)))
                 {
@@ -285,7 +288,7 @@
                     return answer;
                 }
                 PeerCall::Unsure(e) if !repeatable => return Err(e),
-                PeerCall::NotDone(e) | PeerCall::Unsure(e) => last = e,
+                PeerCall::NotDone(e) | PeerCall::Unsure(e) => last = e.or_unknown(Some(last)),
             }
             // The next call asks another node first.
             self.state.lock().nodes.rotate_left(1);
--- a/tests/fallback.rs
+++ b/tests/fallback.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use mulberrycourse::decide::fallback::{CallPath, FallbackState, probe_interval};
+use mulberrycourse::edge::store::StoreError;
 use proptest::prelude::*;
 
 const fn ms(millis: u64) -> Duration {
@@ -153,3 +154,15 @@
     assert_eq!(state.choose_path(false, ms(21)), CallPath::Direct);
     assert!(state.direct_failed(ms(22)), "the service may still be unreachable from here");
 }
+
+/// Guards against a call that may have been made directly being reported as not made, because
+/// another node refused it afterwards.
+#[test]
+fn a_refusal_after_an_unknown_outcome_leaves_it_unknown() {
+    let refused = || StoreError::Refused("refused".to_owned());
+    let unknown = || StoreError::Unknown("no answer".to_owned());
+    assert_eq!(refused().or_unknown(Some(unknown())), unknown());
+    assert_eq!(unknown().or_unknown(Some(refused())), unknown());
+    assert_eq!(refused().or_unknown(Some(refused())), refused());
+    assert_eq!(refused().or_unknown(None), refused());
+}
