A node whose lease has ended before it registers waits before it asks for another

What the platform gets: from a node whose lease ends before its record is written under it (a slow store, or one whose leases run from the arrival of a delayed call), a lease and a write as fast as the store answers, each time a new lease.

Cause: `hold_lease` took the write's refusal for the end of a lease that had been held, and returned without an error; its caller pauses only after an error.

The stand-in of the store gets a fault that ends leases before their ids are known.

--- a/src/entry/registration.rs
+++ b/src/entry/registration.rs
@@ -38,7 +38,9 @@
     let value = serde_json::to_vec(&value).map_err(|e| StoreError::Refused(e.to_string()))?;
     let key = node_key(&app.settings.name);
     let txn = Txn::default().put_leased(key, value, lease);
-    let TxnOutcome::Done(written) = app.store.txn(txn).await? else { return Ok(()) };
+    let TxnOutcome::Done(written) = app.store.txn(txn).await? else {
+        return Err(StoreError::Refused(format!("the lease {lease} has ended already")));
+    };
     *app.lease.lock() = Lease { id: lease, valid_until: sent + ttl, key_revision: written };
     app.registered.store(true, Ordering::Relaxed);
     tracing::info!(event = "node_registered", life = %app.incarnation, lease);
--- a/standins/src/kv/service.rs
+++ b/standins/src/kv/service.rs
@@ -40,6 +40,8 @@
     pub lost_writes: u32,
     /// How much later a write without a response is carried out.
     pub write_delay: Duration,
+    /// Whether each lease ends before its client learns its id.
+    pub leases_end: bool,
 }
 
 /// The service. Clones share its keys.
@@ -272,7 +274,13 @@
         let client = self.clone();
         Box::pin(async move {
             client.reach_service().await?;
-            Ok(client.service.state.lock().grant(Instant::now() + ttl))
+            let leases_end = client.faults.lock().leases_end;
+            let mut state = client.service.state.lock();
+            let lease = state.grant(Instant::now() + ttl);
+            if leases_end {
+                state.end_leases(|id, _| id == lease);
+            }
+            Ok(lease)
         })
     }
 
--- a/tests/entry/views.rs
+++ b/tests/entry/views.rs
@@ -85,6 +85,24 @@
     drop(b);
 }
 
+/// Guards against a node whose lease has ended before it registers asking for the next lease at
+/// once: two calls every 8 ms.
+#[tokio::test(start_paused = true)]
+async fn a_node_whose_leases_end_at_once_pauses_between_registrations() {
+    let world = World::new();
+    let node = world.node("a").await;
+    node.store.set_faults(Faults { leases_end: true, ..Faults::default() });
+    world.kv.expire_leases();
+    sleep_ms(2_000).await;
+    let before = answered_calls(&node, "Grant");
+    sleep_ms(3_000).await;
+    let granted = answered_calls(&node, "Grant") - before;
+    assert!((10..=20).contains(&granted), "{granted}");
+    node.store.set_faults(Faults::default());
+    sleep_ms(500).await;
+    assert_eq!(world.kv.items("mulberry/live/node/").len(), 1);
+}
+
 #[tokio::test(start_paused = true)]
 async fn nodes_whose_leases_end_together_stay_known_and_register_again() {
     let world = World::new();
