The watch of a job's record starts anew from the store's revision

What the platform gets: after a dropped history, where the store refuses a watch from before it, each open job costs a watch and a read as fast as the store answers, until the job's record changes.

Cause: after a failed watch the owner read the record alone and resumed from the record's own revision, which lies before the dropped history as long as the job goes on.

Change: the record is read with the store's revision, and the watch resumes from there. A batch of results that is there but can't be decoded makes a read unsure, not empty.

--- a/src/entry/read.rs
+++ b/src/entry/read.rs
@@ -230,7 +230,10 @@
         state.last_update = self.now();
         let Some(item) = item else { return Ok(state.results.len() > known) };
         state.append_results(job, &item);
-        Ok(state.results.len() > known)
+        if state.results.len() == known {
+            return Err(StoreError::Refused(format!("{} can't be decoded", item.key)));
+        }
+        Ok(true)
     }
 
     /// Reads a job's record; none if the job does not exist.
--- a/src/entry/runner.rs
+++ b/src/entry/runner.rs
@@ -157,13 +157,14 @@
                 revision = watched.revision;
                 put_items(watched.changes)
             }
-            // The store's history may have been compacted, so the record itself is read.
-            Err(_) => match app.store.get(&key).await {
-                Ok(Some(item)) => {
-                    revision = revision.max(item.revision);
-                    vec![item]
+            // The store's history may have been compacted, so the record itself is read. The next
+            // watch starts from the store's revision: that of the record may be a dropped one.
+            Err(_) => match app.store.range(&key).await {
+                Ok(page) if page.items.iter().any(|item| item.key == key) => {
+                    revision = revision.max(page.revision);
+                    page.items
                 }
-                Ok(None) => return drop_lost_job(&app, &owned, &id),
+                Ok(_) => return drop_lost_job(&app, &owned, &id),
                 Err(_) => {
                     tokio::time::sleep(RETRY_DELAY).await;
                     Vec::new()
--- a/standins/src/kv/service.rs
+++ b/standins/src/kv/service.rs
@@ -42,6 +42,8 @@
     pub write_delay: Duration,
     /// Whether each lease ends before its client learns its id.
     pub leases_end: bool,
+    /// Whether a watch from a dropped history is refused even if nothing has changed since.
+    pub refuses_dropped: bool,
 }
 
 /// The service. Clones share its keys.
@@ -225,7 +227,9 @@
                 }
                 let seen = client.service.state.lock().watch(&prefix, after);
                 match seen {
-                    None if client.service.state.lock().changed_since_compaction(&prefix) => {
+                    None if client.faults.lock().refuses_dropped
+                        || client.service.state.lock().changed_since_compaction(&prefix) =>
+                    {
                         return Err(StoreError::Compacted);
                     }
                     Some(watched) if !watched.changes.is_empty() => return Ok(watched),
--- a/tests/entry/views.rs
+++ b/tests/entry/views.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use crate::world::{
-    Node, World, answered_calls, plain_replicas_used, relay_request, sleep_ms, wait_until,
+    Node, World, answered_calls, charged_calls, plain_replicas_used, relay_request, sleep_ms,
+    wait_until,
 };
 
 /// Returns the version of the configuration that a node has.
@@ -103,6 +104,24 @@
     assert_eq!(world.kv.items("mulberry/live/node/").len(), 1);
 }
 
+/// Guards against the watch of a job's record resuming from the revision of the record, which may
+/// lie before a dropped history: the store then refuses one watch after the other.
+#[tokio::test(start_paused = true)]
+async fn a_dropped_history_costs_few_calls_for_a_job() {
+    let world = World::new();
+    let node = world.node("a").await;
+    world.replicas.set_event_count("i1", 400);
+    node.submit("j", &["i1"]).await;
+    sleep_ms(1_000).await;
+    world.configure(2);
+    node.store.set_faults(Faults { refuses_dropped: true, ..Faults::default() });
+    world.kv.compact();
+    let before = charged_calls(std::slice::from_ref(&node));
+    sleep_ms(2_000).await;
+    let calls = charged_calls(std::slice::from_ref(&node)) - before;
+    assert!(calls <= 30, "{calls}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn nodes_whose_leases_end_together_stay_known_and_register_again() {
     let world = World::new();
