A replica whose load failed delays no other, and one lost status ends no load

What callers get: new weights do not reach a model's replicas for as long as one of them does not answer status requests and is still listed; steps wait for the version.

Cause: the replica first in order gets the next load. When its status could not be read, the load counted as failed, the leader paused 120 ms and ordered it there again. With one load at a time (three replicas of a model, or a model's third) nobody else came up.

Evidence: a_replica_without_a_status_delays_no_other_load failed, the other two replicas still had version 1 after three seconds.

Ruled out: what was read in the code, that one failed status request during a load makes loads overlap. The same replica was chosen again and found busy; a_failed_status_request_does_not_end_a_load passed before too. With the new order it would overlap, so that test guards it now.

Change: a replica whose load failed gets no order for half a second and comes after the others; the leader no longer pauses for all. During a load, up to two failed status requests in a row are passed over. Log lines: load_not_done, status_not_read.

Also read in the code: that the demand of a job counts twice when it is run twice. It does not: what is recorded is the work of the latest step (a_step_that_is_recorded_twice_counts_once).

--- a/src/decide/weight_loads.rs
+++ b/src/decide/weight_loads.rs
@@ -28,6 +28,23 @@
     pub versions: BTreeMap<Name, u64>,
     /// The model that it is loading.
     pub loading: Option<Name>,
+    /// How its last load ended.
+    pub last_load: LastLoad,
+}
+
+/// How the last load of a replica ended.
+///
+/// Load pattern: a replica that does not answer stays listed for seconds. If it is tried first
+/// each time, the others get no new weights until its entry is gone.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum LastLoad {
+    /// With the version that was ordered, or there was none.
+    #[default]
+    Done,
+    /// It failed. The replica gets its next order after all others.
+    Failed,
+    /// It failed a short while ago. The replica gets no order yet.
+    JustFailed,
 }
 
 /// A load to order.
@@ -118,20 +135,25 @@
     loading.for_each(|model| *running.entry(model).or_default() += 1);
     let mut room = max_concurrent_loads(replicas.len()).saturating_sub(running.values().sum());
     let assigned = assign_replicas(&model_weights(announced, demand), replicas);
-    let mut behind: Vec<(u64, WeightLoad)> = Vec::new();
+    let mut behind: Vec<(LastLoad, u64, WeightLoad)> = Vec::new();
     for (model, ids) in &assigned {
         let Some(version) = announced.get(model).copied() else { continue };
-        for replica in replicas.iter().filter(|r| ids.contains(&r.id) && r.loading.is_none()) {
+        let open = |r: &&ReplicaWeights| {
+            r.loading.is_none() && r.last_load != LastLoad::JustFailed && ids.contains(&r.id)
+        };
+        for replica in replicas.iter().filter(open) {
             let has = replica.versions.get(model).copied().unwrap_or(version);
             if has < version {
                 let load = WeightLoad { id: replica.id.clone(), model: model.clone(), version };
-                behind.push((has, load));
+                behind.push((replica.last_load, has, load));
             }
         }
     }
-    behind.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.id.cmp(&b.1.id)));
+    behind.sort_by(|(a_end, a_has, a), (b_end, b_has, b)| {
+        (a_end, a_has, &a.id).cmp(&(b_end, b_has, &b.id))
+    });
     let mut loads = Vec::new();
-    for (_, load) in behind {
+    for (_, _, load) in behind {
         if room == 0 {
             break;
         }
--- a/src/entry/leader.rs
+++ b/src/entry/leader.rs
@@ -15,11 +15,11 @@
 use super::keys::{LEADER_KEY, LeaderRecord};
 use super::scale::run_autoscaling;
 use super::usage::report_usage;
-use crate::Name;
 use crate::decide::rendezvous_rank;
-use crate::decide::weight_loads::{self, ReplicaWeights, WeightLoad};
+use crate::decide::weight_loads::{self, LastLoad, ReplicaWeights, WeightLoad};
 use crate::edge::replica::{OrderOutcome, Target, WeightOrder};
 use crate::edge::store::{Txn, TxnOutcome};
+use crate::{Moment, Name};
 
 /// How much longer each next node in rank waits before it tries to become the leader.
 const RANK_DELAY: Duration = Duration::from_millis(400);
@@ -30,8 +30,13 @@
 const REPLICA_CALL_TIMEOUT: Duration = Duration::from_millis(800);
 /// Shortest time that a weight load takes; the replica's status is not polled before.
 const MIN_LOAD_TIME: Duration = Duration::from_millis(850);
-/// The delay between two status requests during a load, and the delay after a failed load.
+/// The delay between two status requests during a load.
 const LOAD_POLL_INTERVAL: Duration = Duration::from_millis(120);
+/// How long a replica gets no order after a failed load.
+const FAILED_LOAD_DELAY: Duration = Duration::from_millis(500);
+/// Consecutive failed status requests until a load counts as failed: a response may be lost, but a
+/// replica that is gone must not count as loading for long.
+const MAX_FAILED_POLLS: u32 = 3;
 /// Status requests until a load counts as failed. They come to eight seconds, because many
 /// simultaneous loads are slow.
 const MAX_LOAD_POLLS: u32 = 60;
@@ -117,12 +122,13 @@
     tokio::time::sleep(app.takeover_delay()).await;
     let mut view_changes = app.view_changes.subscribe();
     let mut busy: BTreeMap<Name, Name> = BTreeMap::new();
+    let mut failed: BTreeMap<Name, Moment> = BTreeMap::new();
     let mut running: JoinSet<(Name, LoadOutcome)> = JoinSet::new();
     loop {
         if !app.holds_term(fence) {
             return;
         }
-        for load in plan_loads(app, &busy) {
+        for load in plan_loads(app, &busy, &mut failed) {
             let Some(target) = target(app, &load.id) else { continue };
             busy.insert(load.id.clone(), load.model.clone());
             let (app, id) = (app.clone(), load.id.clone());
@@ -131,10 +137,14 @@
         tokio::select! {
             _ = view_changes.changed() => {}
             Some(ended) = running.join_next() => match ended {
-                Ok((id, LoadOutcome::Done)) => drop(busy.remove(&id)),
+                Ok((id, LoadOutcome::Done)) => {
+                    busy.remove(&id);
+                    failed.remove(&id);
+                }
                 Ok((id, LoadOutcome::Failed)) => {
                     busy.remove(&id);
-                    tokio::time::sleep(LOAD_POLL_INTERVAL).await;
+                    tracing::info!(event = "load_not_done", replica = %id, fence);
+                    failed.insert(id, app.now());
                 }
                 Ok((_, LoadOutcome::Fenced)) => return,
                 Err(e) => {
@@ -142,27 +152,42 @@
                     return;
                 }
             },
-            () = tokio::time::sleep(CHECK_INTERVAL), if !busy.is_empty() => {}
+            () = tokio::time::sleep(CHECK_INTERVAL), if !busy.is_empty() || !failed.is_empty() => {}
         }
     }
 }
 
-/// The loads to order now, given the replicas with a load under way and the models they load.
-fn plan_loads(app: &App, busy: &BTreeMap<Name, Name>) -> Vec<WeightLoad> {
+/// The loads to order now, given the replicas with a load under way and the models they load, and
+/// the replicas whose last load failed, with the time of that. Replicas that are gone are removed
+/// from the latter.
+fn plan_loads(
+    app: &App,
+    busy: &BTreeMap<Name, Name>,
+    failed: &mut BTreeMap<Name, Moment>,
+) -> Vec<WeightLoad> {
     let named = app.versions.lock().clone();
     let demand = app.demand.lock().by_model(app.now());
     let models: BTreeSet<&Name> = named.keys().chain(demand.keys()).collect();
     let mut replicas: Vec<ReplicaWeights> = Vec::new();
     let fleet = app.slots.fleet.lock();
+    failed.retain(|id, _| fleet.get(id).is_some());
     for model in models {
         for (target, version) in fleet.serving(model) {
             let found = replicas.iter().position(|s| s.id == target.id);
             let index = found.unwrap_or_else(|| {
                 let loading = busy.get(&target.id).cloned();
+                let last_load = match failed.get(&target.id) {
+                    None => LastLoad::Done,
+                    Some(at) if app.now().saturating_sub(*at) < FAILED_LOAD_DELAY => {
+                        LastLoad::JustFailed
+                    }
+                    Some(_) => LastLoad::Failed,
+                };
                 replicas.push(ReplicaWeights {
                     id: target.id,
                     versions: Default::default(),
                     loading,
+                    last_load,
                 });
                 replicas.len() - 1
             });
@@ -231,10 +256,21 @@
 /// Polls a replica until it has loaded the ordered version.
 async fn await_load(app: &App, target: &Target, load: &WeightLoad) -> LoadOutcome {
     tokio::time::sleep(MIN_LOAD_TIME).await;
+    let mut failed_polls = 0;
     for _ in 0..MAX_LOAD_POLLS {
-        let Ok(status) = app.replicas.status(target, REPLICA_CALL_TIMEOUT).await else {
-            return LoadOutcome::Failed;
+        let status = match app.replicas.status(target, REPLICA_CALL_TIMEOUT).await {
+            Ok(status) => status,
+            Err(failure) => {
+                failed_polls += 1;
+                tracing::info!(event = "status_not_read", replica = %target.id, failed_polls, %failure);
+                if failed_polls >= MAX_FAILED_POLLS {
+                    return LoadOutcome::Failed;
+                }
+                tokio::time::sleep(LOAD_POLL_INTERVAL).await;
+                continue;
+            }
         };
+        failed_polls = 0;
         if status.is_other_incarnation(target) {
             return LoadOutcome::Failed;
         }
--- a/standins/src/replicas/fleet.rs
+++ b/standins/src/replicas/fleet.rs
@@ -114,6 +114,11 @@
         self.with(id, |r| r.order_delay = delay);
     }
 
+    /// Makes this many of the next status requests to a replica fail.
+    pub fn fail_statuses(&self, id: &str, count: u32) {
+        self.with(id, |r| r.failing_statuses = count);
+    }
+
     /// Sets how many events the text of a request has.
     pub fn set_event_count(&self, item: &str, events: u64) {
         self.state.lock().event_counts.insert(item.into(), events);
@@ -308,6 +313,14 @@
         let (fleet, to) = (self.clone(), to.clone());
         Box::pin(async move {
             tokio::time::sleep(NETWORK_DELAY).await;
+            let fails = fleet.with(&to.id, |r| {
+                let fails = r.failing_statuses > 0;
+                r.failing_statuses = r.failing_statuses.saturating_sub(1);
+                fails
+            });
+            if fails == Some(true) {
+                return Err(CallError::Interrupted("the status request failed".to_owned()));
+            }
             let status = fleet.with(&to.id, |r| ReplicaStatus {
                 started_ms: r.started_ms,
                 accepted_orders: r.accepted_orders,
--- a/standins/src/replicas/replica.rs
+++ b/standins/src/replicas/replica.rs
@@ -80,6 +80,8 @@
     pub busy_until: Option<Instant>,
     /// If set, orders get no response and are carried out this much later.
     pub order_delay: Option<Duration>,
+    /// How many of the next status requests fail.
+    pub failing_statuses: u32,
     /// Its start time in milliseconds, if it reports one.
     pub started_ms: Option<u64>,
 }
@@ -94,6 +96,7 @@
             fencing_token: 0,
             busy_until: None,
             order_delay: None,
+            failing_statuses: 0,
             started_ms,
         }
     }
--- a/tests/entry/orders.rs
+++ b/tests/entry/orders.rs
@@ -98,6 +98,41 @@
     assert_eq!(accepted.count(), 1);
 }
 
+/// Guards against a single failed status request ending a load for its leader, who then ordered the
+/// next load while the first one went on: loads that run together are slower.
+#[tokio::test(start_paused = true)]
+async fn a_failed_status_request_does_not_end_a_load() {
+    let world = World::new();
+    let _node = world.node("a").await;
+    sleep_ms(4_000).await;
+    world.name_version(2);
+    wait_until(|| !world.replicas.orders().is_empty()).await;
+    world.replicas.fail_statuses(&world.replicas.orders()[0].replica.clone(), 1);
+    wait_until(|| all_loaded(&world, 2)).await;
+    let orders = world.replicas.orders();
+    assert_eq!(orders.len(), 3, "{orders:?}");
+    for pair in orders.windows(2) {
+        let gap = pair[1].received_at - pair[0].received_at;
+        assert!(gap >= Duration::from_millis(900), "{gap:?}");
+    }
+}
+
+/// Guards against a replica whose status can't be read being tried again and again before the
+/// others, which got no new weights meanwhile.
+#[tokio::test(start_paused = true)]
+async fn a_replica_without_a_status_delays_no_other_load() {
+    let world = World::new();
+    let _node = world.node("a").await;
+    sleep_ms(4_000).await;
+    world.replicas.fail_statuses("e1", u32::MAX);
+    world.name_version(2);
+    sleep_ms(3_000).await;
+    assert_eq!(["e2", "e3"].map(|id| world.replicas.version(id, MODEL)), [2, 2]);
+    world.replicas.fail_statuses("e1", 0);
+    sleep_ms(2_500).await;
+    assert_eq!(world.replicas.version("e1", MODEL), 2);
+}
+
 /// Guards against a new leader that waits the whole order gap from the end of its predecessor's
 /// lease on. The predecessor gave its last order at least a second earlier, and training steps wait
 /// for the weights meanwhile.
--- a/tests/weight_loads.rs
+++ b/tests/weight_loads.rs
@@ -8,7 +8,7 @@
 use mulberrycourse::Name;
 use mulberrycourse::decide::Demand;
 use mulberrycourse::decide::weight_loads::{
-    ReplicaWeights, assign_replicas, max_concurrent_loads, model_weights, next_loads,
+    LastLoad, ReplicaWeights, assign_replicas, max_concurrent_loads, model_weights, next_loads,
 };
 use proptest::prelude::*;
 
@@ -19,6 +19,7 @@
             id: format!("r{i:02}").into(),
             versions: versions.clone(),
             loading: None,
+            last_load: LastLoad::Done,
         })
         .collect()
 }
@@ -182,3 +183,34 @@
         }
     }
 }
+
+/// Load pattern: one replica of a model does not answer while the others need a new version.
+#[test]
+fn a_replica_whose_load_failed_comes_after_the_others() {
+    let mut replicas = replicas_with(3, &["a"]);
+    let next = |replicas: &[ReplicaWeights]| {
+        let loads = next_loads(&announced(&["a"], 2), &BTreeMap::new(), replicas);
+        loads.into_iter().map(|load| load.id).collect::<Vec<_>>()
+    };
+    assert_eq!(next(&replicas), ["r00".into()]);
+    for end in [LastLoad::JustFailed, LastLoad::Failed] {
+        replicas[0].last_load = end;
+        assert_eq!(next(&replicas), ["r01".into()]);
+    }
+    for replica in &mut replicas[1..] {
+        replica.versions.insert("a".into(), 2);
+    }
+    assert_eq!(next(&replicas), ["r00".into()]);
+    replicas[0].last_load = LastLoad::JustFailed;
+    assert!(next(&replicas).is_empty());
+}
+
+/// Guards against a step that is recorded twice counting as twice the work.
+#[test]
+fn a_step_that_is_recorded_twice_counts_once() {
+    let mut demand = Demand::default();
+    let model = Name::from("a");
+    demand.record(&model, 10, Duration::from_secs(1));
+    demand.record(&model, 10, Duration::from_secs(2));
+    assert_eq!(demand.by_model(Duration::from_secs(3))[&model], 10);
+}
