An attempt at a sample has what is left of the retention

Read in the code: every attempt was sent with the whole retention of its route, 40 s at the two deployments, however late it began, so that a replica could go on with a sample for as long again after it was given up, if its sender was gone.

Callers: none has been seen to lose by it; the connection of a given-up attempt is closed, and replicas drop the run then.

Change: the time that is left since the sample began at this owner. The test failed before: the second attempt was sent with 40 s.

--- a/src/entry/sample.rs
+++ b/src/entry/sample.rs
@@ -10,8 +10,8 @@
 use super::owned_jobs::OwnedJob;
 use super::score::request_score;
 use crate::Name;
+use crate::decide::SlotRequest;
 use crate::decide::job::{FinishEffect, ItemSpec, ItemState, JobSpec};
-use crate::decide::{Route, SlotRequest};
 use crate::edge::replica::ReplicaCall;
 use crate::metrics::SampleEnd;
 
@@ -105,7 +105,8 @@
         let Some(mut slot) = app.wait_for_slot(position, want).await else { continue };
         let before = owned.with_text(&item.id, |text| text.last_event());
         let run = TextAttempt { app, owned, item, spec, route: &route };
-        let result = run.attempt(&mut slot, call(&route, priority, spec, item, before)).await;
+        let left = route.retention.saturating_sub(app.now().saturating_sub(started_at));
+        let result = run.attempt(&mut slot, call(left, priority, spec, item, before)).await;
         let replica = slot.target.id.clone();
         drop(slot);
         let events = owned.with_text(&item.id, |text| text.last_event());
@@ -122,6 +123,7 @@
                 failed += 1;
                 tracing::info!(event = "sample_failed", item = %item.id, %replica, failed);
                 if failed >= route.max_attempts {
+                    tracing::info!(event = "sample_given_up", item = %item.id, reason = "failed");
                     return false;
                 }
             }
@@ -140,8 +142,8 @@
     }
 }
 
-/// The request for a sample's text, from after event `last` on.
-fn call(route: &Route, priority: u8, spec: &JobSpec, item: &ItemSpec, last: u64) -> ReplicaCall {
+/// The request for a sample's text, from after event `last` on, within `left`.
+fn call(left: Duration, priority: u8, spec: &JobSpec, item: &ItemSpec, last: u64) -> ReplicaCall {
     let mut headers = HeaderMap::new();
     for (name, value) in &item.headers {
         if let (Ok(name), Ok(value)) =
@@ -158,7 +160,7 @@
         organisation: spec.organisation.clone(),
         headers,
         body: item.body.clone(),
-        timeout: route.retention,
+        timeout: left,
         last_event: (last > 0).then_some(last),
         priority: Some(priority.min(MAX_PRIORITY)),
     }
--- a/tests/entry/jobs.rs
+++ b/tests/entry/jobs.rs
@@ -305,6 +305,28 @@
     }
 }
 
+/// Guards against each attempt at a sample being given the whole retention of its route: a replica
+/// would work on it after the sample is given up.
+#[tokio::test(start_paused = true)]
+async fn an_attempt_has_what_is_left_of_the_retention() {
+    let world = World::new();
+    let a = world.node("a").await;
+    for id in ["e1", "e2", "e3"] {
+        world.replicas.set_behaviour(id, Behaviour::BreaksAfter(20));
+    }
+    world.replicas.set_event_count("i1", 90);
+    let submitted = tokio::time::Instant::now();
+    a.submit("j", &["i1"]).await;
+    a.read_all("j", 1).await;
+    let runs = world.replicas.runs();
+    let runs: Vec<_> = runs.iter().filter(|run| &*run.id == "i1").collect();
+    assert!(runs.len() > 3, "{runs:?}");
+    for run in runs {
+        let ends = run.received_at + run.timeout;
+        assert!(ends <= submitted + Duration::from_millis(40_100), "{run:?}");
+    }
+}
+
 /// Guards against timeout responses of replicas being counted as failures. Samples were given up
 /// that could have been completed (seen with 300 nodes and slow scorers).
 #[tokio::test(start_paused = true)]
