--- a/src/entry/follow/feed.rs
+++ b/src/entry/follow/feed.rs
@@ -84,16 +84,15 @@
 impl Feed {
     /// Replaces the copy by a snapshot from the store, from which this node goes on to watch.
     pub fn begin_watch(&self, page: &RangeResult) {
-        self.set(page, true);
+        self.set(page, true, Some(Instant::now()));
     }
 
     /// Replaces the copy by a snapshot from another node, which had it from the store `age` ago.
     pub fn copy_from_peer(&self, page: &RangeResult, age: Duration) {
-        self.set(page, false);
-        self.state.lock().updated = Instant::now().checked_sub(age);
+        self.set(page, false, Instant::now().checked_sub(age));
     }
 
-    fn set(&self, page: &RangeResult, watched: bool) {
+    fn set(&self, page: &RangeResult, watched: bool, updated: Option<Instant>) {
         let items = page.items.iter().map(|item| (item.key.clone(), item.clone())).collect();
         *self.state.lock() = State {
             watched,
@@ -102,7 +101,7 @@
             changes: VecDeque::new(),
             change_bytes: 0,
             items,
-            updated: Some(Instant::now()),
+            updated,
         };
         self.notify();
     }
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -47,6 +47,23 @@
     assert_eq!(feed.wait_for_update(5, NO_WAIT).await, None);
 }
 
+/// Guards against a reader on another thread seeing an old snapshot from another node as one that
+/// the store has just confirmed: it would deny routes that were added since.
+#[test]
+fn an_old_snapshot_never_looks_fresh() {
+    const AGE: Duration = Duration::from_secs(2);
+    let feed = Feed::default();
+    feed.copy_from_peer(&snapshot(1), AGE);
+    std::thread::scope(|scope| {
+        let writer =
+            scope.spawn(|| (2..20_000).for_each(|n| feed.copy_from_peer(&snapshot(n), AGE)));
+        while !writer.is_finished() {
+            let Some(FeedUpdate::Snapshot { age, .. }) = feed.snapshot() else { continue };
+            assert!(age >= AGE, "{age:?}");
+        }
+    });
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_change_ends_the_wait() {
     let feed = Feed::default();
