A value that can't be encoded is never written empty, and ends its job's writer

Read in the code: a job's record or a part of its texts that could not be encoded was written as an empty value, and results that could not be were tried again at every save without end.

Whether it can occur: no. The values consist of strings, integers, options and sequences of known length, all of which both encoders take; every_result_and_text_can_be_stored plays 256 results and texts of any characters. So no caller can see it.

Change: should a later type fail to encode, the error is logged (value_not_encoded), nothing of it is written, and the job's writer ends. `run_job` records the work of a step only for a job that does not run here yet.

--- a/src/entry/results.rs
+++ b/src/entry/results.rs
@@ -5,6 +5,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use serde::Serialize;
+
 use super::app::App;
 use super::keys::{JobRecord, job_record_key, results_key, texts_key};
 use super::membership::Stored;
@@ -98,14 +100,7 @@
 ) -> bool {
     let (position, batch) =
         owned.job.lock().next_batch(app.settings.value_bytes - VALUE_RESERVE_BYTES);
-    let encoded = bincode::serde::encode_to_vec(&batch, bincode::config::standard());
-    let bytes = match encoded {
-        Ok(bytes) => bytes,
-        Err(e) => {
-            tracing::error!(event = "results_not_encoded", job = %id, error = %e);
-            return true;
-        }
-    };
+    let Some(bytes) = encode(id, &batch) else { return false };
     let total = owned.job.lock().spec.items.len();
     let last = !batch.is_empty() && position + batch.len() == total;
     let key = job_record_key(id);
@@ -123,13 +118,19 @@
         }
         let value = JobRecord { done: true, ..value };
         if last {
-            txn = txn.put(key.clone(), serde_json::to_vec(&value).unwrap_or_default());
+            match serde_json::to_vec(&value) {
+                Ok(record) => txn = txn.put(key.clone(), record),
+                Err(e) => {
+                    tracing::error!(event = "value_not_encoded", job = %id, error = %e);
+                    return false;
+                }
+            }
         }
         let UnsavedTexts { deltas, saved } = owned.unsaved_texts(app.settings.value_bytes / 2);
         if !deltas.is_empty() && !last {
             let index = *owned.text_writes.lock();
-            let encoded = bincode::serde::encode_to_vec(&deltas, bincode::config::standard());
-            txn = txn.put(texts_key(id, index), encoded.unwrap_or_default());
+            let Some(texts) = encode(id, &deltas) else { return false };
+            txn = txn.put(texts_key(id, index), texts);
         }
         if txn.puts.is_empty() {
             return true;
@@ -174,6 +175,14 @@
     false
 }
 
+/// Encodes a value of a job for the store. One that can't be encoded is logged, and nothing of it is
+/// written.
+fn encode<T: Serialize>(id: &str, value: &T) -> Option<Vec<u8>> {
+    bincode::serde::encode_to_vec(value, bincode::config::standard())
+        .inspect_err(|e| tracing::error!(event = "value_not_encoded", job = %id, error = %e))
+        .ok()
+}
+
 /// Records that `count` results are in the store, and notifies their readers.
 fn batch_written(owned: &OwnedJob, count: usize) {
     owned.write_unknown.store(false, Ordering::Relaxed);
--- a/src/entry/runner.rs
+++ b/src/entry/runner.rs
@@ -50,9 +50,6 @@
     ) {
         let RestoredJob { results, texts, text_writes } = restored;
         let id = spec.id.clone();
-        if let Some(model) = &spec.model {
-            self.demand.lock().record(model, spec.estimated_work(), self.now());
-        }
         let queue_order = self.owned_jobs.assign_order(&spec);
         let job = Job::new(spec, results);
         let slots = match &job.spec.model {
@@ -75,6 +72,10 @@
             queue_order,
         });
         let Some(owned) = self.owned_jobs.insert(&id, owned) else { return };
+        let spec = owned.job.lock().spec.clone();
+        if let Some(model) = &spec.model {
+            self.demand.lock().record(model, spec.estimated_work(), self.now());
+        }
         let unfinished = owned.texts.lock().len();
         tracing::info!(event = "job_started", job = %id, listed = count, todo = todo.len(), unfinished);
         for (index, item) in todo.into_iter().enumerate() {
--- a/tests/codec.rs
+++ b/tests/codec.rs
@@ -1,6 +1,9 @@
 //! The encoding of messages between nodes: round trips, compression, and the refusal of invalid
 //! bytes.
 
+use std::sync::Arc;
+
+use mulberrycourse::decide::job::{Event, ItemResult, ItemState, SampleText, SavedProgress};
 use mulberrycourse::edge::peer::{CodecError, pack, unpack};
 use mulberrycourse::edge::store::{KeyValue, RangeResult};
 use proptest::prelude::*;
@@ -72,3 +75,30 @@
         let _ = unpack::<RangeResult>(&bytes);
     }
 }
+
+proptest! {
+    /// Guards against a result or a part of a text that can't be encoded for the store: it could
+    /// never be written.
+    #[test]
+    fn every_result_and_text_can_be_stored(
+        id in ".*",
+        output in ".*",
+        versions in proptest::collection::vec(any::<u64>(), 0..4),
+        score in proptest::option::of(".*"),
+    ) {
+        let config = bincode::config::standard();
+        let score = score.map(Into::into);
+        let state = ItemState::Completed { output: output.clone(), versions, score };
+        let dead = ItemResult { id: id.as_str().into(), state: ItemState::Dead };
+        let batch = vec![Arc::new(ItemResult { id: id.as_str().into(), state }), Arc::new(dead)];
+        let bytes = bincode::serde::encode_to_vec(&batch, config);
+        prop_assert!(bytes.is_ok());
+        let decoded = bincode::serde::decode_from_slice::<Vec<Arc<ItemResult>>, _>(&bytes.unwrap(), config);
+        prop_assert_eq!(decoded.unwrap().0, batch);
+        let mut text = SampleText::default();
+        let event = Event { id: 1, data: output, version: Some(1), raw: Default::default() };
+        text.push(&event, |_| true).unwrap();
+        let (delta, _) = text.delta_since(SavedProgress::default()).unwrap();
+        prop_assert!(bincode::serde::encode_to_vec(vec![(id, delta)], config).is_ok());
+    }
+}
