A wrong log level of an entry node is found by check

Seen by operators: `mulberry-platform check` accepted `[log] level = inof`, and the process ended at its start. The settings of mulberryd checked the level already; both read the section by the same function now. The new case of mistakes_are_reported_with_their_place was added with the change and not run without it.

--- a/src/settings/entry.rs
+++ b/src/settings/entry.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use super::log_level::log_level;
 use super::{Document, SettingsError};
 use crate::Name;
 use crate::decide::usage::Windows;
@@ -152,8 +153,7 @@
             answers.finish()?;
         }
         if let Some(log) = doc.optional_section("log") {
-            settings.log_level = log.text("level").unwrap_or("info").to_owned();
-            log.finish()?;
+            settings.log_level = log_level(log)?;
         }
         Ok(settings)
     }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -2,6 +2,7 @@
 
 mod entry;
 mod error;
+mod log_level;
 mod node;
 mod section;
 mod syntax;
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use super::log_level::log_level;
 use super::{Document, Section, SettingsError};
 use crate::Name;
 use crate::bundle::Operators;
@@ -236,11 +237,3 @@
     section.finish()?;
     Ok(settings)
 }
-
-fn log_level(section: Section<'_>) -> Result<String, SettingsError> {
-    let level = section.text("level").unwrap_or("info").to_owned();
-    crate::logs::check_filter(&level)
-        .map_err(|e| section.invalid_value("level", &level, e.reason))?;
-    section.finish()?;
-    Ok(level)
-}
--- a/tests/entry_settings.rs
+++ b/tests/entry_settings.rs
@@ -36,6 +36,7 @@
         (GOOD.replace("[stop]", "[usage]\nwindow = soon\n[stop]"), "window"),
         (GOOD.replace("[stop]", "[usage]\nwindow = 5s\nlater = 1s\n[stop]"), "later"),
         (GOOD.replace("[stop]", "[duties]\naddress = there\n[stop]"), "address"),
+        (GOOD.replace("[stop]", "[log]\nlevel = inof\n[stop]"), "level"),
         (GOOD.replace("[store]\naddress = 10.0.0.2:81", "[store]"), "address"),
     ];
     for (text, place) in cases {
