--- a/src/node/claims/journal_store.rs
+++ b/src/node/claims/journal_store.rs
@@ -46,7 +46,14 @@
     let (values, _) = listed.map_err(|e| {
         tracing::warn!(event = "claim_segments_read_failed", partition, error = %e);
     })?;
-    let segments = values.iter().filter_map(|v| decode::<Segment>(&v.value).ok());
+    let parse = |value: &VersionedValue| {
+        decode::<Segment>(&value.value)
+            .inspect_err(|e| {
+                tracing::error!(event = "claim_segment_malformed", key = value.key, error = %e);
+            })
+            .ok()
+    };
+    let segments = values.iter().filter_map(parse);
     let mut wanted: Vec<Segment> = segments.filter(|s| range.contains(&s.number)).collect();
     wanted.sort_by_key(|s| s.number);
     Ok(wanted)
