--- a/standins/src/kv/service.rs
+++ b/standins/src/kv/service.rs
@@ -280,7 +280,7 @@
             client.reach_service().await?;
             let leases_end = client.faults.lock().leases_end;
             let mut state = client.service.state.lock();
-            let lease = state.grant(Instant::now() + ttl);
+            let lease = state.grant(Instant::now(), ttl);
             if leases_end {
                 state.end_leases(|id, _| id == lease);
             }
@@ -292,9 +292,7 @@
         let client = self.clone();
         Box::pin(async move {
             client.reach_service().await?;
-            // Assumes the default lease time of a node, 2 s, whatever the grant asked for.
-            let until = Instant::now() + Duration::from_secs(2);
-            Ok(client.service.state.lock().renew(lease, until))
+            Ok(client.service.state.lock().renew(lease, Instant::now()))
         })
     }
 
--- a/standins/src/kv/state.rs
+++ b/standins/src/kv/state.rs
@@ -1,6 +1,7 @@
 //! The keys, leases and history of the service.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use mulberrycourse::Name;
 use mulberrycourse::edge::store::{
@@ -19,8 +20,8 @@
     history: Vec<Change>,
     /// The history has no changes up to and including this revision.
     compacted_revision: u64,
-    /// When each lease expires.
-    leases: BTreeMap<u64, Instant>,
+    /// When each lease expires, and for how long it is granted.
+    leases: BTreeMap<u64, (Instant, Duration)>,
     /// The id of the lease granted last.
     last_lease: u64,
     /// The largest value, in bytes; none for no limit.
@@ -97,20 +98,24 @@
         }
     }
 
-    pub(super) fn grant(&mut self, expires_at: Instant) -> u64 {
+    pub(super) fn grant(&mut self, now: Instant, ttl: Duration) -> u64 {
         self.last_lease += 1;
-        self.leases.insert(self.last_lease, expires_at);
+        self.leases.insert(self.last_lease, (now + ttl, ttl));
         self.last_lease
     }
 
-    pub(super) fn renew(&mut self, lease: u64, expires_at: Instant) -> bool {
-        self.leases.get_mut(&lease).map(|at| *at = expires_at).is_some()
+    pub(super) fn renew(&mut self, lease: u64, now: Instant) -> bool {
+        self.leases.get_mut(&lease).map(|(at, ttl)| *at = now + *ttl).is_some()
     }
 
     /// Ends the leases that `is_over` selects, and removes their keys. True if any ended.
     pub(super) fn end_leases(&mut self, is_over: impl Fn(u64, Instant) -> bool) -> bool {
-        let over: Vec<u64> =
-            self.leases.iter().filter(|(id, at)| is_over(**id, **at)).map(|(id, _)| *id).collect();
+        let over: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(id, (at, _))| is_over(**id, *at))
+            .map(|(id, _)| *id)
+            .collect();
         for lease in &over {
             self.leases.remove(lease);
             let keys: Vec<Name> = self
