An owner whose write is not answered yet returns no empty page

What callers get: a result that was read at a node that reads from the store comes back empty at the job's owner, for as long as the owner waits for the answer to its write (0.35 s, up to 2 s where the store is slow or answers are lost).

Cause: the owner lists a result once the write is answered; what it said before did not take a write that is under way into account, only one whose answer was given up.

Evidence: an_owner_with_an_unanswered_write_hides_no_results failed at "owner, position 0", with one result in the store.

Change: when a read would end empty while a write is under way, the store is read instead. A read that still waits goes on waiting for the owner's own answer.

--- a/src/entry/read.rs
+++ b/src/entry/read.rs
@@ -94,8 +94,7 @@
         let mut confirmed = false;
         loop {
             let results = results_page(owned.job.lock().written_results(), after);
-            // Other nodes may already see the results of a write whose answer was lost.
-            if owned.job.lock().ended() || owned.write_unknown.load(Ordering::Relaxed) {
+            if owned.job.lock().ended() {
                 return None;
             }
             let finished = owned.job.lock().all_written();
@@ -103,7 +102,15 @@
                 return Some(ReadResult::Page { total, results });
             }
             let left = ends.saturating_sub(self.now());
+            // Other nodes may already see the results of a write whose answer was lost.
+            if owned.write_unknown.load(Ordering::Relaxed) {
+                return None;
+            }
             if left.is_zero() {
+                // They may also see those of a write that is not answered yet.
+                if owned.write_lock.try_lock().is_err() {
+                    return None;
+                }
                 match self.confirm_ownership(owned).await {
                     Ok(true) => confirmed = true,
                     Ok(false) => return None,
--- a/tests/entry/stale_reads.rs
+++ b/tests/entry/stale_reads.rs
@@ -223,3 +223,19 @@
         }
     }
 }
+
+/// Guards against an owner that says that there is no result while the store has taken its write of
+/// that result and has not answered yet: other nodes read it from the store.
+#[tokio::test(start_paused = true)]
+async fn an_owner_with_an_unanswered_write_hides_no_results() {
+    let world = World::new();
+    let [owner, b, _c] = start_job(&world).await;
+    b.isolate();
+    owner.store.set_faults(Faults { lost_writes: 100, ..Faults::default() });
+    wait_for_results(&world, 1).await;
+    assert_reads_all(&world, &b, "b").await;
+    for _ in 0..40 {
+        assert_reads_all(&world, &owner, "owner").await;
+        sleep_ms(50).await;
+    }
+}
