Load experiments: a flow sends again after a time without load

What an experiment gave: a flow whose load factor was set to 0 sent nothing more, also after the change had ended. Its next request was drawn with a rate of 0, that is 1e6 s later. Read in the code as a flow that starts without load; a flow starts with the factor 1, so it is the change that stops it.

Change: no request is scheduled at a rate of 0, and the end of a change schedules one where none is. Draws of other scenarios are as before (load_golden).

--- a/standins/src/experiment/arrivals.rs
+++ b/standins/src/experiment/arrivals.rs
@@ -16,8 +16,13 @@
 const MIN_WORK_RATIO: f64 = 0.5;
 
 impl Simulation<'_> {
-    /// Schedules the next request of a flow after an exponentially distributed gap.
+    /// Schedules the next request of a flow after an exponentially distributed gap, unless it is
+    /// scheduled already or the flow has no load. A flow that gets load again has to be scheduled
+    /// anew.
     pub(super) fn schedule_arrival(&mut self, flow: usize) {
+        if self.arrival_scheduled[flow] {
+            return;
+        }
         let spec = &self.scenario.flows[flow];
         let profile = self.scenario.profile();
         let scale = if spec.scaled { self.scale } else { 1.0 };
@@ -25,11 +30,14 @@
         let capacity = profile.capacity() * self.upstreams.len() as f64;
         let prefill = if spec.prefix_count > 0 { profile.prefill } else { 0.0 };
         let work = f64::from(spec.mean_cost) * self.mean_work_ratio() + prefill;
-        // A flow without load must be checked again later, because its factor may change. For a
-        // rate of 0, `Exp` samples infinity, so the next check is after 1e6 s.
-        let gap = Exp::new(load * capacity / work).map_or(1.0, |e| e.sample(&mut self.rng));
+        let rate = load * capacity / work;
+        if rate <= 0.0 {
+            return;
+        }
+        let gap = Exp::new(rate).map_or(1.0, |e| e.sample(&mut self.rng));
         let at = self.now + Duration::from_secs_f64(gap.min(1e6));
         self.schedule(at, Event::Arrive(flow));
+        self.arrival_scheduled[flow] = true;
     }
 
     /// Submits a request of a flow to the policy.
--- a/standins/src/experiment/faults.rs
+++ b/standins/src/experiment/faults.rs
@@ -77,6 +77,7 @@
             let flows = self.scenario.flows.iter().enumerate();
             for (flow, _) in flows.filter(|(_, f)| f.name == change.flow) {
                 self.load_factors[flow] = if begin { change.factor } else { 1.0 };
+                self.schedule_arrival(flow);
             }
         }
     }
--- a/standins/src/experiment/simulation.rs
+++ b/standins/src/experiment/simulation.rs
@@ -55,6 +55,8 @@
     pub(super) requests: BTreeMap<Ticket, PendingRequest>,
     /// For each flow, the factor that changes have set for its load.
     pub(super) load_factors: Vec<f64>,
+    /// For each flow, whether its next request is scheduled. That of a flow without load is not.
+    pub(super) arrival_scheduled: Vec<bool>,
     pub(super) trainers: Vec<TrainerModel>,
     /// One result for each flow, then one for each trainer.
     pub(super) results: Vec<FlowResult>,
@@ -96,6 +98,7 @@
         indices,
         requests: BTreeMap::new(),
         load_factors: vec![1.0; scenario.flows.len()],
+        arrival_scheduled: vec![false; scenario.flows.len()],
         trainers: trainers.map(|t| TrainerModel::new(t.at_scale(scale), scenario.warmup)).collect(),
         results: flows.chain(trainer_results).collect(),
         rng: SmallRng::seed_from_u64(seed),
@@ -141,6 +144,7 @@
         let now = self.now;
         match event {
             Event::Arrive(flow) => {
+                self.arrival_scheduled[flow] = false;
                 if now < self.scenario.length {
                     self.schedule_arrival(flow);
                     let retries_left = self.scenario.flows[flow].max_retries;
--- a/tests/load_patterns.rs
+++ b/tests/load_patterns.rs
@@ -267,3 +267,32 @@
         }
     }
 }
+
+/// Guards against a flow whose load was zero for a while never sending again.
+#[test]
+fn a_flow_sends_again_after_a_time_without_load() {
+    let text = "
+[scenario]
+length = 30s
+warmup = 5s
+[flow shop]
+load = 0.3
+cost = 64
+deadline = 6s
+keys = 100
+";
+    let pause = "[change pause]
+kind = load
+flow = shop
+at = 10s
+until = 12s
+factor = 0
+";
+    for seed in SEEDS {
+        let offered = |text: &str| {
+            measure(text, 1.0, PolicyKind::Ours, seed).flow("shop").unwrap().offered as f64
+        };
+        let share = offered(&format!("{text}{pause}")) / offered(text);
+        assert!((0.8..1.0).contains(&share), "seed {seed}: {share}");
+    }
+}
