Show that the end of a group is reported once, with its last sample

Read in the code: `Job::finish` reports the end of a group also when the group has no entry. It always has one: entries are made for every group with an open sample and go with the last. each_group_ends_once_with_its_last_sample plays any groups, orders and results that were there before; it passed at once.

--- a/tests/jobs.rs
+++ b/tests/jobs.rs
@@ -225,3 +225,45 @@
     bytes.truncate(bytes.len() / 2);
     assert!(JobSpec::decode(bytes).is_err());
 }
+
+proptest! {
+    /// Guards against the end of a group being reported twice, early or not at all, in whatever
+    /// order its samples end and whichever of them had a result before.
+    #[test]
+    fn each_group_ends_once_with_its_last_sample(
+        groups in proptest::collection::vec(0_u8..4, 1..20),
+        order in proptest::collection::vec(any::<prop::sample::Index>(), 40),
+        written in 0_usize..20,
+    ) {
+        let mut spec = JobSpec::clone(&spec(&vec![None; groups.len()]));
+        for (item, group) in spec.items.iter_mut().zip(&groups) {
+            let group = format!("g{group}").into();
+            *item = Arc::new(ItemSpec { group, ..ItemSpec::clone(item) });
+        }
+        let result = |item: &Arc<ItemSpec>| {
+            Arc::new(ItemResult { id: item.id.clone(), state: ItemState::Dead })
+        };
+        let done: Vec<_> = spec.items.iter().take(written).map(result).collect();
+        let mut open: HashMap<Name, usize> = HashMap::new();
+        for item in spec.items.iter().skip(written) {
+            *open.entry(item.group.clone()).or_default() += 1;
+        }
+        let items = spec.items.clone();
+        let mut job = Job::new(Arc::new(spec), done);
+        let order = order.iter().map(|index| index.get(&items)).chain(&items);
+        for item in order {
+            let first = job.pending_items(UNLIMITED_SLOTS).iter().any(|i| i.id == item.id);
+            let effect = job.finish(&item.id, ItemState::Dead);
+            let left = open.get_mut(&item.group).filter(|_| first).map(|left| {
+                *left -= 1;
+                *left
+            });
+            prop_assert_eq!(effect, match left {
+                None => FinishEffect::Unwanted,
+                Some(0) => FinishEffect::Group,
+                Some(_) => FinishEffect::Sample,
+            });
+        }
+        prop_assert!(job.all_finished());
+    }
+}
