A read is held up for half a second at most to confirm the owner of a job

Found while the change was read again: in the first moments of an outage the read of the record takes as long as the store's timeout and two other nodes, up to 2.4 s, and clients give an answer up 1.5 s after the wait that they asked for. After half a second the owner says that it is not sure. Not tested by itself; the tests of stale reads pass.

--- a/src/entry/runner.rs
+++ b/src/entry/runner.rs
@@ -22,6 +22,10 @@
 /// The delay after a failed read of the job's record.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// How long a read of a job may be held up for its owner to confirm the job's record. Clients wait
+/// 1.5 s longer than they allow an answer to take.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Attempts at the last write of a job before it is handed over.
 const HANDOVER_WRITE_ATTEMPTS: usize = 2;
 /// Longest single watch of a job's record. Training steps last some seconds, so that most jobs
@@ -106,7 +110,10 @@
             return Ok(true);
         }
         let id = owned.job.lock().spec.id.clone();
-        let item = self.store.get(&job_record_key(&id)).await?;
+        let read = tokio::time::timeout(CONFIRM_TIMEOUT, self.store.get(&job_record_key(&id)));
+        let item = read.await.map_err(|_| {
+            StoreError::Unknown(format!("no answer within {} ms", CONFIRM_TIMEOUT.as_millis()))
+        })??;
         if !item.is_some_and(|item| update_record(self, owned, &item)) {
             drop_lost_job(self, owned, &id);
             return Ok(false);
