The read of a single batch does not make a cached view recent

Found while the change was read again: the time of a view's last update says up to when its watch may go on from its revision, and the read of the next batch brings no revision. Reads without a wait would have kept a view young whose watch then hears nothing for its wait. No result would have been hidden; a waiting read would have been up to a second late.

--- a/src/entry/read.rs
+++ b/src/entry/read.rs
@@ -234,7 +234,6 @@
         let known = remote.state.lock().results.len();
         let item = self.store.get(&results_key(job, known)).await?;
         let mut state = remote.state.lock();
-        state.last_update = self.now();
         let Some(item) = item else { return Ok(state.results.len() > known) };
         state.append_results(job, &item);
         if state.results.len() == known {
