The demand for slots counts times shorter than a millisecond

Read in the code: the time for which samples wait for a slot or hold one was summed in whole milliseconds between two changes, so that many changes within one counted nothing, and fewer replicas would be ordered.

Change: the sum is kept as a duration; what nodes tell each other stays in milliseconds. The test failed before: 0 ms counted of 600.

--- a/src/entry/scale/slot_demand.rs
+++ b/src/entry/scale/slot_demand.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use parking_lot::Mutex;
 use tokio::time::Instant;
@@ -18,11 +19,11 @@
 #[derive(Debug)]
 struct ServiceDemand {
     /// How many samples wait for a slot or hold one.
-    samples: u64,
+    samples: u32,
     /// The time that samples have waited for slots or held them up to `updated`, added up over
-    /// all samples, in milliseconds.
-    total_ms: u64,
-    /// When `total_ms` was last brought up to date.
+    /// all samples.
+    total: Duration,
+    /// When `total` was last brought up to date.
     updated: Instant,
 }
 
@@ -36,8 +37,7 @@
 impl ServiceDemand {
     /// Adds the time since the last update.
     fn advance(&mut self, now: Instant) {
-        let passed = now.saturating_duration_since(self.updated).as_millis() as u64;
-        self.total_ms += self.samples * passed;
+        self.total += now.saturating_duration_since(self.updated) * self.samples;
         self.updated = now;
     }
 }
@@ -53,21 +53,24 @@
     pub(in crate::entry) fn totals(&self) -> Vec<(Name, u64)> {
         let now = Instant::now();
         let mut services = self.services.lock();
-        let totals = services.iter_mut().map(|(service, total)| {
-            total.advance(now);
-            (service.clone(), total.total_ms)
+        let totals = services.iter_mut().map(|(service, demand)| {
+            demand.advance(now);
+            (service.clone(), demand.total.as_millis() as u64)
         });
         totals.collect()
     }
 
     /// Changes the number of samples of a service.
-    fn change(&self, service: &Name, change: impl FnOnce(u64) -> u64) {
+    fn change(&self, service: &Name, change: impl FnOnce(u32) -> u32) {
         let now = Instant::now();
         let mut services = self.services.lock();
-        let total = services.entry(service.clone());
-        let total = total.or_insert(ServiceDemand { samples: 0, total_ms: 0, updated: now });
-        total.advance(now);
-        total.samples = change(total.samples);
+        let demand = services.entry(service.clone()).or_insert(ServiceDemand {
+            samples: 0,
+            total: Duration::ZERO,
+            updated: now,
+        });
+        demand.advance(now);
+        demand.samples = change(demand.samples);
     }
 }
 
--- a/tests/entry/scale.rs
+++ b/tests/entry/scale.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use mulberrycourse::entry::{PeerReply, PeerRequest, PeerResponder};
+
 use crate::world::{Node, World, sleep_ms, wait_until};
 
 /// The maximum number of replicas that the routes allow.
@@ -98,3 +100,29 @@
     wait_until(|| desired_counts(&world).contains(&MAX_REPLICAS)).await;
     assert!(world.clock.true_time() - started >= Duration::from_secs(6));
 }
+
+/// Returns the time for which samples of a node have waited for slots or held them, in milliseconds.
+async fn slot_millis(node: &Node) -> u64 {
+    match PeerResponder::new(node.app().clone()).answer(PeerRequest::Demand).await {
+        PeerReply::Demand { wanted, .. } => wanted.iter().map(|(_, millis)| millis).sum(),
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Guards against the time between two changes being cut to whole milliseconds: where many samples
+/// change within one, too few replicas are ordered.
+#[tokio::test(start_paused = true)]
+async fn short_times_between_changes_count_as_demand() {
+    let world = World::new();
+    let a = world.node("a").await;
+    ["i1", "i2", "i3"].iter().for_each(|id| world.replicas.set_event_count(id, 2_000));
+    a.submit("j", &["i1", "i2", "i3"]).await;
+    sleep_ms(100).await;
+    let before = slot_millis(&a).await;
+    for _ in 0..500 {
+        tokio::time::advance(Duration::from_micros(400)).await;
+        slot_millis(&a).await;
+    }
+    let counted = slot_millis(&a).await - before;
+    assert!((590..=610).contains(&counted), "{counted}");
+}
