The choice of a replica looks only at those that may run the request

Cause: an attempt searched all replicas of all services, so its cost grew with the fleet, and requests without weights went to all replicas in turn, so that none was used twice while its connection was open.

Change: a table keeps the replicas by service and by version of a model. In a fleet of more than 64 a sample looks only at replicas that have its weights, the newest first, and each node begins its search for requests without weights at the same replicas, in an order of its own. Exclusions and event intervals are read from the replicas that have them. Smaller fleets choose as before.

Tests count the replicas that choices look at: 480 samples at 60 replicas cost the same among 600 and 6,000, and 400 requests, one at a time, use 4 of 4,000 replicas at most. The former code has no such counter; the tests were not run against it.

--- a/src/decide/fleet/fleet.rs
+++ b/src/decide/fleet/fleet.rs
@@ -7,11 +7,11 @@
 //! replica that reported the least load.
 
 use std::cmp::Ordering;
-use std::collections::{BTreeMap, HashMap};
-use std::ops::Bound::{Excluded, Included, Unbounded};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
 use super::replica::{LoadReporting, Replica, fits};
+use super::table::{ReplicaKey, ReplicaTable};
 use super::{AttemptRequest, ListedReplica, ReplicaOutcome};
 use crate::decide::{LatencyEstimate, OtherLoad, expected_latency, max_ejected};
 use crate::edge::replica::{ReplicaLoad, Target};
@@ -25,10 +25,10 @@
 const LOADING_EXCLUSION: Duration = Duration::from_millis(300);
 
 /// With more replicas than this, not all are considered for each attempt and each event: the
-/// first replica that is idle, in this node's availability zone and as fast as is typical gets
-/// the attempt, and the typical event interval, which requires sorting all replicas, is computed
-/// once per [`TYPICAL_INTERVAL_REFRESH`]. With fewer, considering all in order to find the
-/// fastest one is worth the time.
+/// first replica that is idle, in this node's availability zone and fast enough gets the attempt,
+/// and the typical event interval, which requires sorting, is computed once per
+/// [`TYPICAL_INTERVAL_REFRESH`]. With fewer, considering all in order to find the fastest one is
+/// worth the time.
 const LARGE_FLEET_REPLICAS: usize = 64;
 /// Time between two computations of the typical event interval of a service in a large fleet: a
 /// tenth of the time in which the speed of a run is judged.
@@ -58,11 +58,13 @@
 #[derive(Debug)]
 pub struct Fleet {
     zone: Option<Name>,
-    replicas: BTreeMap<Name, Replica>,
+    replicas: ReplicaTable,
     /// Id of the replica that got the last attempt.
     last_chosen: Name,
-    /// The latest time until which any replica is excluded.
-    last_exclusion: Moment,
+    /// The replicas that are excluded for a time, some of which may be over.
+    excluded: HashSet<ReplicaKey>,
+    /// The replicas whose event interval is known.
+    measured: HashSet<ReplicaKey>,
     /// Typical time per unit of cost of the attempts of each service.
     typical_pace: HashMap<Name, LatencyEstimate>,
     /// When the typical event interval of each service was last computed.
@@ -74,11 +76,18 @@
 impl Fleet {
     /// A table for a node of this availability zone.
     pub fn new(zone: Name) -> Self {
+        Self::for_node(zone, "".into())
+    }
+
+    /// A table for a node with this name. Where there are many replicas, each node prefers others
+    /// for requests without weights.
+    pub fn for_node(zone: Name, node: Name) -> Self {
         Self {
             zone: Some(zone),
-            replicas: BTreeMap::new(),
+            replicas: ReplicaTable::new(node),
             last_chosen: "".into(),
-            last_exclusion: Moment::ZERO,
+            excluded: HashSet::new(),
+            measured: HashSet::new(),
             typical_pace: HashMap::new(),
             typical_intervals: HashMap::new(),
             interval_updates: HashMap::new(),
@@ -89,34 +98,46 @@
     /// changes which replicas may get work.
     pub fn upsert(&mut self, listed: ListedReplica) -> bool {
         let id = listed.target.id.clone();
-        let Some(known) = self.replicas.get_mut(&id) else {
-            self.replicas.insert(id, Replica::new(listed));
+        let Some(known) = self.replicas.get(&id) else {
+            self.replicas.insert(listed);
             return true;
         };
         match listed.target.started_ms.cmp(&known.listed.target.started_ms) {
             Ordering::Less => return false,
             Ordering::Greater => {
-                known.reset(listed);
+                self.forget_measurements(&id);
+                self.replicas.update(&id, |known| known.reset(listed));
                 return true;
             }
             Ordering::Equal => {}
         }
         let changed = known.listed.draining != listed.draining;
-        for (model, version) in &listed.versions {
-            let version = *version;
-            known
-                .versions
-                .entry(model.clone())
-                .and_modify(|v| *v = version.max(*v))
-                .or_insert(version);
-        }
-        known.listed = listed;
+        self.replicas.update(&id, |known| {
+            for (model, version) in &listed.versions {
+                let version = *version;
+                known
+                    .versions
+                    .entry(model.clone())
+                    .and_modify(|v| *v = version.max(*v))
+                    .or_insert(version);
+            }
+            known.listed = listed;
+        });
         changed
     }
 
     /// Removes a replica. Returns true if it was present.
     pub fn remove(&mut self, id: &str) -> bool {
-        self.replicas.remove(id).is_some()
+        self.forget_measurements(id);
+        self.replicas.remove(id)
+    }
+
+    /// Forgets what was measured at a replica that is gone or has restarted.
+    fn forget_measurements(&mut self, id: &str) {
+        if let Some(key) = self.replicas.key(id) {
+            self.excluded.remove(&key);
+            self.measured.remove(&key);
+        }
     }
 
     /// Whether there are too many replicas to consider all of them for each attempt.
@@ -124,9 +145,24 @@
         self.replicas.len() > LARGE_FLEET_REPLICAS
     }
 
+    /// Returns the number of replicas.
+    pub fn len(&self) -> usize {
+        self.replicas.len()
+    }
+
+    /// Whether there are no replicas.
+    pub fn is_empty(&self) -> bool {
+        self.replicas.len() == 0
+    }
+
     /// Returns the ids of all replicas.
     pub fn ids(&self) -> Vec<Name> {
-        self.replicas.keys().cloned().collect()
+        self.replicas.ids().cloned().collect()
+    }
+
+    /// Returns how many replicas choices and plans have looked at so far.
+    pub fn visited_replicas(&self) -> u64 {
+        self.replicas.visited()
     }
 
     /// Returns a replica by its id.
@@ -142,15 +178,16 @@
     /// Returns the replicas that serve a model and are not draining, with the version that each
     /// was last seen at.
     pub fn serving(&self, model: &str) -> Vec<(Target, u64)> {
-        let open = self.replicas.values().filter(|r| !r.listed.draining);
-        open.filter_map(|r| Some((r.listed.target.clone(), *r.versions.get(model)?))).collect()
+        let serving = self.replicas.at_version(model, 0, "");
+        serving.filter_map(|r| Some((r.listed.target.clone(), *r.versions.get(model)?))).collect()
     }
 
     /// Returns the number of replicas of a service that are not draining, by availability zone:
     /// only spot replicas, or only the others.
     pub fn count_by_zone(&self, service: &str, spot: bool) -> BTreeMap<Name, u32> {
         let mut zones = BTreeMap::new();
-        for replica in self.of(service).filter(|r| !r.listed.draining && r.listed.spot == spot) {
+        let open = self.replicas.of(service).filter(|r| !r.listed.draining);
+        for replica in open.filter(|r| r.listed.spot == spot) {
             *zones.entry(replica.listed.zone.clone()).or_default() += 1;
         }
         zones
@@ -158,14 +195,13 @@
 
     /// Returns the number of slots of one replica of a service; none if there is no replica.
     pub fn slots_per_replica(&self, service: &str) -> Option<u32> {
-        self.of(service).next().map(|r| r.listed.slots)
+        self.replicas.of(service).next().map(|r| r.listed.slots)
     }
 
     /// Returns the number of slots at replicas that serve a model at this version or a later
     /// one and are not draining.
     pub fn slots_at_version(&self, model: &str, min_version: u64) -> usize {
-        let open = self.replicas.values().filter(|r| !r.listed.draining);
-        let able = open.filter(|r| r.versions.get(model).is_some_and(|v| *v >= min_version));
+        let able = self.replicas.at_version(model, min_version, "");
         able.map(|r| r.listed.slots as usize).sum()
     }
 
@@ -173,16 +209,22 @@
     /// never lowered.
     pub fn raise_version(&mut self, target: &Target, model: &str, version: u64) {
         let Some(replica) = self.incarnation(target) else { return };
-        if let Some(known) = replica.versions.get_mut(model) {
-            *known = version.max(*known);
+        if replica.versions.get(model).is_none_or(|known| *known >= version) {
+            return;
         }
+        self.replicas.update(&target.id, |replica| {
+            replica.versions.insert(model.into(), version);
+        });
     }
 
     /// Records the version of an event from an incarnation of a replica, which is older than the
     /// known version.
     pub fn set_version(&mut self, target: &Target, model: &str, version: u64) {
-        let Some(replica) = self.incarnation(target) else { return };
-        replica.versions.insert(model.into(), version);
+        if self.incarnation(target).is_some() {
+            self.replicas.update(&target.id, |replica| {
+                replica.versions.insert(model.into(), version);
+            });
+        }
     }
 
     /// Records the load that a replica reported.
@@ -209,15 +251,16 @@
         let many = self.is_large();
         let mut best: Option<Candidate<'_>> = None;
         let mut chosen: Option<Candidate<'_>> = None;
-        for replica in self.after_last(request.service).filter(|r| fits(r, request, now, exclude)) {
+        for replica in self.candidates(request).filter(|r| fits(r, request, now, exclude)) {
             let (known, typical) = self.pace_and_typical(replica, request);
             let load_known = ignore_load || replica.load_is_known(now);
-            let rated = self.rate(replica, request, known.decayed(typical, now), now);
-            if many
-                && load_known
-                && rated.latency <= expected_latency(0.0, typical, 1, false)
-                && !rated.penalties.0
-            {
+            let pace = known.decayed(typical, now);
+            let rated = self.rate(replica, request, pace, now);
+            let good = match request.weights {
+                Some(_) => rated.latency <= expected_latency(0.0, typical, 1, false),
+                None => self.is_idle_and_near(replica, now) && pace <= SLOW_FACTOR * typical,
+            };
+            if many && load_known && good && !rated.penalties.0 {
                 return Some(replica.listed.target.clone());
             }
             if load_known && chosen.as_ref().is_none_or(|c| rated.order(c).is_lt()) {
@@ -267,23 +310,40 @@
     /// Whether excluded replicas of a service are left out of the choice: not if there are too
     /// many of them.
     fn applies_exclusions(&self, service: &str, now: Moment) -> bool {
-        if self.last_exclusion <= now {
-            return true;
-        }
-        let excluded = self.of(service).filter(|r| r.excluded_until > now).count();
-        excluded <= max_ejected(self.of(service).count())
+        let excluded = self.excluded.iter().filter_map(|key| self.replicas.by_key(*key));
+        let count =
+            excluded.filter(|r| &*r.listed.service == service && r.excluded_until > now).count();
+        count <= max_ejected(self.replicas.count(service))
     }
 
-    /// Returns the replicas of a service, starting after the one that got the last attempt.
+    /// Returns the replicas that may get an attempt, in the order in which they are considered.
     ///
     /// Load pattern: a step of thousands of samples and thousands of replicas. No replica is better
     /// than the first that is idle, in this zone and as fast as is typical; if each search began
     /// at the same end, each sample would pass all replicas that the samples before it have taken.
-    fn after_last<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Replica> {
-        let after = self.replicas.range::<str, _>((Excluded(&*self.last_chosen), Unbounded));
-        let before = self.replicas.range::<str, _>((Unbounded, Included(&*self.last_chosen)));
-        let all = after.chain(before).map(|(_, replica)| replica);
-        all.filter(move |r| &*r.listed.service == service)
+    /// Requests without weights are few at any one time, and each node begins with the same
+    /// replicas every time, so that it needs few connections however many replicas there are.
+    fn candidates<'a>(
+        &'a self,
+        request: &AttemptRequest<'a>,
+    ) -> Box<dyn Iterator<Item = &'a Replica> + 'a> {
+        let service = request.service;
+        match request.weights {
+            _ if !self.is_large() => Box::new(self.replicas.of(service)),
+            None => Box::new(self.replicas.ranked(service)),
+            Some((model, min_version)) => Box::new(
+                self.replicas
+                    .at_version(model, min_version, &self.last_chosen)
+                    .filter(move |r| &*r.listed.service == service),
+            ),
+        }
+    }
+
+    /// Whether no request runs at a replica, as far as is known, and it is in this node's
+    /// availability zone.
+    fn is_idle_and_near(&self, replica: &Replica, now: Moment) -> bool {
+        let near = self.zone.as_ref().is_none_or(|zone| *zone == replica.listed.zone);
+        near && replica.running == 0 && replica.others.decayed(now) < 1.0
     }
 
     fn rate<'a>(
@@ -315,6 +375,7 @@
         let Some(replica) = self.replicas.get_mut(id) else { return };
         replica.event_interval.record(1, Duration::from_secs_f64(seconds.max(0.0)), now);
         let service = replica.listed.service.clone();
+        self.measured.extend(self.replicas.key(id));
         let fresh = self
             .interval_updates
             .get(&service)
@@ -323,8 +384,11 @@
             return;
         }
         self.interval_updates.insert(service.clone(), now);
-        let mut known: Vec<f64> =
-            self.of(&service).filter_map(|r| r.event_interval.mean()).collect();
+        let measured = self.measured.iter().filter_map(|key| self.replicas.by_key(*key));
+        let mut known: Vec<f64> = measured
+            .filter(|r| r.listed.service == service)
+            .filter_map(|r| r.event_interval.mean())
+            .collect();
         known.sort_unstable_by(f64::total_cmp);
         if let Some(typical) = known.get(known.len().saturating_sub(1) / 4) {
             self.typical_intervals.insert(service, *typical);
@@ -351,7 +415,8 @@
             return false;
         }
         let request = AttemptRequest { service, weights, avoid: &[], allow_full: false };
-        let others = self.of(service).filter(|r| r.listed.target.id != here.listed.target.id);
+        let others =
+            self.candidates(&request).filter(|r| r.listed.target.id != here.listed.target.id);
         others
             .filter(|r| fits(r, &request, now, true))
             .map(|r| if interval.is_some() { r.event_interval } else { r.pace })
@@ -363,9 +428,7 @@
         if let Some(replica) = self.replicas.get_mut(id) {
             replica.running += 1;
             replica.began = now;
-            if self.is_large() {
-                self.last_chosen = id.into();
-            }
+            self.last_chosen = id.into();
         }
     }
 
@@ -409,25 +472,25 @@
             }
             ReplicaOutcome::Abandoned => {}
         }
-        if let Some(replica) = self.replicas.get(id) {
-            self.last_exclusion = self.last_exclusion.max(replica.excluded_until);
+        if replica.excluded_until > now {
+            let over = |key: &ReplicaKey| {
+                self.replicas.by_key(*key).is_none_or(|r| r.excluded_until <= now)
+            };
+            self.excluded.retain(|key| !over(key));
+            self.excluded.extend(self.replicas.key(id));
         }
     }
 
     /// Returns the number of free slots of a service, as far as this node knows.
     pub fn free_slots(&self, service: &str, now: Moment) -> u32 {
-        let open = self.of(service).filter(|r| !r.listed.draining && r.excluded_until <= now);
+        let open =
+            self.replicas.of(service).filter(|r| !r.listed.draining && r.excluded_until <= now);
         open.map(|r| r.listed.slots.saturating_sub(r.running + r.others.decayed(now) as u32)).sum()
     }
 
     /// Returns the replica if this is still its incarnation.
-    fn incarnation(&mut self, target: &Target) -> Option<&mut Replica> {
-        let replica = self.replicas.get_mut(&target.id)?;
+    fn incarnation(&self, target: &Target) -> Option<&Replica> {
+        let replica = self.replicas.get(&target.id)?;
         (replica.listed.target.started_ms == target.started_ms).then_some(replica)
     }
-
-    /// Returns the replicas of a service.
-    fn of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Replica> {
-        self.replicas.values().filter(move |r| &*r.listed.service == service)
-    }
 }
--- a/src/decide/fleet/mod.rs
+++ b/src/decide/fleet/mod.rs
@@ -6,6 +6,7 @@
 mod replica;
 mod replica_outcome;
 mod slot_queue;
+mod table;
 
 pub use attempt_request::AttemptRequest;
 pub use fleet::Fleet;
--- a/src/entry/app.rs
+++ b/src/entry/app.rs
@@ -136,7 +136,7 @@
         let direct = Arc::new(CountedStore::new(store, schema.clone(), tally.clone()));
         let fallback_store =
             FallbackStore::new(direct.clone(), peers.clone(), settings.seeds.clone());
-        let slots = Slots::new(settings.zone.clone());
+        let slots = Slots::new(settings.zone.clone(), settings.name.clone());
         let usage = settings.usage_windows.map(|windows| Arc::new(Usage::new(windows, clock)));
         Arc::new(Self {
             settings,
--- a/src/entry/slots.rs
+++ b/src/entry/slots.rs
@@ -32,9 +32,10 @@
 }
 
 impl Slots {
-    pub(super) fn new(zone: Name) -> Self {
+    /// The slots as a node of this availability zone and with this name sees them.
+    pub(super) fn new(zone: Name, node: Name) -> Self {
         Self {
-            fleet: Mutex::new(Fleet::new(zone)),
+            fleet: Mutex::new(Fleet::for_node(zone, node)),
             waiting: Mutex::default(),
             demand: Arc::default(),
             waiter_added: Notify::new(),
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -271,3 +271,77 @@
         assert!(chosen.insert(target.id));
     }
 }
+
+/// Fills the slots of 60 replicas that have version 2, among `count` replicas. Returns how many
+/// replicas the choices have looked at.
+fn visited_by_a_step(count: usize) -> u64 {
+    let ids: Vec<String> = (0..count).map(|i| format!("r{i:04}")).collect();
+    let ids: Vec<&str> = ids.iter().map(|id| &**id).collect();
+    let mut fleet = fleet(&ids);
+    for id in ids.iter().step_by(count / 60) {
+        fleet.raise_version(&listed(id, false, 1).target, "m", 2);
+        fleet.report_no_load(id);
+    }
+    let text = AttemptRequest { weights: Some(("m", 2)), ..request(false) };
+    let before = fleet.visited_replicas();
+    let mut begun = 0;
+    while let Some(target) = fleet.choose(&text, NOW) {
+        fleet.start_attempt(&target.id, NOW);
+        begun += 1;
+    }
+    assert_eq!(begun, 60 * 8);
+    fleet.visited_replicas() - before
+}
+
+/// Guards against looking at all replicas for each sample, most of which have other weights.
+#[test]
+fn the_choice_for_a_sample_looks_only_at_replicas_with_its_weights() {
+    let visited = visited_by_a_step(600);
+    assert!(visited <= 60 * (60 * 8 + 1), "{visited} replicas for 480 samples");
+    assert_eq!(visited_by_a_step(6_000), visited);
+}
+
+/// Returns the number of replicas that get this many requests, one at a time, from one node.
+fn replicas_used(count: usize, node: &str, requests: usize) -> usize {
+    let mut fleet = Fleet::for_node("z".into(), node.into());
+    for i in 0..count {
+        fleet.upsert(listed(&format!("r{i:04}"), false, 1));
+    }
+    let mut used = std::collections::HashSet::new();
+    for i in 0..requests {
+        let now = NOW + Duration::from_millis(100 * i as u64);
+        let target = fleet.choose(&request(true), now).unwrap();
+        fleet.start_attempt(&target.id, now);
+        // Answers take 15 to 35 ms.
+        let duration = Duration::from_millis(15 + (i as u64 * 7) % 20);
+        let answered = ReplicaOutcome::Answered { duration, cost: 1 };
+        fleet.end_attempt(&target.id, None, answered, now + duration);
+        used.insert(target.id);
+    }
+    used.len()
+}
+
+/// Guards against a new connection for each request: with thousands of replicas in turn, none was
+/// used twice while its connection was open.
+#[test]
+fn requests_of_a_node_go_to_few_of_many_replicas() {
+    for count in [100, 4_000] {
+        let used = replicas_used(count, "n1", 400);
+        assert!(used <= 4, "{used} replicas of {count} used for requests one at a time");
+    }
+}
+
+/// Nodes prefer different replicas, so that none gets the requests of all nodes.
+#[test]
+fn nodes_prefer_different_replicas() {
+    let first = |node: &str| {
+        let mut fleet = Fleet::for_node("z".into(), node.into());
+        for i in 0..1_000 {
+            fleet.upsert(listed(&format!("r{i:04}"), false, 1));
+        }
+        fleet.choose(&request(true), NOW).unwrap().id
+    };
+    let mut counts: HashMap<Name, u32> = HashMap::new();
+    (0..300).for_each(|i| *counts.entry(first(&format!("n{i}"))).or_default() += 1);
+    assert!(counts.values().all(|count| *count <= 5), "{counts:?}");
+}
