A model gets the replicas that its steps can use, not a share of all

What callers would see: with 5,999 replicas and six models each announced version was to be loaded by a thousand replicas for a step of 128 to 184 samples, by one node at about four calls a load, while a version comes every four seconds. Each load changes the replica's entry, which every node has to hear.

Cause: replicas were dealt to the models until none was left, and a plan went through all replicas for each model and each assigned replica: it grew with the square of the fleet and ran again at each load's end.

Change: a model gets slots for twice the samples of its latest step, 8 replicas at least; the others stand by and are assigned when replicas go. A plan looks only at as many of the newest replicas of each model as can be assigned, and plans are 20 ms apart. Where the work is near all the places there are, shares are as before.

Tests: loads and visited replicas of a version are equal with 600 and 6,000 replicas and lie between two and three slots a sample; lost replicas are replaced. Against the former code the new ones were not run: it has no counter and no samples in the demand.

--- a/src/decide/fleet/fleet.rs
+++ b/src/decide/fleet/fleet.rs
@@ -175,11 +175,23 @@
         self.replicas.get(id).is_some_and(|r| !r.listed.draining)
     }
 
-    /// Returns the replicas that serve a model and are not draining, with the version that each
-    /// was last seen at.
-    pub fn serving(&self, model: &str) -> Vec<(Target, u64)> {
-        let serving = self.replicas.at_version(model, 0, "");
-        serving.filter_map(|r| Some((r.listed.target.clone(), *r.versions.get(model)?))).collect()
+    /// Returns up to `limit` replicas that serve a model and are not draining, with the version
+    /// that each was last seen at: the newest version first, then in the order of the ids.
+    pub fn newest(&self, model: &str, limit: usize) -> Vec<(Name, u64)> {
+        let serving = self.replicas.at_version(model, 0, "").take(limit);
+        serving
+            .filter_map(|r| Some((r.listed.target.id.clone(), *r.versions.get(model)?)))
+            .collect()
+    }
+
+    /// Returns the number of slots of a replica that serves a model; none if there is none.
+    pub fn slots_of_model(&self, model: &str) -> Option<u32> {
+        self.replicas.at_version(model, 0, "").next().map(|r| r.listed.slots)
+    }
+
+    /// Returns the number of replicas that have the weights of a model and are not draining.
+    pub fn serving_count(&self) -> usize {
+        self.replicas.serving_count()
     }
 
     /// Returns the number of replicas of a service that are not draining, by availability zone:
--- a/src/decide/job/job.rs
+++ b/src/decide/job/job.rs
@@ -10,6 +10,7 @@
 
 use super::{ItemSpec, Score};
 use crate::Name;
+use crate::decide::StepDemand;
 
 /// Bytes that a result takes up in addition to its parts.
 const RESULT_OVERHEAD_BYTES: usize = 64;
@@ -74,6 +75,11 @@
         sum + mean * (self.items.len() - known.len()) as u64
     }
 
+    /// Returns its demand as a step of its model.
+    pub fn step_demand(&self) -> StepDemand {
+        StepDemand { work: self.estimated_work(), samples: self.items.len() as u64 }
+    }
+
     /// Returns its approximate size in bytes.
     pub fn approx_bytes(&self) -> usize {
         self.items.iter().map(|item| item.body.len() + 2 * RESULT_OVERHEAD_BYTES).sum()
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -52,7 +52,7 @@
 pub use client_nodes::{CandidateNode, MAX_CLIENT_NODES, nodes_for_client};
 pub use concurrency::ConcurrencyLimit;
 pub use deadlines::Deadlines;
-pub use demand::Demand;
+pub use demand::{Demand, StepDemand};
 pub use departures::{Departure, Departures};
 pub use dispatch::{
     AttemptReport, CallerWeights, Dispatch, DispatchAction, LoadReport, ServiceLimits, Ticket,
--- a/src/decide/weight_loads.rs
+++ b/src/decide/weight_loads.rs
@@ -4,10 +4,15 @@
 //! replicas that have it, or the one before. A load takes about a second, slows others down
 //! when many run, and empties the replica's cache. Moving every replica to every
 //! version of every model would cost several times the loads that one model's share needs.
+//! Where there are thousands of replicas, a step runs on a few dozen of them, and a share of all
+//! of them would be a thousand loads for each version. So a model gets no more replicas than its
+//! steps can use, and a plan looks at no others.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 
+use super::Fleet;
 use crate::Name;
+use crate::decide::StepDemand;
 
 /// One in this many replicas may load at the same time, see [`MIN_CONCURRENT_LOADS`]. The
 /// deployments specify full speed while up to 2 of 9, or 7 of 36, replicas load.
@@ -18,19 +23,14 @@
 /// its version is announced, and a replica that loads begins no sample for 0.9 s. With nine
 /// replicas all are done after three loads, 2.7 s, before the following version is announced.
 const MODEL_REPLICAS_PER_LOAD: usize = 3;
-
-/// The weights that a replica has.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ReplicaWeights {
-    /// The replica's id.
-    pub id: Name,
-    /// Version by model.
-    pub versions: BTreeMap<Name, u64>,
-    /// The model that it is loading.
-    pub loading: Option<Name>,
-    /// How its last load ended.
-    pub last_load: LastLoad,
-}
+/// A model has slots for this many times the samples of a step: all of them begin at once, while a
+/// third of its replicas load and an availability zone may be lost.
+const SLOTS_PER_SAMPLE: u64 = 2;
+/// The fewest replicas that a model has slots at, however small its steps are, so that the loss of
+/// a replica costs little.
+const MIN_MODEL_REPLICAS: usize = 8;
+/// The samples of a step while no step is known, as after a change of the leader.
+const UNKNOWN_STEP_SAMPLES: u64 = 256;
 
 /// How the last load of a replica ended.
 ///
@@ -58,95 +58,160 @@
     pub version: u64,
 }
 
+/// What a model gets of the replicas.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ModelShare {
+    /// Its part in proportion to the other models, by the work of a step.
+    pub weight: u64,
+    /// The slots that its steps can use.
+    pub slots: u64,
+}
+
+/// The models and the state of their loads, from which a plan follows.
+#[derive(Debug)]
+pub struct LoadState<'a> {
+    /// The newest announced version of each model.
+    pub announced: &'a BTreeMap<Name, u64>,
+    /// The demand of one step of each model.
+    pub demand: &'a BTreeMap<Name, StepDemand>,
+    /// The model that a replica is loading, by the replica's id.
+    pub loading: &'a BTreeMap<Name, Name>,
+    /// The replicas whose last load failed, by id.
+    pub failed: &'a BTreeMap<Name, LastLoad>,
+}
+
+/// The replicas of a model: the id of each, and the version that it has.
+type Assigned = Vec<(Name, u64)>;
+
 /// Returns how many of this number of replicas may load at the same time.
 pub fn max_concurrent_loads(replicas: usize) -> usize {
     ((replicas as f64 / REPLICAS_PER_LOAD).round() as usize).max(MIN_CONCURRENT_LOADS)
 }
 
-/// Returns the models that share the replicas, each with its weight: those with an announced
-/// version and those that have work. A model without known steps gets the mean weight.
+/// Returns the models that share the replicas, each with its share: those with an announced
+/// version and those that have work. A model without known steps gets the mean of the others.
 ///
 /// If replicas were assigned only among the models announced so far, all of them would load the
 /// first announced model, and the next model would wait for these loads: ten seconds with ten
 /// replicas and six models.
-pub fn model_weights(
+pub fn model_shares(
     announced: &BTreeMap<Name, u64>,
-    demand: &BTreeMap<Name, u64>,
-) -> BTreeMap<Name, u64> {
+    demand: &BTreeMap<Name, StepDemand>,
+) -> BTreeMap<Name, ModelShare> {
     let count = demand.len().max(1) as u64;
-    let mean = (demand.values().sum::<u64>() / count).max(1);
-    let weight = |model: &Name| demand.get(model).copied().unwrap_or(mean).max(1);
-    announced.keys().chain(demand.keys()).map(|model| (model.clone(), weight(model))).collect()
+    let mean = if demand.is_empty() {
+        StepDemand { work: 1, samples: UNKNOWN_STEP_SAMPLES }
+    } else {
+        StepDemand {
+            work: demand.values().map(|step| step.work).sum::<u64>() / count,
+            samples: demand.values().map(|step| step.samples).sum::<u64>() / count,
+        }
+    };
+    let share = |model: &Name| {
+        let step = demand.get(model).unwrap_or(&mean);
+        ModelShare {
+            weight: step.work.max(1),
+            slots: step.samples.saturating_mul(SLOTS_PER_SAMPLE),
+        }
+    };
+    announced.keys().chain(demand.keys()).map(|model| (model.clone(), share(model))).collect()
+}
+
+/// A model while replicas are assigned to it.
+struct Candidate<'a> {
+    model: &'a Name,
+    weight: u64,
+    /// The most replicas that it gets.
+    limit: usize,
+    /// The replicas that may be assigned to it, the next one last.
+    left: Vec<(Name, u64)>,
+    assigned: Assigned,
 }
 
-/// Assigns the replicas to the models in proportion to the models' weights. The next replica
-/// goes to the model with the most work per assigned replica, which takes the replica that has
-/// its newest version. So an assignment changes only when replicas come or go, or the work
-/// changes.
+/// Assigns replicas to the models in proportion to the models' weights, to each at most as many as
+/// it can use. The next replica goes to the model with the most work per assigned replica, which
+/// takes the replica that has its newest version. So an assignment changes only when replicas come
+/// or go, or the work changes.
 pub fn assign_replicas(
-    weights: &BTreeMap<Name, u64>,
-    replicas: &[ReplicaWeights],
-) -> BTreeMap<Name, Vec<Name>> {
-    let mut assigned: BTreeMap<Name, Vec<Name>> = BTreeMap::new();
-    let mut left: Vec<&ReplicaWeights> = replicas.iter().collect();
-    left.sort_by(|a, b| a.id.cmp(&b.id));
-    let mut models: Vec<(&Name, u64)> = weights.iter().map(|(m, weight)| (m, *weight)).collect();
-    while !left.is_empty() && !models.is_empty() {
-        let Some(index) = most_underserved(&models, &assigned) else { break };
-        let (model, _) = models[index];
-        let candidates = left.iter().enumerate();
-        let best = candidates
-            .filter_map(|(i, r)| Some((i, *r.versions.get(model)?)))
-            .max_by(|a, b| a.1.cmp(&b.1).then(b.0.cmp(&a.0)));
-        match best {
-            Some((i, _)) => {
-                assigned.entry(model.clone()).or_default().push(left.remove(i).id.clone());
+    shares: &BTreeMap<Name, ModelShare>,
+    fleet: &Fleet,
+) -> BTreeMap<Name, Assigned> {
+    let limits: Vec<usize> =
+        shares.iter().map(|(model, share)| max_replicas(model, share, fleet)).collect();
+    // Each model may lose candidates to all others.
+    let searched = limits.iter().sum();
+    let mut open: Vec<Candidate<'_>> = shares
+        .iter()
+        .zip(limits)
+        .map(|((model, share), limit)| {
+            let mut left = fleet.newest(model, searched);
+            left.reverse();
+            Candidate { model, weight: share.weight, limit, left, assigned: Vec::new() }
+        })
+        .collect();
+    let mut taken: HashSet<Name> = HashSet::new();
+    let mut assigned = BTreeMap::new();
+    while let Some(index) = most_underserved(&open) {
+        let candidate = &mut open[index];
+        let next = loop {
+            match candidate.left.pop() {
+                Some((id, _)) if taken.contains(&id) => {}
+                other => break other,
+            }
+        };
+        let full = candidate.assigned.len() >= candidate.limit;
+        match next.filter(|_| !full) {
+            Some((id, version)) => {
+                taken.insert(id.clone());
+                candidate.assigned.push((id, version));
+            }
+            None => {
+                let done = open.remove(index);
+                if !done.assigned.is_empty() {
+                    assigned.insert(done.model.clone(), done.assigned);
+                }
             }
-            None => drop(models.remove(index)),
         }
     }
     assigned
 }
 
+/// Returns how many replicas a model can use.
+fn max_replicas(model: &Name, share: &ModelShare, fleet: &Fleet) -> usize {
+    let slots = u64::from(fleet.slots_of_model(model).unwrap_or(1));
+    (share.slots.div_ceil(slots) as usize).max(MIN_MODEL_REPLICAS).min(fleet.serving_count())
+}
+
 /// Returns the index of the model with the most work per assigned replica; a model without
 /// replicas goes first.
-fn most_underserved(
-    models: &[(&Name, u64)],
-    assigned: &BTreeMap<Name, Vec<Name>>,
-) -> Option<usize> {
-    let count = |model: &Name| assigned.get(model).map_or(0, Vec::len) as u64;
-    let order = |(i, a): &(usize, &(&Name, u64)), (j, b): &(usize, &(&Name, u64))| {
-        let left = a.1.saturating_mul(count(b.0));
-        let right = b.1.saturating_mul(count(a.0));
-        left.cmp(&right).then(a.1.cmp(&b.1)).then(j.cmp(i))
+fn most_underserved(models: &[Candidate<'_>]) -> Option<usize> {
+    let count = |candidate: &Candidate<'_>| candidate.assigned.len() as u64;
+    let order = |(i, a): &(usize, &Candidate<'_>), (j, b): &(usize, &Candidate<'_>)| {
+        let left = a.weight.saturating_mul(count(b));
+        let right = b.weight.saturating_mul(count(a));
+        left.cmp(&right).then(a.weight.cmp(&b.weight)).then(j.cmp(i))
     };
     models.iter().enumerate().max_by(order).map(|(index, _)| index)
 }
 
-/// Returns the loads to order now. `announced` is the newest version of each model, `demand`
-/// the work of one of its steps.
-pub fn next_loads(
-    announced: &BTreeMap<Name, u64>,
-    demand: &BTreeMap<Name, u64>,
-    replicas: &[ReplicaWeights],
-) -> Vec<WeightLoad> {
-    let loading = replicas.iter().filter_map(|r| r.loading.clone());
+/// Returns the loads to order now.
+pub fn next_loads(state: &LoadState<'_>, fleet: &Fleet) -> Vec<WeightLoad> {
+    let loading = state.loading.iter().filter(|(id, _)| fleet.accepts_work(id));
     let mut running: BTreeMap<Name, usize> = BTreeMap::new();
-    loading.for_each(|model| *running.entry(model).or_default() += 1);
-    let mut room = max_concurrent_loads(replicas.len()).saturating_sub(running.values().sum());
-    let assigned = assign_replicas(&model_weights(announced, demand), replicas);
+    loading.for_each(|(_, model)| *running.entry(model.clone()).or_default() += 1);
+    let mut room =
+        max_concurrent_loads(fleet.serving_count()).saturating_sub(running.values().sum());
+    let assigned = assign_replicas(&model_shares(state.announced, state.demand), fleet);
     let mut behind: Vec<(LastLoad, u64, WeightLoad)> = Vec::new();
-    for (model, ids) in &assigned {
-        let Some(version) = announced.get(model).copied() else { continue };
-        let open = |r: &&ReplicaWeights| {
-            r.loading.is_none() && r.last_load != LastLoad::JustFailed && ids.contains(&r.id)
-        };
-        for replica in replicas.iter().filter(open) {
-            let has = replica.versions.get(model).copied().unwrap_or(version);
-            if has < version {
-                let load = WeightLoad { id: replica.id.clone(), model: model.clone(), version };
-                behind.push((replica.last_load, has, load));
+    for (model, replicas) in &assigned {
+        let Some(version) = state.announced.get(model).copied() else { continue };
+        for (id, has) in replicas.iter().filter(|(_, has)| *has < version) {
+            let last_load = state.failed.get(id).copied().unwrap_or_default();
+            if state.loading.contains_key(id) || last_load == LastLoad::JustFailed {
+                continue;
             }
+            let load = WeightLoad { id: id.clone(), model: model.clone(), version };
+            behind.push((last_load, *has, load));
         }
     }
     behind.sort_by(|(a_end, a_has, a), (b_end, b_has, b)| {
--- a/src/entry/leader.rs
+++ b/src/entry/leader.rs
@@ -4,11 +4,13 @@
 //! revision that wrote the record is the fencing token of its orders. A leader that cannot be
 //! sure of its lease gives no order.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
+use std::ops::ControlFlow;
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::task::JoinSet;
+use tokio::task::{JoinError, JoinSet};
+use tokio::time::Instant;
 
 use super::app::App;
 use super::follow::{Topic, follow};
@@ -16,7 +18,7 @@
 use super::scale::run_autoscaling;
 use super::usage::report_usage;
 use crate::decide::rendezvous_rank;
-use crate::decide::weight_loads::{self, LastLoad, ReplicaWeights, WeightLoad};
+use crate::decide::weight_loads::{self, LastLoad, LoadState, WeightLoad};
 use crate::edge::replica::{OrderOutcome, Target, WeightOrder};
 use crate::edge::store::{Txn, TxnOutcome};
 use crate::{Moment, Name};
@@ -32,6 +34,8 @@
 const MIN_LOAD_TIME: Duration = Duration::from_millis(850);
 /// The delay between two status requests during a load.
 const LOAD_POLL_INTERVAL: Duration = Duration::from_millis(120);
+/// Shortest time between two plans: in a large fleet loads end many times a second.
+const PLAN_INTERVAL: Duration = Duration::from_millis(20);
 /// How long a replica gets no order after a failed load.
 const FAILED_LOAD_DELAY: Duration = Duration::from_millis(500);
 /// Consecutive failed status requests until a load counts as failed: a response may be lost, but a
@@ -128,6 +132,7 @@
         if !app.holds_term(fence) {
             return;
         }
+        let planned = Instant::now();
         for load in plan_loads(app, &busy, &mut failed) {
             let Some(target) = target(app, &load.id) else { continue };
             busy.insert(load.id.clone(), load.model.clone());
@@ -136,25 +141,47 @@
         }
         tokio::select! {
             _ = view_changes.changed() => {}
-            Some(ended) = running.join_next() => match ended {
-                Ok((id, LoadOutcome::Done)) => {
-                    busy.remove(&id);
-                    failed.remove(&id);
-                }
-                Ok((id, LoadOutcome::Failed)) => {
-                    busy.remove(&id);
-                    tracing::info!(event = "load_not_done", replica = %id, fence);
-                    failed.insert(id, app.now());
-                }
-                Ok((_, LoadOutcome::Fenced)) => return,
-                Err(e) => {
-                    tracing::error!(event = "weight_load_failed", error = %e);
+            Some(ended) = running.join_next() => {
+                if handle_end(app, ended, fence, &mut busy, &mut failed).is_break() {
                     return;
                 }
-            },
+            }
             () = tokio::time::sleep(CHECK_INTERVAL), if !busy.is_empty() || !failed.is_empty() => {}
         }
+        tokio::time::sleep_until(planned + PLAN_INTERVAL).await;
+        while let Some(ended) = running.try_join_next() {
+            if handle_end(app, ended, fence, &mut busy, &mut failed).is_break() {
+                return;
+            }
+        }
+    }
+}
+
+/// Records the end of a load. Breaks if the term is over.
+fn handle_end(
+    app: &App,
+    ended: Result<(Name, LoadOutcome), JoinError>,
+    fence: u64,
+    busy: &mut BTreeMap<Name, Name>,
+    failed: &mut BTreeMap<Name, Moment>,
+) -> ControlFlow<()> {
+    match ended {
+        Ok((id, LoadOutcome::Done)) => {
+            busy.remove(&id);
+            failed.remove(&id);
+        }
+        Ok((id, LoadOutcome::Failed)) => {
+            busy.remove(&id);
+            tracing::info!(event = "load_not_done", replica = %id, fence);
+            failed.insert(id, app.now());
+        }
+        Ok((_, LoadOutcome::Fenced)) => return ControlFlow::Break(()),
+        Err(e) => {
+            tracing::error!(event = "weight_load_failed", error = %e);
+            return ControlFlow::Break(());
+        }
     }
+    ControlFlow::Continue(())
 }
 
 /// The loads to order now, given the replicas with a load under way and the models they load, and
@@ -165,36 +192,19 @@
     busy: &BTreeMap<Name, Name>,
     failed: &mut BTreeMap<Name, Moment>,
 ) -> Vec<WeightLoad> {
-    let named = app.versions.lock().clone();
-    let demand = app.demand.lock().by_model(app.now());
-    let models: BTreeSet<&Name> = named.keys().chain(demand.keys()).collect();
-    let mut replicas: Vec<ReplicaWeights> = Vec::new();
+    let announced = app.versions.lock().clone();
+    let now = app.now();
+    let demand = app.demand.lock().by_model(now);
     let fleet = app.slots.fleet.lock();
     failed.retain(|id, _| fleet.get(id).is_some());
-    for model in models {
-        for (target, version) in fleet.serving(model) {
-            let found = replicas.iter().position(|s| s.id == target.id);
-            let index = found.unwrap_or_else(|| {
-                let loading = busy.get(&target.id).cloned();
-                let last_load = match failed.get(&target.id) {
-                    None => LastLoad::Done,
-                    Some(at) if app.now().saturating_sub(*at) < FAILED_LOAD_DELAY => {
-                        LastLoad::JustFailed
-                    }
-                    Some(_) => LastLoad::Failed,
-                };
-                replicas.push(ReplicaWeights {
-                    id: target.id,
-                    versions: Default::default(),
-                    loading,
-                    last_load,
-                });
-                replicas.len() - 1
-            });
-            replicas[index].versions.insert(model.clone(), version);
-        }
-    }
-    weight_loads::next_loads(&named, &demand, &replicas)
+    let last_load = |at: &Moment| match now.saturating_sub(*at) < FAILED_LOAD_DELAY {
+        true => LastLoad::JustFailed,
+        false => LastLoad::Failed,
+    };
+    let failed = failed.iter().map(|(id, at)| (id.clone(), last_load(at))).collect();
+    let state =
+        LoadState { announced: &announced, demand: &demand, loading: busy, failed: &failed };
+    weight_loads::next_loads(&state, &fleet)
 }
 
 fn target(app: &App, id: &str) -> Option<Target> {
--- a/src/entry/peer/messages.rs
+++ b/src/entry/peer/messages.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Name;
+use crate::decide::StepDemand;
 use crate::decide::job::JobSpec;
 use crate::decide::usage::WindowNote;
 use crate::edge::peer::PeerMessage;
@@ -125,8 +126,8 @@
     Followed(Option<FeedUpdate>),
     /// The demand on the node.
     Demand {
-        /// The work of one step, by model.
-        steps: Vec<(Name, u64)>,
+        /// The demand of one step, by model.
+        steps: Vec<(Name, StepDemand)>,
         /// The incarnation of the node that replies.
         life: Name,
         /// How long its samples have waited for slots or held them, by service, in
--- a/src/entry/peer/requests.rs
+++ b/src/entry/peer/requests.rs
@@ -189,7 +189,7 @@
                 let Ok(PeerReply::Demand { steps, life: incarnation, wanted }) = reply else {
                     continue;
                 };
-                steps.iter().for_each(|(model, work)| demand.record(model, *work, now));
+                steps.iter().for_each(|(model, step)| demand.record(model, *step, now));
                 record_load(&incarnation, wanted);
             }
         }
--- a/src/entry/runner.rs
+++ b/src/entry/runner.rs
@@ -78,7 +78,7 @@
         let Some(owned) = self.owned_jobs.insert(&id, owned) else { return };
         let spec = owned.job.lock().spec.clone();
         if let Some(model) = &spec.model {
-            self.demand.lock().record(model, spec.estimated_work(), self.now());
+            self.demand.lock().record(model, spec.step_demand(), self.now());
         }
         let unfinished = owned.texts.lock().len();
         tracing::info!(event = "job_started", job = %id, listed = count, todo = todo.len(), unfinished);
--- a/tests/weight_loads.rs
+++ b/tests/weight_loads.rs
@@ -3,15 +3,74 @@
 #![allow(clippy::unwrap_used)]
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use mulberrycourse::Name;
-use mulberrycourse::decide::Demand;
 use mulberrycourse::decide::weight_loads::{
-    LastLoad, ReplicaWeights, assign_replicas, max_concurrent_loads, model_weights, next_loads,
+    self, LastLoad, LoadState, ModelShare, WeightLoad, max_concurrent_loads, model_shares,
 };
+use mulberrycourse::decide::{Demand, Fleet, ListedReplica, StepDemand};
+use mulberrycourse::edge::replica::Target;
 use proptest::prelude::*;
 
+/// Slots of each replica.
+const SLOTS: u32 = 6;
+/// Samples of a step that could use any number of replicas in these tests.
+const MANY_SAMPLES: u64 = 10_000;
+
+/// A replica and the state of its loads.
+struct ReplicaWeights {
+    id: Name,
+    versions: BTreeMap<Name, u64>,
+    loading: Option<Name>,
+    last_load: LastLoad,
+}
+
+/// Returns the fleet of these replicas.
+fn fleet(replicas: &[ReplicaWeights]) -> Fleet {
+    let mut fleet = Fleet::new("z".into());
+    for replica in replicas {
+        let address = SocketAddr::from(([10, 0, 0, 1], 1));
+        fleet.upsert(ListedReplica {
+            target: Target { id: replica.id.clone(), started_ms: None, address },
+            service: "engines".into(),
+            zone: "z".into(),
+            slots: SLOTS,
+            draining: false,
+            spot: false,
+            versions: replica.versions.clone().into_iter().collect(),
+        });
+    }
+    fleet
+}
+
+/// Returns a step of this work that could use any number of replicas.
+fn step(work: u64) -> StepDemand {
+    StepDemand { work, samples: MANY_SAMPLES }
+}
+
+fn assign_replicas(
+    shares: &BTreeMap<Name, ModelShare>,
+    replicas: &[ReplicaWeights],
+) -> BTreeMap<Name, Vec<Name>> {
+    let assigned = weight_loads::assign_replicas(shares, &fleet(replicas));
+    let ids = |replicas: Vec<(Name, u64)>| replicas.into_iter().map(|(id, _)| id).collect();
+    assigned.into_iter().map(|(model, replicas)| (model, ids(replicas))).collect()
+}
+
+fn next_loads(
+    announced: &BTreeMap<Name, u64>,
+    demand: &BTreeMap<Name, StepDemand>,
+    replicas: &[ReplicaWeights],
+) -> Vec<WeightLoad> {
+    let loading = replicas.iter().filter_map(|r| Some((r.id.clone(), r.loading.clone()?)));
+    let failed = replicas.iter().map(|r| (r.id.clone(), r.last_load));
+    let (loading, failed) = (loading.collect(), failed.collect());
+    let state = LoadState { announced, demand, loading: &loading, failed: &failed };
+    weight_loads::next_loads(&state, &fleet(replicas))
+}
+
 fn replicas_with(count: usize, models: &[&str]) -> Vec<ReplicaWeights> {
     let versions: BTreeMap<Name, u64> = models.iter().map(|m| (Name::from(*m), 1)).collect();
     (0..count)
@@ -28,13 +87,13 @@
     models.iter().map(|m| (Name::from(*m), version)).collect()
 }
 
-/// Returns the weights of models whose steps bring equal work.
-fn equal_weights(models: &[&str]) -> BTreeMap<Name, u64> {
-    model_weights(&announced(models, 1), &BTreeMap::new())
+/// Returns the shares of models whose steps bring equal work.
+fn equal_weights(models: &[&str]) -> BTreeMap<Name, ModelShare> {
+    model_shares(&announced(models, 1), &BTreeMap::new())
 }
 
 /// Returns the number of replicas that each model has.
-fn counts(shares: &BTreeMap<Name, u64>, replicas: &[ReplicaWeights]) -> Vec<usize> {
+fn counts(shares: &BTreeMap<Name, ModelShare>, replicas: &[ReplicaWeights]) -> Vec<usize> {
     assign_replicas(shares, replicas).values().map(Vec::len).collect()
 }
 
@@ -44,8 +103,8 @@
     let models = ["a", "b", "c", "d", "e", "f"];
     let replicas = replicas_with(10, &models);
     let work = [20, 32, 67, 32, 67, 67];
-    let demand = models.iter().map(|m| Name::from(*m)).zip(work).collect();
-    let shares = model_weights(&announced(&models, 2), &demand);
+    let demand = models.iter().map(|m| Name::from(*m)).zip(work.map(step)).collect();
+    let shares = model_shares(&announced(&models, 2), &demand);
     let worst = |shares| {
         let counts = counts(shares, &replicas);
         work.iter().zip(counts).map(|(work, count)| work / count as u64).max().unwrap()
@@ -63,7 +122,7 @@
 #[test]
 fn the_first_announced_model_loads_only_its_share() {
     let models = ["a", "b", "c", "d", "e"];
-    let demand: BTreeMap<Name, u64> = models.iter().map(|m| (Name::from(*m), 10)).collect();
+    let demand = models.iter().map(|m| (Name::from(*m), step(10))).collect();
     let mut replicas = replicas_with(10, &models);
     let mut loads = 0;
     loop {
@@ -87,11 +146,11 @@
     let model = Name::from("a");
     let mut demand = Demand::default();
     for (i, work) in [100, 120, 81, 110, 90].into_iter().enumerate() {
-        demand.record(&model, work, Duration::from_secs(i as u64));
-        assert_eq!(demand.by_model(Duration::from_secs(i as u64))[&model], 100);
+        demand.record(&model, step(work), Duration::from_secs(i as u64));
+        assert_eq!(demand.by_model(Duration::from_secs(i as u64))[&model], step(100));
     }
-    demand.record(&model, 200, Duration::from_secs(5));
-    assert_eq!(demand.by_model(Duration::from_secs(5))[&model], 200);
+    demand.record(&model, step(200), Duration::from_secs(5));
+    assert_eq!(demand.by_model(Duration::from_secs(5))[&model], step(200));
     assert!(demand.by_model(Duration::from_secs(70)).is_empty(), "the trainer has stopped");
 }
 
@@ -210,7 +269,66 @@
 fn a_step_that_is_recorded_twice_counts_once() {
     let mut demand = Demand::default();
     let model = Name::from("a");
-    demand.record(&model, 10, Duration::from_secs(1));
-    demand.record(&model, 10, Duration::from_secs(2));
-    assert_eq!(demand.by_model(Duration::from_secs(3))[&model], 10);
+    demand.record(&model, step(10), Duration::from_secs(1));
+    demand.record(&model, step(10), Duration::from_secs(2));
+    assert_eq!(demand.by_model(Duration::from_secs(3))[&model], step(10));
+}
+
+/// Six trainers whose steps have 128 to 184 samples.
+fn six_steps() -> BTreeMap<Name, StepDemand> {
+    let samples = [128, 176, 184, 160, 160, 160];
+    let models = ["a", "b", "c", "d", "e", "f"].map(Name::from);
+    models.into_iter().zip(samples.map(|n| StepDemand { work: 100 * n, samples: n })).collect()
+}
+
+/// Carries out all loads of version 2 of six models on this many replicas. Returns their number and
+/// the number of replicas that a plan looks at.
+fn loads_of_six_models(count: usize) -> (usize, u64) {
+    let demand = six_steps();
+    let models: Vec<&str> = demand.keys().map(|model| &**model).collect();
+    let announced = announced(&models, 2);
+    let mut fleet = fleet(&replicas_with(count, &models));
+    let (nothing, none) = (BTreeMap::new(), BTreeMap::new());
+    let state =
+        LoadState { announced: &announced, demand: &demand, loading: &nothing, failed: &none };
+    let mut loads = 0;
+    loop {
+        let before = fleet.visited_replicas();
+        let ordered = weight_loads::next_loads(&state, &fleet);
+        if ordered.is_empty() {
+            return (loads, fleet.visited_replicas() - before);
+        }
+        for load in ordered {
+            let target = fleet.get(&load.id).unwrap().target.clone();
+            fleet.raise_version(&target, &load.model, load.version);
+            loads += 1;
+        }
+    }
+}
+
+/// Guards against loading each version on a share of the whole fleet, a thousand replicas for a step
+/// of 184 samples, and against plans that look at all replicas.
+#[test]
+fn loads_and_plans_depend_on_the_steps_and_not_on_the_number_of_replicas() {
+    let (loads, visited) = loads_of_six_models(600);
+    let samples: u64 = six_steps().values().map(|step| step.samples).sum();
+    assert!(loads as u64 * u64::from(SLOTS) >= 2 * samples, "{loads} loads leave samples waiting");
+    assert!(loads as u64 * u64::from(SLOTS) <= 3 * samples, "{loads} loads");
+    assert_eq!(loads_of_six_models(6_000), (loads, visited));
+}
+
+/// Load pattern: a zone is lost, and with it a fifth of a model's replicas. Others take their place.
+#[test]
+fn replicas_that_are_lost_are_replaced_by_idle_ones() {
+    let demand = six_steps();
+    let models: Vec<&str> = demand.keys().map(|model| &**model).collect();
+    let shares = model_shares(&announced(&models, 2), &demand);
+    let mut fleet = fleet(&replicas_with(1_000, &models));
+    let before = weight_loads::assign_replicas(&shares, &fleet);
+    for (id, _) in before["a"].iter().step_by(5) {
+        fleet.remove(id);
+    }
+    let after = weight_loads::assign_replicas(&shares, &fleet);
+    assert_eq!(after["a"].len(), before["a"].len());
+    assert!(after["a"].iter().all(|(id, _)| fleet.accepts_work(id)));
 }
