A list that is replaced is compared once, and node changes are ranked once a batch

Each change of a node ranked all others again: the start of a thousand nodes was a thousand rankings of a thousand at each of them.

The part that removes what is missing is a function of its own.

That a batch ranks once has no test of its own.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -24,6 +24,7 @@
 pub mod job;
 mod label;
 mod latency;
+mod listing;
 pub mod members;
 mod organisations;
 mod outcome;
@@ -68,6 +69,7 @@
 pub use indexed_set::IndexedSet;
 pub use label::{Label, Span, Unlabelled};
 pub use latency::{LatencyEstimate, seconds_per_cost};
+pub use listing::unlisted;
 pub use organisations::{
     Caller, KeyDigest, Organisation, OrganisationFault, Organisations, public_job,
 };
--- a/src/entry/follow/apply.rs
+++ b/src/entry/follow/apply.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use super::topic::Topic;
-use crate::decide::rendezvous_rank;
+use crate::Name;
+use crate::decide::{rendezvous_rank, unlisted};
 use crate::edge::schema::Directive;
 use crate::edge::store::{Change, KeyValue, RangeResult, WatchBatch};
 use crate::entry::app::App;
@@ -13,6 +14,8 @@
 /// How long a replica that vanished from the list during an outage of the store is still kept:
 /// entries that expired in the outage are written again within two seconds of its end.
 const REPLICA_RETURN_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Up to how many replicas of a snapshot are logged one by one.
+const MAX_LOGGED_REPLICAS: usize = 100;
 
 impl App {
     /// Replaces the state of a topic by everything that the store has under its prefix.
@@ -36,8 +39,11 @@
         if watched.changes.is_empty() {
             return;
         }
-        for change in &watched.changes {
-            self.apply_change(topic, change);
+        match topic {
+            Topic::Nodes => self.apply_node_changes(watched),
+            Topic::Replicas | Topic::Routes | Topic::Versions | Topic::Retirements => {
+                watched.changes.iter().for_each(|change| self.apply_change(topic, change));
+            }
         }
         self.slots.assign_free(self.now());
         self.notify_view_change();
@@ -46,20 +52,27 @@
     /// Applies one change of a topic.
     fn apply_change(&self, topic: Topic, change: &Change) {
         match (topic, change) {
-            (Topic::Replicas, Change::Put(item)) => self.upsert_replica(item),
+            (Topic::Replicas, Change::Put(item)) => drop(self.upsert_replica(item, true)),
             (Topic::Replicas, Change::Removed { key, .. }) => {
                 self.remove_replica(&self.schema.replica_id(key));
             }
-            (Topic::Nodes, change) => {
-                self.membership.lock().apply_change(change, self.store_time());
-                self.update_peers();
-            }
             (_, Change::Put(item)) => self.apply_directive(item),
             // Only newer values ever replace a configuration or a version.
             (_, Change::Removed { .. }) => {}
         }
     }
 
+    /// Applies changes of nodes. The other nodes are ranked once for all of them: hundreds come and
+    /// go together when a fleet starts or the leases of all end.
+    fn apply_node_changes(&self, watched: &WatchBatch) {
+        let now = self.store_time();
+        {
+            let mut membership = self.membership.lock();
+            watched.changes.iter().for_each(|change| membership.apply_change(change, now));
+        }
+        self.update_peers();
+    }
+
     /// Updates which nodes may be asked for calls to the store, in an order that is particular to
     /// this node.
     fn update_peers(&self) {
@@ -95,19 +108,23 @@
         }
     }
 
-    /// Adds a replica to the list or updates it.
-    fn upsert_replica(&self, item: &KeyValue) {
+    /// Adds a replica to the list or updates it. Returns true if that changes which replicas may
+    /// get work.
+    fn upsert_replica(&self, item: &KeyValue, logged: bool) -> bool {
         match self.schema.parse_replica(&item.key, &item.value) {
             Ok(listed) => {
                 let (id, draining) = (listed.target.id.clone(), listed.draining);
-                if self.slots.fleet.lock().upsert(listed) {
+                let changed = self.slots.fleet.lock().upsert(listed);
+                if changed && logged {
                     tracing::info!(event = "replica_listed", replica = %id, draining);
                 }
+                changed
             }
             Err(reason) => {
                 // An entry that cannot be read names no replica that may be used.
                 tracing::error!(event = "replica_unreadable", key = %item.key, %reason);
                 self.remove_replica(&self.schema.replica_id(&item.key));
+                false
             }
         }
     }
@@ -119,18 +136,23 @@
         }
     }
 
-    /// Replaces the list of replicas. Replicas that are not on the new list are removed; after an
-    /// outage of the store only once [`REPLICA_RETURN_TIMEOUT`] is over, because entries expire
-    /// during the outage as well. Entries that are written again arrive through the feed, so the
-    /// store is not asked for each of them: one call for each missing replica on each of 250
-    /// nodes came to 57,000 calls in two outages.
+    /// Replaces the list of replicas. Replicas that are not on the new list are removed.
     fn replace_replicas(self: &Arc<Self>, page: &RangeResult, prefix: &str) {
-        let mut missing = self.slots.fleet.lock().ids();
-        for item in &page.items {
-            self.upsert_replica(item);
-            let id = self.schema.replica_id(&item.key);
-            missing.retain(|m| *m != id);
+        let logged = page.items.len() <= MAX_LOGGED_REPLICAS;
+        let changed = page.items.iter().filter(|item| self.upsert_replica(item, logged)).count();
+        if !logged {
+            tracing::info!(event = "replicas_listed", count = page.items.len(), changed);
         }
+        let listed = page.items.iter().map(|item| self.schema.replica_id(&item.key)).collect();
+        let known = self.slots.fleet.lock().ids();
+        self.remove_missing(unlisted(known, &listed), prefix);
+    }
+
+    /// Removes replicas that are missing from the list; after an outage of the store only once
+    /// [`REPLICA_RETURN_TIMEOUT`] is over, because entries expire during the outage as well. Entries
+    /// that are written again arrive through the feed, so the store is not asked for each of them:
+    /// one call for each missing replica on each of 250 nodes came to 57,000 calls in two outages.
+    fn remove_missing(self: &Arc<Self>, missing: Vec<Name>, prefix: &str) {
         let since = self.fallback_store.time_since_recovery().unwrap_or(REPLICA_RETURN_TIMEOUT);
         let wait = REPLICA_RETURN_TIMEOUT.saturating_sub(since);
         if wait.is_zero() {
