Nodes are ranked again only when they change

Each batch of changes of replicas, about one a second in a large fleet, made every node copy and rank all nodes to see whether it scans for orphaned jobs, and again to see whether it might lead. Both now depend on an identity of the set of nodes; the rank of a leader is computed only while there is none. Behaviour is the same; no test of its own.

--- a/src/entry/leader.rs
+++ b/src/entry/leader.rs
@@ -89,10 +89,7 @@
     loop {
         let _ = tokio::time::timeout(CHECK_INTERVAL, view_changes.changed()).await;
         let now = app.now();
-        let (leader, serving) = {
-            let live = app.membership.lock();
-            (live.leader().cloned(), live.serving_incarnations())
-        };
+        let leader = app.membership.lock().leader().cloned();
         if let Some(seen) = leader {
             vacant_since = None;
             // The record is from an earlier term of this same process.
@@ -102,6 +99,7 @@
             continue;
         }
         let since = *vacant_since.get_or_insert(now);
+        let serving = app.membership.lock().serving_incarnations();
         let ranked = rendezvous_rank(LEADER_KEY, serving.iter().map(|l| &**l));
         let Some(position) = ranked.iter().position(|l| **l == *app.incarnation) else { continue };
         let lease = app.lease.lock().id;
--- a/src/entry/membership.rs
+++ b/src/entry/membership.rs
@@ -33,12 +33,22 @@
     loaded: bool,
     /// The number of removed node records so far.
     departures: u64,
+    /// The number of changes of node records so far.
+    changes: u64,
+}
+
+/// Identifies the nodes that are registered or count as alive at one time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct NodeSet {
+    changes: u64,
+    retained: usize,
 }
 
 impl Membership {
     /// Replaces the view by a read of the whole prefix.
     pub(super) fn load(&mut self, page: &RangeResult, now: Moment) {
         let before = std::mem::take(&mut self.nodes);
+        self.changes += 1;
         self.leader = None;
         for item in &page.items {
             self.put(item);
@@ -59,6 +69,7 @@
             Change::Removed { key, .. } => match parse_membership_key(key) {
                 Some(MembershipKey::Node(name)) => {
                     if let Some((name, value)) = self.nodes.remove_entry(name) {
+                        self.changes += 1;
                         self.departed.insert(name, (value, now));
                         self.departures += 1;
                     }
@@ -77,6 +88,7 @@
             Some(MembershipKey::Node(name)) => serde_json::from_slice(&item.value).map(|value| {
                 self.departed.remove(name);
                 self.nodes.insert(name.into(), value);
+                self.changes += 1;
             }),
             Some(MembershipKey::Leader) => serde_json::from_slice(&item.value).map(|value| {
                 self.leader = Some(Stored { value, revision: item.revision });
@@ -93,6 +105,17 @@
         self.loaded
     }
 
+    /// Returns the number of registered nodes.
+    pub(super) fn len(&self) -> usize {
+        self.nodes.len()
+    }
+
+    /// Identifies the present set of nodes: as long as it is the same, so are the answers about
+    /// nodes. What follows from a thousand nodes is then not computed again for each question.
+    pub(super) fn node_set(&self, now: Moment) -> NodeSet {
+        NodeSet { changes: self.changes, retained: self.retained(now).len() }
+    }
+
     /// Names and client addresses of nodes that serve clients: the live ones, and those whose
     /// records vanished together in an outage of the store.
     pub(super) fn client_addresses(&self, now: Moment) -> Vec<(Name, SocketAddr)> {
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -42,6 +42,8 @@
 pub(super) async fn run_takeover(app: Arc<App>) {
     let mut view_changes = app.view_changes.subscribe();
     let mut known: BTreeSet<Name> = BTreeSet::new();
+    let mut known_set = None;
+    let mut position = None;
     let mut due: Option<Moment> = None;
     loop {
         let now = app.now();
@@ -54,22 +56,26 @@
             }
         }
         let now = app.now();
-        let position = {
+        {
             let mut membership = app.membership.lock();
             let store_time = app.store_time();
             membership.forget_departed(store_time);
             app.evict_expired(now);
-            let alive: BTreeSet<Name> =
-                membership.live_incarnations(store_time).into_iter().collect();
-            let serving = membership.serving_incarnations();
-            if alive != known {
-                known = alive;
-                due = None;
+            let node_set = membership.node_set(store_time);
+            if known_set != Some(node_set) {
+                known_set = Some(node_set);
+                let alive: BTreeSet<Name> =
+                    membership.live_incarnations(store_time).into_iter().collect();
+                if alive != known {
+                    known = alive;
+                    due = None;
+                }
+                let serving = membership.serving_incarnations();
+                position = rendezvous_rank(JOB_RECORD_PREFIX, serving.iter().map(|l| &**l))
+                    .iter()
+                    .position(|l| **l == *app.incarnation);
             }
-            rendezvous_rank(JOB_RECORD_PREFIX, serving.iter().map(|l| &**l))
-                .iter()
-                .position(|l| **l == *app.incarnation)
-        };
+        }
         let Some(position) = position.filter(|position| *position < MAX_SCANNERS) else {
             due = None;
             continue;
