Long lists reach a large fleet through its watchers, not from the store

Cause: 10,000 entries are some seven megabytes as the store sends them (estimated from an entry's size), and its link carries 125 MB a second. The three seeds cannot send the list to 838 nodes in the second for which these wait, so every node read it from the store, in 20 pages, for nearly a minute of the link; watches were late, watchers were given up, and whoever gave one up read the list again. 74,259 calls. Processors were idle: 0.01 cores in the middle, 0.03 at most.

Ruled out: processor time (above), memory (95 MB at most of 160).

Tests: of a feed by counted packings, changes and a list of 20,000; a model of followers at nodes whose watch is cut; counts of watchers; 300 nodes and 1,500 replicas by store reads and by bytes of the busiest sender. On the former code the last one fails (nodes that have the list are not ready); those of the feed name new functions and were not run against it. Checks of the former tests are unchanged, but for one more kind of update in the model of changes.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -45,6 +45,7 @@
 mod transfer;
 mod upstream_choice;
 pub mod usage;
+mod watchers;
 pub mod weight_loads;
 
 pub use adaptive_timeout::AdaptiveTimeout;
@@ -92,3 +93,4 @@
 pub use subset::subset;
 pub use transfer::Transfer;
 pub use upstream_choice::{OtherLoad, expected_latency, two_random, within_load_bound};
+pub use watchers::watcher_count;
--- a/src/edge/peer/mod.rs
+++ b/src/edge/peer/mod.rs
@@ -7,6 +7,8 @@
 
 pub use crate::decide::members::NodeState;
 pub use client::{PeerClient, PeerError};
-pub use codec::{CodecError, PROTOCOL_VERSION, decode, encode, pack, unpack};
+pub use codec::{
+    CodecError, PROTOCOL_VERSION, decode, encode, pack, pack_value, unpack, unpack_value,
+};
 pub use messages::{NodeInfo, NodeLocation, NodeReply, NodeRequest, PeerMessage};
 pub use server::{PeerHandler, PeerListener};
--- a/src/entry/app.rs
+++ b/src/entry/app.rs
@@ -244,6 +244,11 @@
         self.fallback_store.is_direct()
     }
 
+    /// Returns the number of replicas that are listed.
+    pub fn replica_count(&self) -> usize {
+        self.slots.fleet.lock().len()
+    }
+
     /// Returns how long a client that is refused now has to wait before it retries.
     pub fn retry_after(&self) -> Duration {
         retry_after(self.fallback_store.outage_duration(), self.draw())
--- a/src/entry/follow/apply.rs
+++ b/src/entry/follow/apply.rs
@@ -49,6 +49,29 @@
         self.notify_view_change();
     }
 
+    /// Applies the difference between two snapshots. Replicas may have vanished in an outage of the
+    /// store, as they may from a snapshot.
+    pub(super) fn apply_catch_up(
+        self: &Arc<Self>,
+        topic: Topic,
+        watched: &WatchBatch,
+        prefix: &str,
+    ) {
+        if topic != Topic::Replicas {
+            return self.apply_changes(topic, watched);
+        }
+        let mut missing = Vec::new();
+        for change in &watched.changes {
+            match change {
+                Change::Put(item) => drop(self.upsert_replica(item, true)),
+                Change::Removed { key, .. } => missing.push(self.schema.replica_id(key)),
+            }
+        }
+        self.remove_missing(missing, prefix);
+        self.slots.assign_free(self.now());
+        self.notify_view_change();
+    }
+
     /// Applies one change of a topic.
     fn apply_change(&self, topic: Topic, change: &Change) {
         match (topic, change) {
--- a/src/entry/follow/feed.rs
+++ b/src/entry/follow/feed.rs
@@ -5,7 +5,9 @@
 //! that returns is a call to the store. If every node watches, the calls grow with the square of
 //! the fleet; if one node in 16 watches and the others ask those, they grow linearly. A node
 //! that has missed changes gets a snapshot here as well: when each node read it from the store,
-//! a dropped history or an outage made every node read it three times at the same moment.
+//! a dropped history or an outage made every node read it three times at the same moment. With
+//! thousands of replicas a snapshot is megabytes, and dozens of nodes ask for the same one: it is
+//! encoded and compressed once.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -15,37 +17,51 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use super::PackedRange;
 use crate::Name;
 use crate::edge::store::{Change, KeyValue, RangeResult, WatchBatch};
 
-/// How many changes are retained: several seconds of changes while a fleet loads new weights on
-/// every replica.
-const MAX_RETAINED_CHANGES: usize = 512;
+/// How many changes are retained at least: several seconds of changes while a small fleet loads new
+/// weights on every replica.
+const MIN_RETAINED_CHANGES: usize = 512;
+/// With more keys than this for each retained change, more changes are retained: a follower that
+/// missed a quarter of all keys costs less as changes than as a snapshot.
+const KEYS_PER_RETAINED_CHANGE: usize = 4;
 /// How many bytes of values the retained changes may hold: two of the largest values. A
 /// configuration is a single value that is written again with each change, and hundreds of them
 /// exceed the memory of a node.
 const MAX_RETAINED_BYTES: usize = 2 << 20;
 
+/// How fast large snapshots are sent, in bytes a second: the narrowest link of the entry VMs.
+const SNAPSHOT_BYTES_PER_S: u64 = 6_000_000;
+/// Snapshots up to this size are sent at any time.
+const UNPACED_SNAPSHOT_BYTES: usize = 256 << 10;
+
 /// An update of a prefix for a node that follows it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FeedUpdate {
     /// Everything under the prefix.
     Snapshot {
         /// The keys and values.
-        page: RangeResult,
+        page: PackedRange,
         /// How long ago the copy was last confirmed by the store.
         age: Duration,
     },
     /// The changes since a revision.
     Changes(WatchBatch),
+    /// The changes since a revision, some of which the sender found by comparing two snapshots
+    /// after its watch was cut.
+    CatchUp(WatchBatch),
 }
 
 impl FeedUpdate {
-    /// Returns the size of all values in it, in bytes.
+    /// Returns the size of all values in it, or of the packed snapshot, in bytes.
     pub(super) fn bytes(&self) -> usize {
         match self {
-            Self::Snapshot { page, .. } => page.items.iter().map(|item| item.value.len()).sum(),
-            Self::Changes(watched) => watched.changes.iter().map(Change::value_bytes).sum(),
+            Self::Snapshot { page, .. } => page.len(),
+            Self::Changes(watched) | Self::CatchUp(watched) => {
+                watched.changes.iter().map(Change::value_bytes).sum()
+            }
         }
     }
 }
@@ -67,14 +83,36 @@
     /// The revision of the store that `items` stands for.
     revision: u64,
     /// The last changes, oldest first.
-    changes: VecDeque<Change>,
+    changes: VecDeque<RetainedChange>,
+    /// Where the watch was cut and a snapshot was read, oldest first.
+    gaps: Vec<Gap>,
     /// The bytes of the values in `changes`.
     change_bytes: usize,
     items: BTreeMap<Name, KeyValue>,
+    /// The snapshot of `items`, once a node has asked for it.
+    packed: Option<PackedRange>,
+    packed_snapshots: u64,
+    /// Until when the last large snapshot is being sent.
+    sending_until: Option<Instant>,
     /// When the store last confirmed the copy. None before the first snapshot.
     updated: Option<Instant>,
 }
 
+/// A change, and the revision of the feed at which followers get it.
+#[derive(Debug)]
+struct RetainedChange {
+    revision: u64,
+    change: Change,
+}
+
+/// Revisions between which only the difference of two snapshots is known. A follower that was in
+/// between, at another node, may know keys that neither snapshot has.
+#[derive(Debug, Clone, Copy)]
+struct Gap {
+    start: u64,
+    end: u64,
+}
+
 impl Default for Feed {
     fn default() -> Self {
         Self { state: Mutex::default(), update_count: watch::Sender::new(0) }
@@ -82,8 +120,19 @@
 }
 
 impl Feed {
-    /// Replaces the copy by a snapshot from the store, from which this node goes on to watch.
+    /// Replaces the copy by a snapshot from the store, from which this node goes on to watch. What
+    /// differs is retained as changes, so that followers need no snapshot after a cut.
     pub fn begin_watch(&self, page: &RangeResult) {
+        {
+            let mut state = self.state.lock();
+            if state.updated.is_some() && state.revision < page.revision {
+                state.catch_up(page);
+                state.watched = true;
+                state.updated = Some(Instant::now());
+                drop(state);
+                return self.notify();
+            }
+        }
         self.set(page, true, Some(Instant::now()));
     }
 
@@ -94,15 +143,21 @@
 
     fn set(&self, page: &RangeResult, watched: bool, updated: Option<Instant>) {
         let items = page.items.iter().map(|item| (item.key.clone(), item.clone())).collect();
-        *self.state.lock() = State {
+        let mut state = self.state.lock();
+        *state = State {
+            packed_snapshots: state.packed_snapshots,
+            sending_until: state.sending_until,
             watched,
             complete_after: page.revision,
             revision: page.revision,
             changes: VecDeque::new(),
+            gaps: Vec::new(),
             change_bytes: 0,
             items,
+            packed: None,
             updated,
         };
+        drop(state);
         self.notify();
     }
 
@@ -115,13 +170,18 @@
     /// Applies changes that follow the present revision.
     pub fn apply(&self, watched: &WatchBatch) {
         let mut state = self.state.lock();
+        if !watched.changes.is_empty() {
+            state.packed = None;
+        }
         for change in &watched.changes {
             match change {
                 Change::Put(item) => drop(state.items.insert(item.key.clone(), item.clone())),
                 Change::Removed { key, .. } => drop(state.items.remove(key)),
             }
         }
-        state.retain(&watched.changes);
+        for change in &watched.changes {
+            state.retain(change.revision(), change.clone());
+        }
         state.revision = state.revision.max(watched.revision);
         state.updated = Some(Instant::now());
         drop(state);
@@ -145,27 +205,64 @@
         }
     }
 
-    /// Returns a snapshot as soon as there is one. None if there is none within `wait`.
-    pub async fn wait_for_snapshot(&self, wait: Duration) -> Option<FeedUpdate> {
+    /// Waits until there is a snapshot. False if there is none within `wait`.
+    pub async fn wait_until_loaded(&self, wait: Duration) -> bool {
         let mut update_count = self.update_count.subscribe();
-        let known = async {
-            loop {
-                if let Some(snapshot) = self.snapshot() {
-                    return snapshot;
-                }
+        let loaded = async {
+            while self.state.lock().updated.is_none() {
                 let _ = update_count.changed().await;
             }
         };
-        tokio::time::timeout(wait, known).await.ok().or_else(|| self.snapshot())
+        tokio::time::timeout(wait, loaded).await.is_ok() || self.state.lock().updated.is_some()
+    }
+
+    /// Returns the number of keys.
+    pub fn len(&self) -> usize {
+        self.state.lock().items.len()
+    }
+
+    /// Whether there are no keys.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Whether a large snapshot was sent so recently that another one would have to wait for it on
+    /// the link of this node. Otherwise the next one is taken to be sent now.
+    ///
+    /// Load pattern: hundreds of nodes start at once and ask a few others for megabytes.
+    pub fn is_sending(&self) -> bool {
+        let mut state = self.state.lock();
+        let now = Instant::now();
+        if state.sending_until.is_some_and(|until| now < until) {
+            return true;
+        }
+        let bytes = state.packed.as_ref().map_or(0, PackedRange::len);
+        state.sending_until = (bytes > UNPACED_SNAPSHOT_BYTES)
+            .then(|| now + Duration::from_micros(bytes as u64 * 1_000_000 / SNAPSHOT_BYTES_PER_S));
+        false
+    }
+
+    /// Forgets the retained changes, so that followers of earlier revisions get a snapshot.
+    pub fn forget_changes(&self) {
+        let mut state = self.state.lock();
+        state.changes.clear();
+        state.gaps.clear();
+        state.change_bytes = 0;
+        state.complete_after = state.revision;
     }
 
     /// Returns a snapshot, which may come from another node or from before an outage. None before
     /// the first.
     pub fn snapshot(&self) -> Option<FeedUpdate> {
-        let state = self.state.lock();
+        let mut state = self.state.lock();
         let age = if state.watched { Duration::ZERO } else { state.updated?.elapsed() };
         state.updated?;
-        Some(state.snapshot(age))
+        state.snapshot(age)
+    }
+
+    /// Returns how many snapshots were packed for other nodes so far.
+    pub fn packed_snapshots(&self) -> u64 {
+        self.state.lock().packed_snapshots
     }
 
     /// Whether the copy contains a key.
@@ -174,16 +271,21 @@
     }
 
     fn update_after(&self, after: u64) -> Option<FeedUpdate> {
-        let state = self.state.lock();
+        let mut state = self.state.lock();
         if !state.watched {
             return None;
         }
-        if after < state.complete_after {
-            return Some(state.snapshot(Duration::ZERO));
+        let in_gap = state.gaps.iter().any(|gap| gap.start < after && after < gap.end);
+        if after < state.complete_after || in_gap {
+            return state.snapshot(Duration::ZERO);
         }
-        let changes = state.changes.iter().filter(|change| change.revision() > after);
-        let changes = changes.cloned().collect();
-        Some(FeedUpdate::Changes(WatchBatch { changes, revision: state.revision.max(after) }))
+        let newer = state.changes.iter().filter(|retained| retained.revision > after);
+        let changes = newer.map(|retained| retained.change.clone()).collect();
+        let watched = WatchBatch { changes, revision: state.revision.max(after) };
+        if state.gaps.iter().any(|gap| after < gap.end) {
+            return Some(FeedUpdate::CatchUp(watched));
+        }
+        Some(FeedUpdate::Changes(watched))
     }
 
     fn notify(&self) {
@@ -192,24 +294,55 @@
 }
 
 impl State {
-    /// Retains changes and drops the oldest ones beyond the limits. The newest change is retained
+    /// Retains a change and drops the oldest ones beyond the limits. The newest change is retained
     /// whatever its size.
-    fn retain(&mut self, changes: &[Change]) {
-        for change in changes {
-            self.change_bytes += change.value_bytes();
-            self.changes.push_back(change.clone());
-        }
-        while self.changes.len() > MAX_RETAINED_CHANGES
+    fn retain(&mut self, revision: u64, change: Change) {
+        self.change_bytes += change.value_bytes();
+        self.changes.push_back(RetainedChange { revision, change });
+        let limit = MIN_RETAINED_CHANGES.max(self.items.len() / KEYS_PER_RETAINED_CHANGE);
+        while self.changes.len() > limit
             || (self.changes.len() > 1 && self.change_bytes > MAX_RETAINED_BYTES)
         {
-            let Some(change) = self.changes.pop_front() else { return };
-            self.change_bytes -= change.value_bytes();
-            self.complete_after = change.revision();
+            let Some(oldest) = self.changes.pop_front() else { return };
+            self.change_bytes -= oldest.change.value_bytes();
+            self.complete_after = oldest.revision;
         }
+        let complete_after = self.complete_after;
+        self.gaps.retain(|gap| gap.end > complete_after);
     }
 
-    fn snapshot(&self, age: Duration) -> FeedUpdate {
-        let items = self.items.values().cloned().collect();
-        FeedUpdate::Snapshot { page: RangeResult { items, revision: self.revision }, age }
+    /// Replaces the copy by a later snapshot, and retains what differs as changes.
+    fn catch_up(&mut self, page: &RangeResult) {
+        self.gaps.push(Gap { start: self.revision, end: page.revision });
+        let items: BTreeMap<Name, KeyValue> =
+            page.items.iter().map(|item| (item.key.clone(), item.clone())).collect();
+        let before = std::mem::replace(&mut self.items, items);
+        let removed: Vec<Change> = before
+            .keys()
+            .filter(|key| !self.items.contains_key(*key))
+            .map(|key| Change::Removed { key: key.clone(), revision: page.revision })
+            .collect();
+        let is_new = |item: &&KeyValue| before.get(&item.key) != Some(*item);
+        let written = page.items.iter().filter(is_new).cloned().map(Change::Put);
+        for change in removed.into_iter().chain(written) {
+            self.retain(page.revision, change);
+        }
+        self.revision = page.revision;
+        self.packed = None;
+    }
+
+    /// Returns the snapshot, which is packed once for all nodes that ask for it. None if it does
+    /// not encode.
+    fn snapshot(&mut self, age: Duration) -> Option<FeedUpdate> {
+        if self.packed.is_none() {
+            let items = self.items.values().cloned().collect();
+            let packed = PackedRange::new(&RangeResult { items, revision: self.revision });
+            self.packed = packed
+                .inspect_err(|e| tracing::error!(event = "snapshot_not_packed", error = %e))
+                .ok();
+            self.packed_snapshots += 1;
+        }
+        let page = self.packed.clone()?;
+        Some(FeedUpdate::Snapshot { page, age })
     }
 }
--- a/src/entry/follow/follower.rs
+++ b/src/entry/follow/follower.rs
@@ -4,8 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use super::feed::FeedUpdate;
-use super::sources::PeerUpdate;
+use super::received_update::{PeerUpdate, ReceivedUpdate};
 use super::topic::Topic;
 use crate::edge::store::StoreError;
 use crate::entry::app::App;
@@ -107,7 +106,7 @@
         let feed = self.app.feeds.get(feed_topic);
         self.log_update(&peer_update);
         match peer_update.update {
-            FeedUpdate::Snapshot { page, age } => {
+            ReceivedUpdate::Snapshot { page, age } => {
                 if self.loaded {
                     // Changes that readers of jobs depend on may have been missed as well.
                     self.app.watch_gaps.fetch_add(1, Ordering::Relaxed);
@@ -117,30 +116,41 @@
                 self.loaded = true;
                 self.app.apply_snapshot(self.topic, &page, &self.prefix);
             }
-            FeedUpdate::Changes(watched) => {
+            ReceivedUpdate::Changes(watched) => {
                 feed.end_watch();
                 feed.apply(&watched);
                 self.position = Some(Position { revision: watched.revision, watch_gaps: None });
                 self.app.apply_changes(self.topic, &watched);
             }
+            ReceivedUpdate::CatchUp(watched) => {
+                self.app.watch_gaps.fetch_add(1, Ordering::Relaxed);
+                feed.end_watch();
+                feed.apply(&watched);
+                feed.forget_changes();
+                self.position = Some(Position { revision: watched.revision, watch_gaps: None });
+                self.app.apply_catch_up(self.topic, &watched, &self.prefix);
+            }
         }
     }
 
     /// Logs a snapshot and a new configuration. Changes of replicas and nodes are logged one by
     /// one where they are applied.
     fn log_update(&self, peer_update: &PeerUpdate) {
-        let (from, bytes, topic) =
-            (peer_update.from, peer_update.update.bytes(), self.topic.as_str());
+        let (from, bytes, topic) = (peer_update.from, peer_update.bytes, self.topic.as_str());
         match &peer_update.update {
-            FeedUpdate::Snapshot { page, .. } => {
+            ReceivedUpdate::Snapshot { page, .. } => {
                 let revision = page.revision;
                 tracing::info!(event = "snapshot_received", topic, %from, revision, bytes);
             }
-            FeedUpdate::Changes(watched) if self.topic == Topic::Routes && bytes > 0 => {
+            ReceivedUpdate::CatchUp(watched) => {
+                let (revision, changes) = (watched.revision, watched.changes.len());
+                tracing::info!(event = "catch_up_received", topic, %from, revision, changes, bytes);
+            }
+            ReceivedUpdate::Changes(watched) if self.topic == Topic::Routes && bytes > 0 => {
                 let revision = watched.revision;
                 tracing::info!(event = "routes_received", %from, revision, bytes);
             }
-            FeedUpdate::Changes(_) => {}
+            ReceivedUpdate::Changes(_) => {}
         }
     }
 
--- a/src/entry/follow/mod.rs
+++ b/src/entry/follow/mod.rs
@@ -4,10 +4,13 @@
 mod apply;
 mod feed;
 mod follower;
+mod packed_range;
+mod received_update;
 mod sources;
 mod topic;
 
 pub use feed::{Feed, FeedUpdate};
 pub(super) use follower::follow;
+pub use packed_range::PackedRange;
 pub(super) use sources::Feeds;
 pub(super) use topic::Topic;
--- a/src/entry/follow/sources.rs
+++ b/src/entry/follow/sources.rs
@@ -5,7 +5,9 @@
 //! returns is a call to the store. If every node watches, the calls grow with the square of the
 //! fleet.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use futures_util::StreamExt;
@@ -13,19 +15,14 @@
 use parking_lot::Mutex;
 
 use super::feed::{Feed, FeedUpdate};
-use crate::decide::{rendezvous_rank, rendezvous_score};
-use crate::edge::store::RangeResult;
+use super::received_update::PeerUpdate;
+use super::topic::REPORT_LEAD_TIME;
+use crate::decide::{rendezvous_rank, rendezvous_score, watcher_count};
 use crate::entry::app::App;
-use crate::entry::peer::FeedTopic;
+use crate::entry::membership::NodeSet;
+use crate::entry::peer::{FeedTopic, MAX_UPDATE_WAIT, SnapshotReply};
 use crate::{Moment, Name};
 
-/// Up to this fleet size each node watches the store itself: with three watchers nothing would
-/// be saved.
-const MAX_NODES_WITHOUT_WATCHERS: usize = 4;
-/// One node in this many watches for the others, which ask it once a second.
-const NODES_PER_WATCHER: usize = 16;
-/// The fewest nodes that watch for others: one may be gone and another one disconnected.
-const MIN_WATCHERS: usize = 3;
 /// The key by which nodes are ranked as watchers.
 const WATCHER_RANKING_KEY: &str = "watchers";
 /// How many watchers are asked in turn before a node watches the store itself.
@@ -46,23 +43,39 @@
 /// round trip between availability zones with the answer takes a tenth of it if the seed runs.
 const SEED_STAGGER: Duration = Duration::from_millis(40);
 
-/// An update that another node has sent.
-#[derive(Debug)]
-pub(super) struct PeerUpdate {
-    pub(super) from: SocketAddr,
-    pub(super) update: FeedUpdate,
-}
+/// The most keys that a node takes from a seed when it starts. Hundreds of nodes may start at once
+/// with three seeds; larger lists come from the watchers.
+const MAX_SEED_KEYS: usize = 1_000;
+/// From this many known nodes on, the watchers are taken to be final. With fewer, the nodes of a
+/// large fleet may still be starting.
+const SETTLED_FLEET_NODES: usize = 256;
+/// How long a node of a large fleet waits for others that start with it.
+const SETTLE_DELAY: Duration = Duration::from_millis(500);
+/// How long a node that starts asks the watchers for a large snapshot before it reads the store.
+const FIRST_SNAPSHOT_TIMEOUT: Duration = Duration::from_secs(8);
 
 /// The feeds that other nodes may follow on this node.
 #[derive(Debug, Default)]
 pub(in crate::entry) struct Feeds {
     /// The seed that gave the first snapshot.
     first_source: Mutex<Option<SocketAddr>>,
+    /// The watchers of the last known set of nodes.
+    watchers: Mutex<Option<KnownWatchers>>,
     routes: Feed,
     replicas: Feed,
     nodes: Feed,
 }
 
+/// The names and addresses of the nodes that watch the store for others.
+type Watchers = Arc<[(Name, SocketAddr)]>;
+
+/// The watchers of a set of nodes.
+#[derive(Debug)]
+struct KnownWatchers {
+    nodes: NodeSet,
+    watchers: Option<Watchers>,
+}
+
 impl Feeds {
     /// Returns the feed of a topic.
     pub(in crate::entry) fn get(&self, topic: FeedTopic) -> &Feed {
@@ -80,24 +93,39 @@
     pub(super) async fn fetch_update(&self, topic: FeedTopic, after: u64) -> Option<PeerUpdate> {
         let mut round = 0;
         loop {
-            let sources = self.update_sources();
+            let sources = self.update_sources(round as usize);
             if sources.is_empty() {
                 return None;
             }
             for from in sources {
-                if let Some(update) = self.fetch_update_from(from, topic, after).await {
-                    return Some(PeerUpdate { from, update });
+                let update = self.fetch_update_from(from, topic, after).await;
+                if let Some(update) = update.and_then(|update| PeerUpdate::unpack(from, update)) {
+                    return Some(update);
                 }
             }
             // While no node reaches the store, watching it would bring nothing.
             round = if self.fallback_store.is_down() { 0 } else { round + 1 };
-            if round > MAX_FETCH_ROUNDS {
+            if round > self.max_fetch_rounds(topic) {
                 return None;
             }
             self.fallback_store.wait_for_recovery(ROUND_DELAY).await;
         }
     }
 
+    /// Returns in how many rounds all watchers may answer that they have no update.
+    ///
+    /// Load pattern: the watches of a large fleet are cut, and all watchers read thousands of
+    /// replicas again, which takes seconds. If the nodes that follow them gave up meanwhile and read
+    /// the list as well, the link of the store would be full for a minute, and with it every call
+    /// of every node late.
+    fn max_fetch_rounds(&self, topic: FeedTopic) -> u32 {
+        if self.feeds.get(topic).len() <= MAX_SEED_KEYS {
+            return MAX_FETCH_ROUNDS;
+        }
+        let patience = self.settings.drain_time.saturating_sub(REPORT_LEAD_TIME + MAX_UPDATE_WAIT);
+        MAX_FETCH_ROUNDS.max((patience.as_millis() / ROUND_DELAY.as_millis()) as u32)
+    }
+
     /// Fetches the first snapshot from the seeds, which are the nodes named in the settings. None
     /// if this node is a seed or no seed has a recent snapshot.
     ///
@@ -115,35 +143,68 @@
             self.fetch_initial_from(*seed, topic, deadline).await
         });
         let mut replies: FuturesUnordered<_> = requests.collect();
-        while let Some(first) = replies.next().await {
-            if first.is_some() {
-                return first;
+        while let Some(reply) = replies.next().await {
+            match reply {
+                InitialReply::Update(update) => return Some(update),
+                InitialReply::TooLarge => return self.fetch_first(topic).await,
+                InitialReply::Nothing => {}
+            }
+        }
+        None
+    }
+
+    /// Fetches the first snapshot from a node that watches for others. None if this node watches,
+    /// or if no watcher has sent one within [`FIRST_SNAPSHOT_TIMEOUT`].
+    async fn fetch_first(&self, topic: FeedTopic) -> Option<PeerUpdate> {
+        let deadline = self.now() + FIRST_SNAPSHOT_TIMEOUT;
+        if self.membership.lock().len() < SETTLED_FLEET_NODES {
+            tokio::time::sleep(SETTLE_DELAY).await;
+        }
+        let mut round = 0;
+        while self.now() < deadline {
+            let watchers_known = self.watchers().is_some();
+            if watchers_known && !self.relies_on_watchers() {
+                return None;
             }
+            let sources = if watchers_known { self.update_sources(round) } else { Vec::new() };
+            round += 1;
+            for from in sources {
+                let update = self.fetch_update_from(from, topic, 0).await;
+                if let Some(update) = update.and_then(|update| PeerUpdate::unpack(from, update)) {
+                    return Some(update);
+                }
+            }
+            tokio::time::sleep(ROUND_DELAY).await;
         }
+        tracing::info!(event = "first_snapshot_not_received", ?topic);
         None
     }
 
-    /// Fetches a snapshot from a seed as soon as it has one. None if it has none until `deadline`,
-    /// or if its snapshot is too old because it does not reach the store either.
+    /// Fetches a snapshot from a seed as soon as it has one. Nothing if it has none until
+    /// `deadline`, or if its snapshot is too old because it does not reach the store either.
     async fn fetch_initial_from(
         &self,
         seed: SocketAddr,
         topic: FeedTopic,
         deadline: Moment,
-    ) -> Option<PeerUpdate> {
+    ) -> InitialReply {
         loop {
             let left = deadline.saturating_sub(self.now());
-            match self.fetch_snapshot_from(seed, topic, left).await {
-                Some(FeedUpdate::Snapshot { page, age }) if age <= MAX_SNAPSHOT_AGE => {
+            let reply = self.fetch_snapshot_from(seed, topic, left, Some(MAX_SEED_KEYS)).await;
+            match reply {
+                SnapshotReply::TooLarge => return InitialReply::TooLarge,
+                SnapshotReply::Update(update @ FeedUpdate::Snapshot { age, .. })
+                    if age <= MAX_SNAPSHOT_AGE =>
+                {
                     *self.feeds.first_source.lock() = Some(seed);
-                    return Some(PeerUpdate {
-                        from: seed,
-                        update: FeedUpdate::Snapshot { page, age },
-                    });
+                    return match PeerUpdate::unpack(seed, update) {
+                        Some(update) => InitialReply::Update(update),
+                        None => InitialReply::Nothing,
+                    };
                 }
-                Some(_) => return None,
-                None if self.now() >= deadline => return None,
-                None => tokio::time::sleep(SEED_STAGGER).await,
+                SnapshotReply::Update(_) => return InitialReply::Nothing,
+                SnapshotReply::Nothing if self.now() >= deadline => return InitialReply::Nothing,
+                SnapshotReply::Nothing => tokio::time::sleep(SEED_STAGGER).await,
             }
         }
     }
@@ -153,20 +214,19 @@
     pub(super) async fn fetch_stale(&self, topic: FeedTopic) -> Option<PeerUpdate> {
         let seeds = self.other_seeds();
         let requests = seeds.iter().map(|seed| async {
-            (*seed, self.fetch_snapshot_from(*seed, topic, Duration::ZERO).await)
+            (*seed, self.fetch_snapshot_from(*seed, topic, Duration::ZERO, None).await)
         });
         let mut replies: FuturesUnordered<_> = requests.collect();
-        let mut best: Option<(Duration, RangeResult, SocketAddr)> = None;
+        let mut best: Option<(Duration, FeedUpdate, SocketAddr)> = None;
         while let Some((seed, update)) = replies.next().await {
-            let Some(FeedUpdate::Snapshot { page, age }) = update else { continue };
+            let SnapshotReply::Update(update @ FeedUpdate::Snapshot { age, .. }) = update else {
+                continue;
+            };
             if best.as_ref().is_none_or(|(known, ..)| age < *known) {
-                best = Some((age, page, seed));
+                best = Some((age, update, seed));
             }
         }
-        best.map(|(age, page, from)| PeerUpdate {
-            from,
-            update: FeedUpdate::Snapshot { page, age },
-        })
+        best.and_then(|(_, update, from)| PeerUpdate::unpack(from, update))
     }
 
     /// Whether this node is a seed, which other nodes ask when they start. A seed reads the store
@@ -184,10 +244,10 @@
         seeds
     }
 
-    /// Returns the nodes to ask for updates, at most [`MAX_WATCHERS_ASKED`]; empty if this node
-    /// watches the store itself. While few nodes are registered, as in the first second of a
-    /// fleet, the node to ask is the seed that gave the first snapshot.
-    fn update_sources(&self) -> Vec<SocketAddr> {
+    /// Returns the nodes to ask for updates, at most [`MAX_WATCHERS_ASKED`], others in each round;
+    /// empty if this node watches the store itself. While few nodes are registered, as in the
+    /// first second of a fleet, the node to ask is the seed that gave the first snapshot.
+    fn update_sources(&self, round: usize) -> Vec<SocketAddr> {
         let Some(watchers) = self.watchers() else {
             let first = self.feeds.first_source.lock().filter(|_| !self.is_seed());
             return first.filter(|at| !self.is_unreachable(*at)).into_iter().collect();
@@ -197,11 +257,12 @@
         }
         let ranked = rendezvous_rank(&self.settings.name, watchers.iter().map(|(name, _)| &**name));
         let ordered = ranked.iter().filter_map(|n| watchers.iter().find(|(name, _)| **name == **n));
-        ordered
-            .map(|(_, at)| *at)
-            .filter(|at| !self.is_unreachable(*at))
-            .take(MAX_WATCHERS_ASKED)
-            .collect()
+        let mut reachable: Vec<SocketAddr> =
+            ordered.map(|(_, at)| *at).filter(|at| !self.is_unreachable(*at)).collect();
+        let count = reachable.len().max(1);
+        reachable.rotate_left(round * MAX_WATCHERS_ASKED % count);
+        reachable.truncate(MAX_WATCHERS_ASKED);
+        reachable
     }
 
     /// Whether other nodes watch the store for this one.
@@ -211,14 +272,32 @@
     }
 
     /// Returns the nodes that watch the store for others. None if each node watches it itself.
-    pub(super) fn watchers(&self) -> Option<Vec<(Name, SocketAddr)>> {
-        let nodes = self.membership.lock().stable_peers(self.store_time());
-        if nodes.len() <= MAX_NODES_WITHOUT_WATCHERS {
-            return None;
+    pub(super) fn watchers(&self) -> Option<Watchers> {
+        let now = self.store_time();
+        let membership = self.membership.lock();
+        let nodes = membership.node_set(now);
+        let mut known = self.feeds.watchers.lock();
+        if let Some(known) = known.as_ref().filter(|known| known.nodes == nodes) {
+            return known.watchers.clone();
         }
-        let count = nodes.len().div_ceil(NODES_PER_WATCHER).max(MIN_WATCHERS);
-        let ranked = rendezvous_rank(WATCHER_RANKING_KEY, nodes.keys().map(|n| &**n));
-        let chosen = ranked.into_iter().take(count);
-        Some(chosen.filter_map(|n| nodes.get_key_value(n)).map(|(n, a)| (n.clone(), *a)).collect())
+        let watchers = choose_watchers(&membership.stable_peers(now));
+        *known = Some(KnownWatchers { nodes, watchers: watchers.clone() });
+        watchers
     }
 }
+
+/// What a seed gives a node that starts.
+enum InitialReply {
+    Update(PeerUpdate),
+    /// The list is larger than seeds send.
+    TooLarge,
+    Nothing,
+}
+
+/// Chooses the nodes that watch the store for the others. None if each node watches it itself.
+fn choose_watchers(nodes: &BTreeMap<Name, SocketAddr>) -> Option<Watchers> {
+    let count = watcher_count(nodes.len())?;
+    let ranked = rendezvous_rank(WATCHER_RANKING_KEY, nodes.keys().map(|n| &**n));
+    let chosen = ranked.into_iter().take(count);
+    Some(chosen.filter_map(|n| nodes.get_key_value(n)).map(|(n, a)| (n.clone(), *a)).collect())
+}
--- a/src/entry/follow/topic.rs
+++ b/src/entry/follow/topic.rs
@@ -9,7 +9,7 @@
 /// How long before a departing replica must get no more work its report has to be seen here.
 /// This leaves time for the answer of a store that is 60 times slower than usual, for an
 /// attempt that is being sent, and for one more poll.
-const REPORT_LEAD_TIME: Duration = Duration::from_millis(1_100);
+pub(super) const REPORT_LEAD_TIME: Duration = Duration::from_millis(1_100);
 /// For how long changes of nodes are batched. Short, because clients have to be sent to other
 /// nodes soon after one leaves.
 const NODE_BATCH_INTERVAL: Duration = Duration::from_millis(250);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -39,7 +39,7 @@
 
 pub use app::App;
 pub use entry_node::EntryNode;
-pub use follow::{Feed, FeedUpdate};
+pub use follow::{Feed, FeedUpdate, PackedRange};
 pub use peer::{
     FeedTopic, HttpPeers, PeerReply, PeerRequest, PeerResponder, PeerServer, Peers, StoreReply,
     StoreRequest,
--- a/src/entry/peer/messages.rs
+++ b/src/entry/peer/messages.rs
@@ -47,6 +47,8 @@
         topic: FeedTopic,
         /// How long to wait for the first snapshot if the node has none yet.
         wait: Duration,
+        /// The most keys that the sender takes from this node. None for any number.
+        max_keys: Option<usize>,
     },
     /// Read the changes of a feed that the node has watched in the store.
     Follow {
@@ -149,6 +151,10 @@
     },
     /// The message was received.
     Noted,
+    /// Replies to `Snapshot`: the feed has more keys than the sender takes.
+    TooLarge,
+    /// Replies to `Follow`: the sender needs a snapshot, and the node is sending others.
+    Busy,
 }
 
 /// The reply of the store to a [`StoreRequest`].
--- a/src/entry/peer/mod.rs
+++ b/src/entry/peer/mod.rs
@@ -13,5 +13,5 @@
 pub use http_peers::HttpPeers;
 pub use messages::{FeedTopic, PeerReply, PeerRequest, StoreReply, StoreRequest};
 pub use peers::Peers;
-pub(super) use requests::ForwardOutcome;
+pub(super) use requests::{ForwardOutcome, MAX_UPDATE_WAIT, SnapshotReply};
 pub use server::{PeerResponder, PeerServer};
--- a/src/entry/peer/requests.rs
+++ b/src/entry/peer/requests.rs
@@ -30,7 +30,7 @@
 const REPLY_MARGIN: Duration = Duration::from_millis(400);
 /// How long another node may wait for a change before it replies. The failure of that node is
 /// noticed this much later, and the time to drain is two or three seconds.
-const MAX_UPDATE_WAIT: Duration = Duration::from_millis(1_000);
+pub(in crate::entry) const MAX_UPDATE_WAIT: Duration = Duration::from_millis(1_000);
 /// How long a node may take to reply with a snapshot, beyond the time for which it may wait for
 /// one. The snapshot is in memory, and without a reply the store is read.
 const SNAPSHOT_REPLY_MARGIN: Duration = Duration::from_millis(200);
@@ -51,6 +51,17 @@
     Unsure,
 }
 
+/// The reply to a request for a snapshot.
+#[derive(Debug)]
+pub(in crate::entry) enum SnapshotReply {
+    /// The snapshot.
+    Update(FeedUpdate),
+    /// There are more keys than were asked for.
+    TooLarge,
+    /// The node has none, or did not reply.
+    Nothing,
+}
+
 impl App {
     /// Forwards a job to the node that is preferred as its owner, if that is another one.
     pub(in crate::entry) async fn forward_job(&self, spec: &JobSpec) -> ForwardOutcome {
@@ -247,21 +258,20 @@
         }
     }
 
-    /// Asks a node for a snapshot of a feed. The node may not be running yet, so it is not marked
-    /// as unreachable if it does not reply.
+    /// Asks a node for a snapshot of a feed, of at most `max_keys`. The node may not be running yet,
+    /// so it is not marked as unreachable if it does not reply.
     pub(in crate::entry) async fn fetch_snapshot_from(
         &self,
         to: SocketAddr,
         topic: FeedTopic,
         wait: Duration,
-    ) -> Option<FeedUpdate> {
-        match self
-            .peers
-            .request(to, PeerRequest::Snapshot { topic, wait }, SNAPSHOT_REPLY_MARGIN + wait)
-            .await
-        {
-            Ok(PeerReply::Followed(update)) => update,
-            _ => None,
+        max_keys: Option<usize>,
+    ) -> SnapshotReply {
+        let request = PeerRequest::Snapshot { topic, wait, max_keys };
+        match self.peers.request(to, request, SNAPSHOT_REPLY_MARGIN + wait).await {
+            Ok(PeerReply::Followed(Some(update))) => SnapshotReply::Update(update),
+            Ok(PeerReply::TooLarge) => SnapshotReply::TooLarge,
+            _ => SnapshotReply::Nothing,
         }
     }
 
--- a/src/entry/peer/server.rs
+++ b/src/entry/peer/server.rs
@@ -13,6 +13,9 @@
 use crate::entry::submit::SubmitResult;
 use crate::metrics::Traffic;
 
+/// The revision after which a node follows that has no snapshot yet.
+const NO_REVISION: u64 = 0;
+
 /// Answers the requests of other entry nodes.
 #[derive(Debug, Clone)]
 pub struct PeerResponder {
@@ -94,11 +97,21 @@
                 };
                 PeerReply::Read(read.filter(|_| app.has_lease()))
             }
-            PeerRequest::Snapshot { topic, wait } => {
-                PeerReply::Followed(app.feeds.get(topic).wait_for_snapshot(wait).await)
+            PeerRequest::Snapshot { topic, wait, max_keys } => {
+                let feed = app.feeds.get(topic);
+                if !feed.wait_until_loaded(wait).await {
+                    return PeerReply::Followed(None);
+                }
+                if max_keys.is_some_and(|max| feed.len() > max) {
+                    return PeerReply::TooLarge;
+                }
+                PeerReply::Followed(feed.snapshot())
             }
             PeerRequest::Follow { topic, after, wait } => {
                 let feed = app.feeds.get(topic);
+                if after == NO_REVISION && app.reaches_store() && feed.is_sending() {
+                    return PeerReply::Busy;
+                }
                 let update = if app.reaches_store() {
                     feed.wait_for_update(after, wait).await
                 } else {
--- a/tests/entry/large_fleets.rs
+++ b/tests/entry/large_fleets.rs
@@ -5,7 +5,7 @@
 use standins::kv::{Faults, Outage};
 
 use crate::links::Link;
-use crate::world::{Node, World, charged_calls, sleep_ms, wait_until};
+use crate::world::{Node, World, answered_calls, charged_calls, sleep_ms, wait_until};
 
 /// The number of entry VMs of the largest deployment.
 const FLEET_SIZE: u16 = 250;
@@ -125,3 +125,24 @@
     let most = sent.values().max();
     assert!(most.is_some_and(|most| *most <= 2 * 16), "{most:?} notices sent by one node");
 }
+
+/// Guards against a few nodes sending a list of thousands of replicas to all others when a fleet
+/// starts, and against all nodes reading it from the store.
+#[tokio::test(start_paused = true)]
+async fn a_long_list_comes_from_many_nodes_when_a_fleet_starts() {
+    const REPLICAS: usize = 1_500;
+    const NODES: u16 = 300;
+    let world = World::new();
+    for i in 0..REPLICAS {
+        world.replicas.add("engines", &format!("x{i}"), &["coach"]);
+    }
+    let nodes = world.start_large_fleet(NODES);
+    wait_until(|| nodes.iter().all(|n| n.app().replica_count() >= REPLICAS)).await;
+    assert!(nodes.iter().all(|n| n.app().ready()));
+    let reads: u64 = nodes.iter().map(|n| answered_calls(n, "Range")).sum();
+    assert!(reads <= u64::from(NODES) / 2, "{reads} snapshots were read from the store");
+    let sent = world.links.snapshot_bytes();
+    let total: usize = sent.values().sum();
+    let most = sent.values().max().copied().unwrap_or_default();
+    assert!(most * 10 <= total, "one node sent {most} of {total} bytes");
+}
--- a/tests/entry/links.rs
+++ b/tests/entry/links.rs
@@ -9,7 +9,7 @@
 use futures_util::future::BoxFuture;
 use mulberrycourse::decide::Transfer;
 use mulberrycourse::edge::peer::{PeerError, pack};
-use mulberrycourse::entry::{App, PeerReply, PeerRequest, PeerResponder, Peers};
+use mulberrycourse::entry::{App, FeedUpdate, PeerReply, PeerRequest, PeerResponder, Peers};
 use parking_lot::Mutex;
 use tokio::time::Instant;
 use tokio::time::error::Elapsed;
@@ -39,13 +39,22 @@
     link: Link,
 }
 
+/// A request and the node that sent it, if that has a peer address.
+#[derive(Debug)]
+struct SentRequest {
+    from: Option<SocketAddr>,
+    request: PeerRequest,
+}
+
 /// The connections of all nodes. Clones share their state.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Links {
     /// The nodes by address.
     endpoints: Arc<Mutex<HashMap<SocketAddr, Endpoint>>>,
-    /// All requests that were sent, each with its sender.
-    requests: Arc<Mutex<Vec<(Option<SocketAddr>, PeerRequest)>>>,
+    /// All requests that were sent.
+    requests: Arc<Mutex<Vec<SentRequest>>>,
+    /// The bytes of the snapshots that each node has sent.
+    snapshot_bytes: Arc<Mutex<HashMap<SocketAddr, usize>>>,
     /// The bandwidth of each node's uplink in bytes per second. `None` for no limit.
     uplink_rate: Arc<Mutex<Option<u64>>>,
     /// Held by the reply that is being sent over the uplink of a node.
@@ -116,7 +125,7 @@
 
     /// Returns all requests so far.
     pub(crate) fn requests(&self) -> Vec<PeerRequest> {
-        self.requests.lock().iter().map(|(_, request)| request.clone()).collect()
+        self.requests.lock().iter().map(|sent| sent.request.clone()).collect()
     }
 
     /// Returns the number of requests of a kind that each node has sent.
@@ -125,11 +134,16 @@
         is_kind: impl Fn(&PeerRequest) -> bool,
     ) -> HashMap<Option<SocketAddr>, usize> {
         let mut counts = HashMap::new();
-        for (from, _) in self.requests.lock().iter().filter(|(_, request)| is_kind(request)) {
-            *counts.entry(*from).or_default() += 1;
+        for sent in self.requests.lock().iter().filter(|sent| is_kind(&sent.request)) {
+            *counts.entry(sent.from).or_default() += 1;
         }
         counts
     }
+
+    /// Returns the bytes of the snapshots that each node has sent.
+    pub(crate) fn snapshot_bytes(&self) -> HashMap<SocketAddr, usize> {
+        self.snapshot_bytes.lock().clone()
+    }
 }
 
 impl Peers for Links {
@@ -139,7 +153,7 @@
         request: PeerRequest,
         timeout: Duration,
     ) -> BoxFuture<'static, Result<PeerReply, PeerError>> {
-        self.requests.lock().push((self.from, request.clone()));
+        self.requests.lock().push(SentRequest { from: self.from, request: request.clone() });
         let isolated = self.from.is_some_and(|from| self.isolated.lock().contains(&from));
         let found =
             self.endpoints.lock().get(&to).map(|endpoint| (endpoint.app.clone(), endpoint.link));
@@ -170,6 +184,9 @@
                         responder.answer(request),
                     );
                     let Ok(reply) = answer.await else { return Err(timed_out) };
+                    if let PeerReply::Followed(Some(FeedUpdate::Snapshot { page, .. })) = &reply {
+                        *links.snapshot_bytes.lock().entry(to).or_default() += page.len();
+                    }
                     let transmitted = links.transmit(to, &reply, &mut transfer, started).await;
                     transmitted.map(|()| reply).map_err(|_| {
                         links.given_up_bytes.lock().push(transfer.received_bytes());
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -1,9 +1,12 @@
 //! Tests of the feeds by which nodes pass changes of the store to each other.
+#![allow(clippy::unwrap_used)]
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
+use mulberrycourse::Name;
 use mulberrycourse::edge::store::{Change, KeyValue, RangeResult, WatchBatch};
-use mulberrycourse::entry::{Feed, FeedUpdate};
+use mulberrycourse::entry::{Feed, FeedUpdate, PackedRange};
 use proptest::prelude::*;
 
 /// A wait that ends at once.
@@ -27,7 +30,7 @@
 fn changes(update: Option<FeedUpdate>) -> Option<WatchBatch> {
     match update? {
         FeedUpdate::Changes(batch) => Some(batch),
-        FeedUpdate::Snapshot { .. } => None,
+        FeedUpdate::CatchUp(_) | FeedUpdate::Snapshot { .. } => None,
     }
 }
 
@@ -126,13 +129,168 @@
     feed.end_watch();
     tokio::time::advance(Duration::from_secs(3)).await;
     let Some(FeedUpdate::Snapshot { page, age }) = feed.snapshot() else { panic!("no snapshot") };
+    let page = page.unpack().unwrap();
     assert_eq!((page.revision, page.items.len()), (6, 1));
     assert_eq!(age, Duration::from_secs(3));
 }
 
+/// Returns a snapshot of these keys, each with the revision of its last write.
+fn snapshot_of(keys: &BTreeMap<Name, u64>, revision: u64) -> RangeResult {
+    let item = |(key, revision): (&Name, &u64)| KeyValue {
+        key: key.clone(),
+        value: "v".into(),
+        revision: *revision,
+    };
+    RangeResult { items: keys.iter().map(item).collect(), revision }
+}
+
+/// Guards against sending the whole list to every follower each time the store drops its history:
+/// with 10,000 replicas that is a megabyte for each of 800 nodes.
+#[tokio::test(start_paused = true)]
+async fn followers_catch_up_after_a_cut_by_what_has_changed() {
+    let mut keys: BTreeMap<Name, u64> = (0..5_000).map(|i| (format!("k{i}").into(), 1)).collect();
+    let feed = Feed::default();
+    feed.begin_watch(&snapshot_of(&keys, 10));
+    feed.end_watch();
+    keys.remove("k7");
+    keys.insert("new".into(), 15);
+    feed.begin_watch(&snapshot_of(&keys, 20));
+    let Some(FeedUpdate::CatchUp(batch)) = feed.wait_for_update(10, NO_WAIT).await else {
+        panic!("no catch-up")
+    };
+    assert_eq!(batch.changes.len(), 2, "{:?}", batch.changes);
+    assert_eq!(batch.revision, 20);
+    // A follower from another node may know keys that were written and removed in between.
+    let between = feed.wait_for_update(15, NO_WAIT).await;
+    assert!(matches!(between, Some(FeedUpdate::Snapshot { .. })));
+    assert_eq!(feed.packed_snapshots(), 1);
+}
+
+/// Guards against encoding the list for each of the nodes that ask for it.
+#[tokio::test(start_paused = true)]
+async fn a_snapshot_is_packed_once_for_all_nodes() {
+    let keys: BTreeMap<Name, u64> = (0..2_000).map(|i| (format!("k{i}").into(), 1)).collect();
+    let feed = Feed::default();
+    feed.begin_watch(&snapshot_of(&keys, 10));
+    for _ in 0..100 {
+        let Some(FeedUpdate::Snapshot { page, .. }) = feed.wait_for_update(0, NO_WAIT).await else {
+            panic!("no snapshot")
+        };
+        assert_eq!(page.unpack().unwrap().items.len(), 2_000);
+    }
+    assert_eq!(feed.packed_snapshots(), 1);
+    feed.apply(&WatchBatch { changes: vec![change(11)], revision: 11 });
+    assert!(feed.snapshot().is_some());
+    assert_eq!(feed.packed_snapshots(), 2);
+}
+
+/// Guards against a list that exceeds the size of a message: every node read it from the store.
+#[test]
+fn a_list_of_twenty_thousand_replicas_is_sent() {
+    let value = vec![b'v'; 500];
+    let item = |i: usize| KeyValue {
+        key: format!("replicas/{i}").into(),
+        value: value.clone().into(),
+        revision: 1,
+    };
+    let page = RangeResult { items: (0..20_000).map(item).collect(), revision: 1 };
+    let packed = PackedRange::new(&page).unwrap();
+    assert_eq!(packed.unpack().unwrap(), page);
+}
+
+/// A burst of changes of less than a quarter of a large list is passed on as changes.
+#[tokio::test(start_paused = true)]
+async fn a_burst_in_a_large_list_is_passed_on_as_changes() {
+    let keys: BTreeMap<Name, u64> = (0..10_000).map(|i| (format!("k{i}").into(), 1)).collect();
+    let feed = Feed::default();
+    feed.begin_watch(&snapshot_of(&keys, 10));
+    feed.apply(&batch(10, 2_010));
+    let seen = changes(feed.wait_for_update(10, NO_WAIT).await);
+    assert_eq!(seen.map(|batch| batch.changes.len()), Some(2_000));
+}
+
+/// What a follower has learned from a feed.
+#[derive(Debug, Default)]
+struct Follower {
+    keys: BTreeMap<Name, u64>,
+    revision: u64,
+}
+
+impl Follower {
+    fn apply(&mut self, update: FeedUpdate) {
+        match update {
+            FeedUpdate::Snapshot { page, .. } => {
+                let page = page.unpack().unwrap();
+                self.keys = page.items.into_iter().map(|item| (item.key, item.revision)).collect();
+                self.revision = page.revision;
+            }
+            FeedUpdate::Changes(batch) | FeedUpdate::CatchUp(batch) => {
+                for change in batch.changes {
+                    match change {
+                        Change::Put(item) => drop(self.keys.insert(item.key, item.revision)),
+                        Change::Removed { key, .. } => drop(self.keys.remove(&key)),
+                    }
+                }
+                self.revision = batch.revision;
+            }
+        }
+    }
+}
+
 proptest! {
-    /// A follower gets every change once and in order, or the present snapshot, or the answer that
-    /// there is no update.
+    /// A follower of a node whose watch is cut now and then has the same keys as the store, also
+    /// when it was at another node meanwhile.
+    #[test]
+    fn followers_have_the_keys_of_the_store(
+        steps in proptest::collection::vec((0_u8..6, 0_u64..9), 1..120)
+    ) {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build();
+        let Ok(runtime) = runtime else { return Ok(()) };
+        let feed = Feed::default();
+        let mut store: BTreeMap<Name, u64> = BTreeMap::new();
+        let (mut revision, mut open) = (0, false);
+        let mut follower = Follower::default();
+        for (step, number) in steps {
+            let key: Name = format!("k{number}").into();
+            match step {
+                0 | 1 => {
+                    revision += 1;
+                    let change = if step == 0 {
+                        store.insert(key.clone(), revision);
+                        Change::Put(KeyValue { key, value: "v".into(), revision })
+                    } else {
+                        store.remove(&key);
+                        Change::Removed { key, revision }
+                    };
+                    if open {
+                        feed.apply(&WatchBatch { changes: vec![change], revision });
+                    }
+                }
+                2 => {
+                    feed.end_watch();
+                    open = false;
+                }
+                3 => {
+                    feed.begin_watch(&snapshot_of(&store, revision));
+                    open = true;
+                }
+                // The follower has followed another node, which has missed nothing.
+                4 => follower = Follower { keys: store.clone(), revision },
+                _ => {
+                    let update = runtime.block_on(feed.wait_for_update(follower.revision, NO_WAIT));
+                    prop_assert_eq!(update.is_some(), open);
+                    if let Some(update) = update {
+                        follower.apply(update);
+                        prop_assert_eq!(&follower.keys, &store);
+                        prop_assert_eq!(follower.revision, revision);
+                    }
+                }
+            }
+        }
+    }
+
+    /// A follower gets every change once and in order, or the present snapshot, or what has changed
+    /// since a cut, or the answer that there is no update.
     #[test]
     fn followers_miss_no_change(steps in proptest::collection::vec((0_u8..4, 1_u64..300), 1..60)) {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build();
@@ -161,6 +319,7 @@
                         at = seen.revision;
                     }
                     Some(FeedUpdate::Snapshot { page, .. }) => {
+                        let page = page.unpack().unwrap();
                         prop_assert_eq!(page.revision, last);
                         let revisions: Vec<u64> = page.items.iter().map(|i| i.revision).collect();
                         let newest = (watch_start + 1..=last).rev().take(3);
@@ -169,6 +328,16 @@
                         prop_assert_eq!(revisions, newest);
                         at = last;
                     }
+                    // The snapshot after the cut was empty, so every key is removed or written again.
+                    Some(FeedUpdate::CatchUp(seen)) => {
+                        let written = seen.changes.iter().filter_map(|change| match change {
+                            Change::Put(item) => Some(item.revision),
+                            Change::Removed { .. } => None,
+                        });
+                        let since: Vec<u64> = written.filter(|r| *r > watch_start).collect();
+                        prop_assert_eq!(since, (watch_start + 1..=last).collect::<Vec<u64>>());
+                        at = seen.revision;
+                    }
                     // The follower reads a snapshot from elsewhere.
                     None => at = last,
                 },
