Watchers that the store turns away follow others, and long lists are not read twice

Suspected, not traced: the link of the store again, in three ways that were read in the code: - a watcher that is turned away read the whole list through another node, which has to answer within a second, and tried again; - a node that starts before its seeds have read the list was told nothing after 0.8 s, and read the store; - a node whose watchers fall silent read the list again, though it had it from them a moment before.

Change: a watcher that does not reach the store, while others do, asks the other watchers; nodes of a fleet of 256 and more wait for the watchers' first list when the seeds have none yet, for 15 s at most; and a node that follows a long list by itself watches from the revision that it has. It still reads the list after a watch that failed.

--- a/src/entry/follow/feed.rs
+++ b/src/entry/follow/feed.rs
@@ -161,6 +161,11 @@
         self.notify();
     }
 
+    /// Records that this node watches the prefix itself from the present revision on.
+    pub fn resume_watch(&self) {
+        self.state.lock().watched = true;
+    }
+
     /// Records that this node no longer watches the prefix itself.
     pub fn end_watch(&self) {
         self.state.lock().watched = false;
--- a/src/entry/follow/follower.rs
+++ b/src/entry/follow/follower.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::received_update::{PeerUpdate, ReceivedUpdate};
+use super::sources::MAX_SEED_KEYS;
 use super::topic::Topic;
 use crate::edge::store::StoreError;
 use crate::entry::app::App;
@@ -159,7 +160,13 @@
         let app = self.app.clone();
         let feed = self.topic.feed_topic().map(|feed_topic| app.feeds.get(feed_topic));
         let watch_gaps = app.watch_gaps.load(Ordering::Relaxed);
-        let resumable = self.position.filter(|position| position.watch_gaps == Some(watch_gaps));
+        // A long list is not read again by a node that had it from others: with hundreds of them, the
+        // link of the store would be full for a minute.
+        let is_long = feed.is_some_and(|feed| feed.len() > MAX_SEED_KEYS);
+        let resumable = self.position.filter(|position| match position.watch_gaps {
+            Some(known) => known == watch_gaps,
+            None => is_long,
+        });
         let Some(position) = resumable else {
             let page = app.store.range(&self.prefix).await?;
             if let Some(feed) = feed {
@@ -171,6 +178,9 @@
             app.apply_snapshot(self.topic, &page, &self.prefix);
             return Ok(());
         };
+        if let Some(feed) = feed {
+            feed.resume_watch();
+        }
         let mut wait =
             MAX_WATCH_WAIT.min(app.settings.store_history / 4 * MAX_WATCH_HISTORY_QUARTERS);
         if app.relies_on_watchers() {
@@ -187,7 +197,7 @@
             }
         };
         let revision = position.revision.max(watched.revision);
-        self.position = Some(Position { revision, ..position });
+        self.position = Some(Position { revision, watch_gaps: Some(watch_gaps) });
         if let Some(feed) = feed {
             feed.apply(&watched);
         }
--- a/src/entry/follow/sources.rs
+++ b/src/entry/follow/sources.rs
@@ -45,14 +45,14 @@
 
 /// The most keys that a node takes from a seed when it starts. Hundreds of nodes may start at once
 /// with three seeds; larger lists come from the watchers.
-const MAX_SEED_KEYS: usize = 1_000;
+pub(super) const MAX_SEED_KEYS: usize = 1_000;
 /// From this many known nodes on, the watchers are taken to be final. With fewer, the nodes of a
 /// large fleet may still be starting.
 const SETTLED_FLEET_NODES: usize = 256;
 /// How long a node of a large fleet waits for others that start with it.
 const SETTLE_DELAY: Duration = Duration::from_millis(500);
 /// How long a node that starts asks the watchers for a large snapshot before it reads the store.
-const FIRST_SNAPSHOT_TIMEOUT: Duration = Duration::from_secs(8);
+const FIRST_SNAPSHOT_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// The feeds that other nodes may follow on this node.
 #[derive(Debug, Default)]
@@ -150,6 +150,10 @@
                 InitialReply::Nothing => {}
             }
         }
+        // The seeds of a large fleet may need longer to read a long list.
+        if self.membership.lock().len() >= SETTLED_FLEET_NODES {
+            return self.fetch_first(topic).await;
+        }
         None
     }
 
@@ -252,13 +256,18 @@
             let first = self.feeds.first_source.lock().filter(|_| !self.is_seed());
             return first.filter(|at| !self.is_unreachable(*at)).into_iter().collect();
         };
-        if !self.relies_on_watchers() {
+        // A watcher that the store turns away, while others reach it, follows those.
+        let turned_away = !self.reaches_store() && !self.fallback_store.is_down();
+        if !self.relies_on_watchers() && !turned_away {
             return Vec::new();
         }
         let ranked = rendezvous_rank(&self.settings.name, watchers.iter().map(|(name, _)| &**name));
         let ordered = ranked.iter().filter_map(|n| watchers.iter().find(|(name, _)| **name == **n));
-        let mut reachable: Vec<SocketAddr> =
-            ordered.map(|(_, at)| *at).filter(|at| !self.is_unreachable(*at)).collect();
+        let mut reachable: Vec<SocketAddr> = ordered
+            .filter(|(name, _)| *name != self.settings.name)
+            .map(|(_, at)| *at)
+            .filter(|at| !self.is_unreachable(*at))
+            .collect();
         let count = reachable.len().max(1);
         reachable.rotate_left(round * MAX_WATCHERS_ASKED % count);
         reachable.truncate(MAX_WATCHERS_ASKED);
--- a/tests/entry/large_fleets.rs
+++ b/tests/entry/large_fleets.rs
@@ -146,3 +146,36 @@
     let most = sent.values().max().copied().unwrap_or_default();
     assert!(most * 10 <= total, "one node sent {most} of {total} bytes");
 }
+
+/// Guards against watchers that the store turns away reading a long list through other nodes, again
+/// and again, which fills the link of the store for all.
+#[tokio::test(start_paused = true)]
+async fn watchers_that_the_store_turns_away_do_not_read_a_long_list_through_others() {
+    const REPLICAS: usize = 1_500;
+    let world = World::new();
+    for i in 0..REPLICAS {
+        world.replicas.add("engines", &format!("x{i}"), &["coach"]);
+    }
+    let nodes = world.start_large_fleet(FLEET_SIZE);
+    wait_until(|| nodes.iter().all(|n| n.app().replica_count() >= REPLICAS)).await;
+    sleep_ms(3_000).await;
+    let reads = || nodes.iter().map(|n| answered_calls(n, "Range")).sum::<u64>();
+    let before = reads();
+    let turned_away = nodes.iter().step_by(3);
+    let faults = Faults { outage: Some(Outage::Refusing), ..Faults::default() };
+    turned_away.clone().for_each(|n| n.store.set_faults(faults));
+    for i in 0..18 {
+        world.replicas.write_entry("engines", &format!("x{i}"), true);
+        sleep_ms(500).await;
+    }
+    let during = reads() - before;
+    assert!(
+        during <= u64::from(FLEET_SIZE) / 5,
+        "{during} reads of whole prefixes in nine seconds"
+    );
+    turned_away.for_each(|n| n.store.set_faults(Faults::default()));
+    sleep_ms(5_000).await;
+    let after = reads() - before - during;
+    assert!(after <= u64::from(FLEET_SIZE) / 2, "{after} reads of whole prefixes after it");
+    assert!(nodes.iter().all(|n| n.app().replica_count() >= REPLICAS));
+}
