A node that gets nothing from its seeds asks the watchers for a long list

Cause: after the loss of power 838 nodes ask three seeds at once, which need seconds for so many. A test with silent seeds shows it: 400 nodes made 1,203 reads of whole prefixes, the replicas once each.

Change: such a node waits for the list of nodes, which is short, and for those that start with it; in a fleet of 256 nodes and more it asks the watchers, for 30 s at most, two or three times a second and the same ones for five rounds, as each other one is a connection more.

--- a/src/entry/follow/sources.rs
+++ b/src/entry/follow/sources.rs
@@ -50,9 +50,16 @@
 /// large fleet may still be starting.
 const SETTLED_FLEET_NODES: usize = 256;
 /// How long a node of a large fleet waits for others that start with it.
-const SETTLE_DELAY: Duration = Duration::from_millis(500);
+const SETTLE_DELAY: Duration = Duration::from_millis(1_000);
 /// How long a node that starts asks the watchers for a large snapshot before it reads the store.
-const FIRST_SNAPSHOT_TIMEOUT: Duration = Duration::from_secs(15);
+const FIRST_SNAPSHOT_TIMEOUT: Duration = Duration::from_secs(30);
+/// How long a node that starts waits for the list of nodes before it judges their number.
+const NODES_TIMEOUT: Duration = Duration::from_secs(5);
+/// The delay between two requests for the first large snapshot. Hundreds of nodes ask, and a
+/// watcher has to read the list meanwhile.
+const FIRST_ROUND_DELAY: Duration = Duration::from_millis(400);
+/// After how many such requests other watchers are asked: each one is a connection more.
+const ROUNDS_PER_SOURCE: usize = 5;
 
 /// The feeds that other nodes may follow on this node.
 #[derive(Debug, Default)]
@@ -143,25 +150,43 @@
             self.fetch_initial_from(*seed, topic, deadline).await
         });
         let mut replies: FuturesUnordered<_> = requests.collect();
+        let mut silent = !seeds.is_empty();
         while let Some(reply) = replies.next().await {
             match reply {
                 InitialReply::Update(update) => return Some(update),
                 InitialReply::TooLarge => return self.fetch_first(topic).await,
+                InitialReply::Stale => silent = false,
                 InitialReply::Nothing => {}
             }
         }
         // The seeds of a large fleet may need longer to read a long list.
-        if self.membership.lock().len() >= SETTLED_FLEET_NODES {
+        if topic == FeedTopic::Replicas && silent && self.is_fleet_large().await {
             return self.fetch_first(topic).await;
         }
         None
     }
 
+    /// Waits until the nodes are known and those that start with this one are registered. Returns
+    /// whether the fleet is so large that only its watchers read a long list from the store.
+    ///
+    /// Load pattern: all machines lose power at once. The seeds are busy with hundreds of nodes for
+    /// seconds, and a node that gave them up would read megabytes from the store, as all others.
+    async fn is_fleet_large(&self) -> bool {
+        let deadline = self.now() + NODES_TIMEOUT;
+        while !self.membership.lock().is_loaded() && self.now() < deadline {
+            tokio::time::sleep(ROUND_DELAY).await;
+        }
+        if self.membership.lock().known_count() < SETTLED_FLEET_NODES {
+            tokio::time::sleep(SETTLE_DELAY).await;
+        }
+        self.membership.lock().known_count() >= SETTLED_FLEET_NODES
+    }
+
     /// Fetches the first snapshot from a node that watches for others. None if this node watches,
     /// or if no watcher has sent one within [`FIRST_SNAPSHOT_TIMEOUT`].
     async fn fetch_first(&self, topic: FeedTopic) -> Option<PeerUpdate> {
         let deadline = self.now() + FIRST_SNAPSHOT_TIMEOUT;
-        if self.membership.lock().len() < SETTLED_FLEET_NODES {
+        if self.membership.lock().known_count() < SETTLED_FLEET_NODES {
             tokio::time::sleep(SETTLE_DELAY).await;
         }
         let mut round = 0;
@@ -170,7 +195,11 @@
             if watchers_known && !self.relies_on_watchers() {
                 return None;
             }
-            let sources = if watchers_known { self.update_sources(round) } else { Vec::new() };
+            let sources = if watchers_known {
+                self.update_sources(round / ROUNDS_PER_SOURCE)
+            } else {
+                Vec::new()
+            };
             round += 1;
             for from in sources {
                 let update = self.fetch_update_from(from, topic, 0).await;
@@ -178,14 +207,14 @@
                     return Some(update);
                 }
             }
-            tokio::time::sleep(ROUND_DELAY).await;
+            tokio::time::sleep(FIRST_ROUND_DELAY).await;
         }
         tracing::info!(event = "first_snapshot_not_received", ?topic);
         None
     }
 
     /// Fetches a snapshot from a seed as soon as it has one. Nothing if it has none until
-    /// `deadline`, or if its snapshot is too old because it does not reach the store either.
+    /// `deadline`, and `Stale` if its snapshot is too old because it does not reach the store either.
     async fn fetch_initial_from(
         &self,
         seed: SocketAddr,
@@ -206,7 +235,7 @@
                         None => InitialReply::Nothing,
                     };
                 }
-                SnapshotReply::Update(_) => return InitialReply::Nothing,
+                SnapshotReply::Update(_) => return InitialReply::Stale,
                 SnapshotReply::Nothing if self.now() >= deadline => return InitialReply::Nothing,
                 SnapshotReply::Nothing => tokio::time::sleep(SEED_STAGGER).await,
             }
@@ -300,6 +329,8 @@
     Update(PeerUpdate),
     /// The list is larger than seeds send.
     TooLarge,
+    /// A snapshot from before an outage of the store.
+    Stale,
     Nothing,
 }
 
--- a/src/entry/membership.rs
+++ b/src/entry/membership.rs
@@ -105,9 +105,9 @@
         self.loaded
     }
 
-    /// Returns the number of registered nodes.
-    pub(super) fn len(&self) -> usize {
-        self.nodes.len()
+    /// Returns the number of nodes that are registered, or were a short while ago.
+    pub(super) fn known_count(&self) -> usize {
+        self.nodes.len() + self.departed.len()
     }
 
     /// Identifies the present set of nodes: as long as it is the same, so are the answers about
--- a/tests/entry/large_fleets.rs
+++ b/tests/entry/large_fleets.rs
@@ -179,3 +179,24 @@
     assert!(after <= u64::from(FLEET_SIZE) / 2, "{after} reads of whole prefixes after it");
     assert!(nodes.iter().all(|n| n.app().replica_count() >= REPLICAS));
 }
+
+/// Guards against every node of a large fleet reading a long list from the store because the seeds
+/// did not answer when all machines started at once: the link of the store was full for a minute.
+#[tokio::test(start_paused = true)]
+async fn nodes_that_get_nothing_from_their_seeds_do_not_all_read_a_long_list() {
+    const REPLICAS: usize = 1_500;
+    const NODES: u16 = 400;
+    let world = World::new();
+    for i in 0..REPLICAS {
+        world.replicas.add("engines", &format!("x{i}"), &["coach"]);
+    }
+    let nodes = world.start_large_fleet(NODES);
+    for i in 0..3 {
+        world.links.set(World::fleet_address(i), Link::Silent);
+    }
+    wait_until(|| nodes.iter().all(|n| n.app().replica_count() >= REPLICAS)).await;
+    let reads: u64 = nodes.iter().map(|n| answered_calls(n, "Range")).sum();
+    // Each reads the routes and the nodes; few read the replicas.
+    let most = 2 * u64::from(NODES) + u64::from(NODES) / 4;
+    assert!(reads <= most, "{reads} reads of whole prefixes");
+}
