A small fleet before a long list waits for watchers it does not have: listed

Seeds refuse lists of over 1,000 keys, and the node that asked then looks for watchers; a fleet of at most four nodes has none, so it waits 30 s and reads the store only then. The test plays four nodes before 1,500 replicas: one has no list after five seconds, each time.

--- a/tests/entry/large_fleets.rs
+++ b/tests/entry/large_fleets.rs
@@ -200,3 +200,18 @@
     let most = 2 * u64::from(NODES) + u64::from(NODES) / 4;
     assert!(reads <= most, "{reads} reads of whole prefixes");
 }
+
+/// Guards against a node of a small fleet waiting for watchers that a small fleet does not have
+/// before it reads a long list from the store.
+#[tokio::test(start_paused = true)]
+async fn nodes_of_a_small_fleet_read_a_long_list_at_once() {
+    const REPLICAS: usize = 1_500;
+    let world = World::new();
+    for i in 0..REPLICAS {
+        world.replicas.add("engines", &format!("x{i}"), &["coach"]);
+    }
+    let nodes = world.start_large_fleet(4);
+    sleep_ms(5_000).await;
+    let late = nodes.iter().filter(|n| n.app().replica_count() < REPLICAS).count();
+    assert_eq!(late, 0, "nodes without the list after five seconds");
+}
