Failed runs are logged with job, revision and count

The three hypotheses of the incident could not be told apart: a 500 that a relay met and repeated left no line, a refused relay did not say how many it had met, and no line named the job or the revision of its record, by which the runs of two owners differ. Now attempt_failed is written for a 500 too, refused and score_refused bear the failures, and the lines of samples and reward calls the job and its revision. No logic changes.

--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -219,6 +219,14 @@
         self.tally.count_attempt(if failed { AttemptEnd::Failed } else { AttemptEnd::Answered });
         if status == StatusCode::INTERNAL_SERVER_ERROR {
             state.failures += 1;
+            tracing::info!(
+                event = "attempt_failed",
+                request = %state.request.id,
+                replica = %slot.target.id,
+                attempt = state.attempts,
+                failures = state.failures,
+                failure = %status
+            );
         }
         if failed {
             slot.set_end(ReplicaOutcome::Failed);
@@ -340,6 +348,7 @@
                 request = %id,
                 route = %state.route.name,
                 attempts,
+                failures = state.failures,
                 replicas = ?state.avoid,
                 kind = %refusal.kind,
                 run = refusal.run().as_str()
--- a/src/entry/sample.rs
+++ b/src/entry/sample.rs
@@ -52,7 +52,7 @@
     }
     let score = match &item.scorer {
         None => None,
-        Some(scorer) => match request_score(app, &item.id, scorer, started_at).await {
+        Some(scorer) => match request_score(app, owned, &item.id, scorer, started_at).await {
             Some(score) => Some(score),
             None => return ItemState::Dead,
         },
@@ -110,6 +110,7 @@
         let replica = slot.target.id.clone();
         drop(slot);
         let events = owned.with_text(&item.id, |text| text.last_event());
+        let (job, revision) = (&spec.id, owned.record.lock().revision);
         match result {
             AttemptResult::Complete => {
                 tracing::debug!(event = "text_completed", item = %item.id, %replica, events);
@@ -121,14 +122,14 @@
             }
             AttemptResult::Failed => {
                 failed += 1;
-                tracing::info!(event = "sample_failed", item = %item.id, %replica, failed);
+                tracing::info!(event = "sample_failed", %job, revision, item = %item.id, %replica, failed);
                 if failed >= route.max_attempts {
                     tracing::info!(event = "sample_given_up", item = %item.id, reason = "failed");
                     return false;
                 }
             }
             AttemptResult::Continue(end) => {
-                tracing::info!(event = "sample_continued", item = %item.id, %replica, events, reason = ?end);
+                tracing::info!(event = "sample_continued", %job, revision, item = %item.id, %replica, events, reason = ?end);
             }
         }
         avoid.push(replica);
--- a/src/entry/score.rs
+++ b/src/entry/score.rs
@@ -7,6 +7,7 @@
 use http::{HeaderMap, Method};
 
 use super::app::App;
+use super::owned_jobs::OwnedJob;
 use super::relay::{RelayRequest, RelayResponse};
 use crate::decide::job::{Score, Scorer};
 use crate::{Moment, Name};
@@ -25,10 +26,12 @@
 /// the retention since `started_at` is over.
 pub(super) async fn request_score(
     app: &Arc<App>,
+    owned: &OwnedJob,
     item: &Name,
     scorer: &Scorer,
     started_at: Moment,
 ) -> Option<Score> {
+    let job = owned.job.lock().spec.id.clone();
     let mut failed = 0;
     let mut attempts = 0;
     loop {
@@ -51,13 +54,15 @@
             }
             RelayResponse::Complete { status, failures, .. } => {
                 failed += failures;
-                tracing::info!(event = "score_failed", %item, request = %scorer.id, %status, failed);
+                let revision = owned.record.lock().revision;
+                tracing::info!(event = "score_failed", %job, revision, %item, request = %scorer.id, %status, failed);
             }
             RelayResponse::Stream { .. } => {
                 tracing::warn!(event = "score_streamed", %item, request = %scorer.id);
             }
             RelayResponse::Refused(refusal) => {
-                tracing::info!(event = "score_refused", %item, request = %scorer.id, kind = %refusal.kind);
+                let revision = owned.record.lock().revision;
+                tracing::info!(event = "score_refused", %job, revision, %item, request = %scorer.id, kind = %refusal.kind, failed);
             }
         }
         if failed >= route.max_attempts {
