--- a/standins/src/replicas/fleet.rs
+++ b/standins/src/replicas/fleet.rs
@@ -40,6 +40,8 @@
     replicas: BTreeMap<Name, Replica>,
     /// The number of events of a text, by request id.
     event_counts: HashMap<Name, u64>,
+    /// The status of every response to a request, by request id.
+    set_statuses: HashMap<Name, StatusCode>,
     runs: Vec<RecordedRun>,
     orders: Vec<RecordedOrder>,
 }
@@ -124,6 +126,11 @@
         self.state.lock().event_counts.insert(item.into(), events);
     }
 
+    /// Makes every replica that runs a request respond with this status.
+    pub fn set_status(&self, request: &str, status: StatusCode) {
+        self.state.lock().set_statuses.insert(request.into(), status);
+    }
+
     /// All runs so far, in order of their start.
     pub fn runs(&self) -> Vec<RecordedRun> {
         self.state.lock().runs.clone()
@@ -198,6 +205,7 @@
             last_event: call.last_event,
             timeout: call.timeout,
             received_at: Instant::now(),
+            set_status: None,
             unfinished: true,
         });
         state.runs.len() - 1
@@ -273,6 +281,13 @@
             let is_stream = call.path.starts_with("/text");
             let (status, body): (_, BodyStream) = match behaviour {
                 Behaviour::Unresponsive => std::future::pending().await,
+                _ if fleet.state.lock().set_statuses.contains_key(&call.id) => {
+                    tokio::time::sleep(PLAIN_RUN_TIME).await;
+                    let mut state = fleet.state.lock();
+                    let status = state.set_statuses[&call.id];
+                    state.runs[run].set_status = Some(status);
+                    (status, futures_util::stream::empty().boxed())
+                }
                 Behaviour::Fails => {
                     (StatusCode::INTERNAL_SERVER_ERROR, futures_util::stream::empty().boxed())
                 }
--- a/standins/src/replicas/replica.rs
+++ b/standins/src/replicas/replica.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use http::StatusCode;
 use mulberrycourse::Name;
 use tokio::time::Instant;
 
@@ -43,6 +44,8 @@
     pub timeout: Duration,
     /// When it was received.
     pub received_at: Instant,
+    /// The status with which the replica refused it, if a test set one for the request.
+    pub set_status: Option<StatusCode>,
     /// Whether its response has not ended: the sender left, the stream broke, or it still runs.
     pub unfinished: bool,
 }
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod bulk;
+mod failing_items;
 mod feeds;
 mod jobs;
 mod large_fleets;
