The failures of a request are counted over its relays, owners and jobs

Cause: each layer that repeats kept a count of its own. Each owner and each job began at none as well, and a 422 of a scorer was never counted.

Ruled out: attempts that are free of the limit and ran all the same (the soak's lookups never ran on more replicas than allowed); handing over between nodes (job ids are written once).

Change: one count a request, kept with the job in the store under mulberry/failed/JOB, written with the results; a request that has failed runs again only once the store has its failure, so an owner that ends loses one run at most, and the number of takeovers bounds those. A job reads the counts of others with the same ids at its start, in parallel with its first write. Runs without an answer count once a request is known to fail: a hanging replica carries them out later. decide::failures decides; a call that has failed is relayed one run at a time. A 422 ends a reward call.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -16,6 +16,7 @@
 mod dispatch;
 mod early_samples;
 mod ejection;
+pub mod failures;
 mod fair_queue;
 pub mod fallback;
 mod fleet;
--- a/src/entry/keys.rs
+++ b/src/entry/keys.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Name;
+use crate::decide::failures::FailureCount;
 use crate::metrics::StorePurpose;
 
 /// Prefix of the node records and the leader record; watched by every node.
@@ -27,6 +28,8 @@
 const NODE_PREFIX: &str = "mulberry/live/node/";
 /// Prefix of the job records.
 pub(super) const JOB_RECORD_PREFIX: &str = "mulberry/home/";
+/// Prefix of the failure records of all jobs.
+pub(super) const FAILURES_PREFIX: &str = "mulberry/failed/";
 /// Prefix of the submissions, results and unfinished texts of all jobs.
 const JOB_DATA_PREFIX: &str = "mulberry/job/";
 
@@ -60,11 +63,25 @@
     pub done: bool,
     /// Whether the trainer ended the job.
     pub ended: bool,
+    /// How often another process became its owner.
+    #[serde(default)]
+    pub takeovers: u32,
     /// When the job was accepted, in milliseconds since the Unix epoch.
     #[serde(rename = "since")]
     pub accepted_ms: u64,
 }
 
+/// The failures of a job's texts and reward calls.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct FailureRecord {
+    /// The organisation that submitted the job; none if it came without a key.
+    pub organisation: Option<Name>,
+    /// How often the job had been taken over.
+    pub takeovers: u32,
+    /// The failures by request.
+    pub counts: Vec<(Name, FailureCount)>,
+}
+
 /// The leader. The record is attached to the leader's lease, and the revision that wrote it is
 /// the fencing token of the term.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -107,6 +124,9 @@
     if key.starts_with(JOB_RECORD_PREFIX) {
         return StorePurpose::Homes;
     }
+    if key.starts_with(FAILURES_PREFIX) {
+        return StorePurpose::Failures;
+    }
     let Some(part) = key.strip_prefix(JOB_DATA_PREFIX).and_then(|rest| rest.split('/').nth(1))
     else {
         return StorePurpose::Other;
@@ -129,6 +149,11 @@
     format!("{JOB_RECORD_PREFIX}{job}").into()
 }
 
+/// Key of a job's failure record.
+pub(super) fn failures_key(job: &str) -> Name {
+    format!("{FAILURES_PREFIX}{job}").into()
+}
+
 /// Key of one part of a job's submission.
 pub(super) fn spec_part_key(job: &str, index: usize) -> Name {
     format!("{JOB_DATA_PREFIX}{job}/spec/{index:04}").into()
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -13,6 +13,7 @@
 mod end_job;
 mod ended_jobs;
 mod entry_node;
+mod failures;
 mod fenced_value;
 mod follow;
 mod keys;
--- a/src/entry/owned_jobs.rs
+++ b/src/entry/owned_jobs.rs
@@ -11,6 +11,7 @@
 use super::keys::JobRecord;
 use super::membership::Stored;
 use crate::Name;
+use crate::decide::failures::JobFailures;
 use crate::decide::job::{Job, JobOrder, JobSpec, SampleText, SavedProgress, TextDelta};
 
 /// The growth of unfinished texts since their last save.
@@ -44,6 +45,12 @@
     pub texts: Mutex<ByName<(SampleText, SavedProgress)>>,
     /// The number of saves of unfinished texts.
     pub text_writes: Mutex<usize>,
+    /// The failures of its texts and reward calls.
+    pub failures: Mutex<JobFailures>,
+    /// Notified when a request fails that may only run again once the store has the failure.
+    pub failure_added: Notify,
+    /// The number of the last failure that the store has.
+    pub stored_failures: watch::Sender<u64>,
     /// Notified when a sample ends whose result may complete something that the trainer takes.
     pub sample_ended: Notify,
     /// The number of results that are written to the store.
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -63,9 +63,6 @@
         signature: Option<Name>,
         /// Its body.
         body: Bytes,
-        /// The number of replicas that ran the request and failed. One that ran out of time does
-        /// not count.
-        failures: u32,
     },
     /// A replica's stream of events, forwarded as it arrives.
     Stream {
@@ -89,6 +86,30 @@
     }
 }
 
+/// How far a relay goes.
+#[derive(Debug, Clone)]
+pub(super) struct RelayLimits {
+    /// The most attempts that count toward the limit.
+    pub attempts: u32,
+    /// Whether the request runs again after a replica ran it and failed.
+    pub rerun_failed: bool,
+    /// The replicas that are tried last.
+    pub avoid: Vec<Name>,
+}
+
+/// A final response, and what the attempts met.
+#[derive(Debug)]
+pub(super) struct RelayOutcome {
+    pub response: RelayResponse,
+    /// The number of replicas that ran the request and failed. One that ran out of time does not
+    /// count.
+    pub failures: u32,
+    /// The number of attempts that may have run and brought no response.
+    pub unknown: u32,
+    /// The replicas that did not answer or failed, in the order of the attempts.
+    pub avoid: Vec<Name>,
+}
+
 /// A request and the state of its attempts.
 pub(super) struct RequestState {
     pub request: RelayRequest,
@@ -99,11 +120,19 @@
     /// When the client stops waiting. A stream may last until then, but its head must come by
     /// `response_deadline`.
     pub client_deadline: Moment,
-    /// The attempts that count toward the route's limit.
+    /// The attempts that count toward the limit.
     pub attempts: u32,
+    /// The limit of these attempts.
+    pub max_attempts: u32,
+    /// All attempts that did not succeed.
+    pub tried: u32,
+    /// Whether the request runs again after a replica ran it and failed.
+    pub rerun_failed: bool,
     /// The replicas that ran the request and failed.
     pub failures: u32,
-    /// The replicas that are not tried again.
+    /// The attempts that may have run and brought no response.
+    pub unknown: u32,
+    /// The replicas that are tried last.
     pub avoid: Vec<Name>,
     /// What is known of the attempts, for the final refusal.
     pub history: AttemptHistory,
@@ -126,6 +155,18 @@
         route: &Arc<Route>,
         request: RelayRequest,
     ) -> RelayResponse {
+        let limits =
+            RelayLimits { attempts: route.max_attempts, rerun_failed: true, avoid: Vec::new() };
+        self.relay_within(route, request, limits).await.response
+    }
+
+    /// Relays a request within limits, and returns what its attempts met as well.
+    pub(super) async fn relay_within(
+        self: &Arc<Self>,
+        route: &Arc<Route>,
+        request: RelayRequest,
+        limits: RelayLimits,
+    ) -> RelayOutcome {
         let mut limit = request.deadline.unwrap_or(DEFAULT_TIMEOUT);
         if let Some(timeout) = route.timeout {
             limit = limit.min(timeout);
@@ -138,8 +179,12 @@
             response_deadline: self.now() + limit,
             client_deadline,
             attempts: 0,
+            max_attempts: limits.attempts,
+            tried: 0,
+            rerun_failed: limits.rerun_failed,
             failures: 0,
-            avoid: Vec::new(),
+            unknown: 0,
+            avoid: limits.avoid,
             history: AttemptHistory::new(),
         };
         loop {
@@ -149,7 +194,8 @@
                 RelayStep::Retry => continue,
             };
             log(self, &state, &response);
-            return response;
+            let RequestState { failures, unknown, avoid, .. } = state;
+            return RelayOutcome { response, failures, unknown, avoid };
         }
     }
 
@@ -159,7 +205,7 @@
         if left.is_zero() {
             return RelayStep::Failed(refused(Kind::DeadlinePassed, "the deadline has passed"));
         }
-        if state.attempts >= state.route.max_attempts {
+        if state.attempts >= state.max_attempts {
             return RelayStep::Failed(refused(Kind::RetriesSpent, "all attempts are used"));
         }
         let Some(service) = state.route.pick_service(self.draw()).cloned() else {
@@ -230,14 +276,14 @@
         }
         if failed {
             slot.set_end(ReplicaOutcome::Failed);
-            if state.may_repeat() && state.attempts < state.route.max_attempts {
+            state.avoid.push(slot.target.id.clone());
+            state.tried += 1;
+            if state.rerun_failed && state.may_repeat() && state.attempts < state.max_attempts {
                 state.history.record(AttemptOutcome::Unknown);
-                state.avoid.push(slot.target.id.clone());
                 return RelayStep::Retry;
             }
         }
-        let failures = state.failures;
-        RelayStep::Done(RelayResponse::Complete { status, headers, signature, body, failures })
+        RelayStep::Done(RelayResponse::Complete { status, headers, signature, body })
     }
 
     /// Starts forwarding a replica's stream to the client.
@@ -308,16 +354,18 @@
             %failure
         );
         self.avoid.push(slot.target.id.clone());
+        self.tried += 1;
         if failure.not_run() {
             self.history.record(AttemptOutcome::Refused);
             // The replica did not run the request, so the attempt does not count toward the
             // route's limit, unless too many replicas were tried already.
-            if self.avoid.len() < 2 * self.route.max_attempts.max(1) as usize {
+            if self.tried < 2 * self.max_attempts.max(1) {
                 self.attempts -= 1;
             }
             return RelayStep::Retry;
         }
         self.history.record(AttemptOutcome::Unknown);
+        self.unknown += 1;
         if self.may_repeat() {
             return RelayStep::Retry;
         }
--- a/src/entry/results.rs
+++ b/src/entry/results.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 
 use super::app::App;
-use super::keys::{JobRecord, job_record_key, results_key, texts_key};
+use super::keys::{JobRecord, failures_key, job_record_key, results_key, texts_key};
 use super::membership::Stored;
 use super::owned_jobs::{OwnedJob, UnsavedTexts};
 use super::submit::VALUE_RESERVE_BYTES;
@@ -48,13 +48,14 @@
             () = owned.stop.cancelled() => break,
             () = tokio::time::sleep(TEXT_SAVE_INTERVAL) => {}
             () = owned.sample_ended.notified() => {}
+            () = owned.failure_added.notified() => {}
         }
         for _ in 0..MAX_GATHER_WINDOWS {
             if owned.job.lock().all_finished() {
                 break;
             }
             tokio::time::sleep(GATHER_WINDOW).await;
-            if owned.job.lock().is_urgent() {
+            if owned.job.lock().is_urgent() || owned.failures.lock().must_be_stored() {
                 break;
             }
         }
@@ -132,6 +133,14 @@
             let Some(texts) = encode(id, &deltas) else { return false };
             txn = txn.put(texts_key(id, index), texts);
         }
+        let mut stored_failures = None;
+        if (!txn.puts.is_empty() || owned.failures.lock().must_be_stored())
+            && let Some((record, number)) = owned.unstored_failures()
+        {
+            let Some(failures) = encode(id, &record) else { return false };
+            txn = txn.put(failures_key(id), failures);
+            stored_failures = Some(number);
+        }
         if txn.puts.is_empty() {
             return true;
         }
@@ -143,6 +152,9 @@
                 if !last && !saved.is_empty() {
                     owned.mark_saved(saved);
                 }
+                if let Some(number) = stored_failures {
+                    owned.mark_failures_stored(number);
+                }
                 batch_written(owned, batch.len());
                 return true;
             }
--- a/src/entry/runner.rs
+++ b/src/entry/runner.rs
@@ -15,6 +15,7 @@
 use super::results::{drop_lost_job, flush, update_record, write_results};
 use super::sample;
 use crate::Name;
+use crate::decide::failures::JobFailures;
 use crate::decide::job::{ItemResult, Job, JobSpec, SampleText, SavedProgress};
 use crate::edge::store::{Change, KeyValue, StoreError};
 use crate::metrics::JobEvent;
@@ -39,6 +40,8 @@
     pub results: Vec<Arc<ItemResult>>,
     /// The unfinished texts, and how much of each the store has.
     pub texts: ByName<(SampleText, SavedProgress)>,
+    /// The failures of its texts and reward calls.
+    pub failures: JobFailures,
     /// The number of saves of unfinished texts so far.
     pub text_writes: usize,
 }
@@ -52,7 +55,7 @@
         restored: RestoredJob,
         record: Stored<JobRecord>,
     ) {
-        let RestoredJob { results, texts, text_writes } = restored;
+        let RestoredJob { results, texts, failures, text_writes } = restored;
         let id = spec.id.clone();
         let queue_order = self.owned_jobs.assign_order(&spec);
         let job = Job::new(spec, results);
@@ -68,6 +71,9 @@
             confirmed: Mutex::default(),
             texts: Mutex::new(texts),
             text_writes: Mutex::new(text_writes),
+            failures: Mutex::new(failures),
+            failure_added: Notify::new(),
+            stored_failures: watch::Sender::new(0),
             sample_ended: Notify::new(),
             result_count: watch::Sender::new(count),
             write_lock: tokio::sync::Mutex::default(),
--- a/src/entry/sample.rs
+++ b/src/entry/sample.rs
@@ -11,15 +11,18 @@
 use super::score::request_score;
 use crate::Name;
 use crate::decide::SlotRequest;
+use crate::decide::failures::{RequestFailure, RetryDecision};
 use crate::decide::job::{FinishEffect, ItemSpec, ItemState, JobSpec};
 use crate::edge::replica::ReplicaCall;
-use crate::metrics::SampleEnd;
+use crate::metrics::{AttemptEnd, SampleEnd};
 
 /// Base of the delay after attempts that brought no events: twice this after the second one in a
 /// row, doubled with each further one up to eight times this value.
 const RETRY_BASE_DELAY: Duration = Duration::from_millis(25);
 /// The delay between two checks while the route's configuration or service is missing.
 const ROUTE_POLL_INTERVAL: Duration = Duration::from_millis(200);
+/// The delay between two checks of a text that may have failed too often to run again.
+const HOLD_INTERVAL: Duration = Duration::from_millis(500);
 /// Number of replicas that a sample avoids: the last ones that did not finish it.
 const MAX_AVOIDED: usize = 2;
 /// Largest priority value, that is the lowest priority, that replicas accept.
@@ -33,6 +36,8 @@
     let finished = owned.job.lock().finish(&item.id, state);
     match finished {
         FinishEffect::Unwanted => return,
+        // Another owner would run a sample again whose end is not written.
+        FinishEffect::Sample if dead => owned.sample_ended.notify_one(),
         // Trainers take whole groups, so the result of an incomplete group goes with the next
         // regular write.
         FinishEffect::Sample => {}
@@ -74,7 +79,6 @@
     index: u64,
 ) -> bool {
     let started_at = app.now();
-    let mut failed = 0;
     let mut idle_attempts = 0;
     let mut avoid: Vec<Name> = Vec::new();
     loop {
@@ -90,6 +94,18 @@
             tracing::info!(event = "sample_given_up", item = %item.id, reason = "retention");
             return false;
         }
+        match owned.retry_decision(&item.id, route.max_attempts) {
+            RetryDecision::Run(_) => {}
+            RetryDecision::Hold => {
+                tokio::time::sleep(HOLD_INTERVAL).await;
+                continue;
+            }
+            RetryDecision::GiveUp => {
+                tracing::info!(event = "sample_given_up", item = %item.id, reason = "failed");
+                return false;
+            }
+        }
+        owned.failures_stored(&item.id).await;
         let Some(service) = route.pick_service(app.draw()).cloned() else {
             tokio::time::sleep(ROUTE_POLL_INTERVAL).await;
             continue;
@@ -117,18 +133,17 @@
                 return true;
             }
             AttemptResult::Impossible => {
+                app.record_failure(owned, &item.id, RequestFailure::Rejected);
                 tracing::info!(event = "sample_given_up", item = %item.id, reason = "impossible");
                 return false;
             }
             AttemptResult::Failed => {
-                failed += 1;
-                tracing::info!(event = "sample_failed", %job, revision, item = %item.id, %replica, failed);
-                if failed >= route.max_attempts {
-                    tracing::info!(event = "sample_given_up", item = %item.id, reason = "failed");
-                    return false;
-                }
+                app.record_failure(owned, &item.id, RequestFailure::Failed);
             }
             AttemptResult::Continue(end) => {
+                if end == AttemptEnd::Broken && events == before {
+                    app.record_failure(owned, &item.id, RequestFailure::Unknown);
+                }
                 tracing::info!(event = "sample_continued", %job, revision, item = %item.id, %replica, events, reason = ?end);
             }
         }
--- a/src/entry/score.rs
+++ b/src/entry/score.rs
@@ -4,11 +4,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method};
+use http::{HeaderMap, Method, StatusCode};
 
 use super::app::App;
 use super::owned_jobs::OwnedJob;
-use super::relay::{RelayRequest, RelayResponse};
+use super::relay::{RelayLimits, RelayRequest, RelayResponse};
+use crate::decide::failures::{RequestFailure, RetryDecision};
 use crate::decide::job::{Score, Scorer};
 use crate::{Moment, Name};
 
@@ -19,10 +20,14 @@
 const RETRY_BASE_DELAY: Duration = Duration::from_millis(25);
 /// The delay between two checks while the scorer's route is missing.
 const ROUTE_POLL_INTERVAL: Duration = Duration::from_millis(200);
+/// The delay between two checks of a call that may have failed too often to run again.
+const HOLD_INTERVAL: Duration = Duration::from_millis(500);
+/// Number of replicas that a call avoids: the last ones that did not answer it.
+const MAX_AVOIDED: usize = 2;
 /// Minimum time for which a sample may wait for its score; its scorer's route may allow more.
 const MIN_RETENTION: Duration = Duration::from_secs(40);
 
-/// Calls a scorer until it answers. None once it has failed as often as its route allows, or
+/// Calls a scorer until it answers. None once the call has failed as often as its route allows, or
 /// the retention since `started_at` is over.
 pub(super) async fn request_score(
     app: &Arc<App>,
@@ -31,9 +36,8 @@
     scorer: &Scorer,
     started_at: Moment,
 ) -> Option<Score> {
-    let job = owned.job.lock().spec.id.clone();
-    let mut failed = 0;
     let mut attempts = 0;
+    let mut avoid: Vec<Name> = Vec::new();
     loop {
         let routes = app.routes();
         let route = routes.and_then(|r| r.find(&scorer.host, &scorer.path).cloned());
@@ -46,29 +50,53 @@
             tokio::time::sleep(ROUTE_POLL_INTERVAL).await;
             continue;
         };
-        match app.relay(&route, scorer_request(scorer)).await {
+        let runs = match owned.retry_decision(&scorer.id, route.max_attempts) {
+            RetryDecision::Run(_) if owned.has_failed(&scorer.id) => 1,
+            RetryDecision::Run(_) => route.max_attempts,
+            RetryDecision::Hold => {
+                tokio::time::sleep(HOLD_INTERVAL).await;
+                continue;
+            }
+            RetryDecision::GiveUp => {
+                tracing::info!(event = "score_given_up", %item, request = %scorer.id, reason = "failed");
+                return None;
+            }
+        };
+        owned.failures_stored(&scorer.id).await;
+        // The runs of a call that has failed are counted one by one, so the relay repeats none.
+        let limits = RelayLimits { attempts: runs, rerun_failed: false, avoid: avoid.clone() };
+        let outcome = app.relay_within(&route, scorer_request(scorer), limits).await;
+        let rejected = match outcome.response {
             RelayResponse::Complete { status, signature: Some(signature), .. }
                 if status.is_success() =>
             {
                 return Some(signature);
             }
-            RelayResponse::Complete { status, failures, .. } => {
-                failed += failures;
-                let revision = owned.record.lock().revision;
-                tracing::info!(event = "score_failed", %job, revision, %item, request = %scorer.id, %status, failed);
+            RelayResponse::Complete { status, .. } => {
+                tracing::info!(event = "score_failed", %item, request = %scorer.id, %status);
+                status == StatusCode::UNPROCESSABLE_ENTITY
             }
             RelayResponse::Stream { .. } => {
                 tracing::warn!(event = "score_streamed", %item, request = %scorer.id);
+                false
             }
             RelayResponse::Refused(refusal) => {
-                let revision = owned.record.lock().revision;
-                tracing::info!(event = "score_refused", %job, revision, %item, request = %scorer.id, kind = %refusal.kind, failed);
+                tracing::info!(event = "score_refused", %item, request = %scorer.id, kind = %refusal.kind);
+                false
+            }
+        };
+        let failures = [
+            (RequestFailure::Unknown, outcome.unknown),
+            (RequestFailure::Failed, outcome.failures),
+            (RequestFailure::Rejected, u32::from(rejected)),
+        ];
+        for (failure, count) in failures {
+            for _ in 0..count {
+                app.record_failure(owned, &scorer.id, failure);
             }
         }
-        if failed >= route.max_attempts {
-            tracing::info!(event = "score_given_up", %item, request = %scorer.id, reason = "failed", failed);
-            return None;
-        }
+        avoid.clear();
+        avoid.extend(outcome.avoid.into_iter().rev().take(MAX_AVOIDED));
         attempts += 1;
         tokio::time::sleep(RETRY_BASE_DELAY * (1 << attempts.min(4))).await;
     }
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -63,7 +63,7 @@
         service,
         avoid: state.avoid.clone(),
         resume: state.route.retry_policy == RetryPolicy::Resume,
-        attempts_left: state.route.max_attempts.saturating_sub(state.attempts),
+        attempts_left: state.max_attempts.saturating_sub(state.attempts),
         last_event: state.request.resume_after,
         version: reply.version,
         app: app.clone(),
--- a/src/entry/submit.rs
+++ b/src/entry/submit.rs
@@ -13,6 +13,7 @@
 use super::runner::RestoredJob;
 use super::takeover;
 use crate::Name;
+use crate::decide::failures::JobFailures;
 use crate::decide::job::JobSpec;
 use crate::edge::store::{StoreError, Txn, TxnOutcome};
 use crate::metrics::JobEvent;
@@ -96,6 +97,7 @@
             part_count: parts.len(),
             done: false,
             ended: false,
+            takeovers: 0,
             accepted_ms: unix_millis(),
         };
         let Ok(written) = serde_json::to_vec(&value) else {
@@ -117,13 +119,27 @@
         txn: Txn,
     ) -> SubmitResult {
         let started_at = self.now();
+        let mut first = true;
         let mut outcome_unknown = false;
         let mut probed = false;
         loop {
-            let reason = match self.store.txn(txn.clone()).await {
+            // Both calls at once, but only one of them is repeated in an outage.
+            let reading = async {
+                if std::mem::take(&mut first) { self.load_failures(&spec).await.ok() } else { None }
+            };
+            let (written, failures) = tokio::join!(self.store.txn(txn.clone()), reading);
+            let reason = match written {
                 Ok(TxnOutcome::Done(revision)) => {
                     tracing::info!(event = "job_accepted", job = %spec.id, items = spec.items.len(), revision);
-                    self.run_job(spec, RestoredJob::default(), Stored { value, revision });
+                    let failures = match failures {
+                        Some(failures) => failures,
+                        None => self.load_failures(&spec).await.unwrap_or_else(|e| {
+                            tracing::warn!(event = "failures_not_read", job = %spec.id, error = %e);
+                            JobFailures::default()
+                        }),
+                    };
+                    let restored = RestoredJob { failures, ..RestoredJob::default() };
+                    self.run_job(spec, restored, Stored { value, revision });
                     return SubmitResult::Accepted;
                 }
                 // The job is in the store already: from an earlier attempt, or through another
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -10,7 +10,9 @@
 use std::time::Duration;
 
 use super::app::{App, ByName};
-use super::keys::{JOB_RECORD_PREFIX, JobRecord, job_data_prefix, job_record_key, texts_prefix};
+use super::keys::{
+    JOB_RECORD_PREFIX, JobRecord, failures_key, job_data_prefix, job_record_key, texts_prefix,
+};
 use super::membership::Stored;
 use super::runner::RestoredJob;
 use super::submit::unix_millis;
@@ -144,7 +146,11 @@
 
 /// Makes this node the owner of a job and runs it. False if that must be tried again.
 async fn take_over(app: &Arc<App>, job: &Name, seen: Stored<JobRecord>) -> bool {
-    let value = JobRecord { incarnation: app.incarnation.clone(), ..seen.value.clone() };
+    let value = JobRecord {
+        incarnation: app.incarnation.clone(),
+        takeovers: seen.value.takeovers + 1,
+        ..seen.value.clone()
+    };
     let Ok(written) = serde_json::to_vec(&value) else { return true };
     let key = job_record_key(job);
     let txn = Txn::when(key.clone(), seen.revision).put(key, written);
@@ -184,7 +190,8 @@
     let results = app.load_results(job).await?;
     let page = app.store.range(&texts_prefix(job)).await?;
     let (texts, text_writes) = decode_texts(&page, &results);
-    Ok((spec, RestoredJob { results, texts, text_writes }))
+    let failures = app.load_failures(&spec).await?;
+    Ok((spec, RestoredJob { results, texts, failures, text_writes }))
 }
 
 /// Rebuilds the unfinished texts from all their saves in order, and returns them with the index
@@ -229,7 +236,8 @@
 /// finds what a crash leaves behind.
 async fn delete_job(app: &Arc<App>, job: &Name, revision: u64) -> Result<(), StoreError> {
     let page = app.store.range(&job_data_prefix(job)).await?;
-    let keys: Vec<Name> = page.items.into_iter().map(|item| item.key).collect();
+    let keys = page.items.into_iter().map(|item| item.key);
+    let keys: Vec<Name> = keys.chain([failures_key(job)]).collect();
     let key = job_record_key(job);
     for keys in keys.chunks(MAX_KEYS_PER_DELETE) {
         let txn = Txn::when(key.clone(), revision);
--- a/src/metrics/entry_metrics.rs
+++ b/src/metrics/entry_metrics.rs
@@ -15,6 +15,7 @@
 use super::metrics::encode_text;
 use super::process::ProcessCollector;
 use super::{Direction, Traffic};
+use crate::decide::failures::RequestFailure;
 use crate::edge::duty::DutyOutcome;
 use crate::edge::replica::OrderOutcome;
 use crate::error::Kind;
@@ -125,6 +126,8 @@
     Results,
     /// The texts of unfinished samples.
     Texts,
+    /// The failures of texts and reward calls.
+    Failures,
     /// Usage reports.
     Usage,
     /// The number of replicas ordered.
@@ -161,6 +164,7 @@
 
 label!(AttemptLabel, end: AttemptEnd);
 label!(SampleLabel, end: SampleEnd);
+label!(FailureLabel, failure: RequestFailure);
 label!(JobEventLabel, step: JobEvent);
 label!(OrderLabel, result: OrderOutcome);
 label!(DutyLabel, result: DutyOutcome);
@@ -187,6 +191,7 @@
     attempts: Family<AttemptLabel, Counter>,
     sample_attempts: Family<AttemptLabel, Counter>,
     samples: Family<SampleLabel, Counter>,
+    sample_failures: Family<FailureLabel, Counter>,
     jobs: Family<JobEventLabel, Counter>,
     orders: Family<OrderLabel, Counter>,
     usage_reports: Family<DutyLabel, Counter>,
@@ -215,6 +220,7 @@
             attempts: Family::default(),
             sample_attempts: Family::default(),
             samples: Family::default(),
+            sample_failures: Family::default(),
             jobs: Family::default(),
             orders: Family::default(),
             usage_reports: Family::default(),
@@ -245,6 +251,8 @@
         let help = "Attempts at samples, by end";
         registry.register("sample_attempts", help, self.sample_attempts.clone());
         registry.register("samples", "Samples that ended here", self.samples.clone());
+        let help = "Failed runs of texts and reward calls, by failure";
+        registry.register("sample_failures", help, self.sample_failures.clone());
         registry.register("jobs", "What jobs went through here", self.jobs.clone());
         registry.register("orders", "Orders given, by result", self.orders.clone());
         registry.register(
@@ -299,6 +307,11 @@
         self.samples.get_or_create(&SampleLabel { end }).inc();
     }
 
+    /// Counts a failed run of a text or reward call.
+    pub fn count_sample_failure(&self, failure: RequestFailure) {
+        self.sample_failures.get_or_create(&FailureLabel { failure }).inc();
+    }
+
     /// Counts an event of a job.
     pub fn count_job_event(&self, step: JobEvent) {
         self.jobs.get_or_create(&JobEventLabel { step }).inc();
--- a/src/metrics/labels.rs
+++ b/src/metrics/labels.rs
@@ -3,6 +3,7 @@
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder};
 
 use crate::decide::OrderReason;
+use crate::decide::failures::RequestFailure;
 use crate::error::Kind;
 
 /// Why a request was retried.
@@ -181,6 +182,12 @@
     }
 }
 
+impl EncodeLabelValue for RequestFailure {
+    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> Result<(), std::fmt::Error> {
+        EncodeLabelValue::encode(&self.as_str(), encoder)
+    }
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(super) struct KindLabel {
     pub(super) kind: Kind,
