A request that crashes its replicas is not stopped on the prepared machines: listed

Looked for where else a limit is kept by one task: a request that crashes each replica that runs it is repeated by every relay at every node, as decide::quarantine is used by mulberryd alone.

--- a/standins/src/replicas/fleet.rs
+++ b/standins/src/replicas/fleet.rs
@@ -1,6 +1,6 @@
 //! All replicas, as one implementation of the library's `Replicas` trait.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -29,6 +29,8 @@
 const PLAIN_RUN_TIME: Duration = Duration::from_millis(25);
 /// How long a load of weights takes.
 const WEIGHT_LOAD_TIME: Duration = Duration::from_millis(900);
+/// How long a replica that has crashed takes to be back.
+const RESTART_TIME: Duration = Duration::from_millis(2_000);
 /// Slots of a replica, by its entry.
 const SLOTS_PER_REPLICA: u32 = 8;
 /// Number of events in a text, unless a test sets another.
@@ -40,6 +42,8 @@
     replicas: BTreeMap<Name, Replica>,
     /// The number of events of a text, by request id.
     event_counts: HashMap<Name, u64>,
+    /// The paths of requests that crash each replica that runs them.
+    crash_paths: HashSet<Name>,
     /// The status of every response to a request, by request id.
     set_statuses: HashMap<Name, StatusCode>,
     runs: Vec<RecordedRun>,
@@ -131,6 +135,21 @@
         self.state.lock().set_statuses.insert(request.into(), status);
     }
 
+    /// Makes requests with this path crash each replica that runs them.
+    pub fn crash_on(&self, path: &str) {
+        self.state.lock().crash_paths.insert(path.into());
+    }
+
+    /// Ends the process of a replica, and starts it again.
+    fn crash(&self, id: &Name) {
+        self.set_behaviour(id, Behaviour::Unreachable);
+        let (fleet, id) = (self.clone(), id.clone());
+        tokio::spawn(async move {
+            tokio::time::sleep(RESTART_TIME).await;
+            fleet.set_behaviour(&id, Behaviour::Normal);
+        });
+    }
+
     /// All runs so far, in order of their start.
     pub fn runs(&self) -> Vec<RecordedRun> {
         self.state.lock().runs.clone()
@@ -278,6 +297,10 @@
                 _ => {}
             }
             let run = fleet.record_run(&to, &call);
+            if fleet.state.lock().crash_paths.contains(&call.path) {
+                fleet.crash(&to.id);
+                return Err(CallError::Interrupted("connection reset".to_owned()));
+            }
             let is_stream = call.path.starts_with("/text");
             let (status, body): (_, BodyStream) = match behaviour {
                 Behaviour::Unresponsive => std::future::pending().await,
