A node of a small fleet reads a long list itself instead of waiting for watchers

A node of at most four that starts before more than 1,000 replicas was refused the list by its seeds and then asked watchers, of which a fleet of that size has none: it had no replicas for 30 s. Now it reads the store once the nodes are known and too few for watchers. In a large fleet that starts the known nodes are more than four after the settling delay of one second, so nothing changes there (nodes_that_get_nothing_from_their_seeds, a_long_list_comes_from_many_nodes pass).

--- a/src/entry/follow/sources.rs
+++ b/src/entry/follow/sources.rs
@@ -183,7 +183,8 @@
     }
 
     /// Fetches the first snapshot from a node that watches for others. None if this node watches,
-    /// or if no watcher has sent one within [`FIRST_SNAPSHOT_TIMEOUT`].
+    /// if the fleet is too small for watchers, or if no watcher has sent one within
+    /// [`FIRST_SNAPSHOT_TIMEOUT`].
     async fn fetch_first(&self, topic: FeedTopic) -> Option<PeerUpdate> {
         let deadline = self.now() + FIRST_SNAPSHOT_TIMEOUT;
         if self.membership.lock().known_count() < SETTLED_FLEET_NODES {
@@ -192,7 +193,7 @@
         let mut round = 0;
         while self.now() < deadline {
             let watchers_known = self.watchers().is_some();
-            if watchers_known && !self.relies_on_watchers() {
+            if self.is_fleet_small() || (watchers_known && !self.relies_on_watchers()) {
                 return None;
             }
             let sources = if watchers_known {
@@ -213,6 +214,12 @@
         None
     }
 
+    /// Whether the nodes are known and too few for watchers.
+    fn is_fleet_small(&self) -> bool {
+        let membership = self.membership.lock();
+        membership.is_loaded() && watcher_count(membership.known_count()).is_none()
+    }
+
     /// Fetches a snapshot from a seed as soon as it has one. Nothing if it has none until
     /// `deadline`, and `Stale` if its snapshot is too old because it does not reach the store either.
     async fn fetch_initial_from(
