--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -236,8 +236,8 @@
 /// finds what a crash leaves behind.
 async fn delete_job(app: &Arc<App>, job: &Name, revision: u64) -> Result<(), StoreError> {
     let page = app.store.range(&job_data_prefix(job)).await?;
-    let keys = page.items.into_iter().map(|item| item.key);
-    let keys: Vec<Name> = keys.chain([failures_key(job)]).collect();
+    let failures = app.store.get(&failures_key(job)).await?;
+    let keys: Vec<Name> = page.items.into_iter().chain(failures).map(|item| item.key).collect();
     let key = job_record_key(job);
     for keys in keys.chunks(MAX_KEYS_PER_DELETE) {
         let txn = Txn::when(key.clone(), revision);
