--- a/src/decide/failures/failure_count.rs
+++ b/src/decide/failures/failure_count.rs
@@ -35,8 +35,8 @@
 /// What follows from the failures of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RetryDecision {
-    /// It may run this many more times.
-    Run(u32),
+    /// It may run.
+    Run,
     /// It does not run again, and is not given up before its retention ends: some of its runs may
     /// have failed without a response, but fewer responses than its route allows say so.
     Hold,
@@ -97,13 +97,15 @@
         }
         let failed = self.failed + self.earlier_failed;
         if failed == 0 {
-            return RetryDecision::Run(max_runs);
+            return RetryDecision::Run;
         }
         let runs = failed + self.unknown + self.earlier_unknown + takeovers;
-        match max_runs.saturating_sub(runs) {
-            0 if failed >= max_attempts => RetryDecision::GiveUp,
-            0 => RetryDecision::Hold,
-            left => RetryDecision::Run(left),
+        if runs < max_runs {
+            RetryDecision::Run
+        } else if failed >= max_attempts {
+            RetryDecision::GiveUp
+        } else {
+            RetryDecision::Hold
         }
     }
 }
--- a/src/entry/sample.rs
+++ b/src/entry/sample.rs
@@ -95,7 +95,7 @@
             return false;
         }
         match owned.retry_decision(&item.id, route.max_attempts) {
-            RetryDecision::Run(_) => {}
+            RetryDecision::Run => {}
             RetryDecision::Hold => {
                 tokio::time::sleep(HOLD_INTERVAL).await;
                 continue;
--- a/src/entry/score.rs
+++ b/src/entry/score.rs
@@ -51,8 +51,8 @@
             continue;
         };
         let runs = match owned.retry_decision(&scorer.id, route.max_attempts) {
-            RetryDecision::Run(_) if owned.has_failed(&scorer.id) => 1,
-            RetryDecision::Run(_) => route.max_attempts,
+            RetryDecision::Run if owned.has_failed(&scorer.id) => 1,
+            RetryDecision::Run => route.max_attempts,
             RetryDecision::Hold => {
                 tokio::time::sleep(HOLD_INTERVAL).await;
                 continue;
