--- a/src/entry/results.rs
+++ b/src/entry/results.rs
@@ -134,9 +134,7 @@
             txn = txn.put(texts_key(id, index), texts);
         }
         let mut stored_failures = None;
-        if (!txn.puts.is_empty() || owned.failures.lock().must_be_stored())
-            && let Some((record, number)) = owned.unstored_failures()
-        {
+        if let Some((record, number)) = owned.unstored_failures() {
             let Some(failures) = encode(id, &record) else { return false };
             txn = txn.put(failures_key(id), failures);
             stored_failures = Some(number);
