Each node passes on one announcement of the store's return

Cause: up to six of 250 nodes reach the store again in the same millisecond. Each announced it along a tree of its own, the trees had the same first nodes because all lists have the same order, and a node passed on every tree: up to 61 notices of one node, 32 are allowed.

Change: an announcement has a random id, and a node passes it on only if the id is lower than those it has passed on, so the lowest one reaches every node (decide/announcements.rs). Each announcement has an order of its own. A node that reaches the store waits up to 20 ms and announces nothing if another node has done so.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -6,6 +6,7 @@
 mod adaptive_timeout;
 mod admission;
 pub mod affinity;
+mod announcements;
 mod call;
 pub mod claim;
 mod client_nodes;
@@ -51,6 +52,7 @@
 
 pub use adaptive_timeout::AdaptiveTimeout;
 pub use admission::{RetrySchedule, WaitEstimate};
+pub use announcements::Announcements;
 pub use call::{Call, Class, Repeat};
 pub use client_nodes::{CandidateNode, MAX_CLIENT_NODES, nodes_for_client};
 pub use concurrency::ConcurrencyLimit;
--- a/src/entry/peer/fallback_store.rs
+++ b/src/entry/peer/fallback_store.rs
@@ -6,12 +6,14 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
+use rand::seq::SliceRandom;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
 use super::messages::{PeerReply, PeerRequest, StoreReply, StoreRequest};
 use super::peers::Peers;
 use crate::Moment;
+use crate::decide::Announcements;
 use crate::decide::fallback::{self, CallPath};
 use crate::edge::peer::PeerError;
 use crate::edge::store::{Store, StoreError, StoreFuture, WatchBatch};
@@ -53,6 +55,10 @@
 /// node that misses it finds out by its own probe.
 const NOTICE_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// The longest delay before a node that reaches the store again announces it. Most announcements
+/// reach all nodes within a third of it.
+const MAX_ANNOUNCE_DELAY: Duration = Duration::from_millis(20);
+
 /// What is known about the reachability of the store.
 #[derive(Debug)]
 struct State {
@@ -69,6 +75,8 @@
     recovered_at: Option<Moment>,
     /// The total length of past outages in which no node reached the store.
     total_outage: Duration,
+    /// The announcement of the store's return that this node has passed on.
+    announcements: Announcements,
 }
 
 impl State {
@@ -114,6 +122,7 @@
             last_reply: Moment::ZERO,
             recovered_at: None,
             total_outage: Duration::ZERO,
+            announcements: Announcements::default(),
         };
         Self {
             direct,
@@ -374,23 +383,41 @@
         self.recoveries.send_modify(|n| *n += 1);
         tracing::info!(event = "store_reached", way = "direct");
         if was_down {
-            let nodes = self.state.lock().nodes.clone();
-            tokio::spawn(self.clone().announce_recovery(nodes));
+            tokio::spawn(self.clone().announce_unless_told());
         }
     }
 
+    /// Announces that the store is back, unless another node does so within a short random time.
+    ///
+    /// Load pattern: the probes of several of hundreds of nodes are answered at the same moment.
+    async fn announce_unless_told(self) {
+        tokio::time::sleep(MAX_ANNOUNCE_DELAY.mul_f64(rand::random())).await;
+        let id = rand::random();
+        let mut nodes = {
+            let mut state = self.state.lock();
+            let now = self.started.elapsed();
+            if state.announcements.is_under_way(now) || !state.announcements.passes_on(id, now) {
+                return;
+            }
+            state.nodes.clone()
+        };
+        // In an order of its own, each of several announcements is passed on by other nodes.
+        nodes.shuffle(&mut rand::rng());
+        self.announce_recovery(nodes, id).await;
+    }
+
     /// Notifies nodes that the store is back, so that they call it at once.
-    async fn announce_recovery(self, nodes: Vec<SocketAddr>) {
+    async fn announce_recovery(self, nodes: Vec<SocketAddr>, id: u64) {
         let part_size = nodes.len().div_ceil(NOTICE_FANOUT).max(1);
-        let notices = nodes.chunks(part_size).map(|part| self.notify_part(part));
+        let notices = nodes.chunks(part_size).map(|part| self.notify_part(part, id));
         futures_util::future::join_all(notices).await;
     }
 
     /// Notifies the first of some nodes that replies, which notifies those after it.
-    async fn notify_part(&self, part: &[SocketAddr]) {
+    async fn notify_part(&self, part: &[SocketAddr], id: u64) {
         let mut rest = part;
         while let [to, others @ ..] = rest {
-            let request = PeerRequest::StoreRecovered { rest: others.to_vec() };
+            let request = PeerRequest::StoreRecovered { rest: others.to_vec(), id };
             if self.peers.request(*to, request, NOTICE_TIMEOUT).await.is_ok() {
                 return;
             }
@@ -398,10 +425,13 @@
         }
     }
 
-    /// Handles the notice of another node that the store is back, and passes it on to `rest`.
-    pub(super) fn on_recovery_notice(&self, rest: Vec<SocketAddr>) {
-        if !rest.is_empty() {
-            tokio::spawn(self.clone().announce_recovery(rest));
+    /// Handles the notice of another node that the store is back, and passes it on to `rest`
+    /// unless another announcement of the same return covers these nodes.
+    pub(super) fn on_recovery_notice(&self, rest: Vec<SocketAddr>, id: u64) {
+        let now = self.started.elapsed();
+        let passes_on = self.state.lock().announcements.passes_on(id, now);
+        if passes_on && !rest.is_empty() {
+            tokio::spawn(self.clone().announce_recovery(rest, id));
         }
         {
             let mut state = self.state.lock();
@@ -423,7 +453,15 @@
 
     /// Records that a direct call failed.
     fn record_failure(&self, e: &StoreError) {
-        if self.state.lock().fallback.direct_failed(self.started.elapsed()) {
+        let new_outage = {
+            let mut state = self.state.lock();
+            let new = state.fallback.direct_failed(self.started.elapsed());
+            if new {
+                state.announcements.outage_began();
+            }
+            new
+        };
+        if new_outage {
             self.disconnects.send_modify(|n| *n += 1);
             tracing::info!(event = "store_not_reached", way = "direct", error = %e);
         }
--- a/src/entry/peer/messages.rs
+++ b/src/entry/peer/messages.rs
@@ -76,6 +76,8 @@
     StoreRecovered {
         /// The nodes that it tells in turn.
         rest: Vec<SocketAddr>,
+        /// Identifies the announcement of the node that reached the store first.
+        id: u64,
     },
 }
 
--- a/src/entry/peer/server.rs
+++ b/src/entry/peer/server.rs
@@ -134,8 +134,8 @@
                 app.record_counts(usage, &incarnation, &notes);
                 PeerReply::UsageNoted { life: app.incarnation.clone(), time: usage.time() }
             }
-            PeerRequest::StoreRecovered { rest } => {
-                app.fallback_store.on_recovery_notice(rest);
+            PeerRequest::StoreRecovered { rest, id } => {
+                app.fallback_store.on_recovery_notice(rest, id);
                 PeerReply::Noted
             }
         }
