Texts are placed by speed, and moves have a budget

Cause: a text went to the replica with the least load times pace, as if a replica with three running texts took three times as long, and a run was moved if its last six events were 1.7 times slower than at the fastest quarter of the replicas. Where three in four replicas are slower than that by nature, one text in four was stopped and resumed.

Change: where replicas are uneven, a text goes to the replica with the earliest expected completion, by the events that are left and the time per event there (measured, else by the reported speed of the machine), and moves only if that gains half a second, one text in 25. The fourth load figure is read; figures out of range are ignored and counted.

--- a/benches/places.rs
+++ b/benches/places.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use mulberrycourse::decide::load::TextLength;
 use mulberrycourse::decide::{Fleet, ListedReplica, ReplicaOutcome, SlotQueue, SlotRequest};
 use mulberrycourse::edge::replica::{ReplicaLoad, Target};
 
@@ -40,6 +41,7 @@
         model: Some(model.into()),
         min_version: 1,
         avoid: Vec::new(),
+        length: TextLength::default(),
     }
 }
 
@@ -66,7 +68,7 @@
                     fleet.end_attempt(&replica, None, ReplicaOutcome::Abandoned, now);
                     fleet.report_load(
                         &replica,
-                        ReplicaLoad { running: SLOTS_PER_REPLICA - 1, waiting: 0 },
+                        ReplicaLoad { running: SLOTS_PER_REPLICA - 1, waiting: 0, slowdown: None },
                         now,
                     );
                     let assigned = if is_replica_known {
--- a/src/decide/fleet/attempt_request.rs
+++ b/src/decide/fleet/attempt_request.rs
@@ -1,6 +1,7 @@
 //! The requirements of an attempt on its replica.
 
 use crate::Name;
+use crate::decide::load::TextLength;
 
 /// The requirements of an attempt on its replica.
 #[derive(Debug, Clone, Copy)]
@@ -11,6 +12,8 @@
     pub weights: Option<(&'a str, u64)>,
     /// Replicas at which earlier attempts failed; they are chosen last.
     pub avoid: &'a [Name],
+    /// The length of the text; unknown for requests without weights.
+    pub length: TextLength,
     /// Whether a replica without a free slot may be chosen.
     pub allow_full: bool,
 }
--- a/src/decide/fleet/fleet.rs
+++ b/src/decide/fleet/fleet.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use super::replica::{LoadReporting, Replica, fits};
+use super::service_speed::ServiceSpeed;
 use super::table::{ReplicaKey, ReplicaTable};
 use super::{AttemptRequest, ListedReplica, ReplicaOutcome};
 use crate::decide::{LatencyEstimate, OtherLoad, expected_latency, max_ejected};
@@ -30,22 +31,18 @@
 /// [`TYPICAL_INTERVAL_REFRESH`]. With fewer, considering all in order to find the fastest one is
 /// worth the time.
 const LARGE_FLEET_REPLICAS: usize = 64;
-/// Time between two computations of the typical event interval of a service in a large fleet: a
-/// tenth of the time in which the speed of a run is judged.
-const TYPICAL_INTERVAL_REFRESH: Duration = Duration::from_millis(50);
-
 /// A run slower than is typical by this factor is worth moving. Depending on their load, replicas
 /// of one kind differ by less than half; a faulty replica is two to four times as slow.
-const SLOW_FACTOR: f64 = 1.7;
+pub(super) const SLOW_FACTOR: f64 = 1.7;
 
 /// A candidate for an attempt. Smaller is better.
 #[derive(Clone, Copy)]
-struct Candidate<'a> {
+pub(super) struct Candidate<'a> {
     /// Whether an earlier attempt failed there, and whether it has no free slot.
-    penalties: (bool, bool),
+    pub(super) penalties: (bool, bool),
     /// Expected time until an answer, in seconds.
-    latency: f64,
-    replica: &'a Replica,
+    pub(super) latency: f64,
+    pub(super) replica: &'a Replica,
 }
 
 impl Candidate<'_> {
@@ -57,20 +54,22 @@
 /// The table of the replicas of all services that a node knows.
 #[derive(Debug)]
 pub struct Fleet {
-    zone: Option<Name>,
-    replicas: ReplicaTable,
+    pub(super) zone: Option<Name>,
+    pub(super) replicas: ReplicaTable,
     /// Id of the replica that got the last attempt.
-    last_chosen: Name,
+    pub(super) last_chosen: Name,
     /// The replicas that are excluded for a time, some of which may be over.
-    excluded: HashSet<ReplicaKey>,
+    pub(super) excluded: HashSet<ReplicaKey>,
     /// The replicas whose event interval is known.
-    measured: HashSet<ReplicaKey>,
+    pub(super) measured: HashSet<ReplicaKey>,
     /// Typical time per unit of cost of the attempts of each service.
-    typical_pace: HashMap<Name, LatencyEstimate>,
+    pub(super) typical_pace: HashMap<Name, LatencyEstimate>,
     /// When the typical event interval of each service was last computed.
-    interval_updates: HashMap<Name, Moment>,
+    pub(super) interval_updates: HashMap<Name, Moment>,
     /// The event interval that a quarter of a service's replicas do not exceed, in seconds.
-    typical_intervals: HashMap<Name, f64>,
+    pub(super) typical_intervals: HashMap<Name, f64>,
+    /// The speed of the replicas of each service that generates texts.
+    pub(super) speeds: HashMap<Name, ServiceSpeed>,
 }
 
 impl Fleet {
@@ -91,6 +90,7 @@
             typical_pace: HashMap::new(),
             typical_intervals: HashMap::new(),
             interval_updates: HashMap::new(),
+            speeds: HashMap::new(),
         }
     }
 
@@ -239,12 +239,20 @@
         }
     }
 
-    /// Records the load that a replica reported.
-    pub fn report_load(&mut self, id: &str, load: ReplicaLoad, now: Moment) {
-        let Some(replica) = self.replicas.get_mut(id) else { return };
+    /// Records the load that a replica reported. Returns false if the reported speed of its machine
+    /// was out of range and ignored.
+    pub fn report_load(&mut self, id: &str, load: ReplicaLoad, now: Moment) -> bool {
+        let Some(replica) = self.replicas.get_mut(id) else { return true };
         let others = (load.running + load.waiting).saturating_sub(replica.running);
         replica.others = OtherLoad::new(others, now);
         replica.load_report = LoadReporting::At(now);
+        let Some(percent) = load.slowdown else { return true };
+        let valid = replica.machine.report(percent);
+        if valid {
+            let service = replica.listed.service.clone();
+            self.speeds.entry(service).or_default().uneven.record_report();
+        }
+        valid
     }
 
     /// Records an answer of a replica without a load report.
@@ -261,18 +269,24 @@
         let exclude = self.applies_exclusions(request.service, now);
         let ignore_load = request.allow_full || request.weights.is_none();
         let many = self.is_large();
+        let uneven = self.uneven_speed(request, now);
+        let searched = if many && uneven.is_some() { LARGE_FLEET_REPLICAS } else { usize::MAX };
         let mut best: Option<Candidate<'_>> = None;
         let mut chosen: Option<Candidate<'_>> = None;
-        for replica in self.candidates(request).filter(|r| fits(r, request, now, exclude)) {
+        let fitting = self.candidates(request).filter(|r| fits(r, request, now, exclude));
+        for replica in fitting.take(searched) {
             let (known, typical) = self.pace_and_typical(replica, request);
             let load_known = ignore_load || replica.load_is_known(now);
             let pace = known.decayed(typical, now);
-            let rated = self.rate(replica, request, pace, now);
+            let rated = match uneven {
+                Some(speed) => self.rate_by_speed(replica, request, speed, now),
+                None => self.rate(replica, request, pace, now),
+            };
             let good = match request.weights {
                 Some(_) => rated.latency <= expected_latency(0.0, typical, 1, false),
                 None => self.is_idle_and_near(replica, now) && pace <= SLOW_FACTOR * typical,
             };
-            if many && load_known && good && !rated.penalties.0 {
+            if many && uneven.is_none() && load_known && good && !rated.penalties.0 {
                 return Some(replica.listed.target.clone());
             }
             if load_known && chosen.as_ref().is_none_or(|c| rated.order(c).is_lt()) {
@@ -291,8 +305,11 @@
 
     /// Returns the replica itself if an attempt may go there now. Waiting attempts use this after
     /// a report of this replica alone. A slow replica is never returned: [`Fleet::choose`]
-    /// compares it with the others.
+    /// compares it with the others. Where replicas are uneven, it always does.
     pub fn choose_at(&self, id: &str, request: &AttemptRequest<'_>, now: Moment) -> Option<Target> {
+        if self.uneven_speed(request, now).is_some() {
+            return self.choose(request, now);
+        }
         let replica = self.replicas.get(id).filter(|r| fits(r, request, now, true))?;
         let (known, typical) = self.pace_and_typical(replica, request);
         let slow = known.decayed(typical, now) > SLOW_FACTOR * typical;
@@ -335,7 +352,7 @@
     /// at the same end, each sample would pass all replicas that the samples before it have taken.
     /// Requests without weights are few at any one time, and each node begins with the same
     /// replicas every time, so that it needs few connections however many replicas there are.
-    fn candidates<'a>(
+    pub(super) fn candidates<'a>(
         &'a self,
         request: &AttemptRequest<'a>,
     ) -> Box<dyn Iterator<Item = &'a Replica> + 'a> {
@@ -358,7 +375,7 @@
         near && replica.running == 0 && replica.others.decayed(now) < 1.0
     }
 
-    fn rate<'a>(
+    pub(super) fn rate<'a>(
         &self,
         replica: &'a Replica,
         request: &AttemptRequest<'_>,
@@ -367,7 +384,7 @@
     ) -> Candidate<'a> {
         let listed = &replica.listed;
         let far = self.zone.as_ref().is_some_and(|zone| *zone != listed.zone);
-        let load = f64::from(replica.running) + replica.others.decayed(now);
+        let load = replica.load(now);
         let full = load >= f64::from(listed.slots);
         let avoided = request.avoid.contains(&listed.target.id);
         Candidate {
@@ -377,69 +394,14 @@
         }
     }
 
-    /// Records the time between two events of a replica's streams, in seconds.
-    ///
-    /// Load pattern: a third of the replicas slow down to a quarter of their speed. Compared with
-    /// the mean of all runs, including their own, none of these would count as slow. So the
-    /// typical value is the one that a quarter of the replicas reach, as two of three are slow
-    /// now and then, and it measures the time between events, without waits and prompts.
-    pub fn record_event_interval(&mut self, id: &str, seconds: f64, now: Moment) {
-        let Some(replica) = self.replicas.get_mut(id) else { return };
-        replica.event_interval.record(1, Duration::from_secs_f64(seconds.max(0.0)), now);
-        let service = replica.listed.service.clone();
-        self.measured.extend(self.replicas.key(id));
-        let fresh = self
-            .interval_updates
-            .get(&service)
-            .is_some_and(|at| now.saturating_sub(*at) < TYPICAL_INTERVAL_REFRESH);
-        if fresh && self.is_large() {
-            return;
-        }
-        self.interval_updates.insert(service.clone(), now);
-        let measured = self.measured.iter().filter_map(|key| self.replicas.by_key(*key));
-        let mut known: Vec<f64> = measured
-            .filter(|r| r.listed.service == service)
-            .filter_map(|r| r.event_interval.mean())
-            .collect();
-        known.sort_unstable_by(f64::total_cmp);
-        if let Some(typical) = known.get(known.len().saturating_sub(1) / 4) {
-            self.typical_intervals.insert(service, *typical);
-        }
-    }
-
-    /// Whether a run at `pace`, in seconds per unit of cost or per event, is better stopped and
-    /// resumed at another replica with a free slot. Reading the prompt and the existing text
-    /// there costs about as much as one event.
-    pub fn has_faster_replica(
-        &self,
-        id: &str,
-        weights: Option<(&str, u64)>,
-        pace: f64,
-        now: Moment,
-    ) -> bool {
-        let Some(here) = self.replicas.get(id) else { return false };
-        let service = &here.listed.service;
-        let interval = self.typical_intervals.get(service).copied();
-        let Some(typical) = interval.or_else(|| self.typical_pace.get(service)?.mean()) else {
-            return false;
-        };
-        if pace < SLOW_FACTOR * typical {
-            return false;
-        }
-        let request = AttemptRequest { service, weights, avoid: &[], allow_full: false };
-        let others =
-            self.candidates(&request).filter(|r| r.listed.target.id != here.listed.target.id);
-        others
-            .filter(|r| fits(r, &request, now, true))
-            .map(|r| if interval.is_some() { r.event_interval } else { r.pace })
-            .any(|known| SLOW_FACTOR * known.decayed(typical, now) < pace)
-    }
-
     /// Records that an attempt begins at a replica.
     pub fn start_attempt(&mut self, id: &str, now: Moment) {
         if let Some(replica) = self.replicas.get_mut(id) {
             replica.running += 1;
             replica.began = now;
+            if let Some(speed) = self.speeds.get_mut(&replica.listed.service) {
+                speed.moves.text_began();
+            }
             self.last_chosen = id.into();
         }
     }
--- a/src/decide/fleet/mod.rs
+++ b/src/decide/fleet/mod.rs
@@ -3,8 +3,10 @@
 mod attempt_request;
 mod fleet;
 mod listed_replica;
+mod pace;
 mod replica;
 mod replica_outcome;
+mod service_speed;
 mod slot_queue;
 mod table;
 
--- a/src/decide/fleet/replica.rs
+++ b/src/decide/fleet/replica.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::{AttemptRequest, ListedReplica};
+use crate::decide::load::{EventInterval, MachineSpeed};
 use crate::decide::{FailureTracker, LatencyEstimate, OtherLoad};
 use crate::{Moment, Name};
 
@@ -23,6 +24,10 @@
     pub pace: LatencyEstimate,
     /// Time between the events of its streams.
     pub event_interval: LatencyEstimate,
+    /// The same, smoothed over time and without the effect of the replica's load.
+    pub single_interval: EventInterval,
+    /// The speed that it reports of its machine.
+    pub machine: MachineSpeed,
     pub failures: FailureTracker,
     /// Until when it is excluded from the choice.
     pub excluded_until: Moment,
@@ -46,6 +51,8 @@
             others: OtherLoad::default(),
             pace: LatencyEstimate::default(),
             event_interval: LatencyEstimate::default(),
+            single_interval: EventInterval::default(),
+            machine: MachineSpeed::default(),
             failures: FailureTracker::default(),
             excluded_until: Moment::ZERO,
             began: Moment::ZERO,
@@ -76,6 +83,11 @@
         }
     }
 
+    /// Returns the number of requests that are believed to be there.
+    pub(super) fn load(&self, now: Moment) -> f64 {
+        f64::from(self.running) + self.others.decayed(now)
+    }
+
     /// Handles the end of an answer: a replica that has not reported its load by then never does.
     pub(super) fn answer_ended(&mut self) {
         if self.load_report == LoadReporting::Unknown {
@@ -111,8 +123,7 @@
     if replica.listed.draining || (exclude && replica.excluded_until > now) {
         return false;
     }
-    let load = f64::from(replica.running) + replica.others.decayed(now);
-    if !request.allow_full && load >= f64::from(replica.listed.slots) {
+    if !request.allow_full && replica.load(now) >= f64::from(replica.listed.slots) {
         return false;
     }
     let Some((model, min_version)) = request.weights else { return true };
--- a/src/decide/fleet/slot_queue.rs
+++ b/src/decide/fleet/slot_queue.rs
@@ -10,6 +10,7 @@
 use std::collections::BTreeMap;
 
 use super::{AttemptRequest, Fleet};
+use crate::decide::load::TextLength;
 use crate::edge::replica::Target;
 use crate::{Moment, Name};
 
@@ -30,6 +31,8 @@
     pub min_version: u64,
     /// Replicas at which earlier attempts failed.
     pub avoid: Vec<Name>,
+    /// The length of the text.
+    pub length: TextLength,
 }
 
 impl SlotRequest {
@@ -42,6 +45,7 @@
             service: &self.service,
             weights: self.model.as_deref().map(|model| (model, self.min_version)),
             avoid: &self.avoid,
+            length: self.length,
             allow_full: false,
         }
     }
--- a/src/edge/replica/types.rs
+++ b/src/edge/replica/types.rs
@@ -54,6 +54,9 @@
     pub running: u32,
     /// The number of waiting requests.
     pub waiting: u32,
+    /// How long work takes on the replica's machine at this moment, in percent of the usual time.
+    /// None if the replica does not report it.
+    pub slowdown: Option<u32>,
 }
 
 /// The body of a response in pieces, as they arrive. An error means that the body was cut off.
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -10,6 +10,7 @@
 use super::slots::SlotGuard;
 use crate::Moment;
 use crate::decide::job::{Event, EventReader, ItemSpec, JobSpec, StreamError};
+use crate::decide::load::TextLength;
 use crate::decide::{ReplicaOutcome, Route};
 use crate::edge::replica::{CallError, ReplicaCall, Reply};
 use crate::metrics::AttemptEnd;
@@ -223,8 +224,9 @@
     fn note_pace(self, slot: &SlotGuard<'_>, event_seconds: f64) -> bool {
         let now = self.app.now();
         let weights = self.spec.model.as_deref().map(|model| (model, self.spec.min_version));
+        let length = TextLength { hint: self.item.length_hint, events: self.last_event() };
         let mut fleet = self.app.slots.fleet.lock();
         fleet.record_event_interval(&slot.target.id, event_seconds, now);
-        fleet.has_faster_replica(&slot.target.id, weights, event_seconds, now)
+        fleet.take_move(&slot.target.id, weights, length, event_seconds, now)
     }
 }
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -9,6 +9,7 @@
 use super::app::App;
 use super::slots::SlotGuard;
 use super::stream;
+use crate::decide::load::TextLength;
 use crate::decide::retry_after::DEFAULT_RETRY_AFTER;
 use crate::decide::{
     AttemptHistory, AttemptOutcome, AttemptRequest, ReplicaOutcome, RetryPolicy, Route,
@@ -215,6 +216,7 @@
             service: &service,
             weights: None,
             avoid: &state.avoid,
+            length: TextLength::default(),
             allow_full: true,
         };
         let Some(mut slot) = self.take_slot(&wish) else {
--- a/src/entry/sample.rs
+++ b/src/entry/sample.rs
@@ -13,6 +13,7 @@
 use crate::decide::SlotRequest;
 use crate::decide::failures::{RequestFailure, RetryDecision};
 use crate::decide::job::{FinishEffect, ItemSpec, ItemState, JobSpec};
+use crate::decide::load::TextLength;
 use crate::edge::replica::ReplicaCall;
 use crate::metrics::{AttemptEnd, SampleEnd};
 
@@ -111,10 +112,14 @@
             continue;
         };
         let want = SlotRequest {
-            service,
+            service: service.clone(),
             model: spec.model.clone(),
             min_version: spec.min_version,
             avoid: avoid.clone(),
+            length: TextLength {
+                hint: item.length_hint,
+                events: owned.with_text(&item.id, |text| text.last_event()),
+            },
         };
         let priority = routes.priority(&route, spec.organisation.as_ref());
         let position = (priority, owned.queue_order, index);
@@ -129,6 +134,8 @@
         let (job, revision) = (&spec.id, owned.record.lock().revision);
         match result {
             AttemptResult::Complete => {
+                let length = TextLength { hint: item.length_hint, events };
+                app.slots.fleet.lock().record_text(&service, length);
                 tracing::debug!(event = "text_completed", item = %item.id, %replica, events);
                 return true;
             }
--- a/src/entry/slots.rs
+++ b/src/entry/slots.rs
@@ -130,7 +130,10 @@
         {
             let mut fleet = self.slots.fleet.lock();
             match load {
-                Some(load) => fleet.report_load(replica, load, now),
+                Some(load) if !fleet.report_load(replica, load, now) => {
+                    self.tally.ignored_figures.inc();
+                }
+                Some(_) => {}
                 None => fleet.report_no_load(replica),
             }
         }
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -13,6 +13,7 @@
 use super::relay::RequestState;
 use super::slots::SlotGuard;
 use crate::decide::job::EventReader;
+use crate::decide::load::TextLength;
 use crate::decide::{AttemptRequest, ReplicaOutcome, RetryPolicy};
 use crate::edge::replica::{BodyStream, ReplicaCall, Reply, Target};
 use crate::{Moment, Name};
@@ -120,6 +121,7 @@
                 service: &service,
                 weights: None,
                 avoid: &self.avoid,
+                length: TextLength::default(),
                 allow_full: true,
             };
             let Some(slot) = app.take_slot(&wish) else { break };
--- a/src/metrics/entry_metrics.rs
+++ b/src/metrics/entry_metrics.rs
@@ -208,6 +208,8 @@
     pub routes_version: Gauge<i64, AtomicI64>,
     /// Log lines that the rate limit dropped.
     pub dropped_lines: Gauge<i64, AtomicI64>,
+    /// Figures from replicas that were out of range and ignored.
+    pub ignored_figures: Counter,
 }
 
 impl Default for EntryMetrics {
@@ -234,6 +236,7 @@
             open_jobs: Gauge::default(),
             routes_version: Gauge::default(),
             dropped_lines: Gauge::default(),
+            ignored_figures: Counter::default(),
         };
         metrics.register();
         for kind in Kind::ALL.iter().copied() {
@@ -284,6 +287,8 @@
         registry.register("routes_version", "Configuration in force", self.routes_version.clone());
         let help = "Log lines left out for their number";
         registry.register("log_lines_dropped", help, self.dropped_lines.clone());
+        let help = "Figures from replicas that were out of range";
+        registry.register("ignored_figures", help, self.ignored_figures.clone());
         registry.register_collector(Box::new(ProcessCollector));
     }
 
--- a/standins/src/replicas/fleet.rs
+++ b/standins/src/replicas/fleet.rs
@@ -337,7 +337,7 @@
                 headers: HeaderMap::new(),
                 signature: Some(format!("signed {}", call.id).into()),
                 version: version.flatten(),
-                load: Some(ReplicaLoad { running: 1, waiting: 0 }),
+                load: Some(ReplicaLoad { running: 1, waiting: 0, slowdown: None }),
                 body,
             })
         })
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use mulberrycourse::Name;
+use mulberrycourse::decide::load::TextLength;
 use mulberrycourse::decide::{AttemptRequest, Fleet, ListedReplica, ReplicaOutcome};
 use mulberrycourse::edge::replica::{ReplicaLoad, Target};
 
@@ -38,7 +39,13 @@
 }
 
 fn request(allow_full: bool) -> AttemptRequest<'static> {
-    AttemptRequest { service: SERVICE, weights: None, avoid: &[], allow_full }
+    AttemptRequest {
+        service: SERVICE,
+        weights: None,
+        avoid: &[],
+        length: TextLength::default(),
+        allow_full,
+    }
 }
 
 /// Starts attempts until no slot is free, and returns their number by replica.
@@ -139,7 +146,7 @@
 #[test]
 fn the_load_of_other_nodes_counts_and_decays() {
     let mut fleet = fleet(&["a", "b"]);
-    fleet.report_load("a", ReplicaLoad { running: 8, waiting: 4 }, NOW);
+    fleet.report_load("a", ReplicaLoad { running: 8, waiting: 4, slowdown: None }, NOW);
     assert_eq!(&*fleet.choose(&request(false), NOW).unwrap().id, "b");
     assert_eq!(fill(&mut fleet, NOW).get("a"), None);
     let later = NOW + Duration::from_secs(5);
@@ -166,7 +173,7 @@
     // Samples go to replicas with short event intervals.
     let weights = Some(("m", 1));
     for _ in 0..24 {
-        let request = AttemptRequest { service: SERVICE, weights, avoid: &[], allow_full: false };
+        let request = AttemptRequest { weights, ..request(false) };
         let target = fleet.choose(&request, NOW).unwrap();
         assert!(&*target.id >= "r04", "{target:?}");
         fleet.start_attempt(&target.id, NOW);
@@ -231,6 +238,7 @@
             let load = ReplicaLoad {
                 running: arrived[&id].min(8),
                 waiting: arrived[&id].saturating_sub(8),
+                slowdown: None,
             };
             nodes[node].report_load(&id, load, now + Duration::from_millis(5));
         }
--- a/tests/slot_queue.rs
+++ b/tests/slot_queue.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use mulberrycourse::Name;
+use mulberrycourse::decide::load::TextLength;
 use mulberrycourse::decide::{Fleet, ListedReplica, ReplicaOutcome, SlotQueue, SlotRequest};
 use mulberrycourse::edge::replica::{ReplicaLoad, Target};
 use proptest::prelude::*;
@@ -37,6 +38,7 @@
         model: Some(model.into()),
         min_version: 1,
         avoid: Vec::new(),
+        length: TextLength::default(),
     }
 }
 
@@ -61,7 +63,11 @@
         let mut assigned = Vec::new();
         for id in due.remove(&millis).unwrap_or_default() {
             // Other nodes have two texts there.
-            fleet.report_load(&id, ReplicaLoad { running: running[&id] + 2, waiting: 0 }, now);
+            fleet.report_load(
+                &id,
+                ReplicaLoad { running: running[&id] + 2, waiting: 0, slowdown: None },
+                now,
+            );
             if assign_on_head {
                 assigned.extend(waiting.assign_at(&id, &mut fleet, now));
             }
@@ -151,7 +157,7 @@
                         fleet.end_attempt(&id, None, ReplicaOutcome::Abandoned, now);
                         running.insert(id.clone().into(), own - 1);
                     }
-                    fleet.report_load(&id, ReplicaLoad { running: own.saturating_sub(1), waiting: 0 }, now);
+                    fleet.report_load(&id, ReplicaLoad { running: own.saturating_sub(1), waiting: 0, slowdown: None }, now);
                     waiting.assign_at(&id, &mut fleet, now)
                 }
                 _ => waiting.assign_all(&mut fleet, now),
