Waiting samples get slots by trainer, deadline and group

Cause: a node served waiting samples strictly by priority, then by age of the job. When slots are short, a less urgent trainer got what was left, and a late step held up the next one.

Change: a service with more than one trainer (model or organisation with open jobs) gives slots in proportion to a weight that falls by a fifth per priority level. Within a trainer, steps that can still be in time go first, the earliest deadline first; within a step, the groups that lack the fewest samples. Other steps get one slot in eight. A service with one trainer keeps the order of submission. `SampleRank` replaces `WaitPosition`; the queue recomputes it when a sample ends, a step becomes late or the trainers change. All samples of a service have one `Request-Priority`, the most urgent of its batch routes. The route's `result_deadline_ms` is parsed.

One virtual clock over all kinds of slots in place of one flow table per service: a scan of all flows for one model would be linear in the trainers. A step is late once a sample that begins now would end after the grace of 0.7 s, not once the whole step can't be done, because each group counts by itself.

In one run of all entry tests the_news_of_the_stores_return_is_passed_on_by_every_node failed with 45 notices, and passed in four runs by itself.

--- a/benches/places.rs
+++ b/benches/places.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
-use mulberrycourse::decide::{Fleet, ListedReplica, ReplicaOutcome, SlotQueue, SlotRequest};
+use mulberrycourse::decide::load::{OpenStep, StepOrder};
+use mulberrycourse::decide::{Fleet, Grant, ListedReplica, ReplicaOutcome, SlotQueue, SlotRequest};
 use mulberrycourse::edge::replica::{ReplicaLoad, Target};
 
 /// Slots of each replica, all of which are taken at the start.
@@ -43,6 +44,18 @@
     }
 }
 
+/// An open step of a model.
+fn step(number: usize, model: &str) -> OpenStep {
+    OpenStep {
+        step: number as u64,
+        priority: 1,
+        services: vec!["engines".into()],
+        model: Some(model.into()),
+        organisation: None,
+        due: None,
+    }
+}
+
 /// All slots are taken and texts wait; then one slot becomes free and is assigned, either at the
 /// given replica or by a search of the whole fleet.
 fn bench_slot_assignment(c: &mut Criterion) {
@@ -51,7 +64,13 @@
         for (name, is_replica_known) in [("offered", true), ("looked_for", false)] {
             let mut fleet = new_fleet(replicas);
             let mut waiting: SlotQueue<usize> = SlotQueue::default();
-            (0..texts).for_each(|i| waiting.add((1, 0, i as u64), slot_request(i), i));
+            for (number, model) in MODELS.into_iter().enumerate() {
+                let groups = (0..texts).map(|_| "g");
+                waiting.open_step(StepOrder::new(step(number, model), groups), Duration::ZERO);
+            }
+            (0..texts).for_each(|i| {
+                waiting.add((i % MODELS.len()) as u64, i as u64, slot_request(i), i);
+            });
             let mut now = Duration::from_secs(100);
             for i in 0..replicas {
                 let id = format!("r{i:05}");
@@ -76,8 +95,10 @@
                     };
                     assert_eq!(assigned.len(), 1);
                     sequence += 1;
-                    for (text, _) in assigned {
-                        waiting.add((1, 0, sequence), slot_request(text), text);
+                    for Grant { grant: text, trainer, .. } in assigned {
+                        waiting.end_run(&trainer);
+                        let step = (text % MODELS.len()) as u64;
+                        waiting.add(step, sequence, slot_request(text), text);
                     }
                 });
             });
--- a/src/decide/fair_queue.rs
+++ b/src/decide/fair_queue.rs
@@ -25,6 +25,8 @@
     items: usize,
     /// Total cost of the waiting items.
     backlog: u64,
+    /// Whether it is left out of the order of service.
+    paused: bool,
 }
 
 /// The order of service of flows with waiting items.
@@ -57,13 +59,15 @@
     /// Adds an item to a flow. The weight takes effect when an idle flow gets its first item.
     pub fn add(&mut self, key: &K, weight: u32, cost: u32) {
         let clock = self.clock;
-        let idle = Flow { weight: 1, tag: clock, items: 0, backlog: 0 };
+        let idle = Flow { weight: 1, tag: clock, items: 0, backlog: 0, paused: false };
         let flow = self.flows.entry(key.clone()).or_insert(idle);
         if flow.items == 0 {
             flow.weight = u64::from(weight.max(1));
             flow.tag = flow.tag.max(clock);
             self.weights += flow.weight;
-            self.order.insert((flow.tag, key.clone()));
+            if !flow.paused {
+                self.order.insert((flow.tag, key.clone()));
+            }
         } else {
             self.by_backlog.remove(&(flow.backlog / flow.weight, key.clone()));
         }
@@ -88,15 +92,55 @@
             self.drop_idle();
             return;
         }
-        self.order.insert((flow.tag, key.clone()));
+        if !flow.paused {
+            self.order.insert((flow.tag, key.clone()));
+        }
         self.by_backlog.insert((flow.backlog / flow.weight, key.clone()));
     }
 
+    /// Leaves a flow out of the order of service until it is resumed. Its items keep waiting.
+    pub fn pause(&mut self, key: &K) {
+        let Some(flow) = self.flows.get_mut(key) else { return };
+        flow.paused = true;
+        self.order.remove(&(flow.tag, key.clone()));
+    }
+
+    /// Takes a flow back into the order of service. It accumulated no credit while it was paused.
+    pub fn resume(&mut self, key: &K) {
+        let clock = self.clock;
+        let Some(flow) = self.flows.get_mut(key).filter(|flow| flow.paused) else { return };
+        flow.paused = false;
+        flow.tag = flow.tag.max(clock);
+        if flow.items > 0 {
+            self.order.insert((flow.tag, key.clone()));
+        }
+    }
+
     /// Returns the flow that is served next.
     pub fn next(&self) -> Option<&K> {
         self.order.first().map(|(_, key)| key)
     }
 
+    /// Returns the flows with waiting items in the order in which they are served.
+    pub fn in_order(&self) -> impl Iterator<Item = &K> {
+        self.order.iter().map(|(_, key)| key)
+    }
+
+    /// Returns the virtual time at which the next flow is served.
+    pub fn next_tag(&self) -> Option<u64> {
+        self.order.first().map(|(tag, _)| *tag)
+    }
+
+    /// Returns the present in virtual time.
+    pub fn clock(&self) -> u64 {
+        self.clock
+    }
+
+    /// Advances the present to that of another queue with which this one shares its server.
+    pub fn advance(&mut self, clock: u64) {
+        self.clock = self.clock.max(clock);
+    }
+
     /// Returns the flow with the largest backlog relative to its weight.
     pub fn heaviest(&self) -> Option<&K> {
         self.by_backlog.last().map(|(_, key)| key)
@@ -117,7 +161,7 @@
     fn drop_idle(&mut self) {
         if self.flows.len() > MAX_IDLE_FLOWS + 2 * self.order.len() {
             let clock = self.clock;
-            self.flows.retain(|_, flow| flow.items > 0 || flow.tag > clock);
+            self.flows.retain(|_, flow| flow.items > 0 || flow.paused || flow.tag > clock);
         }
     }
 }
--- a/src/decide/fleet/mod.rs
+++ b/src/decide/fleet/mod.rs
@@ -12,4 +12,4 @@
 pub use fleet::Fleet;
 pub use listed_replica::ListedReplica;
 pub use replica_outcome::ReplicaOutcome;
-pub use slot_queue::{SlotQueue, SlotRequest, WaitPosition};
+pub use slot_queue::{Grant, SlotQueue, SlotRequest};
--- a/src/decide/fleet/slot_queue.rs
+++ b/src/decide/fleet/slot_queue.rs
@@ -6,19 +6,36 @@
 //! periodically leaves every slot empty for half of the period. So samples wait in a queue
 //! for each kind of slot, and a response head offers its own replica to the first samples of the
 //! queues that the replica serves: that costs as much with thousands of replicas as with ten.
+//!
+//! Load pattern: several trainers, or many organisations, need more slots than there are. Served
+//! strictly by priority or in order of submission, the less urgent or the smaller ones would get
+//! next to nothing. So each gets slots in proportion to its weight, and its own samples are served
+//! by [`SampleRank`].
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
+use std::ops::Bound;
 
 use super::{AttemptRequest, Fleet};
+use crate::decide::FairQueue;
+use crate::decide::load::{OpenStep, SampleRank, StepOrder, Trainer};
 use crate::edge::replica::Target;
 use crate::{Moment, Name};
 
-/// The order in which samples get slots: priority of the route, age of the job, index.
-pub type WaitPosition = (u8, u64, u64);
+/// While a trainer has samples of steps that can still be in time and of others, the others get one
+/// slot after this many of the former. They are of less use, but end only if they get slots.
+const TIMELY_GRANTS_PER_LATE: u32 = 7;
+/// Number of kinds of slots without waiting samples that are remembered with the virtual times of
+/// their trainers. A node has a few models; clients may name any.
+const MAX_IDLE_KINDS: usize = 64;
+/// What one sample counts in the fair order of trainers.
+const SAMPLE_COST: u32 = 1;
 
 /// A kind of slot: a service, and the model that is requested there.
 type Kind = (Name, Option<Name>);
 
+/// A step, a group of it and a sample of that, by which a waiting sample is found.
+type SampleId = (u64, u64, u64);
+
 /// The requirements of a waiting sample.
 #[derive(Debug, Clone)]
 pub struct SlotRequest {
@@ -54,38 +71,245 @@
     grant: G,
 }
 
+/// A slot for a sample that waited.
+#[derive(Debug)]
+pub struct Grant<G> {
+    /// The value by which the sample is notified.
+    pub grant: G,
+    /// The replica.
+    pub target: Target,
+    /// The trainer that holds the slot until [`SlotQueue::end_run`].
+    pub trainer: Trainer,
+}
+
+/// The waiting samples of one trainer.
+#[derive(Debug)]
+struct TrainerQueue<G> {
+    samples: BTreeMap<SampleRank, Waiter<G>>,
+    /// Slots given to steps that can still be in time since the last one given to another step.
+    timely_grants: u32,
+}
+
+impl<G> Default for TrainerQueue<G> {
+    fn default() -> Self {
+        Self { samples: BTreeMap::new(), timely_grants: 0 }
+    }
+}
+
+impl<G> TrainerQueue<G> {
+    /// Returns the sample that is served next.
+    fn first(&self) -> Option<(SampleRank, &Waiter<G>)> {
+        let due = self.timely_grants >= TIMELY_GRANTS_PER_LATE;
+        let late = || self.samples.range(SampleRank::first_late()..).next();
+        let late = if due { late() } else { None };
+        late.map(|(rank, waiter)| (*rank, waiter)).or_else(|| self.first_in_turn())
+    }
+
+    /// Returns the sample with the first rank.
+    fn first_in_turn(&self) -> Option<(SampleRank, &Waiter<G>)> {
+        self.samples.first_key_value().map(|(rank, waiter)| (*rank, waiter))
+    }
+
+    /// Whether other samples precede that of this rank.
+    fn is_out_of_turn(&self, rank: &SampleRank) -> bool {
+        self.samples.first_key_value().is_some_and(|(first, _)| first != rank)
+    }
+
+    /// Returns the first sample of the first step after that of a rank.
+    fn first_after_step(&self, rank: &SampleRank) -> Option<(SampleRank, &Waiter<G>)> {
+        let range = (Bound::Excluded(rank.end_of_step()), Bound::Unbounded);
+        self.samples.range(range).next().map(|(rank, waiter)| (*rank, waiter))
+    }
+
+    fn take(&mut self, rank: &SampleRank, served: bool) -> Option<Waiter<G>> {
+        if served && rank.late {
+            self.timely_grants = 0;
+        } else if served {
+            self.timely_grants = self.timely_grants.saturating_add(1);
+        }
+        self.samples.remove(rank)
+    }
+}
+
+/// The samples that wait for one kind of slot.
+#[derive(Debug)]
+struct KindQueue<G> {
+    /// The order in which the organisations are served.
+    order: FairQueue<Option<Name>>,
+    trainers: HashMap<Option<Name>, TrainerQueue<G>>,
+    /// The number of waiting samples by the minimum version of the model.
+    versions: BTreeMap<u64, usize>,
+}
+
+impl<G> Default for KindQueue<G> {
+    fn default() -> Self {
+        Self { order: FairQueue::default(), trainers: HashMap::new(), versions: BTreeMap::new() }
+    }
+}
+
+/// The trainers of one service.
+#[derive(Debug, Default)]
+struct ServiceState {
+    /// Number of open steps of each trainer at this node.
+    trainers: HashMap<Trainer, usize>,
+    /// Whether the leader knows of several trainers.
+    contended: bool,
+    /// The present in the virtual time that the trainers' queues have in common.
+    clock: u64,
+}
+
+impl ServiceState {
+    fn is_shared(&self) -> bool {
+        self.contended || self.trainers.len() > 1
+    }
+}
+
 /// The waiting samples, each with a value `G` by which it is notified of its slot.
 #[derive(Debug)]
 pub struct SlotQueue<G> {
-    kinds: BTreeMap<Kind, BTreeMap<WaitPosition, Waiter<G>>>,
+    kinds: BTreeMap<Kind, KindQueue<G>>,
+    services: HashMap<Name, ServiceState>,
+    /// The open steps by start tag.
+    steps: BTreeMap<u64, StepOrder>,
+    /// The trainer and the present rank of each waiting sample.
+    samples: BTreeMap<SampleId, (Trainer, SampleRank)>,
+    /// The number of slots that each trainer holds.
+    running: HashMap<Trainer, u32>,
 }
 
 impl<G> Default for SlotQueue<G> {
     fn default() -> Self {
-        Self { kinds: BTreeMap::new() }
+        Self {
+            kinds: BTreeMap::new(),
+            services: HashMap::new(),
+            steps: BTreeMap::new(),
+            samples: BTreeMap::new(),
+            running: HashMap::new(),
+        }
     }
 }
 
 impl<G> SlotQueue<G> {
     /// Whether no sample waits.
     pub fn is_empty(&self) -> bool {
-        self.kinds.is_empty()
+        self.samples.is_empty()
     }
 
-    /// Adds a sample that begins to wait.
-    pub fn add(&mut self, position: WaitPosition, request: SlotRequest, grant: G) {
-        let queue = self.kinds.entry(request.kind()).or_default();
-        queue.insert(position, Waiter { request, grant });
+    /// Returns the number of samples that wait.
+    pub fn len(&self) -> usize {
+        self.samples.len()
+    }
+
+    /// Adds a step whose samples will wait for slots.
+    pub fn open_step(&mut self, step: StepOrder, now: Moment) {
+        let open = &step.open;
+        for service in &open.services {
+            let state = self.services.entry(service.clone()).or_default();
+            *state.trainers.entry(trainer(open, service, &open.model)).or_default() += 1;
+        }
+        self.steps.insert(open.step, step);
+        self.refresh(now);
+    }
+
+    /// Removes a step whose samples have all ended.
+    pub fn close_step(&mut self, step: u64, now: Moment) {
+        let Some(step) = self.steps.remove(&step) else { return };
+        for service in &step.open.services {
+            let Some(state) = self.services.get_mut(service) else { continue };
+            let trainer = trainer(&step.open, service, &step.open.model);
+            if let Some(count) = state.trainers.get_mut(&trainer) {
+                *count -= 1;
+                if *count == 0 {
+                    state.trainers.remove(&trainer);
+                }
+            }
+            if state.trainers.is_empty() && !state.contended {
+                self.services.remove(service);
+            }
+        }
+        self.refresh(now);
+    }
+
+    /// Records that a sample has its result.
+    pub fn finish_sample(&mut self, step: u64, index: u64) {
+        let Some(order) = self.steps.get_mut(&step) else { return };
+        let group = order.group(index);
+        if order.finish(index) {
+            self.update_ranks(step, Some(group));
+        }
+    }
+
+    /// Brings the ranks up to date with the time and with the trainers of each service.
+    pub fn refresh(&mut self, now: Moment) {
+        let services = &self.services;
+        let shared = |service: &Name| services.get(service).is_some_and(ServiceState::is_shared);
+        let steps = self.steps.values_mut();
+        let changed: Vec<u64> = steps
+            .filter_map(|step| {
+                let shared = step.open.services.iter().any(shared);
+                step.refresh(shared, now).then_some(step.open.step)
+            })
+            .collect();
+        for step in changed {
+            self.update_ranks(step, None);
+        }
+    }
+
+    /// Moves the waiting samples of a step, or of one group of it, to their present ranks.
+    fn update_ranks(&mut self, step: u64, group: Option<u64>) {
+        let Some(order) = self.steps.get(&step) else { return };
+        let (first, last) = (group.unwrap_or(0), group.unwrap_or(u64::MAX));
+        let range = (step, first, 0)..=(step, last, u64::MAX);
+        for ((_, _, index), (trainer, known)) in self.samples.range_mut(range) {
+            let rank = order.rank(*index);
+            let kind = (trainer.service.clone(), trainer.model.clone());
+            let queue = self.kinds.get_mut(&kind);
+            if let Some(queue) = queue.and_then(|k| k.trainers.get_mut(&trainer.organisation))
+                && let Some(waiter) = queue.samples.remove(known)
+            {
+                queue.samples.insert(rank, waiter);
+                *known = rank;
+            }
+        }
+    }
+
+    /// Adds a sample of an open step that begins to wait. Without its step, `grant` is dropped.
+    pub fn add(&mut self, step: u64, index: u64, request: SlotRequest, grant: G) {
+        let Some(order) = self.steps.get(&step) else { return };
+        let rank = order.rank(index);
+        let trainer = trainer(&order.open, &request.service, &request.model);
+        let weight = Trainer::weight(order.open.priority);
+        let clock = self.services.get(&request.service).map_or(0, |state| state.clock);
+        let kind = self.kinds.entry(request.kind()).or_default();
+        kind.order.advance(clock);
+        kind.order.add(&trainer.organisation, weight, SAMPLE_COST);
+        *kind.versions.entry(request.min_version).or_default() += 1;
+        let queue = kind.trainers.entry(trainer.organisation.clone()).or_default();
+        queue.samples.insert(rank, Waiter { request, grant });
+        self.samples.insert((step, order.group(index), index), (trainer, rank));
     }
 
     /// Removes a sample that no longer waits.
-    pub fn remove(&mut self, position: WaitPosition, service: &Name, model: &Option<Name>) {
-        drop(self.take(position, &(service.clone(), model.clone())));
+    pub fn remove(&mut self, step: u64, index: u64) {
+        let group = self.steps.get(&step).map_or(index, |order| order.group(index));
+        if let Some((trainer, rank)) = self.samples.get(&(step, group, index)).cloned() {
+            drop(self.take(&trainer, &rank, false));
+        }
     }
 
-    /// Assigns all free slots, in order of the waiting positions. [`Fleet::start_attempt`] has
+    /// Records that a trainer released a slot.
+    pub fn end_run(&mut self, trainer: &Trainer) {
+        if let Some(count) = self.running.get_mut(trainer) {
+            *count = count.saturating_sub(1);
+            if *count == 0 {
+                self.running.remove(trainer);
+            }
+        }
+    }
+
+    /// Assigns all free slots, in order of the trainers and the ranks. [`Fleet::start_attempt`] has
     /// been called for each returned sample.
-    pub fn assign_all(&mut self, fleet: &mut Fleet, now: Moment) -> Vec<(G, Target)> {
+    pub fn assign_all(&mut self, fleet: &mut Fleet, now: Moment) -> Vec<Grant<G>> {
         self.assign(
             fleet,
             now,
@@ -94,9 +318,9 @@
         )
     }
 
-    /// Assigns the free slots of one replica, in order of the waiting positions.
+    /// Assigns the free slots of one replica, in order of the trainers and the ranks.
     /// [`Fleet::start_attempt`] has been called for each returned sample.
-    pub fn assign_at(&mut self, id: &str, fleet: &mut Fleet, now: Moment) -> Vec<(G, Target)> {
+    pub fn assign_at(&mut self, id: &str, fleet: &mut Fleet, now: Moment) -> Vec<Grant<G>> {
         let Some(service) = fleet.get(id).map(|listed| listed.service.clone()) else {
             return Vec::new();
         };
@@ -106,45 +330,110 @@
         })
     }
 
-    /// Assigns slots to the first sample of each queue until there is none for it.
+    /// Assigns slots of each kind until there is none for it.
     fn assign(
         &mut self,
         fleet: &mut Fleet,
         now: Moment,
         served: impl Fn(&Kind) -> bool,
         choose: impl Fn(&Fleet, &SlotRequest) -> Option<Target>,
-    ) -> Vec<(G, Target)> {
+    ) -> Vec<Grant<G>> {
         let mut assigned = Vec::new();
-        let mut open: Vec<Kind> = self.kinds.keys().filter(|kind| served(kind)).cloned().collect();
-        while let Some((position, index)) = self.first(&open) {
-            let kind = &open[index];
-            let chosen = self.kinds[kind].get(&position).and_then(|w| choose(fleet, &w.request));
-            match chosen.and_then(|target| Some((self.take(position, kind)?, target))) {
-                Some((waiter, target)) => {
-                    fleet.start_attempt(&target.id, now);
-                    assigned.push((waiter.grant, target));
-                }
-                None => drop(open.swap_remove(index)),
+        let waiting = self.kinds.iter().filter(|(_, queue)| !queue.versions.is_empty());
+        let mut open: Vec<Kind> =
+            waiting.filter(|(kind, _)| served(kind)).map(|(kind, _)| kind.clone()).collect();
+        while let Some(index) = self.next_kind(&open) {
+            let chosen = self.choose_in(&open[index], |request| choose(fleet, request));
+            let Some((trainer, rank, target)) = chosen else {
+                open.swap_remove(index);
+                continue;
+            };
+            if let Some(waiter) = self.take(&trainer, &rank, true) {
+                fleet.start_attempt(&target.id, now);
+                *self.running.entry(trainer.clone()).or_default() += 1;
+                assigned.push(Grant { grant: waiter.grant, target, trainer });
             }
         }
         assigned
     }
 
-    /// Returns the first position in these queues, and the index of its queue in `open`.
-    fn first(&self, open: &[Kind]) -> Option<(WaitPosition, usize)> {
-        let firsts = open.iter().enumerate().filter_map(|(index, kind)| {
-            let (position, _) = self.kinds.get(kind)?.first_key_value()?;
-            Some((*position, index))
+    /// Returns the index in `open` of the kind whose next trainer is served first.
+    fn next_kind(&self, open: &[Kind]) -> Option<usize> {
+        let tags = open.iter().enumerate().filter_map(|(index, kind)| {
+            let tag = self.kinds.get(kind)?.order.next_tag()?;
+            Some((tag, index))
         });
-        firsts.min()
+        tags.min().map(|(_, index)| index)
+    }
+
+    /// Chooses a sample of one kind and a replica for it. All samples that require a version that
+    /// no free slot has are passed over.
+    fn choose_in(
+        &self,
+        kind: &Kind,
+        choose: impl Fn(&SlotRequest) -> Option<Target>,
+    ) -> Option<(Trainer, SampleRank, Target)> {
+        let queue = self.kinds.get(kind)?;
+        let (lowest, _) = queue.versions.first_key_value()?;
+        let shared = self.services.get(&kind.0).is_some_and(ServiceState::is_shared);
+        let mut unserved = u64::MAX;
+        for organisation in queue.order.in_order() {
+            let Some(samples) = queue.trainers.get(organisation) else { continue };
+            let mut next = samples.first();
+            // A late sample that is served out of turn is offered in addition to the others.
+            let mut extra = next.as_ref().is_some_and(|(rank, _)| samples.is_out_of_turn(rank));
+            while let Some((rank, waiter)) = next {
+                if waiter.request.min_version < unserved {
+                    if let Some(target) = choose(&waiter.request) {
+                        let (service, model) = kind.clone();
+                        let trainer =
+                            Trainer { service, model, organisation: organisation.clone() };
+                        return Some((trainer, rank, target));
+                    }
+                    unserved = waiter.request.min_version;
+                    if unserved <= *lowest || !shared {
+                        return None;
+                    }
+                }
+                next = match std::mem::take(&mut extra) {
+                    true => samples.first_in_turn(),
+                    false => samples.first_after_step(&rank),
+                };
+            }
+        }
+        None
     }
 
-    fn take(&mut self, position: WaitPosition, kind: &Kind) -> Option<Waiter<G>> {
-        let queue = self.kinds.get_mut(kind)?;
-        let waiter = queue.remove(&position);
-        if queue.is_empty() {
-            self.kinds.remove(kind);
+    fn take(&mut self, trainer: &Trainer, rank: &SampleRank, served: bool) -> Option<Waiter<G>> {
+        let group = self.steps.get(&rank.step).map_or(rank.index, |step| step.group(rank.index));
+        self.samples.remove(&(rank.step, group, rank.index));
+        let key = (trainer.service.clone(), trainer.model.clone());
+        let kind = self.kinds.get_mut(&key)?;
+        let queue = kind.trainers.get_mut(&trainer.organisation)?;
+        let waiter = queue.take(rank, served)?;
+        if queue.samples.is_empty() {
+            kind.trainers.remove(&trainer.organisation);
         }
-        waiter
+        kind.order.take(&trainer.organisation, SAMPLE_COST, served);
+        if let Some(state) = self.services.get_mut(&trainer.service) {
+            state.clock = state.clock.max(kind.order.clock());
+        }
+        let version = waiter.request.min_version;
+        if let Some(count) = kind.versions.get_mut(&version) {
+            *count -= 1;
+            if *count == 0 {
+                kind.versions.remove(&version);
+            }
+        }
+        if kind.versions.is_empty() && self.kinds.len() > MAX_IDLE_KINDS {
+            self.kinds.remove(&key);
+        }
+        Some(waiter)
     }
 }
+
+/// Returns the trainer of a step's samples at a service.
+fn trainer(open: &OpenStep, service: &Name, model: &Option<Name>) -> Trainer {
+    let (service, model) = (service.clone(), model.clone());
+    Trainer { service, model, organisation: open.organisation.clone() }
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -27,6 +27,7 @@
 mod label;
 mod latency;
 mod listing;
+pub mod load;
 pub mod members;
 mod organisations;
 mod outcome;
@@ -67,7 +68,7 @@
 pub use ejection::{FailureTracker, max_ejected};
 pub use fair_queue::FairQueue;
 pub use fleet::{
-    AttemptRequest, Fleet, ListedReplica, ReplicaOutcome, SlotQueue, SlotRequest, WaitPosition,
+    AttemptRequest, Fleet, Grant, ListedReplica, ReplicaOutcome, SlotQueue, SlotRequest,
 };
 pub use freshness::{EngineVersions, StartDecision, min_fresh_version};
 pub use indexed_set::IndexedSet;
--- a/src/decide/routes.rs
+++ b/src/decide/routes.rs
@@ -44,6 +44,9 @@
     pub services: Vec<(Name, u32)>,
     /// Maximum number of replicas that one request is sent to.
     pub max_attempts: u32,
+    /// How long after the submission of a batch job its trainer waits for results; none if there
+    /// is no such limit.
+    pub result_deadline: Option<Duration>,
     /// How long after the submission of a batch job its unfinished items may be given up.
     pub retention: Duration,
     /// Whether all of a text must come from one version of the weights.
@@ -94,19 +97,33 @@
     autoscales: Vec<Autoscale>,
     /// Routes by host, the longest prefix first.
     hosts: HashMap<Name, Vec<Arc<Route>>>,
+    /// The most urgent priority of the batch routes of each service.
+    sample_priorities: HashMap<Name, u8>,
 }
 
 impl Routes {
     /// Builds a table of these routes, without organisations or autoscaling.
     pub fn new(version: u64, limits: RequestLimits, routes: Vec<Route>) -> Self {
         let mut hosts: HashMap<Name, Vec<Arc<Route>>> = HashMap::new();
+        let mut sample_priorities: HashMap<Name, u8> = HashMap::new();
         for route in routes {
+            for (service, _) in route.services.iter().filter(|_| route.batch) {
+                let known = sample_priorities.entry(service.clone()).or_insert(route.priority);
+                *known = route.priority.min(*known);
+            }
             hosts.entry(route.host.clone()).or_default().push(Arc::new(route));
         }
         for routes in hosts.values_mut() {
             routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
         }
-        Self { version, limits, organisations: None, autoscales: Vec::new(), hosts }
+        Self {
+            version,
+            limits,
+            organisations: None,
+            autoscales: Vec::new(),
+            hosts,
+            sample_priorities,
+        }
     }
 
     /// Sets the organisations that may call.
@@ -144,6 +161,13 @@
         own.unwrap_or(route.priority)
     }
 
+    /// Returns the priority that all samples of a service have at its replicas, whoever submitted
+    /// them: a replica preempts the runs of lower priority, and each preempted run reads its prompt
+    /// again. The entry nodes decide which samples run.
+    pub fn sample_priority(&self, service: &str) -> Option<u8> {
+        self.sample_priorities.get(service).copied()
+    }
+
     /// Returns the ids under which a job that a caller asks for may be stored.
     pub fn job_ids(&self, caller: &Caller, id: &str) -> Vec<Name> {
         let mut ids = vec![caller.job_id(id)];
--- a/src/entry/runner.rs
+++ b/src/entry/runner.rs
@@ -14,9 +14,11 @@
 use super::owned_jobs::{OwnedJob, OwnershipEvidence};
 use super::results::{drop_lost_job, flush, update_record, write_results};
 use super::sample;
+use super::submit::unix_millis;
 use crate::Name;
 use crate::decide::failures::JobFailures;
 use crate::decide::job::{ItemResult, Job, JobSpec, SampleText, SavedProgress};
+use crate::decide::load::{OpenStep, StepOrder};
 use crate::edge::store::{Change, KeyValue, StoreError};
 use crate::metrics::JobEvent;
 
@@ -86,12 +88,17 @@
         if let Some(model) = &spec.model {
             self.demand.lock().record(model, spec.step_demand(), self.now());
         }
+        let open = self.open_step(&owned, &spec);
+        let groups = todo.iter().map(|item| &*item.group);
+        let step = Arc::new(self.slots.open_step(StepOrder::new(open, groups), self.now()));
         let unfinished = owned.texts.lock().len();
         tracing::info!(event = "job_started", job = %id, listed = count, todo = todo.len(), unfinished);
         for (index, item) in todo.into_iter().enumerate() {
             let (app, owned) = (self.clone(), owned.clone());
-            let stop = owned.stop.clone();
+            let (stop, step) = (owned.stop.clone(), step.clone());
             self.spawn(async move {
+                // The step is open until its last sample has ended.
+                let _step = step;
                 tokio::select! {
                     () = stop.cancelled() => {}
                     () = sample::make_sample(&app, &owned, &item, index as u64) => {}
@@ -102,6 +109,27 @@
         self.spawn(write_results(self.clone(), owned, id));
     }
 
+    /// Returns a job as a step whose samples wait for slots.
+    fn open_step(&self, owned: &OwnedJob, spec: &JobSpec) -> OpenStep {
+        let routes = self.routes();
+        let route = routes.as_ref().and_then(|r| r.find(&spec.host, &spec.path));
+        let priority = routes.as_ref().zip(route);
+        let since = owned.record.lock().value.accepted_ms;
+        let age = Duration::from_millis(unix_millis().saturating_sub(since));
+        let deadline = route.and_then(|route| route.result_deadline);
+        OpenStep {
+            step: owned.queue_order,
+            priority: priority
+                .map_or(0, |(r, route)| r.priority(route, spec.organisation.as_ref())),
+            services: route
+                .map(|r| r.services.iter().map(|(service, _)| service.clone()).collect())
+                .unwrap_or_default(),
+            model: spec.model.clone(),
+            organisation: spec.organisation.clone(),
+            due: deadline.map(|deadline| self.now() + deadline.saturating_sub(age)),
+        }
+    }
+
     /// Whether this node is certain to own a job still. Reads the job's record if the node's lease
     /// has changed or the watch of the record may have missed a change since it was last read.
     pub(super) async fn confirm_ownership(
--- a/src/entry/slots.rs
+++ b/src/entry/slots.rs
@@ -8,7 +8,8 @@
 
 use super::app::App;
 use super::scale::{SlotDemand, SlotDemandGuard};
-use crate::decide::{AttemptRequest, Fleet, ReplicaOutcome, SlotQueue, SlotRequest, WaitPosition};
+use crate::decide::load::{StepOrder, Trainer};
+use crate::decide::{AttemptRequest, Fleet, Grant, ReplicaOutcome, SlotQueue, SlotRequest};
 use crate::edge::replica::{ReplicaLoad, Target};
 use crate::{Moment, Name};
 
@@ -17,14 +18,21 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Samples that wait for a slot. A waiter gets its replica over the channel.
-type Queue = SlotQueue<oneshot::Sender<Target>>;
+type Queue = SlotQueue<oneshot::Sender<GrantedSlot>>;
+
+/// The replica that a sample gets, and the trainer that holds the slot.
+#[derive(Debug)]
+struct GrantedSlot {
+    target: Target,
+    trainer: Trainer,
+}
 
 /// The replicas with their slots, and the queue for slots.
 #[derive(Debug)]
 pub(super) struct Slots {
     /// The known replicas and the attempts that run at them.
     pub(super) fleet: Mutex<Fleet>,
-    waiting: Mutex<Queue>,
+    waiting: Arc<Mutex<Queue>>,
     /// The time for which samples have needed slots, by service.
     pub(super) demand: Arc<SlotDemand>,
     /// Notified when a sample joins the queue.
@@ -36,7 +44,7 @@
     pub(super) fn new(zone: Name, node: Name) -> Self {
         Self {
             fleet: Mutex::new(Fleet::for_node(zone, node)),
-            waiting: Mutex::default(),
+            waiting: Arc::default(),
             demand: Arc::default(),
             waiter_added: Notify::new(),
         }
@@ -76,16 +84,49 @@
     fn assign(
         &self,
         now: Moment,
-        choose: impl FnOnce(&mut Queue, &mut Fleet) -> Vec<(oneshot::Sender<Target>, Target)>,
+        choose: impl FnOnce(&mut Queue, &mut Fleet) -> Vec<Grant<oneshot::Sender<GrantedSlot>>>,
     ) {
         let mut waiting = self.waiting.lock();
         let mut fleet = self.fleet.lock();
-        for (grant, target) in choose(&mut waiting, &mut fleet) {
-            if let Err(target) = grant.send(target) {
-                fleet.end_attempt(&target.id, None, ReplicaOutcome::Abandoned, now);
+        for Grant { grant, target, trainer } in choose(&mut waiting, &mut fleet) {
+            if let Err(unused) = grant.send(GrantedSlot { target, trainer }) {
+                fleet.end_attempt(&unused.target.id, None, ReplicaOutcome::Abandoned, now);
+                waiting.end_run(&unused.trainer);
             }
         }
     }
+
+    /// Opens a step whose samples will wait for slots, until the returned guard is dropped.
+    pub(super) fn open_step(&self, step: StepOrder, now: Moment) -> StepGuard {
+        let guard = StepGuard {
+            queue: self.waiting.clone(),
+            step: step.open.step,
+            opened: (now, tokio::time::Instant::now()),
+        };
+        self.waiting.lock().open_step(step, now);
+        guard
+    }
+
+    /// Records that a sample of an open step has its result.
+    pub(super) fn finish_sample(&self, step: u64, index: u64) {
+        self.waiting.lock().finish_sample(step, index);
+    }
+}
+
+/// Closes a step when it is dropped, as when all its samples have ended.
+#[derive(Debug)]
+pub(super) struct StepGuard {
+    queue: Arc<Mutex<Queue>>,
+    step: u64,
+    /// When the step was opened, on the node's clock and as an instant.
+    opened: (Moment, tokio::time::Instant),
+}
+
+impl Drop for StepGuard {
+    fn drop(&mut self) {
+        let (opened, at) = self.opened;
+        self.queue.lock().close_step(self.step, opened + at.elapsed());
+    }
 }
 
 /// A slot at a replica, which is released when the guard is dropped.
@@ -95,6 +136,8 @@
     pub target: Target,
     model: Option<Name>,
     ended: ReplicaOutcome,
+    /// The trainer that holds the slot; none for a request that did not wait in the queue.
+    trainer: Option<Trainer>,
     /// Counts the demand of a sample, from when it joined the queue.
     _demand: Option<SlotDemandGuard>,
 }
@@ -102,7 +145,14 @@
 impl<'a> SlotGuard<'a> {
     /// A guard for a slot that [`Fleet::start_attempt`] has already counted.
     pub(super) fn started(app: &'a App, target: Target) -> Self {
-        Self { app, target, model: None, ended: ReplicaOutcome::Abandoned, _demand: None }
+        Self {
+            app,
+            target,
+            model: None,
+            ended: ReplicaOutcome::Abandoned,
+            trainer: None,
+            _demand: None,
+        }
     }
 
     /// Sets how the attempt ended; [`ReplicaOutcome::Abandoned`] if this is never called.
@@ -116,6 +166,9 @@
         let now = self.app.now();
         let model = self.model.as_deref();
         self.app.slots.fleet.lock().end_attempt(&self.target.id, model, self.ended, now);
+        if let Some(trainer) = &self.trainer {
+            self.app.slots.waiting.lock().end_run(trainer);
+        }
         if self.app.slots.has_waiters() {
             self.app.slots.slot_freed(&self.target.id, now);
         }
@@ -139,26 +192,28 @@
         }
     }
 
-    /// Waits in the queue for a free slot. None if the queue entry was dropped without a slot.
+    /// Waits in the queue for a free slot for a sample of an open step. None if the queue entry was
+    /// dropped without a slot.
     pub(super) async fn wait_for_slot(
         &self,
-        position: WaitPosition,
+        step: u64,
+        index: u64,
         want: SlotRequest,
     ) -> Option<SlotGuard<'_>> {
-        let (service, model) = (want.service.clone(), want.model.clone());
-        let demand = self.slots.demand.begin(service.clone());
+        let model = want.model.clone();
+        let demand = self.slots.demand.begin(want.service.clone());
         let (grant, granted) = oneshot::channel();
-        self.slots.waiting.lock().add(position, want, grant);
-        let mut waiting =
-            QueuedWaiter { app: self, position, service, model: model.clone(), granted };
+        self.slots.waiting.lock().add(step, index, want, grant);
+        let mut waiting = QueuedWaiter { app: self, step, index, granted };
         self.slots.assign_free(self.now());
         self.slots.waiter_added.notify_one();
-        let target = (&mut waiting.granted).await.ok()?;
+        let GrantedSlot { target, trainer } = (&mut waiting.granted).await.ok()?;
         Some(SlotGuard {
             app: self,
             target,
             model,
             ended: ReplicaOutcome::Abandoned,
+            trainer: Some(trainer),
             _demand: Some(demand),
         })
     }
@@ -169,7 +224,9 @@
             self.slots.waiter_added.notified().await;
             while self.slots.has_waiters() {
                 tokio::time::sleep(RETRY_INTERVAL).await;
-                self.slots.assign_free(self.now());
+                let now = self.now();
+                self.slots.waiting.lock().refresh(now);
+                self.slots.assign_free(now);
             }
         }
     }
@@ -187,6 +244,7 @@
             target,
             model,
             ended: ReplicaOutcome::Abandoned,
+            trainer: None,
             _demand: None,
         })
     }
@@ -195,18 +253,17 @@
 /// Removes a waiter from the queue when it is dropped, as when its sample gives up.
 struct QueuedWaiter<'a> {
     app: &'a App,
-    position: WaitPosition,
-    service: Name,
-    model: Option<Name>,
-    granted: oneshot::Receiver<Target>,
+    step: u64,
+    index: u64,
+    granted: oneshot::Receiver<GrantedSlot>,
 }
 
 impl Drop for QueuedWaiter<'_> {
     fn drop(&mut self) {
-        self.app.slots.waiting.lock().remove(self.position, &self.service, &self.model);
+        self.app.slots.waiting.lock().remove(self.step, self.index);
         // A slot that was assigned but never used is released.
         self.granted.close();
-        if let Ok(target) = self.granted.try_recv() {
+        if let Ok(GrantedSlot { target, trainer }) = self.granted.try_recv() {
             let now = self.app.now();
             self.app.slots.fleet.lock().end_attempt(
                 &target.id,
@@ -214,6 +271,7 @@
                 ReplicaOutcome::Abandoned,
                 now,
             );
+            self.app.slots.waiting.lock().end_run(&trainer);
         }
     }
 }
--- a/standins/src/replicas/fleet.rs
+++ b/standins/src/replicas/fleet.rs
@@ -221,6 +221,7 @@
             replica: to.id.clone(),
             id: call.id.clone(),
             organisation: call.organisation.clone(),
+            priority: call.priority,
             last_event: call.last_event,
             timeout: call.timeout,
             received_at: Instant::now(),
--- a/standins/src/replicas/replica.rs
+++ b/standins/src/replicas/replica.rs
@@ -38,6 +38,8 @@
     pub id: Name,
     /// The organisation that the request belongs to.
     pub organisation: Option<Name>,
+    /// The priority of the request.
+    pub priority: Option<u8>,
     /// The last event that the sender already has, when it resumes a stream.
     pub last_event: Option<u64>,
     /// The timeout that its sender set.
--- a/tests/entry/world.rs
+++ b/tests/entry/world.rs
@@ -122,6 +122,20 @@
         );
     }
 
+    /// Writes the routes as this version of the configuration, with a further batch route that has
+    /// this prefix and priority.
+    pub(crate) fn configure_batch_route(&self, version: u64, prefix: &str, priority: u8) {
+        let text = |prefix| route(prefix, "engines", RetryPolicy::Never);
+        let routes = vec![
+            Route { priority: 0, ..text("/jobs/") },
+            Route { priority, batch: true, ..text(prefix) },
+            route("/plain/", "plain", RetryPolicy::Rerun),
+            route("/text/", "engines", RetryPolicy::Resume),
+        ];
+        let routes = Routes::new(version, RequestLimits::default(), routes);
+        self.schema.write_directive(&self.kv, "config", Directive::Routes(routes));
+    }
+
     /// Names a weight version, as a trainer does.
     pub(crate) fn name_version(&self, version: u64) {
         let directive = Directive::Version { model: MODEL.into(), version };
@@ -321,6 +335,7 @@
         priority: 1,
         services: vec![(service.into(), 1)],
         max_attempts: 3,
+        result_deadline: None,
         retention: Duration::from_secs(40),
         single_version: false,
         public: false,
--- a/tests/routes.rs
+++ b/tests/routes.rs
@@ -18,6 +18,7 @@
         priority: 0,
         services: services.iter().map(|(name, weight)| ((*name).into(), *weight)).collect(),
         max_attempts: 1,
+        result_deadline: None,
         retention: Duration::ZERO,
         single_version: false,
         public: false,
@@ -44,3 +45,22 @@
     assert_eq!(self::route("h", "/", &[]).pick_service(3), None);
     assert!(self::route("h", "/", &[("a", 0)]).pick_service(3).is_some());
 }
+
+/// Guards against a replica that preempts the samples of one trainer for those of another.
+#[test]
+fn all_samples_of_a_service_have_the_most_urgent_priority_of_its_batch_routes() {
+    let batch = |prefix, services, priority| Route {
+        batch: true,
+        priority,
+        ..route("h", prefix, services)
+    };
+    let routes = vec![
+        batch("/a/", &[("s", 1)], 4),
+        batch("/b/", &[("s", 1), ("t", 1)], 2),
+        batch("/c/", &[("t", 1)], 3),
+        route("h", "/live/", &[("s", 1), ("u", 1)]),
+    ];
+    let table = Routes::new(1, RequestLimits::default(), routes);
+    let of = |service| table.sample_priority(service);
+    assert_eq!([of("s"), of("t"), of("u")], [Some(2), Some(2), None]);
+}
--- a/tests/slot_queue.rs
+++ b/tests/slot_queue.rs
@@ -1,10 +1,13 @@
 //! Tests of samples that wait for a slot at a replica, simulated without a network.
 
+#![allow(clippy::unwrap_used)]
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use mulberrycourse::Name;
-use mulberrycourse::decide::{Fleet, ListedReplica, ReplicaOutcome, SlotQueue, SlotRequest};
+use mulberrycourse::decide::load::{OpenStep, StepOrder};
+use mulberrycourse::decide::{Fleet, Grant, ListedReplica, ReplicaOutcome, SlotQueue, SlotRequest};
 use mulberrycourse::edge::replica::{ReplicaLoad, Target};
 use proptest::prelude::*;
 
@@ -40,6 +43,51 @@
     }
 }
 
+/// A step of a model at the service of all tests.
+fn step(number: u64, priority: u8, model: &str, organisation: Option<&str>) -> OpenStep {
+    OpenStep {
+        step: number,
+        priority,
+        services: vec!["engines".into()],
+        model: Some(model.into()),
+        organisation: organisation.map(Into::into),
+        due: None,
+    }
+}
+
+/// Opens a step, and adds a waiting sample for each name of a group. The samples are notified by
+/// the number of the step and their index.
+fn add_step(waiting: &mut SlotQueue<(u64, u64)>, open: OpenStep, groups: &[&str]) {
+    let (number, model) = (open.step, open.model.clone());
+    waiting.open_step(StepOrder::new(open, groups.iter().copied()), NOW);
+    for index in 0..groups.len() as u64 {
+        let request = SlotRequest { model: model.clone(), ..request("") };
+        waiting.add(number, index, request, (number, index));
+    }
+}
+
+/// A fleet of one replica with one free slot, for the models "a" and "b" at version 1.
+fn one_slot() -> Fleet {
+    let mut fleet = fleet(1, |_| "a");
+    let mut listed = fleet.get("r0000").unwrap().clone();
+    listed.slots = 1;
+    listed.versions.push(("b".into(), 1));
+    fleet.upsert(listed);
+    fleet
+}
+
+/// Lets this many samples begin, each at the only free slot, and returns them.
+fn begin(waiting: &mut SlotQueue<(u64, u64)>, count: usize) -> Vec<(u64, u64)> {
+    let one = |_| {
+        let grants = waiting.assign_all(&mut one_slot(), NOW);
+        assert!(grants.len() <= 1);
+        grants.into_iter().next()
+    };
+    let grants: Vec<_> = (0..count).filter_map(one).collect();
+    grants.iter().for_each(|grant| waiting.end_run(&grant.trainer));
+    grants.into_iter().map(|grant| grant.grant).collect()
+}
+
 /// Simulates ten replicas in steps of one millisecond. Each response head reports the load of its
 /// replica, two texts of other nodes included, and assigns a slot if `assign_on_head` is set. Every
 /// `check_interval_ms` slots are assigned to all waiting texts. Returns the time in milliseconds
@@ -52,7 +100,9 @@
 ) -> u64 {
     let mut fleet = fleet(10, |_| "m");
     let mut waiting: SlotQueue<u64> = SlotQueue::default();
-    (0..texts).for_each(|i| waiting.add((1, 0, i), request("m"), i));
+    let groups = (0..texts).map(|_| "g");
+    waiting.open_step(StepOrder::new(step(0, 1, "m", None), groups), NOW);
+    (0..texts).for_each(|i| waiting.add(0, i, request("m"), i));
     let mut due: BTreeMap<u64, Vec<Name>> = BTreeMap::new();
     let mut running: BTreeMap<Name, u32> = BTreeMap::new();
     let mut begun = 0;
@@ -69,7 +119,7 @@
         if millis % check_interval_ms == 0 {
             assigned.extend(waiting.assign_all(&mut fleet, now));
         }
-        for (_, target) in assigned {
+        for Grant { target, .. } in assigned {
             begun += 1;
             *running.entry(target.id.clone()).or_default() += 1;
             due.entry(millis + HEAD_MS).or_default().push(target.id);
@@ -95,15 +145,18 @@
 fn a_slot_is_assigned_to_the_first_sample_that_the_replica_serves() {
     let mut fleet = fleet(2, |i| if i == 0 { "a" } else { "b" });
     let mut waiting = SlotQueue::default();
-    waiting.add((2, 0, 0), request("a"), "late a");
-    waiting.add((1, 0, 0), request("b"), "first b");
-    waiting.add((1, 5, 0), request("a"), "first a");
+    for open in [step(0, 2, "a", None), step(1, 1, "b", None), step(5, 1, "a", None)] {
+        waiting.open_step(StepOrder::new(open, ["g"].into_iter()), NOW);
+    }
+    waiting.add(0, 0, request("a"), "late a");
+    waiting.add(1, 0, request("b"), "first b");
+    waiting.add(5, 0, request("a"), "first a");
     let assigned = waiting.assign_at("r0000", &mut fleet, NOW);
-    let assigned: Vec<&str> = assigned.into_iter().map(|(name, _)| name).collect();
+    let assigned: Vec<&str> = assigned.into_iter().map(|grant| grant.grant).collect();
     assert_eq!(assigned, ["first a"], "the next one waits for a report of the load");
     assert!(waiting.assign_at("gone", &mut fleet, NOW).is_empty());
     assert_eq!(waiting.assign_all(&mut fleet, NOW).len(), 1);
-    waiting.remove((2, 0, 0), &"engines".into(), &Some("a".into()));
+    waiting.remove(0, 0);
     assert!(waiting.is_empty());
 }
 
@@ -111,11 +164,117 @@
 fn a_text_avoids_a_replica_that_failed_it() {
     let mut fleet = fleet(1, |_| "m");
     let mut waiting = SlotQueue::default();
-    waiting.add((1, 0, 0), SlotRequest { avoid: vec!["r0000".into()], ..request("m") }, 0);
+    waiting.open_step(StepOrder::new(step(0, 1, "m", None), ["g"].into_iter()), NOW);
+    waiting.add(0, 0, SlotRequest { avoid: vec!["r0000".into()], ..request("m") }, 0);
     assert!(waiting.assign_at("r0000", &mut fleet, NOW).is_empty());
     assert!(!waiting.is_empty());
 }
 
+/// Two trainers have more samples than there are slots. Guards against serving them strictly by
+/// priority, by which the less urgent one gets nothing.
+#[test]
+fn a_less_urgent_trainer_gets_its_part_of_the_slots() {
+    let mut waiting = SlotQueue::default();
+    add_step(&mut waiting, step(0, 0, "a", None), &["g"; 100]);
+    add_step(&mut waiting, step(100, 1, "b", None), &["g"; 100]);
+    let begun = begin(&mut waiting, 45);
+    assert_eq!(begun.iter().filter(|(step, _)| *step == 100).count(), 20, "{begun:?}");
+}
+
+/// Guards against serving organisations in proportion to what they ask for.
+#[test]
+fn an_organisation_with_a_hundred_times_the_samples_does_not_delay_another() {
+    let mut waiting = SlotQueue::default();
+    add_step(&mut waiting, step(0, 0, "a", Some("large")), &["g"; 500]);
+    add_step(&mut waiting, step(1, 0, "a", Some("small")), &["g"; 5]);
+    let begun = begin(&mut waiting, 11);
+    assert_eq!(begun.iter().filter(|(step, _)| *step == 1).count(), 5, "{begun:?}");
+}
+
+/// Guards against order by submission, by which all groups are nearly complete when the step is due.
+#[test]
+fn groups_nearest_to_complete_come_first_when_trainers_compete() {
+    let mut waiting = SlotQueue::default();
+    add_step(&mut waiting, step(0, 0, "a", None), &["x", "y", "x", "z", "z", "y", "z"]);
+    add_step(&mut waiting, step(1, 0, "b", None), &[]);
+    // Two samples of the largest group ran before and have their results now.
+    waiting.remove(0, 3);
+    waiting.remove(0, 4);
+    waiting.finish_sample(0, 3);
+    waiting.finish_sample(0, 4);
+    let indexes: Vec<u64> = begin(&mut waiting, 5).iter().map(|(_, index)| *index).collect();
+    assert_eq!(indexes, [6, 0, 2, 1, 5]);
+}
+
+/// Guards against a late step that holds up one that could be in time, and against one that never
+/// ends because later steps overtake it.
+#[test]
+fn a_late_step_comes_after_one_that_can_be_in_time_and_is_not_starved() {
+    let mut waiting = SlotQueue::default();
+    add_step(&mut waiting, step(9, 0, "b", None), &[]);
+    let late = OpenStep { due: Some(NOW - Duration::from_secs(1)), ..step(0, 0, "a", None) };
+    add_step(&mut waiting, late, &["g"; 50]);
+    let timely = OpenStep { due: Some(NOW + Duration::from_secs(5)), ..step(1, 0, "a", None) };
+    add_step(&mut waiting, timely, &["g"; 50]);
+    let begun = begin(&mut waiting, 40);
+    assert!(begun[..7].iter().all(|(step, _)| *step == 1), "{begun:?}");
+    assert_eq!(begun.iter().filter(|(step, _)| *step == 0).count(), 5, "{begun:?}");
+}
+
+/// A step becomes late while its samples wait. Guards against ranks that are computed only once.
+#[test]
+fn a_step_becomes_late_while_it_waits() {
+    let mut waiting = SlotQueue::default();
+    add_step(&mut waiting, step(9, 0, "b", None), &[]);
+    for (number, seconds) in [(0, 2), (1, 6)] {
+        let due = Some(NOW + Duration::from_secs(seconds));
+        add_step(&mut waiting, OpenStep { due, ..step(number, 0, "a", None) }, &["g"; 3]);
+    }
+    assert_eq!(begin(&mut waiting, 1), [(0, 0)]);
+    waiting.refresh(NOW + Duration::from_secs(3));
+    assert_eq!(begin(&mut waiting, 2), [(1, 0), (1, 1)]);
+}
+
+/// A service with one trainer. Guards against any change of the order there: by submission, and
+/// within a step as given, however late a step is.
+#[test]
+fn a_single_trainer_keeps_the_order_of_submission() {
+    let mut waiting = SlotQueue::default();
+    let late = OpenStep { due: Some(NOW - Duration::from_secs(1)), ..step(0, 0, "a", None) };
+    add_step(&mut waiting, late, &["x", "y", "x", "y"]);
+    let timely = OpenStep { due: Some(NOW + Duration::from_secs(5)), ..step(1, 0, "a", None) };
+    add_step(&mut waiting, timely, &["g"]);
+    waiting.finish_sample(0, 3);
+    waiting.refresh(NOW);
+    assert_eq!(begin(&mut waiting, 9), [(0, 0), (0, 1), (0, 2), (0, 3), (1, 0)]);
+}
+
+/// An organisation waits for a version that no replica serves yet. Guards against slots that stay
+/// free while another organisation could use them.
+#[test]
+fn samples_of_a_version_that_is_not_served_do_not_block_others() {
+    let mut waiting = SlotQueue::default();
+    for (number, organisation, min_version) in [(0, "new", 2), (1, "old", 1)] {
+        let open = step(number, 0, "a", Some(organisation));
+        waiting.open_step(StepOrder::new(open, ["g"].into_iter()), NOW);
+        let want = SlotRequest { min_version, ..request("a") };
+        waiting.add(number, 0, want, (number, 0));
+    }
+    assert_eq!(begin(&mut waiting, 2), [(1, 0)]);
+}
+
+/// Guards against a queue that keeps samples or trainers of steps that are over.
+#[test]
+fn a_closed_step_leaves_the_order_to_a_single_trainer() {
+    let mut waiting = SlotQueue::default();
+    add_step(&mut waiting, step(0, 0, "a", None), &["x", "y", "x"]);
+    add_step(&mut waiting, step(1, 0, "b", None), &["x"]);
+    waiting.remove(1, 0);
+    waiting.close_step(1, NOW);
+    assert_eq!(begin(&mut waiting, 9), [(0, 0), (0, 1), (0, 2)]);
+    assert!(waiting.is_empty());
+}
+
 proptest! {
     /// For any sequence of events, no sample gets two slots, no replica gets more texts than it
     /// has slots, and no sample overtakes an earlier one of its kind.
@@ -126,6 +285,10 @@
         let models = ["a", "b"];
         let mut fleet = fleet(4, |i| models[i % 2]);
         let mut waiting: SlotQueue<(usize, u64)> = SlotQueue::default();
+        for (kind, model) in models.into_iter().enumerate() {
+            let groups = (0..30).map(|_| "g");
+            waiting.open_step(StepOrder::new(step(kind as u64, 1, model, None), groups), NOW);
+        }
         let mut open: BTreeSet<(usize, u64)> = BTreeSet::new();
         let mut running: BTreeMap<Name, u32> = BTreeMap::new();
         let mut assigned_before = BTreeSet::new();
@@ -136,12 +299,12 @@
             let assigned = match step {
                 0 | 1 => {
                     if !assigned_before.contains(&(kind, index)) && open.insert((kind, index)) {
-                        waiting.add((1, 0, index), request(models[kind]), (kind, index));
+                        waiting.add(kind as u64, index, request(models[kind]), (kind, index));
                     }
                     Vec::new()
                 }
                 2 => {
-                    waiting.remove((1, 0, index), &"engines".into(), &Some(models[kind].into()));
+                    waiting.remove(kind as u64, index);
                     open.remove(&(kind, index));
                     Vec::new()
                 }
@@ -156,7 +319,7 @@
                 }
                 _ => waiting.assign_all(&mut fleet, now),
             };
-            for ((kind, index), target) in assigned {
+            for Grant { grant: (kind, index), target, .. } in assigned {
                 prop_assert!(open.remove(&(kind, index)));
                 prop_assert!(assigned_before.insert((kind, index)));
                 prop_assert!(!open.iter().any(|(k, i)| *k == kind && *i < index));
