The leader divides the slots of a service between trainers

Cause: the jobs of different trainers are owned by different nodes, and each took every slot that it saw free. Where slots are short, a trainer's part depended on the number of its samples and on chance.

Change: the replies to the leader's polls of the demand say how many samples of each trainer wait and run. For a service that is short of slots the leader computes weighted max-min shares, by pools of replicas with the same models, and sends them with its next polls, with fencing token, sequence number and age. An owner ignores older ones, and all of them 3 s after their computation. A trainer that holds its share waits, except for one slot every 50 ms that no other trainer takes. While a service is short, the leader polls every 250 ms. Metrics: share_orders by result, demand_ignored, over_share. The key of a step in the queue is an id, because start tags may be used again while the samples of a stopped step are dropped.

Weighed: a share of at most the demand holds back the next step for one or two polls, so a trainer that needs little has the share that it would get if it needed more. Without slots beyond the share, those of a step that ends stay free until the next shares; with one at each sample's end the trainer keeps what it has.

--- a/benches/places.rs
+++ b/benches/places.rs
@@ -47,7 +47,8 @@
 /// An open step of a model.
 fn step(number: usize, model: &str) -> OpenStep {
     OpenStep {
-        step: number as u64,
+        id: number as u64,
+        order: number as u64,
         priority: 1,
         services: vec!["engines".into()],
         model: Some(model.into()),
--- a/src/decide/fleet/fleet.rs
+++ b/src/decide/fleet/fleet.rs
@@ -13,6 +13,7 @@
 use super::replica::{LoadReporting, Replica, fits};
 use super::table::{ReplicaKey, ReplicaTable};
 use super::{AttemptRequest, ListedReplica, ReplicaOutcome};
+use crate::decide::load::SlotPool;
 use crate::decide::{LatencyEstimate, OtherLoad, expected_latency, max_ejected};
 use crate::edge::replica::{ReplicaLoad, Target};
 use crate::{Moment, Name};
@@ -500,6 +501,19 @@
         open.map(|r| r.listed.slots.saturating_sub(r.running + r.others.decayed(now) as u32)).sum()
     }
 
+    /// Returns the slots of a service's replicas that accept work, by the models that they serve.
+    pub fn slot_pools(&self, service: &str, now: Moment) -> Vec<SlotPool> {
+        let mut pools: BTreeMap<Vec<Name>, u32> = BTreeMap::new();
+        let open =
+            self.replicas.of(service).filter(|r| !r.listed.draining && r.excluded_until <= now);
+        for replica in open {
+            let mut models: Vec<Name> = replica.versions.keys().cloned().collect();
+            models.sort_unstable();
+            *pools.entry(models).or_default() += replica.listed.slots;
+        }
+        pools.into_iter().map(|(models, slots)| SlotPool { models, slots }).collect()
+    }
+
     /// Returns the replica if this is still its incarnation.
     fn incarnation(&self, target: &Target) -> Option<&Replica> {
         let replica = self.replicas.get(&target.id)?;
--- a/src/decide/fleet/slot_queue.rs
+++ b/src/decide/fleet/slot_queue.rs
@@ -12,18 +12,22 @@
 //! next to nothing. So each gets slots in proportion to its weight, and its own samples are served
 //! by [`SampleRank`].
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::ops::Bound;
 
 use super::{AttemptRequest, Fleet};
 use crate::decide::FairQueue;
-use crate::decide::load::{OpenStep, SampleRank, StepOrder, Trainer};
+use crate::decide::load::{
+    OpenStep, SampleRank, ShareOrder, ShareOutcome, ShareView, StepOrder, Trainer, TrainerDemand,
+};
 use crate::edge::replica::Target;
 use crate::{Moment, Name};
 
 /// While a trainer has samples of steps that can still be in time and of others, the others get one
 /// slot after this many of the former. They are of less use, but end only if they get slots.
 const TIMELY_GRANTS_PER_LATE: u32 = 7;
+/// Number of trainers at their shares that are tried for one slot beyond the shares.
+const MAX_TRIED_OVER_SHARE: usize = 4;
 /// Number of kinds of slots without waiting samples that are remembered with the virtual times of
 /// their trainers. A node has a few models; clients may name any.
 const MAX_IDLE_KINDS: usize = 64;
@@ -80,6 +84,8 @@
     pub target: Target,
     /// The trainer that holds the slot until [`SlotQueue::end_run`].
     pub trainer: Trainer,
+    /// Whether the trainer holds more slots than its share.
+    pub over_share: bool,
 }
 
 /// The waiting samples of one trainer.
@@ -147,11 +153,19 @@
     }
 }
 
+/// The open steps of one trainer.
+#[derive(Debug, Default)]
+struct TrainerSteps {
+    count: usize,
+    /// The priority of the latest one.
+    priority: u8,
+}
+
 /// The trainers of one service.
 #[derive(Debug, Default)]
 struct ServiceState {
-    /// Number of open steps of each trainer at this node.
-    trainers: HashMap<Trainer, usize>,
+    /// The trainers with open steps at this node.
+    trainers: HashMap<Trainer, TrainerSteps>,
     /// Whether the leader knows of several trainers.
     contended: bool,
     /// The present in the virtual time that the trainers' queues have in common.
@@ -169,12 +183,18 @@
 pub struct SlotQueue<G> {
     kinds: BTreeMap<Kind, KindQueue<G>>,
     services: HashMap<Name, ServiceState>,
-    /// The open steps by start tag.
+    /// The open steps by id.
     steps: BTreeMap<u64, StepOrder>,
     /// The trainer and the present rank of each waiting sample.
     samples: BTreeMap<SampleId, (Trainer, SampleRank)>,
     /// The number of slots that each trainer holds.
     running: HashMap<Trainer, u32>,
+    /// The shares that the leader computed.
+    view: ShareView,
+    /// The trainers that hold their shares, whose samples wait although slots may be free.
+    at_share: BTreeSet<Trainer>,
+    /// The one of them that was last tried for a slot beyond its share.
+    last_tried: Option<Trainer>,
 }
 
 impl<G> Default for SlotQueue<G> {
@@ -185,6 +205,9 @@
             steps: BTreeMap::new(),
             samples: BTreeMap::new(),
             running: HashMap::new(),
+            view: ShareView::default(),
+            at_share: BTreeSet::new(),
+            last_tried: None,
         }
     }
 }
@@ -205,9 +228,12 @@
         let open = &step.open;
         for service in &open.services {
             let state = self.services.entry(service.clone()).or_default();
-            *state.trainers.entry(trainer(open, service, &open.model)).or_default() += 1;
+            state.contended = self.view.contended().contains(service);
+            let steps = state.trainers.entry(trainer(open, service, &open.model)).or_default();
+            steps.count += 1;
+            steps.priority = open.priority;
         }
-        self.steps.insert(open.step, step);
+        self.steps.insert(open.id, step);
         self.refresh(now);
     }
 
@@ -217,14 +243,16 @@
         for service in &step.open.services {
             let Some(state) = self.services.get_mut(service) else { continue };
             let trainer = trainer(&step.open, service, &step.open.model);
-            if let Some(count) = state.trainers.get_mut(&trainer) {
-                *count -= 1;
-                if *count == 0 {
+            if let Some(steps) = state.trainers.get_mut(&trainer) {
+                steps.count -= 1;
+                if steps.count == 0 {
                     state.trainers.remove(&trainer);
                 }
             }
-            if state.trainers.is_empty() && !state.contended {
+            if state.trainers.is_empty() {
                 self.services.remove(service);
+                // Their virtual times would not agree with those of the service's next trainers.
+                self.kinds.retain(|kind, queue| kind.0 != *service || !queue.versions.is_empty());
             }
         }
         self.refresh(now);
@@ -239,15 +267,95 @@
         }
     }
 
+    /// Applies the shares that the leader sent, unless they are outdated.
+    pub fn set_shares(&mut self, order: ShareOrder, now: Moment) -> ShareOutcome {
+        let outcome = self.view.accept(order, now);
+        if outcome == ShareOutcome::Accepted {
+            self.apply_view();
+            self.refresh(now);
+        }
+        outcome
+    }
+
+    /// Returns the share of a trainer; none if it may use any number of slots.
+    pub fn share(&self, trainer: &Trainer) -> Option<u32> {
+        self.view.share(trainer)
+    }
+
+    /// Returns the demand of at most `limit` trainers, those with the most samples.
+    pub fn demand(&self, limit: usize) -> Vec<TrainerDemand> {
+        let trainers = self.services.values().flat_map(|state| &state.trainers);
+        let mut demands: Vec<TrainerDemand> = trainers
+            .map(|(trainer, steps)| TrainerDemand {
+                trainer: trainer.clone(),
+                priority: steps.priority,
+                waiting: self.waiting(trainer) as u32,
+                running: self.running(trainer),
+            })
+            .filter(|demand| demand.waiting + demand.running > 0)
+            .collect();
+        demands.sort_unstable_by(|a, b| {
+            let samples = |demand: &TrainerDemand| demand.waiting + demand.running;
+            samples(b).cmp(&samples(a)).then_with(|| a.trainer.cmp(&b.trainer))
+        });
+        demands.truncate(limit);
+        demands
+    }
+
+    fn waiting(&self, trainer: &Trainer) -> usize {
+        let kind = (trainer.service.clone(), trainer.model.clone());
+        let queue = self.kinds.get(&kind).and_then(|k| k.trainers.get(&trainer.organisation));
+        queue.map_or(0, |queue| queue.samples.len())
+    }
+
+    fn running(&self, trainer: &Trainer) -> u32 {
+        self.running.get(trainer).copied().unwrap_or(0)
+    }
+
+    /// Brings the order in line with a change of the shares.
+    fn apply_view(&mut self) {
+        for (service, state) in &mut self.services {
+            state.contended = self.view.contended().contains(service);
+        }
+        let running: Vec<Trainer> = self.running.keys().cloned().collect();
+        for trainer in std::mem::take(&mut self.at_share).into_iter().chain(running) {
+            self.check_share(&trainer, true);
+        }
+    }
+
+    /// Leaves a trainer that holds its share out of the order, or takes it in again. `changed` is
+    /// set if that may not be as `at_share` says.
+    fn check_share(&mut self, trainer: &Trainer, changed: bool) {
+        let at_share = self.view.share(trainer).is_some_and(|share| self.running(trainer) >= share);
+        let known = self.at_share.contains(trainer);
+        if at_share == known && !changed {
+            return;
+        }
+        if at_share {
+            self.at_share.insert(trainer.clone());
+        } else {
+            self.at_share.remove(trainer);
+        }
+        let kind = (trainer.service.clone(), trainer.model.clone());
+        let Some(queue) = self.kinds.get_mut(&kind) else { return };
+        match at_share {
+            true => queue.order.pause(&trainer.organisation),
+            false => queue.order.resume(&trainer.organisation),
+        }
+    }
+
     /// Brings the ranks up to date with the time and with the trainers of each service.
     pub fn refresh(&mut self, now: Moment) {
+        if self.view.expire(now) {
+            self.apply_view();
+        }
         let services = &self.services;
         let shared = |service: &Name| services.get(service).is_some_and(ServiceState::is_shared);
         let steps = self.steps.values_mut();
         let changed: Vec<u64> = steps
             .filter_map(|step| {
                 let shared = step.open.services.iter().any(shared);
-                step.refresh(shared, now).then_some(step.open.step)
+                step.refresh(shared, now).then_some(step.open.id)
             })
             .collect();
         for step in changed {
@@ -286,6 +394,9 @@
         *kind.versions.entry(request.min_version).or_default() += 1;
         let queue = kind.trainers.entry(trainer.organisation.clone()).or_default();
         queue.samples.insert(rank, Waiter { request, grant });
+        if self.at_share.contains(&trainer) {
+            kind.order.pause(&trainer.organisation);
+        }
         self.samples.insert((step, order.group(index), index), (trainer, rank));
     }
 
@@ -305,6 +416,7 @@
                 self.running.remove(trainer);
             }
         }
+        self.check_share(trainer, false);
     }
 
     /// Assigns all free slots, in order of the trainers and the ranks. [`Fleet::start_attempt`] has
@@ -318,6 +430,51 @@
         )
     }
 
+    /// Assigns all free slots, and one more to a trainer that holds its share, so that no slot stays
+    /// free until the next shares arrive. This is called at intervals: a trainer that took each slot
+    /// that it released again would never get down to its share.
+    pub fn assign_over_share(&mut self, fleet: &mut Fleet, now: Moment) -> Vec<Grant<G>> {
+        let mut assigned = self.assign_all(fleet, now);
+        assigned.extend(self.assign_one_over_share(fleet, now));
+        assigned
+    }
+
+    /// Assigns a slot to a trainer that holds its share.
+    fn assign_one_over_share(&mut self, fleet: &mut Fleet, now: Moment) -> Option<Grant<G>> {
+        for _ in 0..MAX_TRIED_OVER_SHARE.min(self.at_share.len()) {
+            let after = self.last_tried.as_ref().and_then(|last| {
+                self.at_share.range((Bound::Excluded(last), Bound::Unbounded)).next()
+            });
+            let trainer = after.or_else(|| self.at_share.first())?.clone();
+            self.last_tried = Some(trainer.clone());
+            let kind = (trainer.service.clone(), trainer.model.clone());
+            let kind = self.kinds.get(&kind);
+            let queue = kind.and_then(|kind| kind.trainers.get(&trainer.organisation));
+            let Some((rank, waiter)) = queue.and_then(TrainerQueue::first) else { continue };
+            if let Some(target) = fleet.choose(&waiter.request.attempt_request(), now) {
+                return self.grant(&trainer, &rank, target, fleet, now);
+            }
+        }
+        None
+    }
+
+    /// Takes a sample out of the queue and counts its slot.
+    fn grant(
+        &mut self,
+        trainer: &Trainer,
+        rank: &SampleRank,
+        target: Target,
+        fleet: &mut Fleet,
+        now: Moment,
+    ) -> Option<Grant<G>> {
+        let waiter = self.take(trainer, rank, true)?;
+        fleet.start_attempt(&target.id, now);
+        let over_share = self.at_share.contains(trainer);
+        *self.running.entry(trainer.clone()).or_default() += 1;
+        self.check_share(trainer, false);
+        Some(Grant { grant: waiter.grant, target, trainer: trainer.clone(), over_share })
+    }
+
     /// Assigns the free slots of one replica, in order of the trainers and the ranks.
     /// [`Fleet::start_attempt`] has been called for each returned sample.
     pub fn assign_at(&mut self, id: &str, fleet: &mut Fleet, now: Moment) -> Vec<Grant<G>> {
@@ -339,6 +496,9 @@
         choose: impl Fn(&Fleet, &SlotRequest) -> Option<Target>,
     ) -> Vec<Grant<G>> {
         let mut assigned = Vec::new();
+        if self.view.expire(now) {
+            self.apply_view();
+        }
         let waiting = self.kinds.iter().filter(|(_, queue)| !queue.versions.is_empty());
         let mut open: Vec<Kind> =
             waiting.filter(|(kind, _)| served(kind)).map(|(kind, _)| kind.clone()).collect();
@@ -348,11 +508,7 @@
                 open.swap_remove(index);
                 continue;
             };
-            if let Some(waiter) = self.take(&trainer, &rank, true) {
-                fleet.start_attempt(&target.id, now);
-                *self.running.entry(trainer.clone()).or_default() += 1;
-                assigned.push(Grant { grant: waiter.grant, target, trainer });
-            }
+            assigned.extend(self.grant(&trainer, &rank, target, fleet, now));
         }
         assigned
     }
--- a/src/decide/load/sample_rank.rs
+++ b/src/decide/load/sample_rank.rs
@@ -29,6 +29,8 @@
     /// that the earliest deadline has the least slack.
     due: u64,
     /// The start tag of its step.
+    order: u64,
+    /// The id of its step.
     pub step: u64,
     /// Number of samples of its group without a result.
     missing: usize,
@@ -46,15 +48,18 @@
 
     /// Returns the first rank of steps that can no longer be in time.
     pub fn first_late() -> Self {
-        Self { late: true, priority: 0, due: 0, step: 0, missing: 0, group: 0, index: 0 }
+        Self { late: true, priority: 0, due: 0, order: 0, step: 0, missing: 0, group: 0, index: 0 }
     }
 }
 
 /// A step with unfinished samples at this node.
 #[derive(Debug, Clone)]
 pub struct OpenStep {
-    /// Its start tag, which no other open step of the node has.
-    pub step: u64,
+    /// Identifies it at this node, and is never used again.
+    pub id: u64,
+    /// Its start tag, see [`JobOrder`](crate::decide::job::JobOrder). Another step may have the same
+    /// one while the samples of a step that was stopped are dropped.
+    pub order: u64,
     /// The priority of its job; 0 is highest.
     pub priority: u8,
     /// The services at which its samples may run.
@@ -98,14 +103,15 @@
 
     /// Returns the present rank of a sample.
     pub fn rank(&self, index: u64) -> SampleRank {
-        let OpenStep { step, priority, .. } = self.open;
+        let OpenStep { id: step, order, priority, .. } = self.open;
         if !self.shared {
-            return SampleRank { late: false, priority, due: 0, step, missing: 0, group: 0, index };
+            let (late, due, missing, group) = (false, 0, 0, 0);
+            return SampleRank { late, priority, due, order, step, missing, group, index };
         }
         let group = self.group(index);
         let missing = self.missing.get(group as usize).copied().unwrap_or(0);
         let due = self.open.due.map_or(u64::MAX, |due| due.as_millis() as u64);
-        SampleRank { late: self.late, priority, due, step, missing, group, index }
+        SampleRank { late: self.late, priority, due, order, step, missing, group, index }
     }
 
     /// Returns the group of a sample, as the index of the group's first sample.
--- a/src/entry/leader.rs
+++ b/src/entry/leader.rs
@@ -66,7 +66,7 @@
                 tokio::select! {
                     () = app.stop.cancelled() => {}
                     () = issue_orders(&app, fence) => {}
-                    () = app.poll_demand() => {}
+                    () = app.poll_demand(fence) => {}
                     () = report_usage(&app, fence) => {}
                     () = run_autoscaling(&app, fence) => {}
                     () = follow(app.clone(), Topic::Versions) => {}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -32,6 +32,7 @@
 mod sample;
 mod scale;
 mod score;
+mod shares;
 mod slots;
 mod stream;
 mod submit;
--- a/src/entry/owned_jobs.rs
+++ b/src/entry/owned_jobs.rs
@@ -64,6 +64,8 @@
     pub stop: CancellationToken,
     /// The job's rank for slots among the jobs of this node.
     pub queue_order: u64,
+    /// The id of the step whose samples wait for slots.
+    pub step: u64,
 }
 
 impl OwnedJob {
--- a/src/entry/peer/messages.rs
+++ b/src/entry/peer/messages.rs
@@ -10,6 +10,7 @@
 use crate::Name;
 use crate::decide::StepDemand;
 use crate::decide::job::JobSpec;
+use crate::decide::load::{ShareOrder, TrainerDemand};
 use crate::decide::usage::WindowNote;
 use crate::edge::peer::PeerMessage;
 use crate::edge::store::{KeyValue, RangeResult, StoreError, Txn, TxnOutcome, WatchBatch};
@@ -59,8 +60,9 @@
         /// How long to wait for a change.
         wait: Duration,
     },
-    /// Read the demand of the training steps and samples on the node.
-    Demand,
+    /// Read the demand of the training steps and samples on the node, which applies the shares of
+    /// slots that the leader computed. None before the first of its term.
+    Demand(Option<ShareOrder>),
     /// Make a call to the store for the sender.
     Store(StoreRequest),
     /// Share the counts of requests that the sender has made.
@@ -141,6 +143,8 @@
         /// How long its samples have waited for slots or held them, by service, in
         /// slot-milliseconds.
         wanted: Vec<(Name, u64)>,
+        /// The samples of each trainer there.
+        trainers: Vec<TrainerDemand>,
     },
     /// The reply of the store.
     Store(Result<StoreReply, StoreError>),
@@ -188,7 +192,7 @@
         match self {
             Self::Submit(_) => PeerPurpose::Submit,
             Self::OwnsJob(_) | Self::Body { .. } | Self::Read { .. } => PeerPurpose::Read,
-            Self::Snapshot { .. } | Self::Follow { .. } | Self::Demand => PeerPurpose::Follow,
+            Self::Snapshot { .. } | Self::Follow { .. } | Self::Demand(_) => PeerPurpose::Follow,
             Self::Store(_) | Self::StoreRecovered { .. } => PeerPurpose::Store,
             Self::Usage { .. } => PeerPurpose::Usage,
         }
--- a/src/entry/peer/requests.rs
+++ b/src/entry/peer/requests.rs
@@ -19,6 +19,7 @@
 use crate::entry::follow::FeedUpdate;
 use crate::entry::read::ReadResult;
 use crate::entry::remote_jobs::{JobLocation, RemoteJob};
+use crate::entry::shares::TermShares;
 use crate::entry::submit::SubmitResult;
 
 /// How long an owner may take to accept a job. It makes one write, which took a quarter of a second
@@ -36,6 +37,9 @@
 const SNAPSHOT_REPLY_MARGIN: Duration = Duration::from_millis(200);
 /// How often the leader asks the owners of jobs for their demand. Steps come every few seconds.
 const DEMAND_POLL_INTERVAL: Duration = Duration::from_secs(1);
+/// The same while a service is short of slots: the samples of a step end within a second, and the
+/// slots that they leave go to others by the next shares.
+const SHORT_POLL_INTERVAL: Duration = Duration::from_millis(250);
 /// How long a node that did not reply gets no further requests. If it is gone, its lease ends
 /// within two seconds.
 const UNREACHABLE_BACKOFF: Duration = Duration::from_millis(2_500);
@@ -179,16 +183,31 @@
         likely
     }
 
-    /// Polls the preferred owners of jobs for their demand while this node is the leader. The last
-    /// value of a node that does not reply is kept.
-    pub(in crate::entry) async fn poll_demand(&self) {
+    /// Polls the preferred owners of jobs for their demand while this node is the leader, and sends
+    /// them the shares of slots that it computed from the replies before. `fence` is the revision of
+    /// the leader key that began the term. The last value of a node that does not reply is kept for
+    /// the number of replicas; it gets no shares, and its slots go to others.
+    pub(in crate::entry) async fn poll_demand(&self, fence: u64) {
+        let mut shares = TermShares::new(fence);
         loop {
-            tokio::time::sleep(DEMAND_POLL_INTERVAL).await;
-            let requests = self.likely_owners(None).into_iter().map(|(_, to)| async move {
-                self.peers.request(to, PeerRequest::Demand, QUERY_TIMEOUT).await
+            tokio::time::sleep(match shares.any_short() {
+                true => SHORT_POLL_INTERVAL,
+                false => DEMAND_POLL_INTERVAL,
+            })
+            .await;
+            let sent_at = self.now();
+            let order_for =
+                |node: &Name| shares.order_for(node, sent_at).filter(|_| self.holds_term(fence));
+            if let Some(order) = order_for(&self.incarnation) {
+                self.accept_shares(order);
+            }
+            let requests = self.likely_owners(None).into_iter().map(|(incarnation, to)| {
+                let request = PeerRequest::Demand(order_for(&incarnation));
+                self.peers.request(to, request, QUERY_TIMEOUT)
             });
             let replies = futures_util::future::join_all(requests).await;
             let now = self.now();
+            let mut trainer_demand = vec![(self.incarnation.clone(), self.trainer_demand())];
             let (mut demand, mut load) = (self.demand.lock(), self.slot_load.lock());
             let mut record_load = |incarnation: &Name, wanted: Vec<(Name, u64)>| {
                 wanted
@@ -197,12 +216,16 @@
             };
             record_load(&self.incarnation, self.slots.demand.totals());
             for reply in replies {
-                let Ok(PeerReply::Demand { steps, life: incarnation, wanted }) = reply else {
+                let Ok(PeerReply::Demand { steps, life: incarnation, wanted, trainers }) = reply
+                else {
                     continue;
                 };
                 steps.iter().for_each(|(model, step)| demand.record(model, *step, now));
                 record_load(&incarnation, wanted);
+                trainer_demand.push((incarnation, trainers));
             }
+            drop((demand, load));
+            shares.compute(trainer_demand, &self.slots, &self.tally, now);
         }
     }
 
--- a/src/entry/peer/server.rs
+++ b/src/entry/peer/server.rs
@@ -119,12 +119,16 @@
                 };
                 PeerReply::Followed(update.filter(|_| app.reaches_store()))
             }
-            PeerRequest::Demand => {
+            PeerRequest::Demand(shares) => {
+                if let Some(order) = shares {
+                    app.accept_shares(order);
+                }
                 let demand = app.demand.lock().by_model(app.now());
                 PeerReply::Demand {
                     steps: demand.into_iter().collect(),
                     life: app.incarnation.clone(),
                     wanted: app.slots.demand.totals(),
+                    trainers: app.trainer_demand(),
                 }
             }
             PeerRequest::Store(request) => PeerReply::Store(self.store(request).await),
--- a/src/entry/runner.rs
+++ b/src/entry/runner.rs
@@ -82,6 +82,7 @@
             write_unknown: AtomicBool::new(false),
             stop: CancellationToken::new(),
             queue_order,
+            step: self.slots.new_step_id(),
         });
         let Some(owned) = self.owned_jobs.insert(&id, owned) else { return };
         let spec = owned.job.lock().spec.clone();
@@ -118,7 +119,8 @@
         let age = Duration::from_millis(unix_millis().saturating_sub(since));
         let deadline = route.and_then(|route| route.result_deadline);
         OpenStep {
-            step: owned.queue_order,
+            id: owned.step,
+            order: owned.queue_order,
             priority: priority
                 .map_or(0, |(r, route)| r.priority(route, spec.organisation.as_ref())),
             services: route
--- a/src/entry/sample.rs
+++ b/src/entry/sample.rs
@@ -34,7 +34,7 @@
     let dead = state == ItemState::Dead;
     owned.texts.lock().remove(&item.id);
     let finished = owned.job.lock().finish(&item.id, state);
-    app.slots.finish_sample(owned.queue_order, index);
+    app.slots.finish_sample(owned.step, index);
     match finished {
         FinishEffect::Unwanted => return,
         // Another owner would run a sample again whose end is not written.
@@ -118,7 +118,7 @@
             avoid: avoid.clone(),
         };
         let priority = routes.sample_priority(&want.service).unwrap_or(route.priority);
-        let queued = app.wait_for_slot(owned.queue_order, index, want);
+        let queued = app.wait_for_slot(owned.step, index, want);
         let Some(mut slot) = queued.await else { continue };
         let before = owned.with_text(&item.id, |text| text.last_event());
         let run = TextAttempt { app, owned, item, spec, route: &route };
--- a/src/entry/slots.rs
+++ b/src/entry/slots.rs
@@ -1,6 +1,7 @@
 //! Slots at replicas: the queue of samples that wait for one, and the assignment of free slots.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use parking_lot::Mutex;
@@ -8,7 +9,7 @@
 
 use super::app::App;
 use super::scale::{SlotDemand, SlotDemandGuard};
-use crate::decide::load::{StepOrder, Trainer};
+use crate::decide::load::{ShareOrder, ShareOutcome, StepOrder, Trainer, TrainerDemand};
 use crate::decide::{AttemptRequest, Fleet, Grant, ReplicaOutcome, SlotQueue, SlotRequest};
 use crate::edge::replica::{ReplicaLoad, Target};
 use crate::{Moment, Name};
@@ -37,6 +38,10 @@
     pub(super) demand: Arc<SlotDemand>,
     /// Notified when a sample joins the queue.
     waiter_added: Notify,
+    /// Slots given to trainers beyond their shares.
+    over_share: AtomicU64,
+    /// The number of steps so far.
+    steps: AtomicU64,
 }
 
 impl Slots {
@@ -47,6 +52,8 @@
             waiting: Arc::default(),
             demand: Arc::default(),
             waiter_added: Notify::new(),
+            over_share: AtomicU64::new(0),
+            steps: AtomicU64::new(0),
         }
     }
 
@@ -60,6 +67,13 @@
         self.assign(now, |waiting, fleet| waiting.assign_all(fleet, now));
     }
 
+    /// Assigns free slots to waiting samples, in queue order, and one to a trainer that holds its
+    /// share. Called every [`RETRY_INTERVAL`]: more would take slots that other nodes are about to
+    /// use, whose load this node learns only from answers.
+    fn assign_at_interval(&self, now: Moment) {
+        self.assign(now, |waiting, fleet| waiting.assign_over_share(fleet, now));
+    }
+
     /// Assigns a slot that has become free at a replica.
     ///
     /// Load pattern: a training step of thousands of texts at thousands of replicas, most of
@@ -88,7 +102,10 @@
     ) {
         let mut waiting = self.waiting.lock();
         let mut fleet = self.fleet.lock();
-        for Grant { grant, target, trainer } in choose(&mut waiting, &mut fleet) {
+        for Grant { grant, target, trainer, over_share } in choose(&mut waiting, &mut fleet) {
+            if over_share {
+                self.over_share.fetch_add(1, Ordering::Relaxed);
+            }
             if let Err(unused) = grant.send(GrantedSlot { target, trainer }) {
                 fleet.end_attempt(&unused.target.id, None, ReplicaOutcome::Abandoned, now);
                 waiting.end_run(&unused.trainer);
@@ -96,17 +113,41 @@
         }
     }
 
+    /// Returns an id for a step, which no other step of this process has.
+    pub(super) fn new_step_id(&self) -> u64 {
+        self.steps.fetch_add(1, Ordering::Relaxed)
+    }
+
     /// Opens a step whose samples will wait for slots, until the returned guard is dropped.
     pub(super) fn open_step(&self, step: StepOrder, now: Moment) -> StepGuard {
         let guard = StepGuard {
             queue: self.waiting.clone(),
-            step: step.open.step,
+            step: step.open.id,
             opened: (now, tokio::time::Instant::now()),
         };
         self.waiting.lock().open_step(step, now);
         guard
     }
 
+    /// Applies the shares that the leader sent, unless they are outdated.
+    pub(super) fn set_shares(&self, order: ShareOrder, now: Moment) -> ShareOutcome {
+        let outcome = self.waiting.lock().set_shares(order, now);
+        if self.has_waiters() {
+            self.assign_free(now);
+        }
+        outcome
+    }
+
+    /// Returns the demand of at most `limit` trainers, those with the most samples.
+    pub(super) fn trainer_demand(&self, limit: usize) -> Vec<TrainerDemand> {
+        self.waiting.lock().demand(limit)
+    }
+
+    /// Returns how many slots were given to trainers beyond their shares so far.
+    pub(super) fn over_share(&self) -> u64 {
+        self.over_share.load(Ordering::Relaxed)
+    }
+
     /// Records that a sample of an open step has its result.
     pub(super) fn finish_sample(&self, step: u64, index: u64) {
         self.waiting.lock().finish_sample(step, index);
@@ -226,7 +267,7 @@
                 tokio::time::sleep(RETRY_INTERVAL).await;
                 let now = self.now();
                 self.slots.waiting.lock().refresh(now);
-                self.slots.assign_free(now);
+                self.slots.assign_at_interval(now);
             }
         }
     }
--- a/src/metrics/entry_metrics.rs
+++ b/src/metrics/entry_metrics.rs
@@ -16,6 +16,7 @@
 use super::process::ProcessCollector;
 use super::{Direction, Traffic};
 use crate::decide::failures::RequestFailure;
+use crate::decide::load::ShareOutcome;
 use crate::edge::duty::DutyOutcome;
 use crate::edge::replica::OrderOutcome;
 use crate::error::Kind;
@@ -168,6 +169,7 @@
 label!(JobEventLabel, step: JobEvent);
 label!(OrderLabel, result: OrderOutcome);
 label!(DutyLabel, result: DutyOutcome);
+label!(ShareLabel, result: ShareOutcome);
 label!(PeerPurposeLabel, purpose: PeerPurpose);
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -202,6 +204,10 @@
     peer_failures: Family<PeerPurposeLabel, Counter>,
     store_seconds: Histogram,
     request_seconds: Histogram,
+    share_orders: Family<ShareLabel, Counter>,
+    ignored_demand: Counter,
+    /// Slots given to trainers beyond their shares.
+    pub over_share: Gauge<i64, AtomicI64>,
     /// Jobs that this node runs.
     pub open_jobs: Gauge<i64, AtomicI64>,
     /// The version of the active routes; 0 if there are none.
@@ -231,6 +237,9 @@
             peer_failures: Family::default(),
             store_seconds: seconds(),
             request_seconds: seconds(),
+            share_orders: Family::default(),
+            ignored_demand: Counter::default(),
+            over_share: Gauge::default(),
             open_jobs: Gauge::default(),
             routes_version: Gauge::default(),
             dropped_lines: Gauge::default(),
@@ -280,6 +289,12 @@
         registry.register("store_seconds", help, self.store_seconds.clone());
         let help = "Time from a request's head to the head of its answer";
         registry.register("request_seconds", help, self.request_seconds.clone());
+        let help = "Shares of slots received from leaders, by result";
+        registry.register("share_orders", help, self.share_orders.clone());
+        let help = "Figures of other nodes' demand that were out of range";
+        registry.register("demand_ignored", help, self.ignored_demand.clone());
+        let help = "Slots given to trainers beyond their shares so far";
+        registry.register("over_share", help, self.over_share.clone());
         registry.register("open_jobs", "Jobs that run here", self.open_jobs.clone());
         registry.register("routes_version", "Configuration in force", self.routes_version.clone());
         let help = "Log lines left out for their number";
@@ -322,6 +337,16 @@
         self.orders.get_or_create(&OrderLabel { result }).inc();
     }
 
+    /// Counts an order of shares by what became of it.
+    pub fn count_share_order(&self, result: ShareOutcome) {
+        self.share_orders.get_or_create(&ShareLabel { result }).inc();
+    }
+
+    /// Counts figures of another node's demand that were out of range.
+    pub fn count_ignored_demand(&self, count: u64) {
+        self.ignored_demand.inc_by(count);
+    }
+
     /// Counts a usage report by its outcome.
     pub fn count_usage_report(&self, result: DutyOutcome) {
         self.usage_reports.get_or_create(&DutyLabel { result }).inc();
--- a/tests/entry/scale.rs
+++ b/tests/entry/scale.rs
@@ -103,7 +103,7 @@
 
 /// Returns the time for which samples of a node have waited for slots or held them, in milliseconds.
 async fn slot_millis(node: &Node) -> u64 {
-    match PeerResponder::new(node.app().clone()).answer(PeerRequest::Demand).await {
+    match PeerResponder::new(node.app().clone()).answer(PeerRequest::Demand(None)).await {
         PeerReply::Demand { wanted, .. } => wanted.iter().map(|(_, millis)| millis).sum(),
         other => panic!("{other:?}"),
     }
--- a/tests/slot_queue.rs
+++ b/tests/slot_queue.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use mulberrycourse::Name;
-use mulberrycourse::decide::load::{OpenStep, StepOrder};
+use mulberrycourse::decide::load::{
+    MAX_SHARE_AGE, OpenStep, Share, ShareOrder, ShareOutcome, StepOrder, Trainer,
+};
 use mulberrycourse::decide::{Fleet, Grant, ListedReplica, ReplicaOutcome, SlotQueue, SlotRequest};
 use mulberrycourse::edge::replica::{ReplicaLoad, Target};
 use proptest::prelude::*;
@@ -46,7 +48,8 @@
 /// A step of a model at the service of all tests.
 fn step(number: u64, priority: u8, model: &str, organisation: Option<&str>) -> OpenStep {
     OpenStep {
-        step: number,
+        id: number,
+        order: number,
         priority,
         services: vec!["engines".into()],
         model: Some(model.into()),
@@ -58,7 +61,7 @@
 /// Opens a step, and adds a waiting sample for each name of a group. The samples are notified by
 /// the number of the step and their index.
 fn add_step(waiting: &mut SlotQueue<(u64, u64)>, open: OpenStep, groups: &[&str]) {
-    let (number, model) = (open.step, open.model.clone());
+    let (number, model) = (open.id, open.model.clone());
     waiting.open_step(StepOrder::new(open, groups.iter().copied()), NOW);
     for index in 0..groups.len() as u64 {
         let request = SlotRequest { model: model.clone(), ..request("") };
@@ -263,6 +266,19 @@
     assert_eq!(begin(&mut waiting, 2), [(1, 0)]);
 }
 
+/// A step is stopped and its samples are dropped after the next step has begun with the same start
+/// tag. Guards against the end of the former closing the latter, whose samples would get no slot.
+#[test]
+fn the_end_of_a_step_leaves_another_with_the_same_start_tag_open() {
+    let mut waiting = SlotQueue::default();
+    let same_tag = |id| OpenStep { id, ..step(5, 0, "a", None) };
+    add_step(&mut waiting, same_tag(1), &["x"]);
+    add_step(&mut waiting, same_tag(2), &["x", "y"]);
+    waiting.remove(1, 0);
+    waiting.close_step(1, NOW);
+    assert_eq!(begin(&mut waiting, 3), [(2, 0), (2, 1)]);
+}
+
 /// Guards against a queue that keeps samples or trainers of steps that are over.
 #[test]
 fn a_closed_step_leaves_the_order_to_a_single_trainer() {
@@ -275,6 +291,84 @@
     assert!(waiting.is_empty());
 }
 
+/// Returns an order that gives the trainer of a model this many slots.
+fn share_order(sequence: u64, model: &str, slots: u32) -> ShareOrder {
+    let trainer =
+        Trainer { service: "engines".into(), model: Some(model.into()), organisation: None };
+    ShareOrder {
+        fence: 1,
+        sequence,
+        age: Duration::ZERO,
+        shares: vec![Share { trainer, slots }],
+        contended: vec!["engines".into()],
+    }
+}
+
+/// Returns how many samples of each of the steps 0 and 1 begin at once with this many free slots.
+fn begin_at_once(waiting: &mut SlotQueue<(u64, u64)>, slots: u32, now: Duration) -> [usize; 2] {
+    let mut fleet = one_slot();
+    let mut listed = fleet.get("r0000").unwrap().clone();
+    listed.slots = slots;
+    fleet.upsert(listed);
+    fleet.report_no_load("r0000");
+    let begun = waiting.assign_over_share(&mut fleet, now);
+    [0, 1].map(|step| begun.iter().filter(|grant| grant.grant.0 == step).count())
+}
+
+/// Guards against a trainer that takes the slots of another node's trainer.
+#[test]
+fn a_trainer_gets_slots_up_to_its_share_while_others_need_them() {
+    let mut waiting = SlotQueue::default();
+    add_step(&mut waiting, step(0, 0, "a", None), &["g"; 50]);
+    add_step(&mut waiting, step(1, 5, "b", None), &["g"; 50]);
+    assert_eq!(waiting.set_shares(share_order(1, "a", 3), NOW), ShareOutcome::Accepted);
+    assert_eq!(begin_at_once(&mut waiting, 10, NOW), [3, 7]);
+    // One slot beyond the share, which no other trainer here takes.
+    assert_eq!(begin_at_once(&mut waiting, 60, NOW), [1, 43]);
+    assert_eq!(begin_at_once(&mut waiting, 60, NOW), [1, 0]);
+    let trainer = share_order(0, "a", 0).shares.remove(0).trainer;
+    assert_eq!(waiting.demand(9).len(), 2);
+    (0..4).for_each(|_| waiting.end_run(&trainer));
+    assert_eq!(begin_at_once(&mut waiting, 60, NOW), [3, 0], "2 within the share, 1 beyond it");
+    // Only at intervals: a sample that ends leaves its slot to others.
+    waiting.end_run(&trainer);
+    assert!(waiting.assign_all(&mut one_slot(), NOW).is_empty());
+}
+
+/// Guards against a trainer that is held back by shares of a leader that is gone.
+#[test]
+fn shares_do_not_apply_once_they_have_expired() {
+    let mut waiting = SlotQueue::default();
+    add_step(&mut waiting, step(0, 0, "a", None), &["g"; 50]);
+    let _ = waiting.set_shares(share_order(1, "a", 3), NOW);
+    assert_eq!(begin_at_once(&mut waiting, 20, NOW), [4, 0]);
+    assert_eq!(begin_at_once(&mut waiting, 20, NOW + MAX_SHARE_AGE), [20, 0]);
+}
+
+/// Guards against shares of which a raised one has no effect until a sample ends.
+#[test]
+fn a_raised_share_applies_at_once() {
+    let mut waiting = SlotQueue::default();
+    add_step(&mut waiting, step(0, 0, "a", None), &["g"; 50]);
+    let _ = waiting.set_shares(share_order(1, "a", 3), NOW);
+    assert_eq!(begin_at_once(&mut waiting, 20, NOW), [4, 0]);
+    let _ = waiting.set_shares(share_order(2, "a", 10), NOW);
+    assert_eq!(begin_at_once(&mut waiting, 20, NOW), [7, 0]);
+}
+
+/// A sample joins the queue while its trainer holds its share. Guards against a queue that forgets
+/// the share when it was empty in between.
+#[test]
+fn a_sample_that_joins_later_waits_for_the_share_too() {
+    let mut waiting = SlotQueue::default();
+    add_step(&mut waiting, step(0, 0, "a", None), &["g"; 2]);
+    let _ = waiting.set_shares(share_order(1, "a", 2), NOW);
+    assert_eq!(begin_at_once(&mut waiting, 2, NOW), [2, 0]);
+    add_step(&mut waiting, step(1, 5, "b", None), &["g"; 4]);
+    add_step(&mut waiting, step(2, 0, "a", None), &["g"; 4]);
+    assert_eq!(begin(&mut waiting, 4), [(1, 0), (1, 1), (1, 2), (1, 3)]);
+}
+
 proptest! {
     /// For any sequence of events, no sample gets two slots, no replica gets more texts than it
     /// has slots, and no sample overtakes an earlier one of its kind.
