The cost of a slot does not grow with the trainers

Cause: for each slot that became free at a replica the queue went through all kinds of slots with waiting samples, to find those that the replica serves and the one that is next.

Change: a replica's slot is offered to the kinds of its own models, and the kinds are kept in a heap by the virtual time of their next trainer.

Test: the_cost_of_a_decision_does_not_grow_with_the_number_of_trainers fails with the search of all kinds put back (20 per slot with ten trainers, 10 are allowed), and with new ranks for the whole step at each result (15 with ten trainers, 8 are allowed).

--- a/src/decide/fleet/slot_queue.rs
+++ b/src/decide/fleet/slot_queue.rs
@@ -12,7 +12,9 @@
 //! next to nothing. So each gets slots in proportion to its weight, and its own samples are served
 //! by [`SampleRank`].
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::cell::Cell;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 use std::ops::Bound;
 
 use super::{AttemptRequest, Fleet};
@@ -195,6 +197,8 @@
     at_share: BTreeSet<Trainer>,
     /// The one of them that was last tried for a slot beyond its share.
     last_tried: Option<Trainer>,
+    /// The number of kinds, trainers and samples that decisions have looked at.
+    examined: Cell<u64>,
 }
 
 impl<G> Default for SlotQueue<G> {
@@ -208,6 +212,7 @@
             view: ShareView::default(),
             at_share: BTreeSet::new(),
             last_tried: None,
+            examined: Cell::new(0),
         }
     }
 }
@@ -223,6 +228,16 @@
         self.samples.len()
     }
 
+    /// Returns the number of kinds of slots, trainers and samples that decisions have looked at so
+    /// far, which measures their cost.
+    pub fn examined(&self) -> u64 {
+        self.examined.get()
+    }
+
+    fn count_examined(&self) {
+        self.examined.set(self.examined.get() + 1);
+    }
+
     /// Adds a step whose samples will wait for slots.
     pub fn open_step(&mut self, step: StepOrder, now: Moment) {
         let open = &step.open;
@@ -369,6 +384,7 @@
         let (first, last) = (group.unwrap_or(0), group.unwrap_or(u64::MAX));
         let range = (step, first, 0)..=(step, last, u64::MAX);
         for ((_, _, index), (trainer, known)) in self.samples.range_mut(range) {
+            self.examined.set(self.examined.get() + 1);
             let rank = order.rank(*index);
             let kind = (trainer.service.clone(), trainer.model.clone());
             let queue = self.kinds.get_mut(&kind);
@@ -422,12 +438,10 @@
     /// Assigns all free slots, in order of the trainers and the ranks. [`Fleet::start_attempt`] has
     /// been called for each returned sample.
     pub fn assign_all(&mut self, fleet: &mut Fleet, now: Moment) -> Vec<Grant<G>> {
-        self.assign(
-            fleet,
-            now,
-            |_| true,
-            |fleet, request| fleet.choose(&request.attempt_request(), now),
-        )
+        let kinds = self.kinds.keys().cloned().collect();
+        self.assign(fleet, now, kinds, |fleet, request| {
+            fleet.choose(&request.attempt_request(), now)
+        })
     }
 
     /// Assigns all free slots, and one more to a trainer that holds its share, so that no slot stays
@@ -447,6 +461,7 @@
             });
             let trainer = after.or_else(|| self.at_share.first())?.clone();
             self.last_tried = Some(trainer.clone());
+            self.count_examined();
             let kind = (trainer.service.clone(), trainer.model.clone());
             let kind = self.kinds.get(&kind);
             let queue = kind.and_then(|kind| kind.trainers.get(&trainer.organisation));
@@ -478,48 +493,44 @@
     /// Assigns the free slots of one replica, in order of the trainers and the ranks.
     /// [`Fleet::start_attempt`] has been called for each returned sample.
     pub fn assign_at(&mut self, id: &str, fleet: &mut Fleet, now: Moment) -> Vec<Grant<G>> {
-        let Some(service) = fleet.get(id).map(|listed| listed.service.clone()) else {
-            return Vec::new();
-        };
-        let served = |kind: &Kind| kind.0 == service;
-        self.assign(fleet, now, served, |fleet, request| {
+        let Some(listed) = fleet.get(id) else { return Vec::new() };
+        let models = listed.versions.iter().map(|(model, _)| Some(model.clone())).chain([None]);
+        let kinds = models.map(|model| (listed.service.clone(), model)).collect();
+        self.assign(fleet, now, kinds, |fleet, request| {
             fleet.choose_at(id, &request.attempt_request(), now)
         })
     }
 
-    /// Assigns slots of each kind until there is none for it.
+    /// Assigns slots of these kinds until there is none for any of them.
     fn assign(
         &mut self,
         fleet: &mut Fleet,
         now: Moment,
-        served: impl Fn(&Kind) -> bool,
+        kinds: Vec<Kind>,
         choose: impl Fn(&Fleet, &SlotRequest) -> Option<Target>,
     ) -> Vec<Grant<G>> {
-        let mut assigned = Vec::new();
         if self.view.expire(now) {
             self.apply_view();
         }
-        let waiting = self.kinds.iter().filter(|(_, queue)| !queue.versions.is_empty());
-        let mut open: Vec<Kind> =
-            waiting.filter(|(kind, _)| served(kind)).map(|(kind, _)| kind.clone()).collect();
-        while let Some(index) = self.next_kind(&open) {
-            let chosen = self.choose_in(&open[index], |request| choose(fleet, request));
-            let Some((trainer, rank, target)) = chosen else {
-                open.swap_remove(index);
-                continue;
-            };
+        let mut assigned = Vec::new();
+        // The kinds by the virtual time at which their next trainers are served.
+        let mut open: BinaryHeap<Reverse<(u64, Kind)>> =
+            kinds.into_iter().filter_map(|kind| self.with_next_tag(kind)).collect();
+        while let Some(Reverse((_, kind))) = open.pop() {
+            let chosen = self.choose_in(&kind, |request| choose(fleet, request));
+            let Some((trainer, rank, target)) = chosen else { continue };
             assigned.extend(self.grant(&trainer, &rank, target, fleet, now));
+            open.extend(self.with_next_tag(kind));
         }
         assigned
     }
 
-    /// Returns the index in `open` of the kind whose next trainer is served first.
-    fn next_kind(&self, open: &[Kind]) -> Option<usize> {
-        let tags = open.iter().enumerate().filter_map(|(index, kind)| {
-            let tag = self.kinds.get(kind)?.order.next_tag()?;
-            Some((tag, index))
-        });
-        tags.min().map(|(_, index)| index)
+    /// Returns a kind with the virtual time at which its next trainer is served; none if no trainer
+    /// waits for slots of it.
+    fn with_next_tag(&self, kind: Kind) -> Option<Reverse<(u64, Kind)>> {
+        self.count_examined();
+        let tag = self.kinds.get(&kind)?.order.next_tag()?;
+        Some(Reverse((tag, kind)))
     }
 
     /// Chooses a sample of one kind and a replica for it. All samples that require a version that
@@ -535,10 +546,12 @@
         let mut unserved = u64::MAX;
         for organisation in queue.order.in_order() {
             let Some(samples) = queue.trainers.get(organisation) else { continue };
+            self.count_examined();
             let mut next = samples.first();
             // A late sample that is served out of turn is offered in addition to the others.
             let mut extra = next.as_ref().is_some_and(|(rank, _)| samples.is_out_of_turn(rank));
             while let Some((rank, waiter)) = next {
+                self.count_examined();
                 if waiter.request.min_version < unserved {
                     if let Some(target) = choose(&waiter.request) {
                         let (service, model) = kind.clone();
--- a/tests/slot_queue.rs
+++ b/tests/slot_queue.rs
@@ -369,6 +369,56 @@
     assert_eq!(begin(&mut waiting, 4), [(1, 0), (1, 1), (1, 2), (1, 3)]);
 }
 
+/// Returns how many kinds, trainers and samples the queue looks at for each slot that becomes free,
+/// with this number of trainers, half of which hold their shares, and for each sample that ends.
+/// The trainers are organisations with one model, or each has a model of its own.
+fn examined_per_slot(trainers: u64, one_model: bool) -> (u64, u64) {
+    const SLOTS: u64 = 200;
+    let model = |i: u64| if one_model { "m".to_owned() } else { format!("m{i}") };
+    let mut waiting: SlotQueue<(u64, u64)> = SlotQueue::default();
+    let mut orders = Vec::new();
+    for number in 0..trainers {
+        let organisation = format!("o{number}");
+        let open = step(number, (number % 3) as u8, &model(number), Some(&organisation));
+        let groups = ["w", "x", "y", "z"].iter().flat_map(|group| [*group; 8]);
+        add_step(&mut waiting, open, &groups.collect::<Vec<_>>());
+        if number % 2 == 1 {
+            let order = share_order(1, &model(number), 1).shares.remove(0);
+            let organisation = Some(organisation.into());
+            orders.push(Share { trainer: Trainer { organisation, ..order.trainer }, slots: 1 });
+        }
+    }
+    let _ = waiting.set_shares(ShareOrder { shares: orders, ..share_order(1, "", 1) }, NOW);
+    let mut fleet = fleet(1, |_| "m");
+    let (mut examined, mut begun) = (0, 0);
+    for slot in 0..SLOTS {
+        let mut listed = fleet.get("r0000").unwrap().clone();
+        listed.slots = slot as u32 + 1;
+        listed.versions = vec![(model(slot % trainers).into(), 1)];
+        fleet.upsert(listed);
+        fleet.report_no_load("r0000");
+        let before = waiting.examined();
+        begun += waiting.assign_at("r0000", &mut fleet, NOW).len() as u64;
+        examined += waiting.examined() - before;
+    }
+    assert!(begun >= SLOTS / 2, "{begun}");
+    let before = waiting.examined();
+    (0..SLOTS).for_each(|i| waiting.finish_sample(i % trainers, i / trainers));
+    (examined / SLOTS, (waiting.examined() - before) / SLOTS)
+}
+
+/// Guards against a cost per slot or per result that grows with the number of trainers.
+#[test]
+fn the_cost_of_a_decision_does_not_grow_with_the_number_of_trainers() {
+    for one_model in [true, false] {
+        for trainers in [10, 100, 1_000] {
+            let (slot, result) = examined_per_slot(trainers, one_model);
+            assert!(slot <= 10, "{slot} per slot, {trainers} trainers, one model: {one_model}");
+            assert!(result <= 8, "{result} per result, {trainers} trainers");
+        }
+    }
+}
+
 proptest! {
     /// For any sequence of events, no sample gets two slots, no replica gets more texts than it
     /// has slots, and no sample overtakes an earlier one of its kind.
