Shares apart for replicas of different models

Cause: whether a service is short of slots was judged over all its replicas. Organisations that competed for one model had no shares while replicas of another model were free, and a trainer with replicas of its own had a share that could only hold it back.

Change: the pools that share trainers form groups, each of which is judged and divided by itself; a trainer that shares its pools with none has no share.

Test: replicas_of_different_models_are_shared_apart.

--- a/src/decide/load/shares.rs
+++ b/src/decide/load/shares.rs
@@ -5,7 +5,7 @@
 //! samples gets most slots, whatever its weight. So the leader divides the slots of each service
 //! that is short of them: weighted max-min, by the demand that the owners report.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 use prometheus_client::encoding::EncodeLabelValue;
@@ -17,8 +17,7 @@
 /// How long shares apply after the leader computed them: three polls of the demand. A leader that
 /// is gone is replaced within that time, and a step has ended or changed by then.
 pub const MAX_SHARE_AGE: Duration = Duration::from_secs(3);
-/// A service is short of slots if samples wait and at most one slot in this many is free. Slots are
-/// free for some milliseconds between two samples even if thousands wait.
+/// Slots are short if samples wait for them and at most one in this many is free. Slots are free for some milliseconds between two samples even if thousands wait.
 const FREE_SLOTS_DIVISOR: u64 = 10;
 /// The largest number of samples of a trainer that is believed. A step has hundreds.
 const MAX_SAMPLES: u32 = 1_000_000;
@@ -56,12 +55,6 @@
     pub slots: u32,
 }
 
-impl SlotPool {
-    fn serves(&self, trainer: &Trainer) -> bool {
-        trainer.model.as_ref().is_none_or(|model| self.models.binary_search(model).is_ok())
-    }
-}
-
 /// The number of slots that a trainer may use at one node.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Share {
@@ -93,7 +86,7 @@
     pub by_node: BTreeMap<Name, Vec<Share>>,
     /// The services that several trainers use.
     pub contended: Vec<Name>,
-    /// The services that are short of slots.
+    /// The services of which some replicas are short of slots.
     pub short: Vec<Name>,
 }
 
@@ -105,11 +98,15 @@
     /// Its demand at each node.
     nodes: Vec<(&'a Name, f64)>,
     demand: f64,
+    waiting: u64,
+    running: u64,
     given: f64,
     /// The highest number of slots per weight at which one of its pools is used up.
     level: f64,
     /// Whether one of its pools has slots left.
     unlimited: bool,
+    /// Whether another trainer can use one of its pools.
+    contested: bool,
 }
 
 /// Computes the shares of all trainers by the demand of each node. Returns none for a service with
@@ -132,16 +129,24 @@
         }
         computed.contended.push(service.clone());
         let mut pools = pools(service);
-        if !is_short(&demands, &pools) {
-            continue;
-        }
-        computed.short.push(service.clone());
         // A trainer gets slots first where few others can use them.
         pools.sort_by_key(|pool| pool.models.len());
-        for pool in &pools {
-            fill(pool, &mut claims);
+        let by_model = claims_by_model(&claims);
+        let served: Vec<Vec<usize>> = pools.iter().map(|p| served_claims(p, &by_model)).collect();
+        let mut is_short = false;
+        for group in connected_pools(&served, claims.len()) {
+            if !is_group_short(&group, &pools, &served, &claims) {
+                continue;
+            }
+            for index in &group {
+                fill(pools[*index].slots, &served[*index], &mut claims);
+            }
+            is_short = true;
         }
-        for claim in claims.iter().filter(|claim| !claim.unlimited && claim.level > 0.0) {
+        if is_short {
+            computed.short.push(service.clone());
+        }
+        for claim in claims.iter().filter(|claim| claim.contested && !claim.unlimited) {
             // One that needs less now may use as much as the others once it needs more.
             let slots = claim.given.max(claim.level * claim.weight);
             for (node, demand) in &claim.nodes {
@@ -154,6 +159,61 @@
     computed
 }
 
+/// Returns the indexes of the claims by model.
+fn claims_by_model<'a>(claims: &[Claim<'a>]) -> HashMap<Option<&'a Name>, Vec<usize>> {
+    let mut by_model: HashMap<Option<&Name>, Vec<usize>> = HashMap::new();
+    for (index, claim) in claims.iter().enumerate() {
+        by_model.entry(claim.trainer.model.as_ref()).or_default().push(index);
+    }
+    by_model
+}
+
+/// Returns the indexes of the claims that a pool serves.
+fn served_claims(pool: &SlotPool, by_model: &HashMap<Option<&Name>, Vec<usize>>) -> Vec<usize> {
+    let models = pool.models.iter().map(Some).chain([None]);
+    models.filter_map(|model| by_model.get(&model)).flatten().copied().collect()
+}
+
+/// Returns the indexes of the pools in groups. The pools of different groups serve no claim in
+/// common, so that one group may be short of slots while another has some left.
+fn connected_pools(served: &[Vec<usize>], claims: usize) -> Vec<Vec<usize>> {
+    // The group of each claim, and by which group a group was taken in.
+    let mut group_of: Vec<Option<usize>> = vec![None; claims];
+    let mut taken_by: Vec<usize> = (0..served.len()).collect();
+    let root = |taken_by: &[usize], mut group: usize| {
+        while taken_by[group] != group {
+            group = taken_by[group];
+        }
+        group
+    };
+    for (pool, claims) in served.iter().enumerate() {
+        for claim in claims {
+            let other = root(&taken_by, group_of[*claim].unwrap_or(pool));
+            taken_by[other] = pool;
+            group_of[*claim] = Some(pool);
+        }
+    }
+    let mut groups: BTreeMap<usize, Vec<usize>> = BTreeMap::new();
+    for pool in 0..served.len() {
+        groups.entry(root(&taken_by, pool)).or_default().push(pool);
+    }
+    groups.into_values().collect()
+}
+
+/// Whether samples of a group of pools wait and few of its slots are free.
+fn is_group_short(
+    group: &[usize],
+    pools: &[SlotPool],
+    served: &[Vec<usize>],
+    claims: &[Claim<'_>],
+) -> bool {
+    let slots: u64 = group.iter().map(|pool| u64::from(pools[*pool].slots)).sum();
+    let members: BTreeSet<usize> = group.iter().flat_map(|pool| &served[*pool]).copied().collect();
+    let running: u64 = members.iter().map(|claim| claims[*claim].running).sum();
+    let waiting = members.iter().any(|claim| claims[*claim].waiting > 0);
+    waiting && slots.saturating_sub(running) <= slots / FREE_SLOTS_DIVISOR
+}
+
 /// Adds up the demand of each trainer.
 fn claims<'a>(demands: &[(&'a Name, &'a TrainerDemand)]) -> Vec<Claim<'a>> {
     let mut claims: BTreeMap<&Trainer, Claim<'a>> = BTreeMap::new();
@@ -163,40 +223,34 @@
             weight: 0.0,
             nodes: Vec::new(),
             demand: 0.0,
+            waiting: 0,
+            running: 0,
             given: 0.0,
             level: 0.0,
             unlimited: false,
+            contested: false,
         });
         claim.weight = claim.weight.max(f64::from(Trainer::weight(demand.priority)));
         claim.nodes.push((node, demand.samples()));
         claim.demand += demand.samples();
+        claim.waiting += u64::from(demand.waiting);
+        claim.running += u64::from(demand.running);
     }
     claims.into_values().collect()
 }
 
-/// Whether samples of a service wait and few slots are free.
-fn is_short(demands: &[(&Name, &TrainerDemand)], pools: &[SlotPool]) -> bool {
-    let sum = |count: fn(&TrainerDemand) -> u32| -> u64 {
-        demands.iter().map(|(_, demand)| u64::from(count(demand))).sum()
-    };
-    let slots: u64 = pools.iter().map(|pool| u64::from(pool.slots)).sum();
-    let free = slots.saturating_sub(sum(|demand| demand.running));
-    sum(|demand| demand.waiting) > 0 && free <= slots / FREE_SLOTS_DIVISOR
-}
-
 /// Gives the slots of a pool to the trainers that it serves, so that those that need more have as
 /// many slots per weight as each other.
-fn fill(pool: &SlotPool, claims: &mut [Claim<'_>]) {
-    let mut served: Vec<&mut Claim<'_>> =
-        claims.iter_mut().filter(|claim| pool.serves(claim.trainer)).collect();
+fn fill(slots: u32, served: &[usize], claims: &mut [Claim<'_>]) {
     // At which slots per weight each trainer begins and ceases to get slots.
     let mut events: Vec<(f64, f64)> = Vec::with_capacity(2 * served.len());
-    for claim in served.iter().filter(|claim| claim.demand > claim.given) {
+    let needing = served.iter().map(|index| &claims[*index]).filter(|c| c.demand > c.given);
+    for claim in needing {
         events.push((claim.given / claim.weight, claim.weight));
         events.push((claim.demand / claim.weight, -claim.weight));
     }
     events.sort_by(|a, b| a.0.total_cmp(&b.0));
-    let (mut level, mut rate, mut left) = (0.0, 0.0, f64::from(pool.slots));
+    let (mut level, mut rate, mut left) = (0.0, 0.0, f64::from(slots));
     for (at, change) in events {
         let needed = rate * (at - level);
         if needed > left {
@@ -211,7 +265,9 @@
     if used_up {
         level += left / rate;
     }
-    for claim in &mut served {
+    for index in served {
+        let claim = &mut claims[*index];
+        claim.contested |= served.len() > 1;
         claim.unlimited |= !used_up;
         claim.level = claim.level.max(level);
         claim.given = claim.given.max(claim.demand.min(level * claim.weight));
--- a/tests/shares.rs
+++ b/tests/shares.rs
@@ -72,6 +72,22 @@
     assert_eq!(shares, [Some(60), Some(40)]);
 }
 
+/// Each replica serves one model. Guards against a trainer that is held back on replicas that nobody
+/// else can use, and against organisations that compete for one model unnoticed while replicas of
+/// another one are free.
+#[test]
+fn replicas_of_different_models_are_shared_apart() {
+    let pools = [pool(&["a"], 60), pool(&["b"], 40), pool(&["c"], 100)];
+    let (x, y) = (trainer("a", Some("x")), trainer("a", Some("y")));
+    let demands = vec![
+        demand(x, 0, 500, 59),
+        demand(y, 0, 10, 1),
+        demand(trainer("b", None), 0, 500, 40),
+        demand(trainer("c", None), 0, 0, 5),
+    ];
+    assert_eq!(shares(demands, &pools), [Some(49), Some(49), None, None]);
+}
+
 /// Guards against an organisation that gets more by asking for more.
 #[test]
 fn an_organisation_that_asks_for_a_hundred_times_its_share_gets_its_share() {
