The leader asks each owner once per poll

Cause: `likely_owners` removed duplicates only among neighbours. With more batch routes than nodes the leader asked some nodes twice per poll, and their demand for slots would count twice.

Change: the list is sorted first.

Test: a_node_that_owns_several_routes_is_asked_once fails without the sort.

--- a/src/entry/peer/requests.rs
+++ b/src/entry/peer/requests.rs
@@ -179,6 +179,7 @@
         let others = owners.values().filter(|name| **name != self.settings.name);
         let mut likely: Vec<_> =
             others.filter_map(|name| membership.incarnation_of(name)).collect();
+        likely.sort_unstable();
         likely.dedup();
         likely
     }
--- a/tests/entry/shares.rs
+++ b/tests/entry/shares.rs
@@ -22,7 +22,7 @@
     for id in ["e1", "e2", "e3"] {
         world.replicas.add("engines", id, &[MODEL, OTHER_MODEL]);
     }
-    world.configure_batch_route(2, LESS_URGENT, 3);
+    world.configure_batch_routes(2, &[(LESS_URGENT, 3)]);
     world
 }
 
@@ -305,7 +305,7 @@
     a.app().submit(spec).await;
     a.app().submit(less_urgent_job("later", 60)).await;
     sleep_ms(50).await;
-    world.configure_batch_route(3, LESS_URGENT, 0);
+    world.configure_batch_routes(3, &[(LESS_URGENT, 0)]);
     for job in ["urgent", "later"] {
         a.read_all(job, 60).await.iter().for_each(|result| assert_completed(result, 5));
     }
@@ -313,3 +313,21 @@
     let mut texts = runs.iter().filter(|r| r.id.starts_with("urgent-"));
     assert!(texts.all(|run| run.organisation.as_deref() == Some("gone")));
 }
+
+/// There are more batch routes than nodes. Guards against a node that is asked twice per poll, whose
+/// demand then counts twice.
+#[tokio::test(start_paused = true)]
+async fn a_node_that_owns_several_routes_is_asked_once() {
+    let world = World::new();
+    let mut nodes = Vec::new();
+    for name in ["a", "b", "c"] {
+        nodes.push(world.linked_node(name).await);
+    }
+    let routes: Vec<String> = (0..12).map(|i| format!("/more{i}/")).collect();
+    let routes: Vec<(&str, u8)> = routes.iter().map(|prefix| (&**prefix, 1)).collect();
+    world.configure_batch_routes(2, &routes);
+    sleep_ms(8_000).await;
+    let orders = |result| nodes.iter().map(|node| share_orders(node, result)).sum::<u64>();
+    assert!(orders("Accepted") > 9);
+    assert_eq!(orders("OldSequence"), 0);
+}
--- a/tests/entry/world.rs
+++ b/tests/entry/world.rs
@@ -122,16 +122,19 @@
         );
     }
 
-    /// Writes the routes as this version of the configuration, with a further batch route that has
-    /// this prefix and priority.
-    pub(crate) fn configure_batch_route(&self, version: u64, prefix: &str, priority: u8) {
-        let text = |prefix| route(prefix, "engines", RetryPolicy::Never);
-        let routes = vec![
-            Route { priority: 0, ..text("/jobs/") },
-            Route { priority, batch: true, ..text(prefix) },
+    /// Writes the routes as this version of the configuration, with further batch routes that have
+    /// these prefixes and priorities.
+    pub(crate) fn configure_batch_routes(&self, version: u64, further: &[(&str, u8)]) {
+        let batch = |prefix: &str, priority| {
+            let route = route(prefix, "engines", RetryPolicy::Never);
+            Route { priority, batch: true, ..route }
+        };
+        let mut routes = vec![
+            batch("/jobs/", 0),
             route("/plain/", "plain", RetryPolicy::Rerun),
             route("/text/", "engines", RetryPolicy::Resume),
         ];
+        routes.extend(further.iter().map(|(prefix, priority)| batch(prefix, *priority)));
         let routes = Routes::new(version, RequestLimits::default(), routes);
         self.schema.write_directive(&self.kv, "config", Directive::Routes(routes));
     }
