--- a/src/decide/fleet/slot_queue.rs
+++ b/src/decide/fleet/slot_queue.rs
@@ -223,11 +223,6 @@
         self.samples.is_empty()
     }
 
-    /// Returns the number of samples that wait.
-    pub fn len(&self) -> usize {
-        self.samples.len()
-    }
-
     /// Returns the number of kinds of slots, trainers and samples that decisions have looked at so
     /// far, which measures their cost.
     pub fn examined(&self) -> u64 {
@@ -292,11 +287,6 @@
         outcome
     }
 
-    /// Returns the share of a trainer; none if it may use any number of slots.
-    pub fn share(&self, trainer: &Trainer) -> Option<u32> {
-        self.view.share(trainer)
-    }
-
     /// Returns the demand of at most `limit` trainers, those with the most samples.
     pub fn demand(&self, limit: usize) -> Vec<TrainerDemand> {
         let trainers = self.services.values().flat_map(|state| &state.trainers);
