Merge the shares of trainers

Conflicts in the slot queue, its test and bench, and the module list; the test of uneven replicas uses the new interface of the queue, with the same checks.

--- a/src/decide/load/mod.rs
+++ b/src/decide/load/mod.rs
@@ -2,8 +2,17 @@
 
 mod event_intervals;
 mod move_budget;
+mod sample_rank;
+mod shares;
 mod text_lengths;
+mod trainer;
 
 pub use event_intervals::{EventInterval, MachineSpeed, UnevenSpeed};
 pub use move_budget::{MoveBudget, move_gain};
+pub use sample_rank::{OpenStep, SampleRank, StepOrder};
+pub use shares::{
+    ComputedShares, MAX_SHARE_AGE, Share, ShareOrder, ShareOutcome, ShareView, SlotPool,
+    TrainerDemand, compute_shares,
+};
 pub use text_lengths::{TextLength, TextLengths};
+pub use trainer::Trainer;
--- a/tests/entry/world.rs
+++ b/tests/entry/world.rs
@@ -122,6 +122,23 @@
         );
     }
 
+    /// Writes the routes as this version of the configuration, with further batch routes that have
+    /// these prefixes and priorities.
+    pub(crate) fn configure_batch_routes(&self, version: u64, further: &[(&str, u8)]) {
+        let batch = |prefix: &str, priority| {
+            let route = route(prefix, "engines", RetryPolicy::Never);
+            Route { priority, batch: true, ..route }
+        };
+        let mut routes = vec![
+            batch("/jobs/", 0),
+            route("/plain/", "plain", RetryPolicy::Rerun),
+            route("/text/", "engines", RetryPolicy::Resume),
+        ];
+        routes.extend(further.iter().map(|(prefix, priority)| batch(prefix, *priority)));
+        let routes = Routes::new(version, RequestLimits::default(), routes);
+        self.schema.write_directive(&self.kv, "config", Directive::Routes(routes));
+    }
+
     /// Names a weight version, as a trainer does.
     pub(crate) fn name_version(&self, version: u64) {
         let directive = Directive::Version { model: MODEL.into(), version };
@@ -321,6 +338,7 @@
         priority: 1,
         services: vec![(service.into(), 1)],
         max_attempts: 3,
+        result_deadline: None,
         retention: Duration::from_secs(40),
         single_version: false,
         public: false,
--- a/tests/uneven_replicas.rs
+++ b/tests/uneven_replicas.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use mulberrycourse::Name;
-use mulberrycourse::decide::load::{MoveBudget, TextLength, TextLengths};
+use mulberrycourse::decide::load::{MoveBudget, OpenStep, StepOrder, TextLength, TextLengths};
 use mulberrycourse::decide::{
-    AttemptRequest, Fleet, ListedReplica, ReplicaOutcome, SlotQueue, SlotRequest,
+    AttemptRequest, Fleet, Grant, ListedReplica, ReplicaOutcome, SlotQueue, SlotRequest,
 };
 use mulberrycourse::edge::replica::{ReplicaLoad, Target};
 
@@ -82,15 +82,25 @@
     let mut left: Vec<f64> = lengths.iter().map(|events| *events as f64).collect();
     let mut ends = vec![Duration::ZERO; lengths.len()];
     let mut waiting: SlotQueue<usize> = SlotQueue::default();
-    for (i, events) in left.iter().enumerate() {
-        let length = length(i, *events);
-        let rank = u64::MAX - length.hint.unwrap();
-        waiting.add((0, rank, i as u64), slot_request(length), i);
+    let mut order: Vec<usize> = (0..lengths.len()).collect();
+    order.sort_by_key(|i| std::cmp::Reverse(length(*i, left[*i]).hint));
+    let open = OpenStep {
+        id: 0,
+        order: 0,
+        priority: 0,
+        services: vec![SERVICE.into()],
+        model: Some("m".into()),
+        organisation: None,
+        due: None,
+    };
+    waiting.open_step(StepOrder::new(open, order.iter().map(|_| "g")), start);
+    for (rank, i) in order.iter().enumerate() {
+        waiting.add(0, rank as u64, slot_request(length(*i, left[*i])), *i);
     }
     let mut running: HashMap<usize, (Name, u64)> = HashMap::new();
     let (mut now, mut moves, mut ended) = (start, 0, 0);
     while ended < lengths.len() {
-        for (i, target) in waiting.assign_all(&mut fleet, now) {
+        for Grant { grant: i, target, .. } in waiting.assign_all(&mut fleet, now) {
             let slowdown = reports.then_some(speeds[&target.id].1);
             fleet.report_load(&target.id, ReplicaLoad { running: 0, waiting: 0, slowdown }, now);
             running.insert(i, (target.id, length(i, left[i]).events));
@@ -116,7 +126,7 @@
             fleet.end_attempt(&id, None, ReplicaOutcome::Abandoned, now);
             if moved {
                 moves += 1;
-                waiting.add((0, 0, i as u64), slot_request(length(i, left[i])), i);
+                waiting.add(0, i as u64, slot_request(length(i, left[i])), i);
             } else {
                 ended += 1;
                 ends[i] = now - start;
