Steps that need few rounds of the slots keep their order by length

Cause: among several trainers, groups with the fewest missing samples came first, and the longest samples of other groups began last; a step ends with its longest samples.

--- a/benches/shares.rs
+++ b/benches/shares.rs
@@ -7,6 +7,7 @@
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use mulberrycourse::Name;
+use mulberrycourse::decide::load::TextLength;
 use mulberrycourse::decide::load::{
     OpenStep, Share, ShareOrder, SlotPool, StepOrder, Trainer, TrainerDemand, compute_shares,
 };
@@ -50,6 +51,7 @@
         model: Some("m".into()),
         min_version: 1,
         avoid: Vec::new(),
+        length: TextLength::default(),
     }
 }
 
@@ -105,7 +107,8 @@
                     let replica = format!("r{:05}", sequence % replicas);
                     sequence += 1;
                     fleet.end_attempt(&replica, None, ReplicaOutcome::Abandoned, now);
-                    let load = ReplicaLoad { running: SLOTS_PER_REPLICA - 1, waiting: 0 };
+                    let load =
+                        ReplicaLoad { running: SLOTS_PER_REPLICA - 1, waiting: 0, slowdown: None };
                     fleet.report_load(&replica, load, now);
                     for granted in waiting.assign_at(&replica, &mut fleet, now) {
                         let (step, index) = granted.grant;
--- a/src/decide/job/job.rs
+++ b/src/decide/job/job.rs
@@ -192,7 +192,7 @@
         }
         let mut left: Vec<usize> = self.open_samples.values().copied().collect();
         left.sort_unstable_by_key(|i| (std::cmp::Reverse(self.spec.items[*i].length_hint), *i));
-        if left.len() > MAX_ROUNDS_BY_LENGTH * slots {
+        if self.begins_by_group(slots) {
             let mut first: HashMap<&Name, usize> = HashMap::new();
             for (index, item) in self.spec.items.iter().enumerate() {
                 first.entry(&item.group).or_insert(index);
@@ -202,6 +202,12 @@
         left.into_iter().map(|i| self.spec.items[i].clone()).collect()
     }
 
+    /// Whether the samples without a result begin group by group, given the number of slots: a step
+    /// that needs many rounds may not be complete in time.
+    pub fn begins_by_group(&self, slots: usize) -> bool {
+        self.open_samples.len() > MAX_ROUNDS_BY_LENGTH * slots
+    }
+
     /// Records the end of a sample.
     pub fn finish(&mut self, id: &str, state: ItemState) -> FinishEffect {
         if self.ended {
--- a/src/decide/load/sample_rank.rs
+++ b/src/decide/load/sample_rank.rs
@@ -101,6 +101,12 @@
         Self { open, groups, missing, shared: false, late: false }
     }
 
+    /// The order of a step whose samples keep the order in which they begin, the longest first. Its
+    /// longest samples would end last if their groups had to wait for others.
+    pub fn by_length(open: OpenStep) -> Self {
+        Self { open, groups: Vec::new(), missing: Vec::new(), shared: false, late: false }
+    }
+
     /// Returns the present rank of a sample.
     pub fn rank(&self, index: u64) -> SampleRank {
         let OpenStep { id: step, order, priority, .. } = self.open;
@@ -108,7 +114,7 @@
             let (late, due, missing, group) = (false, 0, 0, 0);
             return SampleRank { late, priority, due, order, step, missing, group, index };
         }
-        let group = self.group(index);
+        let group = if self.groups.is_empty() { 0 } else { self.group(index) };
         let missing = self.missing.get(group as usize).copied().unwrap_or(0);
         let due = self.open.due.map_or(u64::MAX, |due| due.as_millis() as u64);
         SampleRank { late: self.late, priority, due, order, step, missing, group, index }
--- a/src/entry/runner.rs
+++ b/src/entry/runner.rs
@@ -66,6 +66,7 @@
             None => job.spec.items.len(),
         };
         let todo = job.pending_items(slots);
+        let by_group = job.begins_by_group(slots);
         let count = job.next_position();
         let owned = Arc::new(OwnedJob {
             job: Mutex::new(job),
@@ -90,8 +91,12 @@
             self.demand.lock().record(model, spec.step_demand(), self.now());
         }
         let open = self.open_step(&owned, &spec);
-        let groups = todo.iter().map(|item| &*item.group);
-        let step = Arc::new(self.slots.open_step(StepOrder::new(open, groups), self.now()));
+        let order = if by_group {
+            StepOrder::new(open, todo.iter().map(|item| &*item.group))
+        } else {
+            StepOrder::by_length(open)
+        };
+        let step = Arc::new(self.slots.open_step(order, self.now()));
         let unfinished = owned.texts.lock().len();
         tracing::info!(event = "job_started", job = %id, listed = count, todo = todo.len(), unfinished);
         for (index, item) in todo.into_iter().enumerate() {
--- a/tests/slot_queue.rs
+++ b/tests/slot_queue.rs
@@ -479,3 +479,25 @@
         }
     }
 }
+
+/// Guards against the longest samples of a step beginning last because their groups have more
+/// missing samples than others: a step that its slots can run in a few rounds ends with them.
+#[test]
+fn a_step_by_length_keeps_its_order_when_groups_progress() {
+    let mut waiting: SlotQueue<(u64, u64)> = SlotQueue::default();
+    for number in 0..2 {
+        let open = step(number, 0, ["a", "b"][number as usize], None);
+        waiting.open_step(StepOrder::by_length(open), NOW);
+        for index in 0..4 {
+            let request = request(["a", "b"][number as usize]);
+            waiting.add(number, index, request, (number, index));
+        }
+    }
+    waiting.finish_sample(0, 3);
+    waiting.refresh(NOW);
+    let mut fleet = fleet(1, |_| "a");
+    let granted = waiting.assign_all(&mut fleet, NOW);
+    let first: Vec<u64> = granted.iter().filter(|g| g.grant.0 == 0).map(|g| g.grant.1).collect();
+    assert!(first.is_sorted(), "{first:?}");
+    assert_eq!(first.first(), Some(&0));
+}
