Quarantine by the probability of a coincidence

On the entry path a quarter of the replicas may crash within seconds, with six requests on each, and the same items then meet a second and a third crash.

Change: Quarantine has a rule. SecondCrash is as before. With UnlikelyCoincidence, a node that saw a crash of a request judges it one second after its third crash: the crashes must be successive, at different replicas, not explained by another request that was there, and so soon after the start of each run that an innocent request meets them with a probability under 1e-9, at the rate at which replicas of the service crash at that time. One more crash is needed if other replicas crashed as well. A notice carries the judgement to the nodes that saw nothing. Records that no other node needs stay local, and changes are numbered, so that each node can be sent what it lacks.

--- a/src/decide/quarantine/mod.rs
+++ b/src/decide/quarantine/mod.rs
@@ -5,10 +5,16 @@
 //! tried again. Without quarantine one such request crashes engine after engine; with a
 //! quarantine that is too broad, harmless requests are refused along with it.
 
+mod coincidence;
 mod notice;
 mod quarantine;
+mod recent_crashes;
 mod trial_locks;
 
+pub use coincidence::{MIN_CRASHES, RunCrash, SETTLE_TIME};
 pub use notice::{CrashId, CrashNotice, CrashReport};
-pub use quarantine::{FingerprintStatus, InFlightAttempt, MAX_FINGERPRINTS, Quarantine};
+pub use quarantine::{
+    FingerprintStatus, InFlightAttempt, MAX_FINGERPRINTS, Quarantine, QuarantineRule, Verdict,
+};
+pub use recent_crashes::RecentCrashes;
 pub use trial_locks::TrialLocks;
--- a/src/decide/quarantine/notice.rs
+++ b/src/decide/quarantine/notice.rs
@@ -43,4 +43,13 @@
         /// How often the fingerprint has been cleared, this time included.
         epoch: u32,
     },
+    /// The request is quarantined by a node that judged its crashes.
+    Quarantine {
+        /// Hash of the service and the content.
+        fingerprint: u64,
+        /// How often the fingerprint was cleared before.
+        epoch: u32,
+        /// Time since it was quarantined, in milliseconds.
+        age_ms: u64,
+    },
 }
--- a/src/decide/quarantine/quarantine.rs
+++ b/src/decide/quarantine/quarantine.rs
@@ -5,11 +5,16 @@
 //! it has run twice as long as it had at the crashed upstream: a request that crashes its
 //! upstream after some time does so again after about that time. A second crash quarantines
 //! it. Requests are identified by their fingerprint, a hash of the service and the content.
+//!
+//! Nodes that make no trials use [`QuarantineRule::UnlikelyCoincidence`]: suspects run like all
+//! others, and are quarantined once an innocent request would practically never have met the same
+//! crashes, see [`super::coincidence`].
 
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::{CrashId, CrashNotice, CrashReport};
+use super::coincidence::{self, MIN_CRASHES, SETTLE_TIME};
+use super::{CrashId, CrashNotice, CrashReport, RecentCrashes, RunCrash};
 use crate::{Moment, Name};
 
 /// Crashes after which a fingerprint is quarantined. One crash may be coincidence and
@@ -32,6 +37,31 @@
 /// Longest trial.
 const MAX_TRIAL_DURATION: Duration = Duration::from_secs(60);
 
+/// Bound on the crashes that are remembered of one fingerprint. Evidence that does not suffice
+/// after so many crashes never will.
+const MAX_CRASHES_PER_FINGERPRINT: usize = 16;
+
+/// When a fingerprint is quarantined.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum QuarantineRule {
+    /// At its second crash. Suspects run in trials, apart from each other.
+    SecondCrash,
+    /// Once its crashes are too unlikely for a coincidence, by [`Quarantine::judge`]. Suspects run
+    /// without a trial.
+    UnlikelyCoincidence,
+}
+
+/// A fingerprint that [`Quarantine::judge`] has quarantined, with the evidence.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Verdict {
+    /// Hash of the service and the content.
+    pub fingerprint: u64,
+    /// The number of crashes that count against it.
+    pub crashes: usize,
+    /// The probability that an innocent request meets such crashes by coincidence.
+    pub coincidence: f64,
+}
+
 /// The status of a fingerprint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FingerprintStatus {
@@ -80,12 +110,19 @@
     epoch: u32,
     /// The crashes of this epoch.
     crashes: Vec<RecordedCrash>,
+    quarantined: bool,
+    /// The service of the last crash that this node saw itself.
+    service: Option<Name>,
+    /// Whether other nodes know or are to know this record.
+    shared: bool,
+    /// The number of the last change that this node made itself; 0 if none.
+    local_change: u64,
     updated: Moment,
 }
 
 impl FingerprintRecord {
     fn is_quarantined(&self) -> bool {
-        self.crashes.len() >= CRASHES_TO_QUARANTINE
+        self.quarantined
     }
 
     fn retention(&self) -> Duration {
@@ -102,24 +139,42 @@
     /// The last crash of each upstream.
     last_crashes: HashMap<Name, LastCrash>,
     records: HashMap<u64, FingerprintRecord>,
+    rule: QuarantineRule,
+    /// The number of changes of the records that this node made itself.
+    changes: u64,
 }
 
 impl Quarantine {
     /// A quarantine without any crashes. `first` is a random number, see [`CrashId::number`].
     pub fn new(node: Name, first: u64) -> Self {
-        Self { node, last_number: first, last_crashes: HashMap::new(), records: HashMap::new() }
+        Self::with_rule(node, first, QuarantineRule::SecondCrash)
+    }
+
+    /// A quarantine without any crashes and with this rule.
+    pub fn with_rule(node: Name, first: u64, rule: QuarantineRule) -> Self {
+        Self {
+            node,
+            last_number: first,
+            last_crashes: HashMap::new(),
+            records: HashMap::new(),
+            rule,
+            changes: 0,
+        }
     }
 
     /// The status of a fingerprint.
     pub fn status(&self, fingerprint: u64, now: Moment) -> FingerprintStatus {
         let Some(record) = self.records.get(&fingerprint) else { return FingerprintStatus::Clear };
         let left = record.retention().saturating_sub(now.saturating_sub(record.updated));
-        if record.crashes.is_empty() || left.is_zero() {
+        if left.is_zero() {
             return FingerprintStatus::Clear;
         }
         if record.is_quarantined() {
             return FingerprintStatus::Quarantined(left);
         }
+        if record.crashes.is_empty() {
+            return FingerprintStatus::Clear;
+        }
         let ran = record.crashes.iter().map(|c| c.ran).max().unwrap_or_default();
         FingerprintStatus::Suspect((2 * ran + MIN_TRIAL_DURATION).min(MAX_TRIAL_DURATION))
     }
@@ -150,10 +205,142 @@
             ran_ms: broke_at.saturating_sub(attempt.sent_at).as_millis() as u64,
             age_ms: now.saturating_sub(broke_at).as_millis() as u64,
         };
-        self.apply_report(&report, now);
+        if self.apply_report(&report, now) {
+            self.mark_changed(attempt.fingerprint);
+        }
         CrashNotice::Suspect(report)
     }
 
+    /// Records the service of a fingerprint whose crash this node saw itself. Only such a node
+    /// judges it: the others know too few of the crashes around it.
+    pub fn set_service(&mut self, fingerprint: u64, service: &Name) {
+        if let Some(record) = self.records.get_mut(&fingerprint) {
+            record.service = Some(service.clone());
+        }
+    }
+
+    /// Marks a fingerprint to be reported to the other nodes, as when the caller of a request that
+    /// has failed may send it to any of them. From its second crash on that is so without this.
+    pub fn share(&mut self, fingerprint: u64) {
+        if self.records.get(&fingerprint).is_some_and(|r| !r.shared) {
+            self.mark_changed(fingerprint);
+            if let Some(record) = self.records.get_mut(&fingerprint) {
+                record.shared = true;
+            }
+        }
+    }
+
+    /// Returns the number of crashes that are known of a fingerprint.
+    pub fn crash_count(&self, fingerprint: u64) -> usize {
+        self.records.get(&fingerprint).map_or(0, |r| r.crashes.len())
+    }
+
+    /// Returns how long a fingerprint should not run again, because it is about to be judged. That
+    /// is only after one more run than [`MIN_CRASHES`]: an innocent request gets that run at once,
+    /// and its success clears it.
+    pub fn pause(&self, fingerprint: u64, now: Moment) -> Duration {
+        let record = self.records.get(&fingerprint);
+        let record = record.filter(|r| !r.quarantined && r.crashes.len() > MIN_CRASHES);
+        let last = record.and_then(|r| r.crashes.iter().map(|c| c.at).max());
+        last.map_or(Duration::ZERO, |at| SETTLE_TIME.saturating_sub(now.saturating_sub(at)))
+    }
+
+    /// Records that a run ended without a crash and without a complete response. A suspect that
+    /// ran for as long as a trial takes is cleared.
+    pub fn record_survival(&mut self, fingerprint: u64, ran: Duration, now: Moment) {
+        if let FingerprintStatus::Suspect(trial) = self.status(fingerprint, now)
+            && ran >= trial
+        {
+            self.record_success(fingerprint, now);
+        }
+    }
+
+    /// Quarantines the fingerprints whose crashes are no coincidence. `recent` has the crashes that
+    /// this node saw, and `replica_count` returns the number of replicas of a service.
+    pub fn judge(
+        &mut self,
+        recent: &RecentCrashes,
+        replica_count: impl Fn(&Name) -> usize,
+        now: Moment,
+    ) -> Vec<Verdict> {
+        let judged = self.records.iter().filter_map(|(fingerprint, record)| {
+            let service = record.service.as_ref().filter(|_| !record.quarantined)?;
+            if record.crashes.len() < MIN_CRASHES {
+                return None;
+            }
+            let crashes = self.unexplained_crashes(*fingerprint, record);
+            let others = |at| {
+                recent.count_others(service, at, |upstream| {
+                    record.crashes.iter().any(|c| c.upstream == *upstream)
+                })
+            };
+            let coincidence =
+                coincidence::conclusive(&crashes, replica_count(service), others, now)?;
+            Some(Verdict { fingerprint: *fingerprint, crashes: crashes.len(), coincidence })
+        });
+        let verdicts: Vec<Verdict> = judged.collect();
+        for verdict in &verdicts {
+            self.mark_changed(verdict.fingerprint);
+            if let Some(record) = self.records.get_mut(&verdict.fingerprint) {
+                (record.quarantined, record.shared, record.updated) = (true, true, now);
+            }
+        }
+        verdicts
+    }
+
+    /// Returns the crashes of a fingerprint that no other one explains. Whatever runs beside the
+    /// cause of a crash meets the same crash, so a crash during which a quarantined fingerprint, or
+    /// one with at least as many crashes, was at the upstream is no evidence.
+    fn unexplained_crashes(&self, fingerprint: u64, record: &FingerprintRecord) -> Vec<RunCrash> {
+        let rivals: Vec<&FingerprintRecord> = self
+            .records
+            .iter()
+            .filter(|(other, r)| {
+                **other != fingerprint && (r.quarantined || r.crashes.len() >= record.crashes.len())
+            })
+            .map(|(_, rival)| rival)
+            .collect();
+        let is_explained = |crash: &RecordedCrash| {
+            rivals.iter().flat_map(|r| &r.crashes).any(|c| {
+                c.upstream == crash.upstream && c.at.abs_diff(crash.at) < SAME_CRASH_WINDOW
+            })
+        };
+        let own = record.crashes.iter().filter(|c| !is_explained(c));
+        own.map(|c| RunCrash { upstream: c.upstream.clone(), at: c.at, ran: c.ran }).collect()
+    }
+
+    /// Returns the number of the last change that this node made itself.
+    pub fn last_change(&self) -> u64 {
+        self.changes
+    }
+
+    /// Returns the notices of the changes that this node made after the change with this number,
+    /// and that other nodes are to know.
+    pub fn changes_after(&self, change: u64, now: Moment) -> Vec<CrashNotice> {
+        let changed = self.records.iter().filter(|(_, r)| r.shared && r.local_change > change);
+        changed.flat_map(|(fingerprint, r)| record_notices(*fingerprint, r, now)).collect()
+    }
+
+    /// Returns the notices of everything that other nodes are to know, whoever found it out.
+    pub fn shared_notices(&self, now: Moment) -> Vec<CrashNotice> {
+        let shared = self.records.iter().filter(|(_, r)| r.shared);
+        shared.flat_map(|(fingerprint, r)| record_notices(*fingerprint, r, now)).collect()
+    }
+
+    /// Whether nothing is known of any fingerprint.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Numbers a change that this node made.
+    fn mark_changed(&mut self, fingerprint: u64) {
+        self.changes += 1;
+        if let Some(record) = self.records.get_mut(&fingerprint) {
+            record.local_change = self.changes;
+            record.shared |= record.crashes.len() > 1;
+        }
+    }
+
     /// Records that a request ran without a crash. Returns the notice for the other nodes, if
     /// the fingerprint was a suspect. A quarantined fingerprint stays quarantined.
     pub fn record_success(&mut self, fingerprint: u64, now: Moment) -> Option<CrashNotice> {
@@ -161,8 +348,14 @@
         if record.is_quarantined() || record.crashes.is_empty() {
             return None;
         }
-        let epoch = record.epoch + 1;
-        *record = FingerprintRecord { epoch, crashes: Vec::new(), updated: now };
+        if !record.shared && self.rule == QuarantineRule::UnlikelyCoincidence {
+            // No other node knows of it.
+            self.records.remove(&fingerprint);
+            return None;
+        }
+        let (epoch, shared) = (record.epoch + 1, record.shared);
+        *record = FingerprintRecord { epoch, shared, updated: now, ..FingerprintRecord::default() };
+        self.mark_changed(fingerprint);
         Some(CrashNotice::Clear { fingerprint, epoch })
     }
 
@@ -173,23 +366,16 @@
             CrashNotice::Clear { fingerprint, epoch } => {
                 self.apply_clear(*fingerprint, *epoch, now)
             }
+            CrashNotice::Quarantine { fingerprint, epoch, age_ms } => {
+                let at = now.saturating_sub(Duration::from_millis(*age_ms));
+                self.apply_verdict(*fingerprint, *epoch, at)
+            }
         }
     }
 
     /// The notices from which a starting node learns all that this node knows.
     pub fn notices(&self, now: Moment) -> Vec<CrashNotice> {
-        let each = self.records.iter().flat_map(|(fingerprint, record)| {
-            record.crashes.iter().map(|c| {
-                CrashNotice::Suspect(CrashReport {
-                    fingerprint: *fingerprint,
-                    epoch: record.epoch,
-                    crash: c.crash.clone(),
-                    upstream: c.upstream.clone(),
-                    ran_ms: c.ran.as_millis() as u64,
-                    age_ms: now.saturating_sub(c.at).as_millis() as u64,
-                })
-            })
-        });
+        let each = self.records.iter().flat_map(|(f, record)| crash_notices(*f, record, now));
         each.collect()
     }
 
@@ -208,10 +394,7 @@
     }
 
     fn apply_report(&mut self, report: &CrashReport, now: Moment) -> bool {
-        if !self.records.contains_key(&report.fingerprint) && self.records.len() >= MAX_FINGERPRINTS
-        {
-            self.evict();
-        }
+        self.make_room(report.fingerprint);
         let at = now.saturating_sub(Duration::from_millis(report.age_ms));
         let record = self.records.entry(report.fingerprint).or_default();
         if report.epoch < record.epoch || record.is_quarantined() {
@@ -228,31 +411,93 @@
             return false;
         }
         record.updated = record.updated.max(at);
+        record.shared |= report.crash.node != self.node;
+        if record.crashes.len() >= MAX_CRASHES_PER_FINGERPRINT {
+            record.crashes.remove(0);
+        }
         record.crashes.push(RecordedCrash {
             crash: report.crash.clone(),
             upstream: report.upstream.clone(),
             at,
             ran: Duration::from_millis(report.ran_ms),
         });
+        record.quarantined = match self.rule {
+            QuarantineRule::SecondCrash => record.crashes.len() >= CRASHES_TO_QUARANTINE,
+            QuarantineRule::UnlikelyCoincidence => false,
+        };
+        true
+    }
+
+    fn apply_verdict(&mut self, fingerprint: u64, epoch: u32, at: Moment) -> bool {
+        self.make_room(fingerprint);
+        let record = self.records.entry(fingerprint).or_default();
+        if epoch < record.epoch || record.is_quarantined() {
+            return false;
+        }
+        record.epoch = epoch;
+        record.quarantined = true;
+        record.shared = true;
+        record.updated = at;
         true
     }
 
+    /// Makes room for a fingerprint if it is a new one and the bound is reached.
+    fn make_room(&mut self, fingerprint: u64) {
+        if !self.records.contains_key(&fingerprint) && self.records.len() >= MAX_FINGERPRINTS {
+            self.evict();
+        }
+    }
+
     fn apply_clear(&mut self, fingerprint: u64, epoch: u32, now: Moment) -> bool {
         let Some(record) = self.records.get_mut(&fingerprint) else { return false };
         if record.is_quarantined() || epoch <= record.epoch {
             return false;
         }
-        *record = FingerprintRecord { epoch, crashes: Vec::new(), updated: now };
+        *record =
+            FingerprintRecord { epoch, shared: true, updated: now, ..FingerprintRecord::default() };
         true
     }
 
     /// Removes one fingerprint to make room: cleared ones first, then suspects, then
     /// quarantined ones, and of these the oldest.
     fn evict(&mut self) {
-        let age = |record: &FingerprintRecord| (record.crashes.len(), record.updated);
+        let age = |r: &FingerprintRecord| (r.quarantined, r.crashes.len(), r.updated);
         let oldest = self.records.iter().min_by_key(|(_, record)| age(record)).map(|(f, _)| *f);
         if let Some(oldest) = oldest {
             self.records.remove(&oldest);
         }
     }
 }
+
+/// The notices of the crashes of a record.
+fn crash_notices(
+    fingerprint: u64,
+    record: &FingerprintRecord,
+    now: Moment,
+) -> impl Iterator<Item = CrashNotice> {
+    record.crashes.iter().map(move |c| {
+        CrashNotice::Suspect(CrashReport {
+            fingerprint,
+            epoch: record.epoch,
+            crash: c.crash.clone(),
+            upstream: c.upstream.clone(),
+            ran_ms: c.ran.as_millis() as u64,
+            age_ms: now.saturating_sub(c.at).as_millis() as u64,
+        })
+    })
+}
+
+/// The notices that carry a whole record to a node that may have an older one.
+fn record_notices(fingerprint: u64, record: &FingerprintRecord, now: Moment) -> Vec<CrashNotice> {
+    let epoch = record.epoch;
+    let mut notices = Vec::new();
+    if epoch > 0 {
+        notices.push(CrashNotice::Clear { fingerprint, epoch });
+    }
+    notices.extend(crash_notices(fingerprint, record, now));
+    if record.quarantined {
+        let age_ms = now.saturating_sub(record.updated).as_millis() as u64;
+        notices.push(CrashNotice::Quarantine { fingerprint, epoch, age_ms });
+    }
+    notices
+}
