Requests that crash their replicas are stopped at all entry nodes

Cause: a request that crashes each replica that runs it was repeated without limit, by its client at any node and by the owners of jobs: 30 runs later than 3 s after the third crash, 3 are allowed.

Change: entry/quarantine.rs applies decide/quarantine to relayed requests, streams, reward calls and texts. After a broken connection the replica is probed (new method of the port `Replicas`): it has crashed if it is listed, does not drain, and refuses connections or has a newer start time. Nodes send each other notices (PeerRequest::Crashes, the last variant) from the second crash on, and before the caller of a failed request gets its response, for at most 300 ms. A node that starts gets everything from two others. A quarantined request is refused as `quarantined`; a text or reward call is held until its retention ends. After three crashes a request runs once for each request of its caller, and a text pauses for up to a second after its fourth.

The stand-in replicas interrupt all runs of a replica that crashes.

--- a/src/edge/replica/replicas.rs
+++ b/src/edge/replica/replicas.rs
@@ -5,6 +5,7 @@
 use futures_util::future::BoxFuture;
 
 use super::{CallError, OrderOutcome, ReplicaCall, ReplicaStatus, Reply, Target, WeightOrder};
+use crate::edge::upstream::ProbeResult;
 
 /// The client of the replicas. Dropping a future or a response body cancels the request at the
 /// replica.
@@ -13,6 +14,8 @@
     fn version_field(&self) -> &'static str;
     /// Sends a request and waits for the head of its response.
     fn send(&self, to: &Target, call: ReplicaCall) -> BoxFuture<'static, Result<Reply, CallError>>;
+    /// Checks whether a replica's process runs, after a connection to it broke.
+    fn probe(&self, to: &Target) -> BoxFuture<'static, ProbeResult>;
     /// Reads a replica's status.
     fn status(
         &self,
--- a/src/entry/app.rs
+++ b/src/entry/app.rs
@@ -19,6 +19,7 @@
 use super::owned_jobs::OwnedJobs;
 use super::peer::{FallbackStore, Peers};
 use super::ports::Ports;
+use super::quarantine::EntryQuarantine;
 use super::remote_jobs::RemoteJobs;
 use super::slots::Slots;
 use super::usage::Usage;
@@ -72,6 +73,8 @@
     pub(super) slot_load: Mutex<DemandEstimator>,
     /// The replicas and the samples that wait for their slots.
     pub(super) slots: Slots,
+    /// Requests that crash the replicas that run them.
+    pub(super) quarantine: Arc<EntryQuarantine>,
     /// The registered nodes and the leader.
     pub(super) membership: Mutex<Membership>,
     /// The jobs that this node owns.
@@ -130,13 +133,20 @@
         peers: impl FnOnce(Arc<EntryMetrics>) -> Arc<dyn Peers>,
     ) -> Arc<Self> {
         let Ports { store, replicas, schema, duties, clock } = ports;
-        let incarnation = format!("{}.{:08x}", settings.name, rand::random::<u32>()).into();
+        let incarnation: Name = format!("{}.{:08x}", settings.name, rand::random::<u32>()).into();
         let tally = Arc::new(EntryMetrics::default());
         let peers = peers(tally.clone());
         let direct = Arc::new(CountedStore::new(store, schema.clone(), tally.clone()));
         let fallback_store =
             FallbackStore::new(direct.clone(), peers.clone(), settings.seeds.clone());
         let slots = Slots::new(settings.zone.clone(), settings.name.clone());
+        let quarantine = Arc::new(EntryQuarantine::new(
+            incarnation.clone(),
+            slots.fleet.clone(),
+            replicas.clone(),
+            peers.clone(),
+            tally.clone(),
+        ));
         let usage = settings.usage_windows.map(|windows| Arc::new(Usage::new(windows, clock)));
         Arc::new(Self {
             settings,
@@ -156,6 +166,7 @@
             demand: Mutex::default(),
             slot_load: Mutex::default(),
             slots,
+            quarantine,
             membership: Mutex::default(),
             owned_jobs: OwnedJobs::default(),
             ended_jobs: EndedJobs::default(),
--- a/src/entry/entry_node.rs
+++ b/src/entry/entry_node.rs
@@ -52,6 +52,7 @@
             if let Some(usage) = app.usage.clone() {
                 app.spawn(share_counts(app.clone(), usage));
             }
+            app.spawn(app.quarantine.clone().run());
             let waiting = app.clone();
             app.spawn(async move { waiting.retry_waiting().await });
         }
--- a/src/entry/follow/apply.rs
+++ b/src/entry/follow/apply.rs
@@ -104,6 +104,11 @@
         let ranked = rendezvous_rank(&self.settings.name, others);
         self.fallback_store
             .set_peers(ranked.iter().filter_map(|n| nodes.get(*n).copied()).collect());
+        let membership = self.membership.lock();
+        let incarnations: Vec<_> =
+            ranked.iter().filter_map(|n| membership.incarnation_of(n)).collect();
+        drop(membership);
+        self.quarantine.set_peers(&incarnations);
     }
 
     /// Applies a configuration, a version or a retirement request. A value that cannot be read is
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -22,6 +22,7 @@
 mod owned_jobs;
 mod peer;
 mod ports;
+mod quarantine;
 mod read;
 mod registration;
 mod relay;
--- a/src/entry/peer/messages.rs
+++ b/src/entry/peer/messages.rs
@@ -10,6 +10,7 @@
 use crate::Name;
 use crate::decide::StepDemand;
 use crate::decide::job::JobSpec;
+use crate::decide::quarantine::CrashNotice;
 use crate::decide::usage::WindowNote;
 use crate::edge::peer::PeerMessage;
 use crate::edge::store::{KeyValue, RangeResult, StoreError, Txn, TxnOutcome, WatchBatch};
@@ -79,6 +80,8 @@
         /// Identifies the announcement of the node that reached the store first.
         id: u64,
     },
+    /// Tell the node of requests that crashed replicas.
+    Crashes(Vec<CrashNotice>),
 }
 
 /// A topic that one node may follow on another.
@@ -191,6 +194,7 @@
             Self::Snapshot { .. } | Self::Follow { .. } | Self::Demand => PeerPurpose::Follow,
             Self::Store(_) | Self::StoreRecovered { .. } => PeerPurpose::Store,
             Self::Usage { .. } => PeerPurpose::Usage,
+            Self::Crashes(_) => PeerPurpose::Quarantine,
         }
     }
 }
--- a/src/entry/peer/server.rs
+++ b/src/entry/peer/server.rs
@@ -138,6 +138,10 @@
                 app.fallback_store.on_recovery_notice(rest, id);
                 PeerReply::Noted
             }
+            PeerRequest::Crashes(notices) => {
+                app.quarantine.apply_notices(&notices);
+                PeerReply::Noted
+            }
         }
     }
 
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -7,6 +7,7 @@
 use http::{HeaderMap, Method, StatusCode};
 
 use super::app::App;
+use super::quarantine::{RequestCheck, RequestContent};
 use super::slots::SlotGuard;
 use super::stream;
 use crate::decide::retry_after::DEFAULT_RETRY_AFTER;
@@ -136,6 +137,8 @@
     pub avoid: Vec<Name>,
     /// What is known of the attempts, for the final refusal.
     pub history: AttemptHistory,
+    /// The quarantine as it applies to the request.
+    pub check: RequestCheck,
 }
 
 /// What follows from an attempt.
@@ -172,7 +175,14 @@
             limit = limit.min(timeout);
         }
         let client_deadline = self.now() + request.deadline.unwrap_or(DEFAULT_TIMEOUT);
+        let content = RequestContent {
+            service: route.services.first().map(|(s, _)| s.clone()).unwrap_or_default(),
+            method: request.method.clone(),
+            path: request.path.clone(),
+            body: request.body.clone(),
+        };
         let mut state = RequestState {
+            check: RequestCheck::new(&self.quarantine, content),
             request,
             route: route.clone(),
             started_at: self.now(),
@@ -193,6 +203,13 @@
                 RelayStep::Failed(refusal) => RelayResponse::Refused(state.history.adjust(refusal)),
                 RelayStep::Retry => continue,
             };
+            match &response {
+                RelayResponse::Complete { status, .. } if !status.is_server_error() => {}
+                RelayResponse::Stream { .. } => {}
+                RelayResponse::Complete { .. } | RelayResponse::Refused(_) => {
+                    state.check.notify_peers().await;
+                }
+            }
             log(self, &state, &response);
             let RequestState { failures, unknown, avoid, .. } = state;
             return RelayOutcome { response, failures, unknown, avoid };
@@ -208,6 +225,9 @@
         if state.attempts >= state.max_attempts {
             return RelayStep::Failed(refused(Kind::RetriesSpent, "all attempts are used"));
         }
+        if let Err(refusal) = state.check.check() {
+            return RelayStep::Failed(refusal);
+        }
         let Some(service) = state.route.pick_service(self.draw()).cloned() else {
             return RelayStep::Failed(refused(Kind::NoUpstream, "the route names no service"));
         };
@@ -233,6 +253,10 @@
                 if failure.not_run() {
                     metered.not_run();
                 }
+                if let CallError::Interrupted(_) = failure {
+                    let ran = self.now().saturating_sub(started_at);
+                    state.check.broke(&service, &slot.target, ran);
+                }
                 return state.failed(self, &mut slot, failure);
             }
             Err(_) => {
@@ -250,6 +274,8 @@
         let body = match tokio::time::timeout(left, collect_pieces(reply.body)).await {
             Ok(Ok(body)) => body,
             Ok(Err(reason)) => {
+                let ran = self.now().saturating_sub(started_at);
+                state.check.broke(&service, &slot.target, ran);
                 return state.failed(self, &mut slot, CallError::Interrupted(reason));
             }
             Err(_) => {
@@ -263,6 +289,11 @@
         }
         let failed = status.is_server_error();
         self.tally.count_attempt(if failed { AttemptEnd::Failed } else { AttemptEnd::Answered });
+        if failed {
+            state.check.survived(took);
+        } else {
+            state.check.succeeded();
+        }
         if status == StatusCode::INTERNAL_SERVER_ERROR {
             state.failures += 1;
             tracing::info!(
@@ -366,7 +397,7 @@
         }
         self.history.record(AttemptOutcome::Unknown);
         self.unknown += 1;
-        if self.may_repeat() {
+        if self.may_repeat() && self.check.may_rerun() {
             return RelayStep::Retry;
         }
         RelayStep::Failed(refused(Kind::OutcomeUnknown, "the attempt was interrupted"))
--- a/src/entry/sample.rs
+++ b/src/entry/sample.rs
@@ -8,11 +8,12 @@
 use super::app::App;
 use super::attempt::{AttemptResult, TextAttempt};
 use super::owned_jobs::OwnedJob;
+use super::quarantine::{RequestCheck, RequestContent};
 use super::score::request_score;
 use crate::Name;
-use crate::decide::SlotRequest;
 use crate::decide::failures::{RequestFailure, RetryDecision};
 use crate::decide::job::{FinishEffect, ItemSpec, ItemState, JobSpec};
+use crate::decide::{Route, SlotRequest};
 use crate::edge::replica::ReplicaCall;
 use crate::metrics::{AttemptEnd, SampleEnd};
 
@@ -81,6 +82,7 @@
     let started_at = app.now();
     let mut idle_attempts = 0;
     let mut avoid: Vec<Name> = Vec::new();
+    let mut check = None;
     loop {
         let Some(routes) = app.routes() else {
             tokio::time::sleep(ROUTE_POLL_INTERVAL).await;
@@ -106,12 +108,16 @@
             }
         }
         owned.failures_stored(&item.id).await;
+        let check = check.get_or_insert_with(|| text_check(app, &route, item));
+        if !may_run(check).await {
+            continue;
+        }
         let Some(service) = route.pick_service(app.draw()).cloned() else {
             tokio::time::sleep(ROUTE_POLL_INTERVAL).await;
             continue;
         };
         let want = SlotRequest {
-            service,
+            service: service.clone(),
             model: spec.model.clone(),
             min_version: spec.min_version,
             avoid: avoid.clone(),
@@ -119,10 +125,27 @@
         let priority = routes.priority(&route, spec.organisation.as_ref());
         let position = (priority, owned.queue_order, index);
         let Some(mut slot) = app.wait_for_slot(position, want).await else { continue };
+        // The text may have been quarantined while it waited.
+        if check.check().is_err() {
+            continue;
+        }
+        let sent_at = app.now();
         let before = owned.with_text(&item.id, |text| text.last_event());
         let run = TextAttempt { app, owned, item, spec, route: &route };
         let left = route.retention.saturating_sub(app.now().saturating_sub(started_at));
         let result = run.attempt(&mut slot, call(left, priority, spec, item, before)).await;
+        let ran = app.now().saturating_sub(sent_at);
+        match &result {
+            AttemptResult::Complete => check.succeeded(),
+            AttemptResult::Continue(AttemptEnd::Broken) => {
+                check.broke(&service, &slot.target, ran);
+            }
+            AttemptResult::Continue(AttemptEnd::Unsent | AttemptEnd::NotRun)
+            | AttemptResult::Continue(AttemptEnd::Stranger) => {}
+            AttemptResult::Continue(_) | AttemptResult::Failed | AttemptResult::Impossible => {
+                check.survived(ran);
+            }
+        }
         let replica = slot.target.id.clone();
         drop(slot);
         let events = owned.with_text(&item.id, |text| text.last_event());
@@ -158,6 +181,33 @@
     }
 }
 
+/// The quarantine as it applies to a text.
+fn text_check(app: &App, route: &Route, item: &ItemSpec) -> RequestCheck {
+    let content = RequestContent {
+        service: route.services.first().map(|(s, _)| s.clone()).unwrap_or_default(),
+        method: Method::POST,
+        path: item.path.clone(),
+        body: item.body.clone(),
+    };
+    RequestCheck::new(&app.quarantine, content)
+}
+
+/// Whether a text may run now; if not, this returns after some time in which it should not run. A
+/// quarantined text is held: no response of a replica says that it failed, so that it ends with
+/// its retention.
+async fn may_run(check: &mut RequestCheck) -> bool {
+    if check.check().is_err() {
+        tokio::time::sleep(HOLD_INTERVAL).await;
+        return false;
+    }
+    let pause = check.pause();
+    if pause.is_zero() {
+        return true;
+    }
+    tokio::time::sleep(pause).await;
+    false
+}
+
 /// The request for a sample's text, from after event `last` on, within `left`.
 fn call(left: Duration, priority: u8, spec: &JobSpec, item: &ItemSpec, last: u64) -> ReplicaCall {
     let mut headers = HeaderMap::new();
--- a/src/entry/score.rs
+++ b/src/entry/score.rs
@@ -11,6 +11,7 @@
 use super::relay::{RelayLimits, RelayRequest, RelayResponse};
 use crate::decide::failures::{RequestFailure, RetryDecision};
 use crate::decide::job::{Score, Scorer};
+use crate::error::Kind;
 use crate::{Moment, Name};
 
 /// Timeout of one attempt: ordinary work of a scorer, with room for a full queue.
@@ -82,6 +83,10 @@
             }
             RelayResponse::Refused(refusal) => {
                 tracing::info!(event = "score_refused", %item, request = %scorer.id, kind = %refusal.kind);
+                if refusal.kind == Kind::Quarantined {
+                    // No response says that the call failed, so it ends with its retention.
+                    tokio::time::sleep(HOLD_INTERVAL).await;
+                }
                 false
             }
         };
--- a/src/entry/slots.rs
+++ b/src/entry/slots.rs
@@ -23,7 +23,7 @@
 #[derive(Debug)]
 pub(super) struct Slots {
     /// The known replicas and the attempts that run at them.
-    pub(super) fleet: Mutex<Fleet>,
+    pub(super) fleet: Arc<Mutex<Fleet>>,
     waiting: Mutex<Queue>,
     /// The time for which samples have needed slots, by service.
     pub(super) demand: Arc<SlotDemand>,
@@ -35,7 +35,7 @@
     /// The slots as a node of this availability zone and with this name sees them.
     pub(super) fn new(zone: Name, node: Name) -> Self {
         Self {
-            fleet: Mutex::new(Fleet::for_node(zone, node)),
+            fleet: Arc::new(Mutex::new(Fleet::for_node(zone, node))),
             waiting: Mutex::default(),
             demand: Arc::default(),
             waiter_added: Notify::new(),
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -10,11 +10,12 @@
 use tokio_stream::wrappers::ReceiverStream;
 
 use super::app::App;
+use super::quarantine::RequestCheck;
 use super::relay::RequestState;
 use super::slots::SlotGuard;
 use crate::decide::job::EventReader;
 use crate::decide::{AttemptRequest, ReplicaOutcome, RetryPolicy};
-use crate::edge::replica::{BodyStream, ReplicaCall, Reply, Target};
+use crate::edge::replica::{BodyStream, CallError, ReplicaCall, Reply, Target};
 use crate::{Moment, Name};
 
 /// Timeout for the next event, and for the head of the response when a stream is resumed.
@@ -37,6 +38,10 @@
     last_event: Option<u64>,
     /// The weight version of the last event.
     version: Option<u64>,
+    /// The quarantine as it applies to the request.
+    check: RequestCheck,
+    /// When the current attempt began, or the request with its first one.
+    attempt_started_at: Moment,
 }
 
 /// How the part of a stream that one replica sent ended.
@@ -66,6 +71,8 @@
         attempts_left: state.max_attempts.saturating_sub(state.attempts),
         last_event: state.request.resume_after,
         version: reply.version,
+        check: state.check.fork(),
+        attempt_started_at: state.started_at,
         app: app.clone(),
     };
     app.slots.fleet.lock().start_attempt(&target.id, app.now());
@@ -90,16 +97,25 @@
                 PartEnd::Complete => {
                     let took = app.now().saturating_sub(started_at);
                     current.set_end(ReplicaOutcome::Answered { duration: took, cost: 1 });
+                    self.check.succeeded();
+                    return;
+                }
+                PartEnd::ClientLeft => {
+                    self.check.survived(app.now().saturating_sub(started_at));
                     return;
                 }
-                PartEnd::ClientLeft => return,
                 PartEnd::Interrupted => current.set_end(ReplicaOutcome::Failed),
             }
+            if let Some(service) = &self.service {
+                let ran = app.now().saturating_sub(self.attempt_started_at);
+                self.check.broke(service, &current.target, ran);
+            }
             self.avoid.push(current.target.id.clone());
             drop(slot.take());
             tracing::info!(event = "stream_interrupted", request = %self.call.id, last = self.last_event);
             (slot, reply) = self.resume_elsewhere(&app).await;
         }
+        self.check.notify_peers().await;
         tracing::info!(event = "stream_aborted", request = %self.call.id, last = self.last_event);
         let _ = to.send(Err("the stream was interrupted".to_owned())).await;
     }
@@ -111,6 +127,9 @@
     ) -> (Option<SlotGuard<'a>>, Option<Reply>) {
         while self.resume && self.attempts_left > 0 {
             self.attempts_left -= 1;
+            if self.check.check().is_err() || !self.check.may_rerun() {
+                break;
+            }
             let time = self.client_deadline.saturating_sub(app.now());
             if time.is_zero() {
                 break;
@@ -126,11 +145,15 @@
             let mut call = self.call.clone();
             call.last_event = self.last_event;
             call.timeout = time;
+            self.attempt_started_at = app.now();
             let sending = app.replicas.send(&slot.target, call);
-            if let Ok(Ok(reply)) = tokio::time::timeout(EVENT_TIMEOUT, sending).await
-                && reply.status.is_success()
-            {
-                return (Some(slot), Some(reply));
+            match tokio::time::timeout(EVENT_TIMEOUT, sending).await {
+                Ok(Ok(reply)) if reply.status.is_success() => return (Some(slot), Some(reply)),
+                Ok(Err(CallError::Interrupted(_))) => {
+                    let ran = app.now().saturating_sub(self.attempt_started_at);
+                    self.check.broke(&service, &slot.target, ran);
+                }
+                Ok(_) | Err(_) => {}
             }
             self.avoid.push(slot.target.id.clone());
             tokio::time::sleep(RETRY_DELAY).await;
--- a/src/metrics/entry_metrics.rs
+++ b/src/metrics/entry_metrics.rs
@@ -151,6 +151,8 @@
     Store,
     /// Sharing usage counts.
     Usage,
+    /// Requests that crash replicas.
+    Quarantine,
 }
 
 macro_rules! label {
@@ -208,6 +210,12 @@
     pub routes_version: Gauge<i64, AtomicI64>,
     /// Log lines that the rate limit dropped.
     pub dropped_lines: Gauge<i64, AtomicI64>,
+    /// Crashes of replicas that interrupted a request of this node.
+    pub replica_crashes: Counter,
+    /// Requests that were interrupted by crashes and are not quarantined.
+    pub suspects: Gauge<i64, AtomicI64>,
+    /// Requests that are quarantined.
+    pub quarantined: Gauge<i64, AtomicI64>,
 }
 
 impl Default for EntryMetrics {
@@ -234,6 +242,9 @@
             open_jobs: Gauge::default(),
             routes_version: Gauge::default(),
             dropped_lines: Gauge::default(),
+            replica_crashes: Counter::default(),
+            suspects: Gauge::default(),
+            quarantined: Gauge::default(),
         };
         metrics.register();
         for kind in Kind::ALL.iter().copied() {
@@ -284,6 +295,12 @@
         registry.register("routes_version", "Configuration in force", self.routes_version.clone());
         let help = "Log lines left out for their number";
         registry.register("log_lines_dropped", help, self.dropped_lines.clone());
+        let help = "Crashes of replicas that interrupted a request of this node";
+        registry.register("replica_crashes", help, self.replica_crashes.clone());
+        let help = "Requests that crashes interrupted, and that may run";
+        registry.register("suspect_requests", help, self.suspects.clone());
+        let help = "Requests that are refused because they crash replicas";
+        registry.register("quarantined_requests", help, self.quarantined.clone());
         registry.register_collector(Box::new(ProcessCollector));
     }
 
--- a/standins/src/replicas/fleet.rs
+++ b/standins/src/replicas/fleet.rs
@@ -15,7 +15,9 @@
     BodyStream, CallError, OrderOutcome, ReplicaCall, ReplicaLoad, ReplicaStatus, Replicas, Reply,
     Target, WeightOrder,
 };
+use mulberrycourse::edge::upstream::ProbeResult;
 use parking_lot::Mutex;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 use super::replica::{Behaviour, RecordedOrder, RecordedRun, Replica};
@@ -25,6 +27,8 @@
 const EVENT_INTERVAL: Duration = Duration::from_millis(35);
 /// Delay of each call before the replica receives it.
 const NETWORK_DELAY: Duration = Duration::from_millis(1);
+/// Delay of a probe of a replica whose connection broke.
+const PROBE_DELAY: Duration = Duration::from_millis(40);
 /// How long a plain request runs.
 const PLAIN_RUN_TIME: Duration = Duration::from_millis(25);
 /// How long a load of weights takes.
@@ -42,6 +46,8 @@
     replicas: BTreeMap<Name, Replica>,
     /// The number of events of a text, by request id.
     event_counts: HashMap<Name, u64>,
+    /// How long a replica that has crashed takes to be back; [`RESTART_TIME`] if none.
+    restart_time: Option<Duration>,
     /// The paths of requests that crash each replica that runs them.
     crash_paths: HashSet<Name>,
     /// The status of every response to a request, by request id.
@@ -140,16 +146,32 @@
         self.state.lock().crash_paths.insert(path.into());
     }
 
-    /// Ends the process of a replica, and starts it again.
-    fn crash(&self, id: &Name) {
+    /// Sets how long a replica that has crashed takes to be back.
+    pub fn set_restart_time(&self, time: Duration) {
+        self.state.lock().restart_time = Some(time);
+    }
+
+    /// Ends the process of a replica with everything that runs there, and starts it again, with a
+    /// newer start time if it reports one.
+    pub fn crash(&self, id: &str) {
         self.set_behaviour(id, Behaviour::Unreachable);
-        let (fleet, id) = (self.clone(), id.clone());
+        self.with(id, |r| r.crashes.send_modify(|n| *n += 1));
+        let (fleet, id) = (self.clone(), Name::from(id));
+        let restart_time = self.state.lock().restart_time.unwrap_or(RESTART_TIME);
         tokio::spawn(async move {
-            tokio::time::sleep(RESTART_TIME).await;
-            fleet.set_behaviour(&id, Behaviour::Normal);
+            tokio::time::sleep(restart_time).await;
+            fleet.with(&id, |r| {
+                r.behaviour = Behaviour::Normal;
+                r.started_ms = r.started_ms.map(|started| started + 1);
+            });
         });
     }
 
+    /// Waits until the process of a replica ends.
+    async fn crashed(mut crashes: watch::Receiver<u64>) {
+        let _ = crashes.changed().await;
+    }
+
     /// All runs so far, in order of their start.
     pub fn runs(&self) -> Vec<RecordedRun> {
         self.state.lock().runs.clone()
@@ -258,7 +280,14 @@
                     fleet.state.lock().runs[run].unfinished = false;
                     return None;
                 }
-                tokio::time::sleep(interval).await;
+                let reset = Some((Err("connection reset".to_owned()), total));
+                let Some(crashes) = fleet.with(&to, |r| r.crashes.subscribe()) else {
+                    return reset;
+                };
+                tokio::select! {
+                    () = Self::crashed(crashes) => return reset,
+                    () = tokio::time::sleep(interval) => {}
+                }
                 if breaks_at.is_some_and(|at| last >= at) {
                     return Some((Err("connection reset".to_owned()), total));
                 }
@@ -302,6 +331,9 @@
                 return Err(CallError::Interrupted("connection reset".to_owned()));
             }
             let is_stream = call.path.starts_with("/text");
+            let Some(crashes) = fleet.with(&to.id, |r| r.crashes.subscribe()) else {
+                return Err(CallError::WrongInstance);
+            };
             let (status, body): (_, BodyStream) = match behaviour {
                 Behaviour::Unresponsive => std::future::pending().await,
                 _ if fleet.state.lock().set_statuses.contains_key(&call.id) => {
@@ -324,7 +356,12 @@
                 _ if is_stream => (StatusCode::OK, fleet.stream_events(&to, &call, behaviour, run)),
                 _ => {
                     let times = if let Behaviour::Slow(times) = behaviour { times } else { 1 };
-                    tokio::time::sleep(PLAIN_RUN_TIME * times).await;
+                    tokio::select! {
+                        () = Self::crashed(crashes) => {
+                            return Err(CallError::Interrupted("connection reset".to_owned()));
+                        }
+                        () = tokio::time::sleep(PLAIN_RUN_TIME * times) => {}
+                    }
                     fleet.state.lock().runs[run].unfinished = false;
                     let body = Bytes::from(format!("answer to {}", call.id));
                     (StatusCode::OK, futures_util::stream::iter([Ok(body)]).boxed())
@@ -343,6 +380,18 @@
         })
     }
 
+    fn probe(&self, to: &Target) -> BoxFuture<'static, ProbeResult> {
+        let (fleet, to) = (self.clone(), to.clone());
+        Box::pin(async move {
+            tokio::time::sleep(PROBE_DELAY).await;
+            match fleet.with(&to.id, |r| r.behaviour) {
+                Some(Behaviour::Unreachable) => ProbeResult::Refused,
+                Some(_) => ProbeResult::Accepted,
+                None => ProbeResult::Unreachable,
+            }
+        })
+    }
+
     fn status(
         &self,
         to: &Target,
--- a/standins/src/replicas/replica.rs
+++ b/standins/src/replicas/replica.rs
@@ -5,6 +5,7 @@
 
 use http::StatusCode;
 use mulberrycourse::Name;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 /// How a replica behaves.
@@ -87,6 +88,8 @@
     pub failing_statuses: u32,
     /// Its start time in milliseconds, if it reports one.
     pub started_ms: Option<u64>,
+    /// How often its process has ended. A change interrupts everything that runs there.
+    pub crashes: watch::Sender<u64>,
 }
 
 impl Replica {
@@ -101,6 +104,7 @@
             order_delay: None,
             failing_statuses: 0,
             started_ms,
+            crashes: watch::Sender::new(0),
         }
     }
 }
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -10,6 +10,7 @@
 mod links;
 mod orders;
 mod peers;
+mod quarantines;
 mod reads;
 mod relays;
 mod scale;
