--- a/src/entry/peer/messages.rs
+++ b/src/entry/peer/messages.rs
@@ -11,6 +11,7 @@
 use crate::decide::StepDemand;
 use crate::decide::job::JobSpec;
 use crate::decide::load::{ShareOrder, TrainerDemand};
+use crate::decide::quarantine::CrashNotice;
 use crate::decide::usage::WindowNote;
 use crate::edge::peer::PeerMessage;
 use crate::edge::store::{KeyValue, RangeResult, StoreError, Txn, TxnOutcome, WatchBatch};
@@ -81,6 +82,8 @@
         /// Identifies the announcement of the node that reached the store first.
         id: u64,
     },
+    /// Tell the node of requests that crashed replicas.
+    Crashes(Vec<CrashNotice>),
 }
 
 /// A topic that one node may follow on another.
@@ -195,6 +198,7 @@
             Self::Snapshot { .. } | Self::Follow { .. } | Self::Demand(_) => PeerPurpose::Follow,
             Self::Store(_) | Self::StoreRecovered { .. } => PeerPurpose::Store,
             Self::Usage { .. } => PeerPurpose::Usage,
+            Self::Crashes(_) => PeerPurpose::Quarantine,
         }
     }
 }
--- a/src/entry/slots.rs
+++ b/src/entry/slots.rs
@@ -32,7 +32,7 @@
 #[derive(Debug)]
 pub(super) struct Slots {
     /// The known replicas and the attempts that run at them.
-    pub(super) fleet: Mutex<Fleet>,
+    pub(super) fleet: Arc<Mutex<Fleet>>,
     waiting: Arc<Mutex<Queue>>,
     /// The time for which samples have needed slots, by service.
     pub(super) demand: Arc<SlotDemand>,
@@ -48,7 +48,7 @@
     /// The slots as a node of this availability zone and with this name sees them.
     pub(super) fn new(zone: Name, node: Name) -> Self {
         Self {
-            fleet: Mutex::new(Fleet::for_node(zone, node)),
+            fleet: Arc::new(Mutex::new(Fleet::for_node(zone, node))),
             waiting: Arc::default(),
             demand: Arc::default(),
             waiter_added: Notify::new(),
--- a/src/metrics/entry_metrics.rs
+++ b/src/metrics/entry_metrics.rs
@@ -152,6 +152,8 @@
     Store,
     /// Sharing usage counts.
     Usage,
+    /// Requests that crash replicas.
+    Quarantine,
 }
 
 macro_rules! label {
@@ -216,6 +218,12 @@
     pub dropped_lines: Gauge<i64, AtomicI64>,
     /// Figures from replicas that were out of range and ignored.
     pub ignored_figures: Counter,
+    /// Crashes of replicas that interrupted a request of this node.
+    pub replica_crashes: Counter,
+    /// Requests that were interrupted by crashes and are not quarantined.
+    pub suspects: Gauge<i64, AtomicI64>,
+    /// Requests that are quarantined.
+    pub quarantined: Gauge<i64, AtomicI64>,
 }
 
 impl Default for EntryMetrics {
@@ -246,6 +254,9 @@
             routes_version: Gauge::default(),
             dropped_lines: Gauge::default(),
             ignored_figures: Counter::default(),
+            replica_crashes: Counter::default(),
+            suspects: Gauge::default(),
+            quarantined: Gauge::default(),
         };
         metrics.register();
         for kind in Kind::ALL.iter().copied() {
@@ -304,6 +315,12 @@
         registry.register("log_lines_dropped", help, self.dropped_lines.clone());
         let help = "Figures from replicas that were out of range";
         registry.register("ignored_figures", help, self.ignored_figures.clone());
+        let help = "Crashes of replicas that interrupted a request of this node";
+        registry.register("replica_crashes", help, self.replica_crashes.clone());
+        let help = "Requests that crashes interrupted, and that may run";
+        registry.register("suspect_requests", help, self.suspects.clone());
+        let help = "Requests that are refused because they crash replicas";
+        registry.register("quarantined_requests", help, self.quarantined.clone());
         registry.register_collector(Box::new(ProcessCollector));
     }
 
