Request queue ordered by time; latest start of a request

Cause: requests of the entry path that wait for a slot have a deadline each, and those of one caller were ordered by arrival only. When a request can't be in time any more was not known in advance.

Change: RequestQueue::push_by_time orders the requests of a flow by a time and then by arrival; push and push_front are as before. WaitEstimate::latest_start is when a request has to be sent.

Weighed: a second queue type for the entry path would have been a copy of the fairness and the minimum share.

--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -52,6 +52,12 @@
         now.as_secs_f64() + needed <= deadline.as_secs_f64()
     }
 
+    /// When the request has to be sent at the latest to be answered by the deadline.
+    pub fn latest_start(&self, deadline: Moment) -> Moment {
+        let needed = (self.service_time * ESTIMATE_MARGIN).min(deadline.as_secs_f64());
+        deadline.saturating_sub(Duration::from_secs_f64(needed))
+    }
+
     /// Whether the request would be answered by the deadline if it were sent now.
     pub fn in_time_now(&self, now: Moment, deadline: Moment) -> bool {
         Self { cost_ahead: 0.0, ..*self }.in_time(now, deadline)
--- a/src/decide/queue.rs
+++ b/src/decide/queue.rs
@@ -11,7 +11,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 use super::{Call, Class, FairQueue};
-use crate::Name;
+use crate::{Moment, Name};
 
 /// The position of a request in the queue, by which it is removed.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -20,17 +20,20 @@
     caller: Name,
     /// Key of the caller's flow, see [`flow_key`].
     key: u64,
-    /// Order within the flow, ascending.
-    number: i64,
+    order: FlowOrder,
     cost: u32,
 }
 
+/// Order within a flow, ascending: by time, then by number. The time is 0 for requests that are
+/// ordered by arrival.
+type FlowOrder = (Moment, i64);
+
 /// The requests of one caller in one class, by flow key.
 #[derive(Debug, Clone)]
 struct CallerQueue<T> {
     /// The order of service of the flows.
     order: FairQueue<u64>,
-    items: HashMap<u64, BTreeMap<i64, T>>,
+    items: HashMap<u64, BTreeMap<FlowOrder, T>>,
 }
 
 /// The requests of one class, by caller.
@@ -87,14 +90,26 @@
 
     /// Adds a request behind the others of its caller and key.
     pub fn push(&mut self, call: &Call, weight: u32, item: T) -> QueuePosition {
+        self.push_by_time(call, weight, Moment::ZERO, item)
+    }
+
+    /// Adds a request in front of the others of its caller and key whose time is later, such as
+    /// their deadline.
+    pub fn push_by_time(
+        &mut self,
+        call: &Call,
+        weight: u32,
+        time: Moment,
+        item: T,
+    ) -> QueuePosition {
         self.back += 1;
-        self.insert(call, weight, self.back, item)
+        self.insert(call, weight, (time, self.back), item)
     }
 
     /// Puts a request back in front of the others of its caller and key.
     pub fn push_front(&mut self, call: &Call, weight: u32, item: T) -> QueuePosition {
         self.front -= 1;
-        self.insert(call, weight, self.front, item)
+        self.insert(call, weight, (Moment::ZERO, self.front), item)
     }
 
     /// Whether training is behind its floor while both classes wait.
@@ -172,25 +187,25 @@
         }
     }
 
-    fn insert(&mut self, call: &Call, weight: u32, number: i64, item: T) -> QueuePosition {
+    fn insert(&mut self, call: &Call, weight: u32, order: FlowOrder, item: T) -> QueuePosition {
         let key = flow_key(call);
         let queue = self.class_queue_mut(call.class);
         let fresh = || CallerQueue { order: FairQueue::default(), items: HashMap::new() };
         let caller = queue.callers.entry(call.caller.clone()).or_insert_with(fresh);
         caller.order.add(&key, 1, call.cost);
-        caller.items.entry(key).or_default().insert(number, item);
+        caller.items.entry(key).or_default().insert(order, item);
         queue.order.add(&call.caller, weight, call.cost);
         queue.len += 1;
         queue.cost += u64::from(call.cost);
         let (class, caller, cost) = (call.class, call.caller.clone(), call.cost);
-        QueuePosition { class, caller, key, number, cost }
+        QueuePosition { class, caller, key, order, cost }
     }
 
     fn take(&mut self, position: &QueuePosition, served: bool) {
         let queue = self.class_queue_mut(position.class);
         let Some(caller) = queue.callers.get_mut(&position.caller) else { return };
         let Some(items) = caller.items.get_mut(&position.key) else { return };
-        if items.remove(&position.number).is_none() {
+        if items.remove(&position.order).is_none() {
             return;
         }
         if items.is_empty() {
