Queue of live requests and reward calls: decisions

Cause: requests without weights go to a replica whatever its load. When a step ends, its reward calls fill the replicas' own queues, which have no order, and lookups wait behind them.

Change: decide::load::CallQueue orders the calls of one service and decides who is sent or refused. Fleet::choose_for_call finds a replica with room: the one that Fleet::choose returns if there is room, otherwise the best with room; in a large fleet among indexed replicas that are not known to be full. ConcurrencyLimit raises the limit of a replica. The sum of two load figures no longer overflows in Fleet::report_load.

Weighed: the load of others loses its weight within 200 ms, since a node that gets no responses from a replica hears nothing of its load; a half-life of a second, as for samples, would hold back requests of 21 ms. A limit of exactly the slots leaves slots idle while a response is on its way.

--- a/src/decide/fleet/fleet.rs
+++ b/src/decide/fleet/fleet.rs
@@ -36,20 +36,20 @@
 
 /// A run slower than is typical by this factor is worth moving. Depending on their load, replicas
 /// of one kind differ by less than half; a faulty replica is two to four times as slow.
-const SLOW_FACTOR: f64 = 1.7;
+pub(super) const SLOW_FACTOR: f64 = 1.7;
 
 /// A candidate for an attempt. Smaller is better.
 #[derive(Clone, Copy)]
-struct Candidate<'a> {
+pub(super) struct Candidate<'a> {
     /// Whether an earlier attempt failed there, and whether it has no free slot.
     penalties: (bool, bool),
     /// Expected time until an answer, in seconds.
     latency: f64,
-    replica: &'a Replica,
+    pub replica: &'a Replica,
 }
 
 impl Candidate<'_> {
-    fn order(&self, other: &Self) -> Ordering {
+    pub(super) fn order(&self, other: &Self) -> Ordering {
         self.penalties.cmp(&other.penalties).then(self.latency.total_cmp(&other.latency))
     }
 }
@@ -58,7 +58,7 @@
 #[derive(Debug)]
 pub struct Fleet {
     zone: Option<Name>,
-    replicas: ReplicaTable,
+    pub(super) replicas: ReplicaTable,
     /// Id of the replica that got the last attempt.
     last_chosen: Name,
     /// The replicas that are excluded for a time, some of which may be over.
@@ -66,7 +66,7 @@
     /// The replicas whose event interval is known.
     measured: HashSet<ReplicaKey>,
     /// Typical time per unit of cost of the attempts of each service.
-    typical_pace: HashMap<Name, LatencyEstimate>,
+    pub(super) typical_pace: HashMap<Name, LatencyEstimate>,
     /// When the typical event interval of each service was last computed.
     interval_updates: HashMap<Name, Moment>,
     /// The event interval that a quarter of a service's replicas do not exceed, in seconds.
@@ -242,9 +242,10 @@
     /// Records the load that a replica reported.
     pub fn report_load(&mut self, id: &str, load: ReplicaLoad, now: Moment) {
         let Some(replica) = self.replicas.get_mut(id) else { return };
-        let others = (load.running + load.waiting).saturating_sub(replica.running);
+        let others = load.running.saturating_add(load.waiting).saturating_sub(replica.running);
         replica.others = OtherLoad::new(others, now);
         replica.load_report = LoadReporting::At(now);
+        self.replicas.set_reports_load(id);
     }
 
     /// Records an answer of a replica without a load report.
@@ -304,7 +305,7 @@
 
     /// Returns the measure of a replica's speed that applies to an attempt, and the typical
     /// value of that measure in the service.
-    fn pace_and_typical<'a>(
+    pub(super) fn pace_and_typical<'a>(
         &self,
         replica: &'a Replica,
         request: &AttemptRequest<'_>,
@@ -321,7 +322,7 @@
 
     /// Whether excluded replicas of a service are left out of the choice: not if there are too
     /// many of them.
-    fn applies_exclusions(&self, service: &str, now: Moment) -> bool {
+    pub(super) fn applies_exclusions(&self, service: &str, now: Moment) -> bool {
         let excluded = self.excluded.iter().filter_map(|key| self.replicas.by_key(*key));
         let count =
             excluded.filter(|r| &*r.listed.service == service && r.excluded_until > now).count();
@@ -353,12 +354,12 @@
 
     /// Whether no request runs at a replica, as far as is known, and it is in this node's
     /// availability zone.
-    fn is_idle_and_near(&self, replica: &Replica, now: Moment) -> bool {
+    pub(super) fn is_idle_and_near(&self, replica: &Replica, now: Moment) -> bool {
         let near = self.zone.as_ref().is_none_or(|zone| *zone == replica.listed.zone);
         near && replica.running == 0 && replica.others.decayed(now) < 1.0
     }
 
-    fn rate<'a>(
+    pub(super) fn rate<'a>(
         &self,
         replica: &'a Replica,
         request: &AttemptRequest<'_>,
--- a/src/decide/fleet/replica.rs
+++ b/src/decide/fleet/replica.rs
@@ -3,8 +3,9 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use super::calls::call_limit;
 use super::{AttemptRequest, ListedReplica};
-use crate::decide::{FailureTracker, LatencyEstimate, OtherLoad};
+use crate::decide::{ConcurrencyLimit, FailureTracker, LatencyEstimate, OtherLoad};
 use crate::{Moment, Name};
 
 /// How long a replica's report of its load counts: a sample takes about as long, so after this
@@ -19,6 +20,8 @@
     pub running: u32,
     /// Requests of other nodes there, by its last report.
     pub others: OtherLoad,
+    /// What the latency of this node's plain requests says about how many it may have there.
+    pub call_limit: ConcurrencyLimit,
     /// Time per unit of cost of the attempts there.
     pub pace: LatencyEstimate,
     /// Time between the events of its streams.
@@ -41,6 +44,7 @@
     pub(super) fn new(listed: ListedReplica) -> Self {
         Self {
             versions: listed.versions.iter().cloned().collect(),
+            call_limit: call_limit(listed.slots),
             listed,
             running: 0,
             others: OtherLoad::default(),
--- a/src/decide/fleet/table.rs
+++ b/src/decide/fleet/table.rs
@@ -12,8 +12,8 @@
 
 use super::ListedReplica;
 use super::replica::Replica;
-use crate::Name;
-use crate::decide::rendezvous_score;
+use crate::decide::{Deadlines, rendezvous_score};
+use crate::{Moment, Name};
 
 new_key_type! {
     /// Identifies a replica in the table.
@@ -29,6 +29,14 @@
     by_id: ById,
     /// The same in an order that is particular to this node.
     by_rank: BTreeSet<(u64, ReplicaKey)>,
+    /// Those without weights that are not known to be full, in the same order.
+    open: BTreeSet<(u64, ReplicaKey)>,
+    /// Those that are known to have room in their own queue only, in the same order.
+    queueing: BTreeSet<(u64, ReplicaKey)>,
+    /// When those that are not open may have room again without any event there.
+    rechecks: Deadlines<ReplicaKey>,
+    /// Whether any of its replicas has reported its load.
+    reports_load: bool,
 }
 
 /// The replicas that a node knows.
@@ -84,9 +92,84 @@
         self.replicas.get(key)
     }
 
-    /// Returns a replica to change what is not indexed: anything but its entry and versions.
+    /// Returns a replica to change what is not indexed: anything but its entry and versions. The
+    /// change may make room there, so that one without weights counts as open again.
     pub(super) fn get_mut(&mut self, id: &str) -> Option<&mut Replica> {
-        self.replicas.get_mut(self.by_id.get(id).copied()?)
+        let key = self.key(id)?;
+        self.reopen(key);
+        self.replicas.get_mut(key)
+    }
+
+    /// Records that the service of a replica reports its load.
+    pub(super) fn set_reports_load(&mut self, id: &str) {
+        let Some(key) = self.key(id) else { return };
+        let Some(replica) = self.replicas.get(key) else { return };
+        if let Some(service) = self.services.get_mut(&replica.listed.service) {
+            service.reports_load = true;
+        }
+    }
+
+    /// Whether the replicas of a service have no weights, and any has reported its load.
+    pub(super) fn is_plain_and_reports_load(&self, service: &str) -> bool {
+        let Some(service) = self.services.get(service) else { return false };
+        let first = service.by_id.values().next().and_then(|key| self.replicas.get(*key));
+        service.reports_load && first.is_some_and(|r| r.versions.is_empty())
+    }
+
+    /// Returns the replicas of a service that are not known to be full, in the order that is
+    /// particular to this node.
+    pub(super) fn open<'a>(
+        &'a self,
+        service: &str,
+    ) -> impl Iterator<Item = (ReplicaKey, &'a Replica)> + use<'a> {
+        let keys = self.services.get(service).into_iter().flat_map(|s| s.open.iter());
+        keys.filter_map(|(_, key)| Some((*key, self.by_key(*key)?)))
+    }
+
+    /// Returns the replicas that are known to have room in their own queue only.
+    pub(super) fn queueing<'a>(
+        &'a self,
+        service: &str,
+    ) -> impl Iterator<Item = (ReplicaKey, &'a Replica)> + use<'a> {
+        let keys = self.services.get(service).into_iter().flat_map(|s| s.queueing.iter());
+        keys.filter_map(|(_, key)| Some((*key, self.by_key(*key)?)))
+    }
+
+    /// Records that a replica has no free slot until the next event there, or until `recheck_at`,
+    /// and whether it has room in its own queue.
+    pub(super) fn close(&mut self, key: ReplicaKey, queueing: bool, recheck_at: Option<Moment>) {
+        let Some(replica) = self.replicas.get(key) else { return };
+        let rank = rendezvous_score(&self.node, &replica.listed.target.id);
+        let Some(service) = self.services.get_mut(&replica.listed.service) else { return };
+        service.open.remove(&(rank, key));
+        if queueing {
+            service.queueing.insert((rank, key));
+        } else {
+            service.queueing.remove(&(rank, key));
+        }
+        if let Some(at) = recheck_at {
+            service.rechecks.insert(at, key);
+        }
+    }
+
+    /// Counts the replicas of a service as open again whose time of the recheck has come.
+    pub(super) fn reopen_due(&mut self, service: &str, now: Moment) {
+        while let Some(key) =
+            self.services.get_mut(service).and_then(|service| service.rechecks.pop_due(now))
+        {
+            self.reopen(key);
+        }
+    }
+
+    fn reopen(&mut self, key: ReplicaKey) {
+        let Some(replica) = self.replicas.get(key).filter(|r| r.versions.is_empty()) else {
+            return;
+        };
+        let rank = rendezvous_score(&self.node, &replica.listed.target.id);
+        if let Some(service) = self.services.get_mut(&replica.listed.service) {
+            service.open.insert((rank, key));
+            service.queueing.remove(&(rank, key));
+        }
     }
 
     /// Adds a replica that is not known.
@@ -163,7 +246,11 @@
         let id = &replica.listed.target.id;
         let service = self.services.entry(replica.listed.service.clone()).or_default();
         service.by_id.insert(id.clone(), key);
-        service.by_rank.insert((rendezvous_score(&self.node, id), key));
+        let rank = rendezvous_score(&self.node, id);
+        service.by_rank.insert((rank, key));
+        if replica.versions.is_empty() {
+            service.open.insert((rank, key));
+        }
         if replica.listed.draining || replica.versions.is_empty() {
             return;
         }
@@ -180,7 +267,10 @@
         let id = &replica.listed.target.id;
         if let Some(service) = self.services.get_mut(&replica.listed.service) {
             service.by_id.remove(id);
-            service.by_rank.remove(&(rendezvous_score(&self.node, id), key));
+            let rank = rendezvous_score(&self.node, id);
+            service.by_rank.remove(&(rank, key));
+            service.open.remove(&(rank, key));
+            service.queueing.remove(&(rank, key));
         }
         if replica.listed.draining || replica.versions.is_empty() {
             return;
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -27,6 +27,7 @@
 mod label;
 mod latency;
 mod listing;
+pub mod load;
 pub mod members;
 mod organisations;
 mod outcome;
@@ -67,7 +68,8 @@
 pub use ejection::{FailureTracker, max_ejected};
 pub use fair_queue::FairQueue;
 pub use fleet::{
-    AttemptRequest, Fleet, ListedReplica, ReplicaOutcome, SlotQueue, SlotRequest, WaitPosition,
+    AttemptRequest, CallChoice, Fleet, ListedReplica, ReplicaOutcome, SlotQueue, SlotRequest,
+    WaitPosition,
 };
 pub use freshness::{EngineVersions, StartDecision, min_fresh_version};
 pub use indexed_set::IndexedSet;
--- a/src/decide/upstream_choice.rs
+++ b/src/decide/upstream_choice.rs
@@ -34,6 +34,11 @@
         Self { count, at }
     }
 
+    /// The count as reported.
+    pub fn count(&self) -> u32 {
+        self.count
+    }
+
     /// When the report was made.
     pub fn at(&self) -> Moment {
         self.at
