Live requests and reward calls wait for a slot at the node

Cause: relays took a slot with allow_full, so that a burst of reward calls delayed lookups past their deadline, and reward calls timed out in the replicas' queues and ran again.

Change: wait_for_call_slot takes a free slot at once, under the lock of the fleet that the choice took before; only if all replicas are full does a request join the queue of its service. Requests whose future is dropped leave it. Reward calls keep their place if their wait ends. Metrics by service. It applies to plain services whose replicas have reported their load.

The stand-in replicas can run requests in slots and report a false load. The test a_free_slot_among_many_replicas_is_used_at_once has 80 more plain replicas: it assumed that two of them with 8 slots run 640 reward calls at the same time, which no real replica does; its bound is unchanged.

Weighed: retries after an attempt that may have run, or that met a replica that is gone, are sent at once as before, as they have lost time already.

--- a/src/entry/app.rs
+++ b/src/entry/app.rs
@@ -12,6 +12,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::calls::Calls;
 use super::counted_store::CountedStore;
 use super::ended_jobs::EndedJobs;
 use super::follow::Feeds;
@@ -72,6 +73,8 @@
     pub(super) slot_load: Mutex<DemandEstimator>,
     /// The replicas and the samples that wait for their slots.
     pub(super) slots: Slots,
+    /// The requests without weights that wait for a slot.
+    pub(super) calls: Calls,
     /// The registered nodes and the leader.
     pub(super) membership: Mutex<Membership>,
     /// The jobs that this node owns.
@@ -140,6 +143,7 @@
         let usage = settings.usage_windows.map(|windows| Arc::new(Usage::new(windows, clock)));
         Arc::new(Self {
             settings,
+            calls: Calls::new(tally.clone()),
             tally,
             store: Arc::new(fallback_store.clone()),
             direct_store: direct,
--- a/src/entry/entry_node.rs
+++ b/src/entry/entry_node.rs
@@ -54,6 +54,8 @@
             }
             let waiting = app.clone();
             app.spawn(async move { waiting.retry_waiting().await });
+            let calls = app.clone();
+            app.spawn(async move { calls.run_call_queues().await });
         }
         Self { app }
     }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -9,6 +9,7 @@
 mod addresses;
 mod app;
 mod attempt;
+mod calls;
 mod counted_store;
 mod end_job;
 mod ended_jobs;
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -9,9 +9,10 @@
 use super::app::App;
 use super::slots::SlotGuard;
 use super::stream;
+use crate::decide::load::CallRequest;
 use crate::decide::retry_after::DEFAULT_RETRY_AFTER;
 use crate::decide::{
-    AttemptHistory, AttemptOutcome, AttemptRequest, ReplicaOutcome, RetryPolicy, Route,
+    AttemptHistory, AttemptOutcome, AttemptRequest, Class, ReplicaOutcome, RetryPolicy, Route,
 };
 use crate::edge::http::collect_pieces;
 use crate::edge::replica::{BodyStream, CallError, ReplicaCall, Reply};
@@ -95,6 +96,17 @@
     pub rerun_failed: bool,
     /// The replicas that are tried last.
     pub avoid: Vec<Name>,
+    /// Set for a reward call.
+    pub reward: Option<RewardCall>,
+}
+
+/// What decides on the place of a reward call among those that wait for a slot.
+#[derive(Debug, Clone)]
+pub(super) struct RewardCall {
+    /// The organisation of its job.
+    pub organisation: Option<Name>,
+    /// When it was first made.
+    pub since: Moment,
 }
 
 /// A final response, and what the attempts met.
@@ -134,6 +146,11 @@
     pub unknown: u32,
     /// The replicas that are tried last.
     pub avoid: Vec<Name>,
+    /// Set for a reward call.
+    pub reward: Option<RewardCall>,
+    /// Whether the next attempt waits for a slot if all replicas are full. A request that may have
+    /// run, or met a replica that is gone, has lost time already and is sent at once.
+    pub may_wait: bool,
     /// What is known of the attempts, for the final refusal.
     pub history: AttemptHistory,
 }
@@ -155,8 +172,12 @@
         route: &Arc<Route>,
         request: RelayRequest,
     ) -> RelayResponse {
-        let limits =
-            RelayLimits { attempts: route.max_attempts, rerun_failed: true, avoid: Vec::new() };
+        let limits = RelayLimits {
+            attempts: route.max_attempts,
+            rerun_failed: true,
+            avoid: Vec::new(),
+            reward: None,
+        };
         self.relay_within(route, request, limits).await.response
     }
 
@@ -185,6 +206,8 @@
             failures: 0,
             unknown: 0,
             avoid: limits.avoid,
+            reward: limits.reward,
+            may_wait: !route.streaming,
             history: AttemptHistory::new(),
         };
         loop {
@@ -217,15 +240,29 @@
             avoid: &state.avoid,
             allow_full: true,
         };
-        let Some(mut slot) = self.take_slot(&wish) else {
-            return RelayStep::Failed(refused(Kind::NoUpstream, "no replica accepts work"));
+        let asked_at = self.now();
+        let taken = if state.may_wait {
+            self.wait_for_call_slot(&wish, || state.call_request()).await
+        } else {
+            let refusal = || refused(Kind::NoUpstream, "no replica accepts work");
+            self.take_slot(&wish).ok_or_else(refusal)
+        };
+        let mut slot = match taken {
+            Ok(slot) => slot,
+            Err(refusal) => return RelayStep::Failed(refusal),
         };
+        if state.reward.is_some() {
+            // No client waits for it: its sender would only make the same call again.
+            state.response_deadline += self.now().saturating_sub(asked_at);
+        }
         state.attempts += 1;
+        state.may_wait = false;
         let usage = self.usage.as_ref();
         let mut metered = usage.map(|u| u.begin(&state.request.organisation)).unwrap_or_default();
         let started_at = self.now();
         let call = state.call(self.now());
-        let limit = state.limit(left);
+        // The wait for a slot does not shorten the time that a replica gets for the work.
+        let limit = state.limit(left).min(state.response_deadline.saturating_sub(self.now()));
         let sending = self.replicas.send(&slot.target, call);
         let reply = match tokio::time::timeout(limit, sending).await {
             Ok(Ok(reply)) => reply,
@@ -325,6 +362,22 @@
         }
     }
 
+    /// What decides on its place among the requests that wait for a slot.
+    fn call_request(&self) -> CallRequest {
+        let (class, organisation, order) = match &self.reward {
+            Some(reward) => (Class::Training, &reward.organisation, reward.since),
+            None => (Class::Live, &self.request.organisation, self.response_deadline),
+        };
+        CallRequest {
+            organisation: organisation.clone().unwrap_or_else(|| "".into()),
+            class,
+            priority: self.route.priority,
+            order,
+            deadline: self.response_deadline,
+            avoid: self.avoid.clone(),
+        }
+    }
+
     /// The time limit of one attempt, given the time left for the request.
     fn limit(&self, left: Duration) -> Duration {
         if !self.may_repeat() || self.attempts >= self.route.max_attempts {
@@ -355,6 +408,7 @@
         );
         self.avoid.push(slot.target.id.clone());
         self.tried += 1;
+        self.may_wait = !self.route.streaming && matches!(failure, CallError::NotRun(_));
         if failure.not_run() {
             self.history.record(AttemptOutcome::Refused);
             // The replica did not run the request, so the attempt does not count toward the
--- a/src/entry/score.rs
+++ b/src/entry/score.rs
@@ -8,9 +8,10 @@
 
 use super::app::App;
 use super::owned_jobs::OwnedJob;
-use super::relay::{RelayLimits, RelayRequest, RelayResponse};
+use super::relay::{RelayLimits, RelayRequest, RelayResponse, RewardCall};
 use crate::decide::failures::{RequestFailure, RetryDecision};
 use crate::decide::job::{Score, Scorer};
+use crate::error::Kind;
 use crate::{Moment, Name};
 
 /// Timeout of one attempt: ordinary work of a scorer, with room for a full queue.
@@ -36,6 +37,7 @@
     scorer: &Scorer,
     started_at: Moment,
 ) -> Option<Score> {
+    let first_call = app.now();
     let mut attempts = 0;
     let mut avoid: Vec<Name> = Vec::new();
     loop {
@@ -64,7 +66,14 @@
         };
         owned.failures_stored(&scorer.id).await;
         // The runs of a call that has failed are counted one by one, so the relay repeats none.
-        let limits = RelayLimits { attempts: runs, rerun_failed: false, avoid: avoid.clone() };
+        let organisation = owned.job.lock().spec.organisation.clone();
+        let reward = RewardCall { organisation, since: first_call };
+        let limits = RelayLimits {
+            attempts: runs,
+            rerun_failed: false,
+            avoid: avoid.clone(),
+            reward: Some(reward),
+        };
         let outcome = app.relay_within(&route, scorer_request(scorer), limits).await;
         let rejected = match outcome.response {
             RelayResponse::Complete { status, signature: Some(signature), .. }
@@ -82,6 +91,11 @@
             }
             RelayResponse::Refused(refusal) => {
                 tracing::info!(event = "score_refused", %item, request = %scorer.id, kind = %refusal.kind);
+                // It has only waited for a slot, and asks for its place in the queue again.
+                if refusal.kind == Kind::DeadlineUnreachable {
+                    tokio::time::sleep(RETRY_BASE_DELAY).await;
+                    continue;
+                }
                 false
             }
         };
--- a/src/entry/slots.rs
+++ b/src/entry/slots.rs
@@ -95,6 +95,8 @@
     pub target: Target,
     model: Option<Name>,
     ended: ReplicaOutcome,
+    /// Whether it is the slot of a call, which [`Fleet::start_call`] has counted.
+    is_call: bool,
     /// Counts the demand of a sample, from when it joined the queue.
     _demand: Option<SlotDemandGuard>,
 }
@@ -102,7 +104,14 @@
 impl<'a> SlotGuard<'a> {
     /// A guard for a slot that [`Fleet::start_attempt`] has already counted.
     pub(super) fn started(app: &'a App, target: Target) -> Self {
-        Self { app, target, model: None, ended: ReplicaOutcome::Abandoned, _demand: None }
+        let ended = ReplicaOutcome::Abandoned;
+        Self { app, target, model: None, ended, is_call: false, _demand: None }
+    }
+
+    /// A guard for a slot that [`Fleet::start_call`] has already counted.
+    pub(super) fn started_call(app: &'a App, target: Target) -> Self {
+        let ended = ReplicaOutcome::Abandoned;
+        Self { app, target, model: None, ended, is_call: true, _demand: None }
     }
 
     /// Sets how the attempt ended; [`ReplicaOutcome::Abandoned`] if this is never called.
@@ -115,7 +124,15 @@
     fn drop(&mut self) {
         let now = self.app.now();
         let model = self.model.as_deref();
-        self.app.slots.fleet.lock().end_attempt(&self.target.id, model, self.ended, now);
+        {
+            let mut fleet = self.app.slots.fleet.lock();
+            if self.is_call {
+                fleet.end_call(&self.target.id, self.ended, now);
+            } else {
+                fleet.end_attempt(&self.target.id, model, self.ended, now);
+            }
+        }
+        self.app.calls.assign_at(&self.target.id, &self.app.slots.fleet, now);
         if self.app.slots.has_waiters() {
             self.app.slots.slot_freed(&self.target.id, now);
         }
@@ -130,10 +147,16 @@
         {
             let mut fleet = self.slots.fleet.lock();
             match load {
-                Some(load) => fleet.report_load(replica, load, now),
+                Some(load) => {
+                    fleet.report_load(replica, load, now);
+                    if fleet.ignores_load(replica) {
+                        self.tally.ignored_load_reports.inc();
+                    }
+                }
                 None => fleet.report_no_load(replica),
             }
         }
+        self.calls.assign_at(replica, &self.slots.fleet, now);
         if self.slots.has_waiters() {
             self.slots.assign_at(replica, now);
         }
@@ -159,6 +182,7 @@
             target,
             model,
             ended: ReplicaOutcome::Abandoned,
+            is_call: false,
             _demand: Some(demand),
         })
     }
@@ -187,6 +211,7 @@
             target,
             model,
             ended: ReplicaOutcome::Abandoned,
+            is_call: false,
             _demand: None,
         })
     }
--- a/src/metrics/entry_metrics.rs
+++ b/src/metrics/entry_metrics.rs
@@ -170,6 +170,17 @@
 label!(DutyLabel, result: DutyOutcome);
 label!(PeerPurposeLabel, purpose: PeerPurpose);
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ServiceLabel {
+    service: String,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CallRefusalLabel {
+    service: String,
+    kind: Kind,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct PeerTrafficLabel {
     purpose: PeerPurpose,
@@ -183,6 +194,12 @@
     purpose: StorePurpose,
 }
 
+/// Returns a histogram of times. Bounds double from 1 ms to 16 s, to cover a fast store call and
+/// the longest request.
+fn seconds() -> Histogram {
+    Histogram::new(exponential_buckets(0.001, 2.0, 15))
+}
+
 /// The counters, gauges and histograms of an entry node.
 #[derive(Debug)]
 pub struct EntryMetrics {
@@ -200,20 +217,25 @@
     peer_bytes: Family<PeerTrafficLabel, Counter>,
     peer_messages: Family<PeerTrafficLabel, Counter>,
     peer_failures: Family<PeerPurposeLabel, Counter>,
+    calls_received: Family<ServiceLabel, Counter>,
+    calls_sent: Family<ServiceLabel, Counter>,
+    calls_refused: Family<CallRefusalLabel, Counter>,
+    calls_waiting: Family<ServiceLabel, Gauge>,
+    call_wait_seconds: Family<ServiceLabel, Histogram>,
     store_seconds: Histogram,
     request_seconds: Histogram,
     /// Jobs that this node runs.
     pub open_jobs: Gauge<i64, AtomicI64>,
     /// The version of the active routes; 0 if there are none.
     pub routes_version: Gauge<i64, AtomicI64>,
+    /// Load reports of replicas that count more requests than can be there.
+    pub ignored_load_reports: Counter,
     /// Log lines that the rate limit dropped.
     pub dropped_lines: Gauge<i64, AtomicI64>,
 }
 
 impl Default for EntryMetrics {
     fn default() -> Self {
-        // Bounds double from 1 ms to 16 s, to cover a fast store call and the longest request.
-        let seconds = || Histogram::new(exponential_buckets(0.001, 2.0, 15));
         let metrics = Self {
             registry: Mutex::new(Registry::with_prefix("mulberry")),
             refusals: Family::default(),
@@ -229,10 +251,16 @@
             peer_bytes: Family::default(),
             peer_messages: Family::default(),
             peer_failures: Family::default(),
+            calls_received: Family::default(),
+            calls_sent: Family::default(),
+            calls_refused: Family::default(),
+            calls_waiting: Family::default(),
+            call_wait_seconds: Family::new_with_constructor(seconds),
             store_seconds: seconds(),
             request_seconds: seconds(),
             open_jobs: Gauge::default(),
             routes_version: Gauge::default(),
+            ignored_load_reports: Counter::default(),
             dropped_lines: Gauge::default(),
         };
         metrics.register();
@@ -276,6 +304,16 @@
         registry.register("peer_messages", help, self.peer_messages.clone());
         let help = "Requests to other nodes that ended without a reply, by purpose";
         registry.register("peer_given_up", help, self.peer_failures.clone());
+        let help = "Requests without weights to a service whose replicas report their load";
+        registry.register("calls_received", help, self.calls_received.clone());
+        registry.register("calls_sent", "Those that got a slot", self.calls_sent.clone());
+        let help = "Those that got no slot, by kind";
+        registry.register("calls_refused", help, self.calls_refused.clone());
+        registry.register("calls_waiting", "Those that wait", self.calls_waiting.clone());
+        let help = "Time of those that found all replicas full until they were sent or refused";
+        registry.register("call_wait_seconds", help, self.call_wait_seconds.clone());
+        let help = "Load reports with more requests than can be there";
+        registry.register("load_reports_ignored", help, self.ignored_load_reports.clone());
         let help = "Time of answered calls to the store, watches aside";
         registry.register("store_seconds", help, self.store_seconds.clone());
         let help = "Time from a request's head to the head of its answer";
@@ -360,6 +398,32 @@
         self.peer_failures.get_or_create(&PeerPurposeLabel { purpose }).inc();
     }
 
+    /// Counts a request without weights to a service whose replicas report their load.
+    pub fn count_call_received(&self, service: &str) {
+        self.calls_received.get_or_create(&service_label(service)).inc();
+    }
+
+    /// Counts such a request that got a slot.
+    pub fn count_call_sent(&self, service: &str) {
+        self.calls_sent.get_or_create(&service_label(service)).inc();
+    }
+
+    /// Counts such a request that got no slot.
+    pub fn count_call_refused(&self, service: &str, kind: Kind) {
+        let service = service.to_owned();
+        self.calls_refused.get_or_create(&CallRefusalLabel { service, kind }).inc();
+    }
+
+    /// Sets how many such requests to a service wait.
+    pub fn set_waiting_calls(&self, service: &str, count: usize) {
+        self.calls_waiting.get_or_create(&service_label(service)).set(count as i64);
+    }
+
+    /// Records how long such a request waited for a slot.
+    pub fn observe_call_wait(&self, service: &str, waited: Duration) {
+        self.call_wait_seconds.get_or_create(&service_label(service)).observe(waited.as_secs_f64());
+    }
+
     /// Records the time from receiving a request to the head of its response.
     pub fn observe_request(&self, took: Duration) {
         self.request_seconds.observe(took.as_secs_f64());
@@ -370,3 +434,7 @@
         encode_text(&self.registry)
     }
 }
+
+fn service_label(service: &str) -> ServiceLabel {
+    ServiceLabel { service: service.to_owned() }
+}
--- a/standins/src/replicas/fleet.rs
+++ b/standins/src/replicas/fleet.rs
@@ -16,6 +16,7 @@
     Target, WeightOrder,
 };
 use parking_lot::Mutex;
+use tokio::sync::Semaphore;
 use tokio::time::Instant;
 
 use super::replica::{Behaviour, RecordedOrder, RecordedRun, Replica};
@@ -115,6 +116,27 @@
         self.with(id, |r| r.behaviour = behaviour);
     }
 
+    /// From now on a replica runs as many plain requests at the same time as it has slots, in the
+    /// order of their arrival, and reports how many run.
+    pub fn limit_slots(&self, id: &str) {
+        self.with(id, |r| r.slots = Some(Arc::new(Semaphore::new(SLOTS_PER_REPLICA as usize))));
+    }
+
+    /// Makes a replica report this load instead of its own.
+    pub fn report_load(&self, id: &str, load: ReplicaLoad) {
+        self.with(id, |r| r.false_load = Some(load));
+    }
+
+    /// The load that a replica reports.
+    fn load(&self, id: &str) -> ReplicaLoad {
+        let load = self.with(id, |r| {
+            let free = r.slots.as_ref().map(|slots| slots.available_permits() as u32);
+            let running = free.map_or(1, |free| SLOTS_PER_REPLICA - free);
+            r.false_load.unwrap_or(ReplicaLoad { running, waiting: 0 })
+        });
+        load.unwrap_or(ReplicaLoad { running: 1, waiting: 0 })
+    }
+
     /// Delays orders to a replica, which then get no response; none ends the delay.
     pub fn delay_orders(&self, id: &str, delay: Option<Duration>) {
         self.with(id, |r| r.order_delay = delay);
@@ -324,6 +346,11 @@
                 _ if is_stream => (StatusCode::OK, fleet.stream_events(&to, &call, behaviour, run)),
                 _ => {
                     let times = if let Behaviour::Slow(times) = behaviour { times } else { 1 };
+                    let slots = fleet.with(&to.id, |r| r.slots.clone()).flatten();
+                    let _slot = match &slots {
+                        Some(slots) => slots.acquire().await.ok(),
+                        None => None,
+                    };
                     tokio::time::sleep(PLAIN_RUN_TIME * times).await;
                     fleet.state.lock().runs[run].unfinished = false;
                     let body = Bytes::from(format!("answer to {}", call.id));
@@ -337,7 +364,7 @@
                 headers: HeaderMap::new(),
                 signature: Some(format!("signed {}", call.id).into()),
                 version: version.flatten(),
-                load: Some(ReplicaLoad { running: 1, waiting: 0 }),
+                load: Some(fleet.load(&to.id)),
                 body,
             })
         })
--- a/standins/src/replicas/replica.rs
+++ b/standins/src/replicas/replica.rs
@@ -1,10 +1,13 @@
 //! The state of one replica, and the records of its runs and orders.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use http::StatusCode;
 use mulberrycourse::Name;
+use mulberrycourse::edge::replica::ReplicaLoad;
+use tokio::sync::Semaphore;
 use tokio::time::Instant;
 
 /// How a replica behaves.
@@ -85,6 +88,11 @@
     pub order_delay: Option<Duration>,
     /// How many of the next status requests fail.
     pub failing_statuses: u32,
+    /// The slots in which plain requests run one after the other. Without them, any number runs at
+    /// the same time.
+    pub slots: Option<Arc<Semaphore>>,
+    /// The load that it reports instead of its own.
+    pub false_load: Option<ReplicaLoad>,
     /// Its start time in milliseconds, if it reports one.
     pub started_ms: Option<u64>,
 }
@@ -100,6 +108,8 @@
             busy_until: None,
             order_delay: None,
             failing_statuses: 0,
+            slots: None,
+            false_load: None,
             started_ms,
         }
     }
--- a/tests/entry/bulk.rs
+++ b/tests/entry/bulk.rs
@@ -94,6 +94,8 @@
     let world = World::new();
     for i in 0..80 {
         world.replicas.add("engines", &format!("m{i:02}"), &[MODEL]);
+        // Texts of all slots end together, and each has a reward call, which needs a slot too.
+        world.replicas.add("plain", &format!("q{i:02}"), &[]);
     }
     let a = world.node("a").await;
     let ids: Vec<String> = (0..1_600).map(|i| format!("i{i}")).collect();
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod bulk;
+mod calls;
 mod crashing_requests;
 mod failing_items;
 mod feeds;
