Test of nodes with few requests beside nodes with bursts

Cause: a node that trusts what replicas report of others could hold or refuse requests that a replica would run; no test had more than two nodes.

Change: 20 nodes at four replicas with slots.

--- a/standins/src/replicas/fleet.rs
+++ b/standins/src/replicas/fleet.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -59,6 +60,22 @@
     schema: TestSchema,
 }
 
+/// Counts a request that waits for a slot, until it is dropped.
+struct WaitCount<'a>(&'a AtomicU32);
+
+impl<'a> WaitCount<'a> {
+    fn begin(waiting: &'a AtomicU32) -> Self {
+        waiting.fetch_add(1, Ordering::Relaxed);
+        Self(waiting)
+    }
+}
+
+impl Drop for WaitCount<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 impl ReplicaFleet {
     /// An empty fleet that writes its entries to `service`.
     pub fn new(service: KvService, schema: TestSchema) -> Self {
@@ -117,7 +134,7 @@
     }
 
     /// From now on a replica runs as many plain requests at the same time as it has slots, in the
-    /// order of their arrival, and reports how many run.
+    /// order of their arrival, and reports how many run and wait.
     pub fn limit_slots(&self, id: &str) {
         self.with(id, |r| r.slots = Some(Arc::new(Semaphore::new(SLOTS_PER_REPLICA as usize))));
     }
@@ -132,7 +149,8 @@
         let load = self.with(id, |r| {
             let free = r.slots.as_ref().map(|slots| slots.available_permits() as u32);
             let running = free.map_or(1, |free| SLOTS_PER_REPLICA - free);
-            r.false_load.unwrap_or(ReplicaLoad { running, waiting: 0 })
+            let waiting = r.waiting.load(Ordering::Relaxed);
+            r.false_load.unwrap_or(ReplicaLoad { running, waiting })
         });
         load.unwrap_or(ReplicaLoad { running: 1, waiting: 0 })
     }
@@ -346,10 +364,13 @@
                 _ if is_stream => (StatusCode::OK, fleet.stream_events(&to, &call, behaviour, run)),
                 _ => {
                     let times = if let Behaviour::Slow(times) = behaviour { times } else { 1 };
-                    let slots = fleet.with(&to.id, |r| r.slots.clone()).flatten();
+                    let slots = fleet.with(&to.id, |r| (r.slots.clone(), r.waiting.clone()));
                     let _slot = match &slots {
-                        Some(slots) => slots.acquire().await.ok(),
-                        None => None,
+                        Some((Some(slots), waiting)) => {
+                            let _waits = WaitCount::begin(waiting);
+                            slots.acquire().await.ok()
+                        }
+                        Some((None, _)) | None => None,
                     };
                     tokio::time::sleep(PLAIN_RUN_TIME * times).await;
                     fleet.state.lock().runs[run].unfinished = false;
--- a/standins/src/replicas/replica.rs
+++ b/standins/src/replicas/replica.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
 use std::time::Duration;
 
 use http::StatusCode;
@@ -91,6 +92,8 @@
     /// The slots in which plain requests run one after the other. Without them, any number runs at
     /// the same time.
     pub slots: Option<Arc<Semaphore>>,
+    /// The number of plain requests that wait for a slot.
+    pub waiting: Arc<AtomicU32>,
     /// The load that it reports instead of its own.
     pub false_load: Option<ReplicaLoad>,
     /// Its start time in milliseconds, if it reports one.
@@ -109,6 +112,7 @@
             order_delay: None,
             failing_statuses: 0,
             slots: None,
+            waiting: Arc::default(),
             false_load: None,
             started_ms,
         }
--- a/tests/entry/calls.rs
+++ b/tests/entry/calls.rs
@@ -327,3 +327,51 @@
     assert!(started_at.elapsed() <= Duration::from_millis(600), "{:?}", started_at.elapsed());
     assert_eq!((runs_with_prefix(&world, "a"), runs_with_prefix(&world, "b")), (100, 100));
 }
+
+/// Guards against a node that refuses its few requests, or holds them for long, because of what it
+/// knows of the load of others: 16 nodes have a lookup now and then while three send bursts of 300
+/// requests per second together, to replicas that run 320.
+#[tokio::test(start_paused = true)]
+async fn nodes_with_few_requests_are_served_beside_nodes_with_bursts() {
+    let world = World::new();
+    for id in ["p1", "p2", "p3", "p4"] {
+        world.replicas.add("plain", id, &[]);
+        world.replicas.limit_slots(id);
+        world.replicas.set_behaviour(id, Behaviour::Slow(4));
+    }
+    let mut nodes = Vec::new();
+    for i in 0..20 {
+        nodes.push(world.node(&format!("n{i}")).await);
+    }
+    let (mut lookups, mut bursts) = (Vec::new(), Vec::new());
+    for second in 0..5 {
+        for node in [0, 5, 10] {
+            bursts.extend(spawn_requests(
+                &nodes[node],
+                &format!("b{second}-{node}-"),
+                "/once/x",
+                100,
+            ));
+        }
+        for i in (0..20).filter(|i| i % 5 != 0) {
+            lookups.extend(spawn_requests(&nodes[i], &format!("l{second}-{i}-"), "/once/x", 2));
+            sleep_ms(60).await;
+        }
+    }
+    let mut times = Vec::new();
+    for outcome in join_all(lookups).await {
+        let (response, took) = outcome.unwrap();
+        assert!(matches!(response, RelayResponse::Complete { .. }), "{response:?}");
+        times.push(took);
+    }
+    times.sort_unstable();
+    let slow = times[times.len() * 95 / 100];
+    assert!(slow <= Duration::from_millis(1_000), "{slow:?}");
+    let answered = join_all(bursts)
+        .await
+        .into_iter()
+        .filter(|outcome| matches!(outcome, Ok((RelayResponse::Complete { .. }, _))));
+    let answered = answered.count();
+    // What is left of the replicas' capacity in five seconds is about 1,440.
+    assert!(answered >= 1_350, "{answered}");
+}
