--- a/src/decide/fleet/fleet.rs
+++ b/src/decide/fleet/fleet.rs
@@ -46,7 +46,7 @@
 }
 
 impl Candidate<'_> {
-    fn order(&self, other: &Self) -> Ordering {
+    pub(super) fn order(&self, other: &Self) -> Ordering {
         self.penalties.cmp(&other.penalties).then(self.latency.total_cmp(&other.latency))
     }
 }
@@ -243,15 +243,16 @@
     /// was out of range and ignored.
     pub fn report_load(&mut self, id: &str, load: ReplicaLoad, now: Moment) -> bool {
         let Some(replica) = self.replicas.get_mut(id) else { return true };
-        let others = (load.running + load.waiting).saturating_sub(replica.running);
+        let others = load.running.saturating_add(load.waiting).saturating_sub(replica.running);
         replica.others = OtherLoad::new(others, now);
         replica.load_report = LoadReporting::At(now);
-        let Some(percent) = load.slowdown else { return true };
-        let valid = replica.machine.report(percent);
-        if valid {
+        let valid = load.slowdown.is_none_or(|percent| replica.machine.report(percent));
+        let reported = valid && load.slowdown.is_some();
+        if reported {
             let service = replica.listed.service.clone();
             self.speeds.entry(service).or_default().uneven.record_report();
         }
+        self.replicas.set_reports_load(id);
         valid
     }
 
@@ -321,7 +322,7 @@
 
     /// Returns the measure of a replica's speed that applies to an attempt, and the typical
     /// value of that measure in the service.
-    fn pace_and_typical<'a>(
+    pub(super) fn pace_and_typical<'a>(
         &self,
         replica: &'a Replica,
         request: &AttemptRequest<'_>,
@@ -338,7 +339,7 @@
 
     /// Whether excluded replicas of a service are left out of the choice: not if there are too
     /// many of them.
-    fn applies_exclusions(&self, service: &str, now: Moment) -> bool {
+    pub(super) fn applies_exclusions(&self, service: &str, now: Moment) -> bool {
         let excluded = self.excluded.iter().filter_map(|key| self.replicas.by_key(*key));
         let count =
             excluded.filter(|r| &*r.listed.service == service && r.excluded_until > now).count();
@@ -370,7 +371,7 @@
 
     /// Whether no request runs at a replica, as far as is known, and it is in this node's
     /// availability zone.
-    fn is_idle_and_near(&self, replica: &Replica, now: Moment) -> bool {
+    pub(super) fn is_idle_and_near(&self, replica: &Replica, now: Moment) -> bool {
         let near = self.zone.as_ref().is_none_or(|zone| *zone == replica.listed.zone);
         near && replica.running == 0 && replica.others.decayed(now) < 1.0
     }
--- a/src/decide/load/event_intervals.rs
+++ b/src/decide/load/event_intervals.rs
@@ -115,6 +115,11 @@
         self.reported = true;
     }
 
+    /// Whether a replica has reported the speed of its machine.
+    pub fn is_reported(&self) -> bool {
+        self.reported
+    }
+
     /// Records the measured intervals of all replicas, the shortest first.
     pub fn record_intervals(&mut self, sorted: &[f64], now: Moment) {
         if sorted.len() < MIN_MEASURED {
--- a/src/decide/routes.rs
+++ b/src/decide/routes.rs
@@ -109,6 +109,11 @@
         Self { version, limits, organisations: None, autoscales: Vec::new(), hosts }
     }
 
+    /// Whether only the organisations of the configuration may call.
+    pub fn has_organisations(&self) -> bool {
+        self.organisations.is_some()
+    }
+
     /// Sets the organisations that may call.
     pub fn for_organisations(self, organisations: Organisations) -> Self {
         Self { organisations: Some(organisations), ..self }
