Load reports that calls contradict do not count

Cause: each response renewed the weight of the reported requests of others, so a replica that always reports 2 to 6 requests per slot got a few requests per 200 ms although its slots were free.

Change: after four calls, 50 ms apart, that ended in the usual time, a replica's reports of 1.5 requests per slot or more do not count, until a call takes longer than this node's own requests explain. The usual time is the shortest mean at a replica of the service, which can double in ten minutes at most.

--- a/src/decide/fleet/calls.rs
+++ b/src/decide/fleet/calls.rs
@@ -12,6 +12,7 @@
 
 use super::fleet::{Candidate, SLOW_FACTOR};
 use super::replica::{Replica, fits};
+use super::report_check::{EndedCall, UsualTime};
 use super::table::ReplicaKey;
 use super::{AttemptRequest, Fleet, ReplicaOutcome};
 use crate::Moment;
@@ -20,7 +21,7 @@
 
 /// Age at which a report of others' requests no longer counts; until then its weight falls
 /// linearly. A call takes 20 to 80 ms, so that by then those that it counts have ended.
-const REPORT_LIFETIME: Duration = Duration::from_millis(200);
+pub(super) const REPORT_LIFETIME: Duration = Duration::from_millis(200);
 /// Requests per slot that may queue at a replica, so that its slots stay busy while an answer is on
 /// the way to a node and the next request is on its way back. A request waits there for at most
 /// the usual time of one.
@@ -192,6 +193,7 @@
         self.start_attempt(id, now);
         if let Some(replica) = self.replicas.get_mut(id) {
             replica.call_limit.start();
+            replica.report_check.call_began(replica.running, now);
         }
     }
 
@@ -211,6 +213,35 @@
             replica.call_limit.end();
         }
         self.end_attempt(id, None, outcome, now);
+        if let ReplicaOutcome::Answered { duration, .. } = outcome {
+            self.check_report(id, duration, now);
+        }
+    }
+
+    /// Checks the last report of a replica against the duration of a call that has just ended.
+    fn check_report(&mut self, id: &str, duration: Duration, now: Moment) {
+        let Some(replica) = self.replicas.get_mut(id) else { return };
+        let Some(mean) = replica.pace.mean() else { return };
+        let service = &replica.listed.service;
+        let usual = match self.usual_times.get_mut(service) {
+            Some(usual) => usual.record(mean, now),
+            None => {
+                self.usual_times.insert(service.clone(), UsualTime::new(mean, now));
+                mean
+            }
+        };
+        if now.saturating_sub(replica.others.at()) > REPORT_LIFETIME {
+            return;
+        }
+        // The call itself no longer counts as running, but did when the replica reported.
+        let own = replica.running.saturating_add(1);
+        let call = EndedCall {
+            seconds: duration.as_secs_f64(),
+            reported: own.saturating_add(replica.others.count()),
+            own,
+            slots: replica.listed.slots,
+        };
+        replica.report_check.record(call, usual, now);
     }
 }
 
@@ -256,7 +287,7 @@
         if room == 0 {
             return Err(None);
         }
-        if !self.others_are_plausible() {
+        if !self.others_are_plausible() || !self.report_check.believes_reports() {
             return Ok(());
         }
         let others = self.others.count();
--- a/src/decide/fleet/fleet.rs
+++ b/src/decide/fleet/fleet.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use super::replica::{LoadReporting, Replica, fits};
+use super::report_check::UsualTime;
 use super::service_speed::ServiceSpeed;
 use super::table::{ReplicaKey, ReplicaTable};
 use super::{AttemptRequest, ListedReplica, ReplicaOutcome};
@@ -64,6 +65,8 @@
     pub(super) measured: HashSet<ReplicaKey>,
     /// Typical time per unit of cost of the attempts of each service.
     pub(super) typical_pace: HashMap<Name, LatencyEstimate>,
+    /// The usual time of the calls to each service.
+    pub(super) usual_times: HashMap<Name, UsualTime>,
     /// When the typical event interval of each service was last computed.
     pub(super) interval_updates: HashMap<Name, Moment>,
     /// The event interval that a quarter of a service's replicas do not exceed, in seconds.
@@ -88,6 +91,7 @@
             excluded: HashSet::new(),
             measured: HashSet::new(),
             typical_pace: HashMap::new(),
+            usual_times: HashMap::new(),
             typical_intervals: HashMap::new(),
             interval_updates: HashMap::new(),
             speeds: HashMap::new(),
--- a/src/decide/fleet/mod.rs
+++ b/src/decide/fleet/mod.rs
@@ -7,6 +7,7 @@
 mod pace;
 mod replica;
 mod replica_outcome;
+mod report_check;
 mod service_speed;
 mod slot_queue;
 mod table;
--- a/src/decide/fleet/replica.rs
+++ b/src/decide/fleet/replica.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::calls::call_limit;
+use super::report_check::ReportCheck;
 use super::{AttemptRequest, ListedReplica};
 use crate::decide::load::{EventInterval, MachineSpeed};
 use crate::decide::{ConcurrencyLimit, FailureTracker, LatencyEstimate, OtherLoad};
@@ -23,6 +24,8 @@
     pub others: OtherLoad,
     /// What the latency of this node's plain requests says about how many it may have there.
     pub call_limit: ConcurrencyLimit,
+    /// Whether its reports of its load agree with the time that plain requests take there.
+    pub report_check: ReportCheck,
     /// Time per unit of cost of the attempts there.
     pub pace: LatencyEstimate,
     /// Time between the events of its streams.
@@ -50,6 +53,7 @@
         Self {
             versions: listed.versions.iter().cloned().collect(),
             call_limit: call_limit(listed.slots),
+            report_check: ReportCheck::default(),
             listed,
             running: 0,
             others: OtherLoad::default(),
--- a/tests/call_queue.rs
+++ b/tests/call_queue.rs
@@ -434,3 +434,54 @@
         assert_eq!(service.sent.len(), 100);
     }
 }
+
+/// Runs calls one after another at replica 0, each of which takes `duration` and reports 2 requests
+/// per slot at its end. Returns when the last one ended.
+fn run_calls_with_full_reports(service: &mut Service, count: u32, duration: Duration) -> Moment {
+    let mut now = START;
+    for _ in 0..count {
+        service.fleet.start_call(&id(0), now);
+        now += duration;
+        let load = ReplicaLoad { running: SLOTS, waiting: SLOTS, slowdown: None };
+        service.fleet.report_load(&id(0), load, now);
+        let end = ReplicaOutcome::Answered { duration, cost: 1 };
+        service.fleet.end_call(&id(0), end, now);
+    }
+    now
+}
+
+/// Guards against a replica that always reports to be full, and gets a few calls per 200 ms because
+/// of it.
+#[test]
+fn a_full_report_does_not_count_while_calls_end_in_the_usual_time() {
+    let mut service = Service::new(1);
+    let now = run_calls_with_full_reports(&mut service, 20, WORK);
+    (0..SLOTS).for_each(|n| service.submit(n, live("", now + ms(800)), now));
+    assert_eq!(service.sent.len(), SLOTS as usize);
+}
+
+/// Guards against a true report that is ignored: calls take longer, were answered just as a burst
+/// of others arrived, or are slow again after a time in which reports were false.
+#[test]
+fn a_full_report_counts_unless_calls_contradict_it_for_long() {
+    let mut slow = Service::new(1);
+    let mut now = run_calls_with_full_reports(&mut slow, 200, 2 * WORK);
+    slow.submit(1, live("", now + ms(800)), now);
+    assert!(slow.sent.is_empty());
+
+    let mut burst = Service::new(1);
+    (0..SLOTS).for_each(|_| burst.fleet.start_call(&id(0), START));
+    for _ in 0..SLOTS {
+        let load = ReplicaLoad { running: SLOTS, waiting: 4 * SLOTS, slowdown: None };
+        burst.fleet.report_load(&id(0), load, START + WORK);
+        burst.fleet.end_call(&id(0), answered(), START + WORK);
+    }
+    burst.submit(1, live("", START + ms(800)), START + WORK);
+    assert!(burst.sent.is_empty());
+
+    let mut changed = Service::new(1);
+    run_calls_with_full_reports(&mut changed, 20, WORK);
+    now = run_calls_with_full_reports(&mut changed, 1, 2 * WORK);
+    changed.submit(1, live("", now + ms(800)), now);
+    assert!(changed.sent.is_empty());
+}
--- a/tests/entry/calls.rs
+++ b/tests/entry/calls.rs
@@ -375,3 +375,26 @@
     // What is left of the replicas' capacity in five seconds is about 1,440.
     assert!(answered >= 1_350, "{answered}");
 }
+
+/// Guards against a lasting figure that is false: requests are refused or held while slots are free.
+#[tokio::test(start_paused = true)]
+async fn lasting_false_load_figures_do_not_take_the_capacity_of_a_service() {
+    for (running, waiting) in [(8, 8), (8, 24), (8, 40)] {
+        let (world, node) = limited_world().await;
+        for id in ["p1", "p2"] {
+            world.replicas.report_load(id, ReplicaLoad { running, waiting, slowdown: None });
+        }
+        // 200 requests per second to replicas that run 640.
+        let mut requests = Vec::new();
+        for i in 0..800 {
+            requests.extend(spawn_requests(&node, &format!("r{i}-"), "/once/x", 1));
+            sleep_ms(5).await;
+        }
+        let mut refused = 0;
+        for outcome in join_all(requests).await {
+            refused += usize::from(matches!(outcome.unwrap().0, RelayResponse::Refused(_)));
+        }
+        // Some are refused until enough calls have contradicted the figure.
+        assert!(refused <= 40, "{refused} of 800 refused for {running}, {waiting}");
+    }
+}
