Requests wait while all replicas say that they are full

Cause: a replica that says that it is full was only excluded, and exclusions do not apply to more than a third of the replicas. If all were full, requests were sent again at once and used up their attempts within milliseconds.

Change: the time of the last such answer is kept apart from exclusions, and the replica has no room for calls for 100 ms. The answer does not count as an attempt of a live request that took its slot through the queue, so that only its deadline and the route's timeout limit it. Reward calls are limited as before, since their deadline moves with their waits.

--- a/src/decide/fleet/calls.rs
+++ b/src/decide/fleet/calls.rs
@@ -270,6 +270,9 @@
     /// Whether there is room for one more call. The limit is never below the number of slots:
     /// [`ConcurrencyLimit`] can only raise it.
     fn call_room(&self, now: Moment) -> CallRoom {
+        if self.full_until > now {
+            return CallRoom::Full(Some(self.full_until));
+        }
         let slots = self.listed.slots;
         let queued = (f64::from(slots) * QUEUED_PER_SLOT).ceil() as u32;
         let limit = slots.saturating_add(queued).max(self.call_limit.level());
--- a/src/decide/fleet/fleet.rs
+++ b/src/decide/fleet/fleet.rs
@@ -432,7 +432,8 @@
                     .record(cost, duration, now);
             }
             ReplicaOutcome::Full => {
-                replica.excluded_until = replica.excluded_until.max(now + FULL_EXCLUSION)
+                replica.excluded_until = replica.excluded_until.max(now + FULL_EXCLUSION);
+                replica.full_until = now + FULL_EXCLUSION;
             }
             ReplicaOutcome::Loading => {
                 if let Some(model) = model {
--- a/src/decide/fleet/replica.rs
+++ b/src/decide/fleet/replica.rs
@@ -37,6 +37,9 @@
     pub failures: FailureTracker,
     /// Until when it is excluded from the choice.
     pub excluded_until: Moment,
+    /// Until when it gets no call because it said that it is full. Unlike an exclusion, this
+    /// applies however many replicas are full.
+    pub full_until: Moment,
     /// Version of each model that it was last seen at.
     pub versions: HashMap<Name, u64>,
     /// When the last attempt began there.
@@ -63,6 +66,7 @@
             machine: MachineSpeed::default(),
             failures: FailureTracker::default(),
             excluded_until: Moment::ZERO,
+            full_until: Moment::ZERO,
             began: Moment::ZERO,
             load_report: LoadReporting::Unknown,
             loading: HashMap::new(),
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -407,9 +407,17 @@
             attempt = self.attempts,
             %failure
         );
+        let full = matches!(failure, CallError::NotRun(_));
+        self.may_wait = !self.route.streaming && full;
+        if full && slot.is_call() && self.reward.is_none() {
+            // It waits until a replica has room, so that only its deadline counts. The deadline of
+            // a reward call moves with its waits; its sender makes it again until the retention.
+            self.history.record(AttemptOutcome::Refused);
+            self.attempts -= 1;
+            return RelayStep::Retry;
+        }
         self.avoid.push(slot.target.id.clone());
         self.tried += 1;
-        self.may_wait = !self.route.streaming && matches!(failure, CallError::NotRun(_));
         if failure.not_run() {
             self.history.record(AttemptOutcome::Refused);
             // The replica did not run the request, so the attempt does not count toward the
--- a/src/entry/slots.rs
+++ b/src/entry/slots.rs
@@ -114,6 +114,11 @@
         Self { app, target, model: None, ended, is_call: true, _demand: None }
     }
 
+    /// Whether it is the slot of a call that waits while all replicas are full.
+    pub(super) fn is_call(&self) -> bool {
+        self.is_call
+    }
+
     /// Sets how the attempt ended; [`ReplicaOutcome::Abandoned`] if this is never called.
     pub(super) fn set_end(&mut self, ended: ReplicaOutcome) {
         self.ended = ended;
--- a/tests/call_queue.rs
+++ b/tests/call_queue.rs
@@ -485,3 +485,22 @@
     changed.submit(1, live("", now + ms(800)), now);
     assert!(changed.sent.is_empty());
 }
+
+/// Guards against calls that are sent again and again to replicas that have just said that they are
+/// full.
+#[test]
+fn calls_wait_while_all_replicas_say_that_they_are_full() {
+    for replicas in [1, 2, 100] {
+        let mut service = Service::new(replicas);
+        for i in 0..replicas {
+            service.fleet.start_call(&id(i), START);
+            service.fleet.end_call(&id(i), ReplicaOutcome::Full, START);
+        }
+        service.submit(1, live("", START + ms(800)), START + ms(1));
+        assert!(service.sent.is_empty(), "{replicas}");
+        service.tick(START + ms(90));
+        assert!(service.sent.is_empty(), "{replicas}");
+        service.tick(START + ms(101));
+        assert_eq!(service.sent_numbers(), [1], "{replicas}");
+    }
+}
--- a/tests/entry/calls.rs
+++ b/tests/entry/calls.rs
@@ -398,3 +398,41 @@
         assert!(refused <= 40, "{refused} of 800 refused for {running}, {waiting}");
     }
 }
+
+/// Guards against requests that use up their attempts within milliseconds while all replicas say
+/// that they are full.
+#[tokio::test(start_paused = true)]
+async fn requests_wait_while_all_replicas_say_that_they_are_full() {
+    let (world, node) = limited_world().await;
+    for id in ["p1", "p2"] {
+        world.replicas.set_behaviour(id, Behaviour::Full);
+    }
+    let requests = spawn_requests(&node, "r", "/once/x", 20);
+    sleep_ms(1_000).await;
+    assert!(requests.iter().all(|request| !request.is_finished()));
+    for id in ["p1", "p2"] {
+        world.replicas.set_behaviour(id, Behaviour::Normal);
+    }
+    for outcome in join_all(requests).await {
+        let (response, took) = outcome.unwrap();
+        assert!(matches!(response, RelayResponse::Complete { .. }), "{response:?}");
+        assert!(took <= Duration::from_millis(1_250), "{took:?}");
+    }
+    assert_eq!(runs_with_prefix(&world, "r"), 20);
+}
+
+/// Guards against requests that wait beyond their deadline for replicas that stay full.
+#[tokio::test(start_paused = true)]
+async fn requests_are_refused_by_their_deadline_while_all_replicas_stay_full() {
+    let (world, node) = limited_world().await;
+    for id in ["p1", "p2"] {
+        world.replicas.set_behaviour(id, Behaviour::Full);
+    }
+    for outcome in join_all(spawn_requests(&node, "r", "/once/x", 40)).await {
+        let (response, took) = outcome.unwrap();
+        let RelayResponse::Refused(refusal) = response else { panic!("{response:?}") };
+        assert_eq!(refusal.run(), RunStatus::NotRun);
+        assert!(took <= Duration::from_millis(2_010), "{took:?}");
+    }
+    assert_eq!(runs_with_prefix(&world, "r"), 0);
+}
