Calls wait for a full replica beside draining ones

Cause: choose_for_call took "no replica fits now" for "no replica accepts work", and all waiting calls were refused with no_upstream because the only replica that accepts work had said once that it is full.

Change: it returns NoReplica only if no replica of the service is listed and not draining, and Full otherwise.

Evidence: calls_wait_for_a_full_replica_beside_a_draining_one failed before (2 of 2 refused).

--- a/src/decide/fleet/calls.rs
+++ b/src/decide/fleet/calls.rs
@@ -92,7 +92,11 @@
         if self.is_large() {
             return self.choose_open(&request, now);
         }
-        let Some(target) = self.choose(&request, now) else { return CallChoice::NoReplica };
+        let Some(target) = self.choose(&request, now) else {
+            // Replicas that are excluded for a time accept work again.
+            let accepts = self.accepts_calls(request.service);
+            return if accepts { CallChoice::Full } else { CallChoice::NoReplica };
+        };
         let has_room = |r: &Replica| !matches!(r.call_room(now), CallRoom::Full(_));
         if self.replicas.get(&target.id).is_some_and(has_room) {
             return CallChoice::Send(target);
--- a/tests/call_queue.rs
+++ b/tests/call_queue.rs
@@ -504,3 +504,19 @@
         assert_eq!(service.sent_numbers(), [1], "{replicas}");
     }
 }
+
+/// Guards against calls that are refused because the only replica that accepts work said once that
+/// it is full.
+#[test]
+fn calls_wait_for_a_full_replica_beside_a_draining_one() {
+    let mut service = Service::new(2);
+    let listed = service.fleet.get(&id(1)).unwrap().clone();
+    service.fleet.upsert(ListedReplica { draining: true, ..listed });
+    service.fleet.start_call(&id(0), START);
+    service.fleet.end_call(&id(0), ReplicaOutcome::Full, START);
+    (1..=2).for_each(|n| service.submit(n, live("", START + ms(800)), START + ms(1)));
+    service.tick(START + ms(10));
+    assert_eq!((service.queue.len(), service.refused.len()), (2, 0));
+    service.tick(START + ms(101));
+    assert_eq!(service.sent, [(1, id(0)), (2, id(0))]);
+}
