A call that is dropped before it receives its slot releases it

Cause: a call without a ticket, which was decided at once, released nothing when its future was dropped before it received the decision, and its slot stayed taken for good.

Change: the slot is released whether there is a ticket or not.

--- a/src/entry/calls.rs
+++ b/src/entry/calls.rs
@@ -247,9 +247,10 @@
 
 impl Drop for WaitingCall<'_> {
     fn drop(&mut self) {
-        let Some(ticket) = self.ticket else { return };
-        self.app.calls.cancel(self.service, ticket);
-        // A slot that was assigned but never used is released.
+        if let Some(ticket) = self.ticket {
+            self.app.calls.cancel(self.service, ticket);
+        }
+        // A slot that was assigned but never used is released, also one that was assigned at once.
         self.decided.close();
         if let Ok(CallDecision::Send(target)) = self.decided.try_recv() {
             let now = self.app.now();
--- a/tests/entry/calls.rs
+++ b/tests/entry/calls.rs
@@ -1,16 +1,21 @@
 //! Tests of live requests and reward calls while the replicas of a plain service are full.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use futures_util::poll;
+use mulberrycourse::decide::{Caller, KeyDigest, Organisation, Organisations, RetryPolicy};
 use mulberrycourse::edge::replica::ReplicaLoad;
 use mulberrycourse::entry::RelayResponse;
 use mulberrycourse::error::{Kind, RunStatus};
 use standins::replicas::Behaviour;
 use tokio::time::Instant;
 
-use crate::world::{HOST, Node, World, assert_completed, relay_request, sleep_ms, wait_until};
+use crate::world::{
+    HOST, Node, World, assert_completed, relay_request, route, routes, sleep_ms, wait_until,
+};
 
 /// Requests that one node has in flight at most at the two plain replicas at first: 8 slots, and 4
 /// in the queue of each.
@@ -194,22 +199,41 @@
     }
 }
 
-/// Guards against a change of the configuration, such as the removal of a key, that loses requests
-/// that were accepted before.
+/// Guards against a change of the configuration that loses requests that were accepted before: the
+/// organisation that sent them has no key any more.
 #[tokio::test(start_paused = true)]
 async fn waiting_requests_are_answered_after_a_change_of_the_configuration() {
     let (world, node) = limited_world().await;
     for id in ["p1", "p2"] {
         world.replicas.set_behaviour(id, Behaviour::Slow(8));
     }
-    let requests = spawn_requests(&node, "r", "/once/x", 60);
+    let key = KeyDigest::of(b"key");
+    let holder = Organisation { name: "acme".into(), priority: None, keys: vec![key] };
+    let holders = Organisations::new(vec![holder]).0;
+    world.write_routes(routes(2, Vec::new()).for_organisations(holders), "");
+    wait_until(|| node.app().routes().unwrap().version == 2).await;
+    let current = node.app().routes().unwrap();
+    assert_eq!(current.caller(Some(key)).organisation(), Some(&"acme".into()));
+    let route = current.find(HOST, "/once/x").cloned().unwrap();
+    let send = |i| {
+        let (app, route) = (node.app().clone(), route.clone());
+        let mut request = relay_request(&format!("r{i}"), "/once/x");
+        request.organisation = Some("acme".into());
+        tokio::spawn(async move { app.relay(&route, request).await })
+    };
+    let requests: Vec<_> = (0..60).map(send).collect();
     sleep_ms(5).await;
-    world.configure(2);
+    assert_eq!(metric(&node, "mulberry_calls_waiting{service=\"plain\"}"), 60 - CAPACITY as u64);
+    let no_holders = Organisations::new(Vec::new()).0;
+    world.write_routes(routes(3, Vec::new()).for_organisations(no_holders), "");
+    sleep_ms(50).await;
+    let current = node.app().routes().unwrap();
+    assert_eq!((current.version, current.caller(Some(key))), (3, Caller::Unknown));
+    assert!(metric(&node, "mulberry_calls_waiting{service=\"plain\"}") > 0);
     for outcome in join_all(requests).await {
-        let response = outcome.unwrap().0;
+        let response = outcome.unwrap();
         assert!(matches!(response, RelayResponse::Complete { .. }), "{response:?}");
     }
-    assert_eq!(node.app().routes().unwrap().version, 2);
 }
 
 /// Guards against requests that wait for replicas that no longer accept work.
@@ -436,3 +460,61 @@
     }
     assert_eq!(runs_with_prefix(&world, "r"), 0);
 }
+
+/// Guards against a slot that stays taken because the future of a request was dropped after a slot
+/// was assigned at once, and before it received it.
+#[tokio::test(start_paused = true)]
+async fn a_slot_that_was_assigned_at_once_is_released_if_the_request_is_dropped() {
+    let (world, node) = limited_world().await;
+    world.replicas.add("other", "o1", &[]);
+    world.replicas.limit_slots("o1");
+    world.write_routes(routes(2, vec![route("/other/", "other", RetryPolicy::Never)]), "");
+    wait_until(|| node.app().routes().unwrap().version == 2).await;
+    wait_until(|| node.app().replica_count() == 6).await;
+    relay(&node, "other", "/other/x").await;
+    // While requests to one service wait, those to another one pass through its queue.
+    for id in ["p1", "p2"] {
+        world.replicas.set_behaviour(id, Behaviour::Slow(20));
+    }
+    let running = spawn_requests(&node, "r", "/plain/x", CAPACITY + 4);
+    sleep_ms(5).await;
+    assert_eq!(metric(&node, "mulberry_calls_waiting{service=\"plain\"}"), 4);
+    for i in 0..CAPACITY {
+        // Without budget, the request is suspended when it receives its slot.
+        while poll!(pin!(tokio::task::consume_budget())).is_ready() {}
+        assert!(poll!(pin!(relay(&node, &format!("dropped{i}"), "/other/x"))).is_pending());
+        tokio::task::yield_now().await;
+    }
+    for outcome in join_all(spawn_requests(&node, "later", "/other/x", 8)).await {
+        let (response, took) = outcome.unwrap();
+        assert!(matches!(response, RelayResponse::Complete { .. }), "{response:?}");
+        assert!(took <= Duration::from_millis(30), "{took:?}");
+    }
+    drop(running);
+}
+
+/// Guards against a slot that stays taken because the future of a waiting request was dropped after
+/// a slot was assigned.
+#[tokio::test(start_paused = true)]
+async fn a_slot_that_was_assigned_after_a_wait_is_released_if_the_request_is_dropped() {
+    let (world, node) = limited_world().await;
+    for id in ["p1", "p2"] {
+        world.replicas.set_behaviour(id, Behaviour::Slow(4));
+    }
+    let running = spawn_requests(&node, "r", "/plain/x", CAPACITY);
+    sleep_ms(5).await;
+    let mut dropped: Vec<_> =
+        (0..4).map(|i| Box::pin(relay(&node, ["d0", "d1", "d2", "d3"][i], "/plain/x"))).collect();
+    for request in &mut dropped {
+        assert!(poll!(request).is_pending());
+    }
+    assert_eq!(metric(&node, "mulberry_calls_waiting{service=\"plain\"}"), 4);
+    join_all(running).await;
+    assert_eq!(metric(&node, "mulberry_calls_waiting{service=\"plain\"}"), 0);
+    drop(dropped);
+    let later = spawn_requests(&node, "later", "/plain/x", CAPACITY);
+    sleep_ms(5).await;
+    assert_eq!(metric(&node, "mulberry_calls_waiting{service=\"plain\"}"), 0);
+    join_all(later).await;
+    assert_eq!(runs_with_prefix(&world, "d"), 0);
+}
--- a/tests/entry/world.rs
+++ b/tests/entry/world.rs
@@ -98,28 +98,21 @@
 
     /// Writes the routes as this version of the configuration, with further routes as text.
     pub(crate) fn configure_with(&self, version: u64, extra_routes: &str) {
-        let routes = vec![
-            route("/jobs/", "engines", RetryPolicy::Never),
-            route("/plain/", "plain", RetryPolicy::Rerun),
-            route("/once/", "plain", RetryPolicy::Never),
-            route("/text/", "engines", RetryPolicy::Resume),
-        ];
-        let routes = Routes::new(version, RequestLimits::default(), routes).with_autoscales(vec![
-            Autoscale {
-                service: "engines".into(),
-                min: 1,
-                max: 9,
-                boot_time: Duration::from_secs(4),
-                spot: false,
-                prices: [("z".into(), 1.0)].into(),
-            },
-        ]);
-        self.schema.write_padded_directive(
-            &self.kv,
-            "config",
-            Directive::Routes(routes),
-            extra_routes,
-        );
+        let routes = routes(version, Vec::new()).with_autoscales(vec![Autoscale {
+            service: "engines".into(),
+            min: 1,
+            max: 9,
+            boot_time: Duration::from_secs(4),
+            spot: false,
+            prices: [("z".into(), 1.0)].into(),
+        }]);
+        self.write_routes(routes, extra_routes);
+    }
+
+    /// Writes a configuration with these routes, followed by further routes as text.
+    pub(crate) fn write_routes(&self, routes: Routes, extra_routes: &str) {
+        let directive = Directive::Routes(routes);
+        self.schema.write_padded_directive(&self.kv, "config", directive, extra_routes);
     }
 
     /// Names a weight version, as a trainer does.
@@ -308,7 +301,19 @@
     EntrySettings::read(&Document::parse("test", &text).unwrap()).unwrap()
 }
 
-fn route(prefix: &str, service: &str, retry_policy: RetryPolicy) -> Route {
+/// The routes of every kind, and further ones.
+pub(crate) fn routes(version: u64, further: Vec<Route>) -> Routes {
+    let mut routes = vec![
+        route("/jobs/", "engines", RetryPolicy::Never),
+        route("/plain/", "plain", RetryPolicy::Rerun),
+        route("/once/", "plain", RetryPolicy::Never),
+        route("/text/", "engines", RetryPolicy::Resume),
+    ];
+    routes.extend(further);
+    Routes::new(version, RequestLimits::default(), routes)
+}
+
+pub(crate) fn route(prefix: &str, service: &str, retry_policy: RetryPolicy) -> Route {
     Route {
         name: prefix.into(),
         host: HOST.into(),
