Reward calls do not delay the retries of live requests

Cause: each reward call whose wait ended took a place in the retry schedule of its service, which pushed the Retry-After of live requests up to 30 s.

Change: such a refusal gets the default Retry-After; its sender asks again 25 ms later in any case.

Evidence: reward_calls_whose_wait_ends_do_not_delay_the_retries_of_live_requests failed before.

--- a/src/decide/load/call_queue.rs
+++ b/src/decide/load/call_queue.rs
@@ -20,6 +20,7 @@
 
 use super::TextLength;
 use super::grant_rate::GrantRate;
+use crate::decide::retry_after::DEFAULT_RETRY_AFTER;
 use crate::decide::{
     AttemptRequest, Call, CallChoice, Class, Deadlines, Fleet, QueuePosition, Repeat, RequestQueue,
     RetrySchedule, WaitEstimate,
@@ -288,7 +289,13 @@
     /// Refuses a call that can't be answered in time.
     fn refuse(&mut self, ticket: CallTicket, detail: &str, estimate: &WaitEstimate, now: Moment) {
         let Some(waiting) = self.remove(ticket) else { return };
-        let refusal = self.refusal(Kind::DeadlineUnreachable, detail, estimate, now);
+        let refusal = match waiting.request.class {
+            Class::Live => self.refusal(Kind::DeadlineUnreachable, detail, estimate, now),
+            // Its sender asks again soon whatever the refusal says, and must not take a place in
+            // the schedule of the live requests' retries.
+            Class::Training => Refusal::new(Kind::DeadlineUnreachable, detail)
+                .with_retry_after(DEFAULT_RETRY_AFTER),
+        };
         self.decisions.push((waiting.item, CallDecision::Refuse(refusal)));
     }
 
@@ -377,6 +384,5 @@
 }
 
 fn no_upstream() -> Refusal {
-    Refusal::new(Kind::NoUpstream, "no replica accepts work")
-        .with_retry_after(crate::decide::retry_after::DEFAULT_RETRY_AFTER)
+    Refusal::new(Kind::NoUpstream, "no replica accepts work").with_retry_after(DEFAULT_RETRY_AFTER)
 }
--- a/tests/call_queue.rs
+++ b/tests/call_queue.rs
@@ -520,3 +520,18 @@
     service.tick(START + ms(101));
     assert_eq!(service.sent, [(1, id(0)), (2, id(0))]);
 }
+
+/// Guards against live requests that are told to retry after half a minute because the waits of
+/// many reward calls have ended.
+#[test]
+fn reward_calls_whose_wait_ends_do_not_delay_the_retries_of_live_requests() {
+    let mut service = Service::full(1);
+    (0..500).for_each(|n| service.submit(n, reward(START + ms(2_000)), START));
+    service.tick(START + ms(1_990));
+    assert_eq!(service.refused.len(), 500);
+    service.refused.clear();
+    service.submit(500, live("", START + ms(2_001)), START + ms(2_000));
+    assert_eq!(service.refused.len(), 1);
+    let after = service.refused[0].2;
+    assert!(after <= ms(2_000), "{after:?}");
+}
