Calls that left the queue no longer count as ahead of others

Cause: a check took the calls ahead of a request from its arrival, less those that were served since. Calls that were cancelled or refused still counted, and a request alone in the queue was refused.

Change: no more calls count as ahead than a new request would have ahead of it, without the request itself.

Evidence: calls_that_left_the_queue_do_not_count_as_ahead failed before.

--- a/src/decide/load/call_queue.rs
+++ b/src/decide/load/call_queue.rs
@@ -213,7 +213,9 @@
         let served = self.served[index(class)] - waiting.served;
         let ahead = (waiting.ahead - served as f64).max(0.0);
         let estimate = self.estimate(&waiting.call, waiting.request.priority, fleet, now);
-        let estimate = WaitEstimate { cost_ahead: ahead, ..estimate };
+        // Calls ahead of it may have left the queue without being served.
+        let still_ahead = (estimate.cost_ahead - f64::from(waiting.call.cost)).max(0.0);
+        let estimate = WaitEstimate { cost_ahead: ahead.min(still_ahead), ..estimate };
         let latest = estimate.latest_start(deadline);
         let in_time = class == Class::Training || estimate.in_time(now, deadline);
         if latest <= now || !in_time {
--- a/tests/call_queue.rs
+++ b/tests/call_queue.rs
@@ -535,3 +535,18 @@
     let after = service.refused[0].2;
     assert!(after <= ms(2_000), "{after:?}");
 }
+
+/// Guards against a request that is refused because of calls ahead of it that have left the queue.
+#[test]
+fn calls_that_left_the_queue_do_not_count_as_ahead() {
+    let mut service = Service::full(1);
+    let request = live("", START + ms(800));
+    let tickets: Vec<_> = (0..40)
+        .map(|n| service.queue.submit(request.clone(), n, &mut service.fleet, START).unwrap())
+        .collect();
+    tickets[..39].iter().for_each(|ticket| assert!(service.queue.cancel(*ticket)));
+    (1..70).for_each(|n| service.tick(START + ms(10 * n)));
+    assert_eq!((service.queue.len(), service.refused.len()), (1, 0));
+    service.end_one(0, START + ms(700));
+    assert_eq!(service.sent_numbers(), [39]);
+}
