A waiting call is sent until its deadline

Cause: before a call was sent, the time left had to be 1.25 times the usual time of a call. One at the head of the queue was refused although a place had just become free.

Change: the margin decides only whether a call waits. When its turn comes, it is sent unless its deadline has passed.

Evidence: a_waiting_call_is_sent_until_its_deadline failed before.

--- a/src/decide/load/call_queue.rs
+++ b/src/decide/load/call_queue.rs
@@ -182,9 +182,10 @@
     pub fn assign(&mut self, fleet: &mut Fleet, now: Moment) {
         while let Some(ticket) = self.next() {
             let request = self.waiting[ticket].request.clone();
-            let estimate = self.estimate(&self.waiting[ticket].call, request.priority, fleet, now);
-            if !estimate.in_time_now(now, request.deadline) {
-                self.refuse(ticket, "less time is left than the request takes", &estimate, now);
+            if request.deadline <= now {
+                let call = &self.waiting[ticket].call;
+                let estimate = self.estimate(call, request.priority, fleet, now);
+                self.refuse(ticket, "the deadline passed while the request waited", &estimate, now);
                 continue;
             }
             match self.choose(&request, fleet, now) {
--- a/tests/call_queue.rs
+++ b/tests/call_queue.rs
@@ -550,3 +550,19 @@
     service.end_one(0, START + ms(700));
     assert_eq!(service.sent_numbers(), [39]);
 }
+
+/// Guards against a call that is refused although a place has just become free and its deadline has
+/// not passed.
+#[test]
+fn a_waiting_call_is_sent_until_its_deadline() {
+    let mut service = Service::full(1);
+    service.submit(1, live("", START + ms(40)), START);
+    service.submit(2, live("", START + ms(41)), START);
+    service.submit(3, live("", START + ms(42)), START);
+    assert_eq!(service.queue.len(), 3);
+    service.end_one(0, START + ms(30));
+    assert_eq!(service.sent_numbers(), [1]);
+    service.end_one(0, START + ms(41));
+    assert_eq!(service.sent_numbers(), [1, 3]);
+    assert_eq!(service.refused[0].0, 2);
+}
