A request whose deadline passes before it takes its slot is not sent

Cause: the deadline was checked before the wait for a slot only.

Change: it is checked again after the wait. The deadline of a reward call moves with its wait and is not.

Evidence: no test; a deadline between the grant and the request's next step could not be brought about on the paused clock. The tests of entry and call_queue pass, but for the known crashing_requests.

--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -252,6 +252,9 @@
             Ok(slot) => slot,
             Err(refusal) => return RelayStep::Failed(refusal),
         };
+        if state.reward.is_none() && self.now() >= state.response_deadline {
+            return RelayStep::Failed(refused(Kind::DeadlinePassed, "the deadline has passed"));
+        }
         if state.reward.is_some() {
             // No client waits for it: its sender would only make the same call again.
             state.response_deadline += self.now().saturating_sub(asked_at);
