Small replicas start with 1.5 calls per slot at most

Cause: ConcurrencyLimit starts at level 4, so that a replica of two slots got two calls per slot before anything was known of its latency.

Change: the limit of calls starts at the number of slots or below.

Evidence: replicas_with_few_slots_get_one_and_a_half_calls_per_slot_at_first failed before (4 calls at two slots instead of 3).

--- a/src/decide/concurrency.rs
+++ b/src/decide/concurrency.rs
@@ -78,6 +78,12 @@
         }
     }
 
+    /// The limit of a new upstream that starts at this level or a lower one.
+    pub fn starting_below(ceiling: u32, level: u32) -> Self {
+        let limit = Self::new(ceiling);
+        Self { level: limit.level.min(f64::from(level.max(1))), ..limit }
+    }
+
     /// Changes the ceiling; attempts in flight go on.
     pub fn set_ceiling(&mut self, ceiling: u32) {
         self.ceiling = ceiling.max(1);
--- a/src/decide/fleet/calls.rs
+++ b/src/decide/fleet/calls.rs
@@ -60,9 +60,14 @@
     Full(Option<Moment>),
 }
 
+/// The most calls that a node may have in flight at a replica.
+pub(super) fn call_ceiling(slots: u32) -> u32 {
+    slots.saturating_mul(MAX_CALLS_PER_SLOT)
+}
+
 /// The limit of the calls in flight at a replica that has just become known.
 pub(super) fn call_limit(slots: u32) -> ConcurrencyLimit {
-    ConcurrencyLimit::new(slots.saturating_mul(MAX_CALLS_PER_SLOT))
+    ConcurrencyLimit::starting_below(call_ceiling(slots), slots)
 }
 
 impl Fleet {
--- a/tests/call_queue.rs
+++ b/tests/call_queue.rs
@@ -566,3 +566,25 @@
     assert_eq!(service.sent_numbers(), [1, 3]);
     assert_eq!(service.refused[0].0, 2);
 }
+
+/// Returns the calls that a replica with this number of slots gets at first.
+fn first_calls(slots: u32) -> usize {
+    let mut service = Service::new(1);
+    let listed = service.fleet.get(&id(0)).unwrap().clone();
+    service.fleet.remove(&id(0));
+    service.fleet.upsert(ListedReplica { slots, ..listed });
+    service.fleet.report_load(
+        &id(0),
+        ReplicaLoad { running: 0, waiting: 0, slowdown: None },
+        START,
+    );
+    (0..40).for_each(|n| service.submit(n, live("", START + ms(60_000)), START));
+    service.sent.len()
+}
+
+/// Guards against small replicas that get more than 1.5 calls per slot, rounded up, before anything
+/// is known of their latency.
+#[test]
+fn replicas_with_few_slots_get_one_and_a_half_calls_per_slot_at_first() {
+    assert_eq!([1, 2, 3, 4, 6].map(first_calls), [2, 3, 5, 6, 9]);
+}
