A changed number of slots changes the limit of calls

Cause: the ceiling of the limit was set when a replica became known. One with fewer slots since kept the limit that was found for more.

Change: a changed number of slots of a listed replica sets the ceiling.

--- a/src/decide/fleet/fleet.rs
+++ b/src/decide/fleet/fleet.rs
@@ -10,6 +10,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
+use super::calls::call_ceiling;
 use super::replica::{LoadReporting, Replica, fits};
 use super::report_check::UsualTime;
 use super::service_speed::ServiceSpeed;
@@ -125,6 +126,9 @@
                     .and_modify(|v| *v = version.max(*v))
                     .or_insert(version);
             }
+            if known.listed.slots != listed.slots {
+                known.call_limit.set_ceiling(call_ceiling(listed.slots));
+            }
             known.listed = listed;
         });
         changed
--- a/tests/call_queue.rs
+++ b/tests/call_queue.rs
@@ -588,3 +588,19 @@
 fn replicas_with_few_slots_get_one_and_a_half_calls_per_slot_at_first() {
     assert_eq!([1, 2, 3, 4, 6].map(first_calls), [2, 3, 5, 6, 9]);
 }
+
+/// Guards against a limit that was found for a larger number of slots than a replica has now.
+#[test]
+fn fewer_slots_of_a_listed_replica_lower_its_limit() {
+    let mut service = Service::new(1);
+    (0..2 * SLOTS).for_each(|_| service.fleet.start_call(&id(0), START));
+    for _ in 0..200 {
+        service.fleet.end_call(&id(0), answered(), START);
+        service.fleet.start_call(&id(0), START);
+    }
+    (0..2 * SLOTS).for_each(|_| service.fleet.end_call(&id(0), answered(), START));
+    let listed = service.fleet.get(&id(0)).unwrap().clone();
+    service.fleet.upsert(ListedReplica { slots: 2, ..listed });
+    (0..20).for_each(|n| service.submit(n, live("", START + ms(60_000)), START));
+    assert_eq!(service.sent.len(), 4);
+}
