--- a/src/decide/fleet/fleet.rs
+++ b/src/decide/fleet/fleet.rs
@@ -10,7 +10,9 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
+use super::calls::call_ceiling;
 use super::replica::{LoadReporting, Replica, fits};
+use super::report_check::UsualTime;
 use super::service_speed::ServiceSpeed;
 use super::table::{ReplicaKey, ReplicaTable};
 use super::{AttemptRequest, ListedReplica, ReplicaOutcome};
@@ -47,7 +49,7 @@
 }
 
 impl Candidate<'_> {
-    fn order(&self, other: &Self) -> Ordering {
+    pub(super) fn order(&self, other: &Self) -> Ordering {
         self.penalties.cmp(&other.penalties).then(self.latency.total_cmp(&other.latency))
     }
 }
@@ -65,6 +67,8 @@
     pub(super) measured: HashSet<ReplicaKey>,
     /// Typical time per unit of cost of the attempts of each service.
     pub(super) typical_pace: HashMap<Name, LatencyEstimate>,
+    /// The usual time of the calls to each service.
+    pub(super) usual_times: HashMap<Name, UsualTime>,
     /// When the typical event interval of each service was last computed.
     pub(super) interval_updates: HashMap<Name, Moment>,
     /// The event interval that a quarter of a service's replicas do not exceed, in seconds.
@@ -89,6 +93,7 @@
             excluded: HashSet::new(),
             measured: HashSet::new(),
             typical_pace: HashMap::new(),
+            usual_times: HashMap::new(),
             typical_intervals: HashMap::new(),
             interval_updates: HashMap::new(),
             speeds: HashMap::new(),
@@ -122,6 +127,9 @@
                     .and_modify(|v| *v = version.max(*v))
                     .or_insert(version);
             }
+            if known.listed.slots != listed.slots {
+                known.call_limit.set_ceiling(call_ceiling(listed.slots));
+            }
             known.listed = listed;
         });
         changed
@@ -244,15 +252,16 @@
     /// was out of range and ignored.
     pub fn report_load(&mut self, id: &str, load: ReplicaLoad, now: Moment) -> bool {
         let Some(replica) = self.replicas.get_mut(id) else { return true };
-        let others = (load.running + load.waiting).saturating_sub(replica.running);
+        let others = load.running.saturating_add(load.waiting).saturating_sub(replica.running);
         replica.others = OtherLoad::new(others, now);
         replica.load_report = LoadReporting::At(now);
-        let Some(percent) = load.slowdown else { return true };
-        let valid = replica.machine.report(percent);
-        if valid {
+        let valid = load.slowdown.is_none_or(|percent| replica.machine.report(percent));
+        let reported = valid && load.slowdown.is_some();
+        if reported {
             let service = replica.listed.service.clone();
             self.speeds.entry(service).or_default().uneven.record_report();
         }
+        self.replicas.set_reports_load(id);
         valid
     }
 
@@ -322,7 +331,7 @@
 
     /// Returns the measure of a replica's speed that applies to an attempt, and the typical
     /// value of that measure in the service.
-    fn pace_and_typical<'a>(
+    pub(super) fn pace_and_typical<'a>(
         &self,
         replica: &'a Replica,
         request: &AttemptRequest<'_>,
@@ -339,7 +348,7 @@
 
     /// Whether excluded replicas of a service are left out of the choice: not if there are too
     /// many of them.
-    fn applies_exclusions(&self, service: &str, now: Moment) -> bool {
+    pub(super) fn applies_exclusions(&self, service: &str, now: Moment) -> bool {
         let excluded = self.excluded.iter().filter_map(|key| self.replicas.by_key(*key));
         let count =
             excluded.filter(|r| &*r.listed.service == service && r.excluded_until > now).count();
@@ -371,7 +380,7 @@
 
     /// Whether no request runs at a replica, as far as is known, and it is in this node's
     /// availability zone.
-    fn is_idle_and_near(&self, replica: &Replica, now: Moment) -> bool {
+    pub(super) fn is_idle_and_near(&self, replica: &Replica, now: Moment) -> bool {
         let near = self.zone.as_ref().is_none_or(|zone| *zone == replica.listed.zone);
         near && replica.running == 0 && replica.others.decayed(now) < 1.0
     }
@@ -428,7 +437,8 @@
                     .record(cost, duration, now);
             }
             ReplicaOutcome::Full => {
-                replica.excluded_until = replica.excluded_until.max(now + FULL_EXCLUSION)
+                replica.excluded_until = replica.excluded_until.max(now + FULL_EXCLUSION);
+                replica.full_until = now + FULL_EXCLUSION;
             }
             ReplicaOutcome::Loading => {
                 if let Some(model) = model {
--- a/src/decide/fleet/pace.rs
+++ b/src/decide/fleet/pace.rs
@@ -106,6 +106,11 @@
         self.speeds.get(request.service).filter(|speed| speed.uneven.applies(now))
     }
 
+    /// Whether a replica of a service has reported the speed of its machine.
+    pub fn reports_speed(&self, service: &str) -> bool {
+        self.speeds.get(service).is_some_and(|speed| speed.uneven.is_reported())
+    }
+
     /// Records a text that is complete.
     pub fn record_text(&mut self, service: &Name, length: TextLength) {
         self.speeds.entry(service.clone()).or_default().lengths.record(length);
--- a/src/decide/fleet/replica.rs
+++ b/src/decide/fleet/replica.rs
@@ -3,9 +3,11 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use super::calls::call_limit;
+use super::report_check::ReportCheck;
 use super::{AttemptRequest, ListedReplica};
 use crate::decide::load::{EventInterval, MachineSpeed};
-use crate::decide::{FailureTracker, LatencyEstimate, OtherLoad};
+use crate::decide::{ConcurrencyLimit, FailureTracker, LatencyEstimate, OtherLoad};
 use crate::{Moment, Name};
 
 /// How long a replica's report of its load counts: a sample takes about as long, so after this
@@ -20,6 +22,10 @@
     pub running: u32,
     /// Requests of other nodes there, by its last report.
     pub others: OtherLoad,
+    /// What the latency of this node's plain requests says about how many it may have there.
+    pub call_limit: ConcurrencyLimit,
+    /// Whether its reports of its load agree with the time that plain requests take there.
+    pub report_check: ReportCheck,
     /// Time per unit of cost of the attempts there.
     pub pace: LatencyEstimate,
     /// Time between the events of its streams.
@@ -31,6 +37,9 @@
     pub failures: FailureTracker,
     /// Until when it is excluded from the choice.
     pub excluded_until: Moment,
+    /// Until when it gets no call because it said that it is full. Unlike an exclusion, this
+    /// applies however many replicas are full.
+    pub full_until: Moment,
     /// Version of each model that it was last seen at.
     pub versions: HashMap<Name, u64>,
     /// When the last attempt began there.
@@ -46,6 +55,8 @@
     pub(super) fn new(listed: ListedReplica) -> Self {
         Self {
             versions: listed.versions.iter().cloned().collect(),
+            call_limit: call_limit(listed.slots),
+            report_check: ReportCheck::default(),
             listed,
             running: 0,
             others: OtherLoad::default(),
@@ -55,6 +66,7 @@
             machine: MachineSpeed::default(),
             failures: FailureTracker::default(),
             excluded_until: Moment::ZERO,
+            full_until: Moment::ZERO,
             began: Moment::ZERO,
             load_report: LoadReporting::Unknown,
             loading: HashMap::new(),
--- a/src/decide/routes.rs
+++ b/src/decide/routes.rs
@@ -126,6 +126,11 @@
         }
     }
 
+    /// Whether only the organisations of the configuration may call.
+    pub fn has_organisations(&self) -> bool {
+        self.organisations.is_some()
+    }
+
     /// Sets the organisations that may call.
     pub fn for_organisations(self, organisations: Organisations) -> Self {
         Self { organisations: Some(organisations), ..self }
--- a/src/entry/slots.rs
+++ b/src/entry/slots.rs
@@ -179,6 +179,8 @@
     ended: ReplicaOutcome,
     /// The trainer that holds the slot; none for a request that did not wait in the queue.
     trainer: Option<Trainer>,
+    /// Whether it is the slot of a call, which [`Fleet::start_call`] has counted.
+    is_call: bool,
     /// Counts the demand of a sample, from when it joined the queue.
     _demand: Option<SlotDemandGuard>,
 }
@@ -186,14 +188,19 @@
 impl<'a> SlotGuard<'a> {
     /// A guard for a slot that [`Fleet::start_attempt`] has already counted.
     pub(super) fn started(app: &'a App, target: Target) -> Self {
-        Self {
-            app,
-            target,
-            model: None,
-            ended: ReplicaOutcome::Abandoned,
-            trainer: None,
-            _demand: None,
-        }
+        let ended = ReplicaOutcome::Abandoned;
+        Self { app, target, model: None, ended, is_call: false, trainer: None, _demand: None }
+    }
+
+    /// A guard for a slot that [`Fleet::start_call`] has already counted.
+    pub(super) fn started_call(app: &'a App, target: Target) -> Self {
+        let ended = ReplicaOutcome::Abandoned;
+        Self { app, target, model: None, ended, is_call: true, trainer: None, _demand: None }
+    }
+
+    /// Whether it is the slot of a call that waits while all replicas are full.
+    pub(super) fn is_call(&self) -> bool {
+        self.is_call
     }
 
     /// Sets how the attempt ended; [`ReplicaOutcome::Abandoned`] if this is never called.
@@ -206,10 +213,18 @@
     fn drop(&mut self) {
         let now = self.app.now();
         let model = self.model.as_deref();
-        self.app.slots.fleet.lock().end_attempt(&self.target.id, model, self.ended, now);
+        {
+            let mut fleet = self.app.slots.fleet.lock();
+            if self.is_call {
+                fleet.end_call(&self.target.id, self.ended, now);
+            } else {
+                fleet.end_attempt(&self.target.id, model, self.ended, now);
+            }
+        }
         if let Some(trainer) = &self.trainer {
             self.app.slots.waiting.lock().end_run(trainer);
         }
+        self.app.calls.assign_at(&self.target.id, &self.app.slots.fleet, now);
         if self.app.slots.has_waiters() {
             self.app.slots.slot_freed(&self.target.id, now);
         }
@@ -224,13 +239,18 @@
         {
             let mut fleet = self.slots.fleet.lock();
             match load {
-                Some(load) if !fleet.report_load(replica, load, now) => {
-                    self.tally.ignored_figures.inc();
+                Some(load) => {
+                    if !fleet.report_load(replica, load, now) {
+                        self.tally.ignored_figures.inc();
+                    }
+                    if fleet.ignores_load(replica) {
+                        self.tally.ignored_load_reports.inc();
+                    }
                 }
-                Some(_) => {}
                 None => fleet.report_no_load(replica),
             }
         }
+        self.calls.assign_at(replica, &self.slots.fleet, now);
         if self.slots.has_waiters() {
             self.slots.assign_at(replica, now);
         }
@@ -258,6 +278,7 @@
             model,
             ended: ReplicaOutcome::Abandoned,
             trainer: Some(trainer),
+            is_call: false,
             _demand: Some(demand),
         })
     }
@@ -289,6 +310,7 @@
             model,
             ended: ReplicaOutcome::Abandoned,
             trainer: None,
+            is_call: false,
             _demand: None,
         })
     }
--- a/standins/src/replicas/fleet.rs
+++ b/standins/src/replicas/fleet.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,7 +18,7 @@
 };
 use mulberrycourse::edge::upstream::ProbeResult;
 use parking_lot::Mutex;
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 use tokio::time::Instant;
 
 use super::replica::{Behaviour, RecordedOrder, RecordedRun, Replica};
@@ -25,6 +26,8 @@
 
 /// Time between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(35);
+/// What a replica with limited slots reports of its machine: the usual speed.
+const USUAL_SLOWDOWN: u32 = 100;
 /// Delay of each call before the replica receives it.
 const NETWORK_DELAY: Duration = Duration::from_millis(1);
 /// Delay of a probe of a replica whose connection broke.
@@ -64,6 +67,22 @@
     schema: TestSchema,
 }
 
+/// Counts a request that waits for a slot, until it is dropped.
+struct WaitCount<'a>(&'a AtomicU32);
+
+impl<'a> WaitCount<'a> {
+    fn begin(waiting: &'a AtomicU32) -> Self {
+        waiting.fetch_add(1, Ordering::Relaxed);
+        Self(waiting)
+    }
+}
+
+impl Drop for WaitCount<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 impl ReplicaFleet {
     /// An empty fleet that writes its entries to `service`.
     pub fn new(service: KvService, schema: TestSchema) -> Self {
@@ -121,6 +140,29 @@
         self.with(id, |r| r.behaviour = behaviour);
     }
 
+    /// From now on a replica runs as many plain requests at the same time as it has slots, in the
+    /// order of their arrival, and reports how many run and wait.
+    pub fn limit_slots(&self, id: &str) {
+        self.with(id, |r| r.slots = Some(Arc::new(Semaphore::new(SLOTS_PER_REPLICA as usize))));
+    }
+
+    /// Makes a replica report this load instead of its own.
+    pub fn report_load(&self, id: &str, load: ReplicaLoad) {
+        self.with(id, |r| r.false_load = Some(load));
+    }
+
+    /// The load that a replica reports.
+    fn load(&self, id: &str) -> ReplicaLoad {
+        let load = self.with(id, |r| {
+            let free = r.slots.as_ref().map(|slots| slots.available_permits() as u32);
+            let running = free.map_or(1, |free| SLOTS_PER_REPLICA - free);
+            let waiting = r.waiting.load(Ordering::Relaxed);
+            let slowdown = free.map(|_| USUAL_SLOWDOWN);
+            r.false_load.unwrap_or(ReplicaLoad { running, waiting, slowdown })
+        });
+        load.unwrap_or(ReplicaLoad { running: 1, waiting: 0, slowdown: None })
+    }
+
     /// Delays orders to a replica, which then get no response; none ends the delay.
     pub fn delay_orders(&self, id: &str, delay: Option<Duration>) {
         self.with(id, |r| r.order_delay = delay);
@@ -357,6 +399,14 @@
                 _ if is_stream => (StatusCode::OK, fleet.stream_events(&to, &call, behaviour, run)),
                 _ => {
                     let times = if let Behaviour::Slow(times) = behaviour { times } else { 1 };
+                    let slots = fleet.with(&to.id, |r| (r.slots.clone(), r.waiting.clone()));
+                    let _slot = match &slots {
+                        Some((Some(slots), waiting)) => {
+                            let _waits = WaitCount::begin(waiting);
+                            slots.acquire().await.ok()
+                        }
+                        Some((None, _)) | None => None,
+                    };
                     tokio::select! {
                         () = Self::crashed(crashes) => {
                             return Err(CallError::Interrupted("connection reset".to_owned()));
@@ -375,7 +425,7 @@
                 headers: HeaderMap::new(),
                 signature: Some(format!("signed {}", call.id).into()),
                 version: version.flatten(),
-                load: Some(ReplicaLoad { running: 1, waiting: 0, slowdown: None }),
+                load: Some(fleet.load(&to.id)),
                 body,
             })
         })
