Owners of jobs are chosen by the capacity of their machines

Cause: each route's owner was chosen by an unweighted hash, so one of the smallest machines (0.09 cores, 120 MB) owned steps that it can't run in time.

Change: a node publishes the limits of its machine and its zone in its record; both fields are optional, and a value that is not plausible is unknown and counted. Owners are chosen by rendezvous hashing weighted by the lesser of thousandths of a core and megabytes, at most one core, and spread over zones. Machines below 0.15 cores or 160 MB own jobs only if there are no others, and take over jobs of a lost node only then. If all machines are equal or unknown, the owners are the former ones.

Weighed: floating-point logarithms, which differ in the last bit between processors, so that two nodes could derive different owners; several hashes for a large machine, with which a node that joins moves all owners.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -81,7 +81,7 @@
 pub use outcome::{AttemptHistory, AttemptOutcome};
 pub use queue::{QueuePosition, RequestQueue};
 pub use ranges::Ranges;
-pub use rendezvous::{rendezvous_rank, rendezvous_score};
+pub use rendezvous::{WeightedScore, rendezvous_rank, rendezvous_score};
 pub use retry::RetryBudget;
 pub use ring::HashRing;
 pub use rollout::{
--- a/src/entry/app.rs
+++ b/src/entry/app.rs
@@ -207,6 +207,8 @@
     pub fn metrics(&self) -> String {
         self.tally.open_jobs.set(self.owned_jobs.all().len() as i64);
         self.tally.routes_version.set(self.routes().map_or(0, |r| r.version as i64));
+        let invalid = self.membership.lock().invalid_capacity_count();
+        self.tally.invalid_capacities.set(invalid as i64);
         self.tally.dropped_lines.set(crate::logs::dropped_lines() as i64);
         self.tally.text_format()
     }
--- a/src/entry/keys.rs
+++ b/src/entry/keys.rs
@@ -9,6 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::reported_capacity::ReportedCapacity;
 use crate::Name;
 use crate::decide::failures::FailureCount;
 use crate::metrics::StorePurpose;
@@ -44,6 +45,12 @@
     /// The listen address for other nodes; none if they don't connect to this one.
     #[serde(default)]
     pub peers: Option<SocketAddr>,
+    /// The availability zone. None in the records of older versions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub zone: Option<Name>,
+    /// The capacity of the machine. Unknown in the records of older versions.
+    #[serde(default, skip_serializing_if = "ReportedCapacity::is_unknown")]
+    pub capacity: ReportedCapacity,
 }
 
 /// Which process owns a job, and how far the job is. Only the owner runs the job's samples and
--- a/src/entry/membership.rs
+++ b/src/entry/membership.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::keys::{LeaderRecord, MembershipKey, NodeRecord, parse_membership_key};
+use crate::decide::affinity::OwnerCandidate;
 use crate::edge::store::{Change, KeyValue, RangeResult};
 use crate::{Moment, Name};
 
@@ -86,6 +87,7 @@
     fn put(&mut self, item: &KeyValue) {
         let parsed = match parse_membership_key(&item.key) {
             Some(MembershipKey::Node(name)) => serde_json::from_slice(&item.value).map(|value| {
+                log_capacity(name, &value);
                 self.departed.remove(name);
                 self.nodes.insert(name.into(), value);
                 self.changes += 1;
@@ -135,6 +137,23 @@
         nodes.filter_map(|(name, value)| Some((name.clone(), value.peers?))).collect()
     }
 
+    /// The nodes that may own jobs: the registered ones that other nodes can connect to.
+    pub(super) fn owner_candidates(&self) -> Vec<OwnerCandidate> {
+        let nodes = self.nodes.iter().filter(|(_, value)| value.peers.is_some());
+        nodes
+            .map(|(name, value)| OwnerCandidate {
+                name: name.clone(),
+                zone: value.zone.clone(),
+                capacity: value.capacity.capacity,
+            })
+            .collect()
+    }
+
+    /// The number of registered nodes whose published capacity is not plausible.
+    pub(super) fn invalid_capacity_count(&self) -> usize {
+        self.nodes.values().filter(|value| value.capacity.invalid > 0).count()
+    }
+
     /// Peer addresses by node name, including nodes whose records vanished together, so that
     /// the choice of nodes that watch the store for others does not change in an outage.
     pub(super) fn stable_peers(&self, now: Moment) -> BTreeMap<Name, SocketAddr> {
@@ -173,6 +192,17 @@
         nodes.map(|v| v.incarnation.clone()).collect()
     }
 
+    /// The incarnations of registered nodes that serve clients and may take over the jobs of
+    /// others. Machines that are too small for jobs do that only if all are.
+    pub(super) fn successor_incarnations(&self) -> Vec<Name> {
+        let serving = || self.nodes.values().filter(|v| v.callers.is_some());
+        let large: Vec<Name> = serving()
+            .filter(|v| v.capacity.capacity.may_own_jobs())
+            .map(|v| v.incarnation.clone())
+            .collect();
+        if large.is_empty() { serving().map(|v| v.incarnation.clone()).collect() } else { large }
+    }
+
     /// The departed nodes that still count as alive: those of the last [`OUTAGE_RETENTION`], if
     /// they are more than one and a large enough part of all nodes for an outage of the store.
     fn retained(&self, now: Moment) -> Vec<(&Name, &(NodeRecord, Moment))> {
@@ -195,3 +225,14 @@
         self.leader.as_ref()
     }
 }
+
+/// Logs the capacity of a node whose record was written, if it published any.
+fn log_capacity(name: &str, value: &NodeRecord) {
+    let capacity = value.capacity.capacity;
+    if value.capacity.invalid > 0 {
+        let invalid = value.capacity.invalid;
+        tracing::warn!(event = "node_capacity_invalid", node = %name, invalid, ?capacity);
+    } else if !capacity.is_unknown() {
+        tracing::info!(event = "node_capacity_received", node = %name, ?capacity);
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -26,6 +26,7 @@
 mod registration;
 mod relay;
 mod remote_jobs;
+mod reported_capacity;
 mod results;
 mod retire;
 mod runner;
--- a/src/entry/peer/requests.rs
+++ b/src/entry/peer/requests.rs
@@ -86,11 +86,12 @@
     fn preferred_owner(&self, spec: &JobSpec) -> Option<SocketAddr> {
         let routes = self.routes()?;
         let route = routes.find(&spec.host, &spec.path)?;
-        let nodes = self.membership.lock().peer_addresses();
-        let names: Vec<Name> = nodes.keys().cloned().collect();
-        let owners = affinity::preferred_owners(&routes.batch_routes(), &names);
+        let membership = self.membership.lock();
+        let owners =
+            affinity::preferred_owners(&routes.batch_routes(), &membership.owner_candidates());
         let owner = owners.get(&route.name).filter(|owner| **owner != self.settings.name)?;
-        let to = *nodes.get(owner)?;
+        let (_, to) = membership.incarnation_of(owner)?;
+        drop(membership);
         (!self.is_unreachable(to)).then_some(to)
     }
 
@@ -169,9 +170,8 @@
         {
             return vec![(incarnation, to)];
         }
-        let names: Vec<Name> = membership.peer_addresses().keys().cloned().collect();
         let routes = self.routes().map(|routes| routes.batch_routes()).unwrap_or_default();
-        let owners = affinity::preferred_owners(&routes, &names);
+        let owners = affinity::preferred_owners(&routes, &membership.owner_candidates());
         let others = owners.values().filter(|name| **name != self.settings.name);
         let mut likely: Vec<_> =
             others.filter_map(|name| membership.incarnation_of(name)).collect();
--- a/src/entry/registration.rs
+++ b/src/entry/registration.rs
@@ -34,7 +34,13 @@
     let sent = app.now();
     let lease = app.store.grant(ttl).await?;
     let (callers, peers) = (app.settings.client_address, app.settings.peer_address);
-    let value = NodeRecord { incarnation: app.incarnation.clone(), callers, peers };
+    let value = NodeRecord {
+        incarnation: app.incarnation.clone(),
+        callers,
+        peers,
+        zone: Some(app.settings.zone.clone()),
+        capacity: app.settings.limits.into(),
+    };
     let value = serde_json::to_vec(&value).map_err(|e| StoreError::Refused(e.to_string()))?;
     let key = node_key(&app.settings.name);
     let txn = Txn::default().put_leased(key, value, lease);
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -72,7 +72,7 @@
                     known = alive;
                     due = None;
                 }
-                let serving = membership.serving_incarnations();
+                let serving = membership.successor_incarnations();
                 position = rendezvous_rank(JOB_RECORD_PREFIX, serving.iter().map(|l| &**l))
                     .iter()
                     .position(|l| **l == *app.incarnation);
--- a/src/metrics/entry_metrics.rs
+++ b/src/metrics/entry_metrics.rs
@@ -206,6 +206,8 @@
     pub open_jobs: Gauge<i64, AtomicI64>,
     /// The version of the active routes; 0 if there are none.
     pub routes_version: Gauge<i64, AtomicI64>,
+    /// Registered nodes whose published capacity is not plausible.
+    pub invalid_capacities: Gauge<i64, AtomicI64>,
     /// Log lines that the rate limit dropped.
     pub dropped_lines: Gauge<i64, AtomicI64>,
 }
@@ -233,6 +235,7 @@
             request_seconds: seconds(),
             open_jobs: Gauge::default(),
             routes_version: Gauge::default(),
+            invalid_capacities: Gauge::default(),
             dropped_lines: Gauge::default(),
         };
         metrics.register();
@@ -282,6 +285,8 @@
         registry.register("request_seconds", help, self.request_seconds.clone());
         registry.register("open_jobs", "Jobs that run here", self.open_jobs.clone());
         registry.register("routes_version", "Configuration in force", self.routes_version.clone());
+        let help = "Nodes whose published capacity is not plausible";
+        registry.register("invalid_capacities", help, self.invalid_capacities.clone());
         let help = "Log lines left out for their number";
         registry.register("log_lines_dropped", help, self.dropped_lines.clone());
         registry.register_collector(Box::new(ProcessCollector));
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -15,6 +15,7 @@
 mod scale;
 mod shares;
 mod stale_reads;
+mod uneven_nodes;
 mod usage;
 mod versions;
 mod views;
--- a/tests/entry/world.rs
+++ b/tests/entry/world.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method};
 use mulberrycourse::decide::job::{ItemResult, ItemSpec, ItemState, JobSpec, Scorer};
+use mulberrycourse::decide::load::NodeCapacity;
 use mulberrycourse::decide::scale::Autoscale;
 use mulberrycourse::decide::usage::Windows;
 use mulberrycourse::decide::{RequestLimits, RetryPolicy, Route, Routes};
@@ -161,15 +162,20 @@
     /// Starts a node with this `[replicas] drain` that other nodes can connect to, and waits until
     /// it is ready.
     pub(crate) async fn linked_node_with_drain_time(&self, name: &str, drain: Duration) -> Node {
-        let port = 1_000 + u16::from(name.as_bytes()[0]);
+        self.linked_node_with_settings(EntrySettings { drain_time: drain, ..settings(name) }).await
+    }
+
+    /// Starts a node on a machine with these limits that other nodes can connect to, and waits
+    /// until it is ready.
+    pub(crate) async fn linked_node_with_limits(&self, name: &str, limits: NodeCapacity) -> Node {
+        self.linked_node_with_settings(EntrySettings { limits, ..settings(name) }).await
+    }
+
+    async fn linked_node_with_settings(&self, settings: EntrySettings) -> Node {
+        let port = 1_000 + u16::from(settings.name.as_bytes()[0]);
         let at = SocketAddr::from(([127, 0, 0, 1], port));
-        let node = self
-            .node_with_settings(EntrySettings {
-                peer_address: Some(at),
-                drain_time: drain,
-                ..settings(name)
-            })
-            .await;
+        let settings = EntrySettings { peer_address: Some(at), ..settings };
+        let node = self.node_with_settings(settings).await;
         self.links.add_node(at, node.app().clone());
         node
     }
