A memory budget for what an entry node holds for its callers

Cause: nothing bounded request bodies, responses of slow readers and jobs but the machine's limit, at which the process ends with all its requests and jobs.

Change: with known memory, calls and owned jobs have a bound each (MemoryUse). A stream buffers one event while memory is short. A job is counted before it is written; a node without memory for it refuses, and the node that was asked tries itself and then two more that are large enough. Nodes that are too small for jobs offer them to others before they own them.

Weighed: one bound for calls and jobs: a job ends only once its results are read, so full jobs would have kept them from being read. A semaphore: it can't count what exists already.

--- a/src/decide/job/job.rs
+++ b/src/decide/job/job.rs
@@ -11,6 +11,7 @@
 use super::{ItemSpec, Score};
 use crate::Name;
 use crate::decide::StepDemand;
+use crate::decide::load::MemoryUse;
 
 /// Bytes that a result takes up in addition to its parts.
 const RESULT_OVERHEAD_BYTES: usize = 64;
@@ -80,6 +81,11 @@
         StepDemand { work: self.estimated_work(), samples: self.items.len() as u64 }
     }
 
+    /// Returns the memory that it is expected to take at its owner, in bytes.
+    pub fn expected_memory(&self) -> usize {
+        MemoryUse::of_job(self.approx_bytes(), self.items.len())
+    }
+
     /// Returns its approximate size in bytes.
     pub fn approx_bytes(&self) -> usize {
         self.items.iter().map(|item| item.body.len() + 2 * RESULT_OVERHEAD_BYTES).sum()
--- a/src/entry/app.rs
+++ b/src/entry/app.rs
@@ -16,12 +16,14 @@
 use super::ended_jobs::EndedJobs;
 use super::follow::Feeds;
 use super::membership::Membership;
+use super::memory_budget::MemoryBudget;
 use super::owned_jobs::OwnedJobs;
 use super::peer::{FallbackStore, Peers};
 use super::ports::Ports;
 use super::remote_jobs::RemoteJobs;
 use super::slots::Slots;
 use super::usage::Usage;
+use crate::decide::load::MemoryUse;
 use crate::decide::retry_after::retry_after;
 use crate::decide::scale::DemandEstimator;
 use crate::decide::{Demand, Routes};
@@ -29,7 +31,7 @@
 use crate::edge::replica::Replicas;
 use crate::edge::schema::StoreSchema;
 use crate::edge::store::Store;
-use crate::metrics::EntryMetrics;
+use crate::metrics::{EntryMetrics, HeldFor};
 use crate::settings::EntrySettings;
 use crate::{Moment, Name};
 
@@ -40,6 +42,10 @@
     pub settings: EntrySettings,
     /// The counters and gauges of the node.
     pub tally: Arc<EntryMetrics>,
+    /// The memory that the node holds for the bodies, responses and events of calls.
+    pub memory: MemoryBudget,
+    /// The memory that the node holds for the jobs that it owns.
+    pub(super) job_memory: MemoryBudget,
     /// The store, through another node if this node does not reach it. The same as
     /// `fallback_store`.
     pub(super) store: Arc<dyn Store>,
@@ -138,8 +144,12 @@
             FallbackStore::new(direct.clone(), peers.clone(), settings.seeds.clone());
         let slots = Slots::new(settings.zone.clone(), settings.name.clone());
         let usage = settings.usage_windows.map(|windows| Arc::new(Usage::new(windows, clock)));
+        let memory = MemoryBudget::new(MemoryUse::call_limit(&settings.limits));
+        let job_memory = MemoryBudget::new(MemoryUse::job_limit(&settings.limits));
         Arc::new(Self {
             settings,
+            memory,
+            job_memory,
             tally,
             store: Arc::new(fallback_store.clone()),
             direct_store: direct,
@@ -209,6 +219,8 @@
         self.tally.routes_version.set(self.routes().map_or(0, |r| r.version as i64));
         let invalid = self.membership.lock().invalid_capacity_count();
         self.tally.invalid_capacities.set(invalid as i64);
+        self.tally.record_memory(HeldFor::Calls, self.memory.held(), self.memory.limit());
+        self.tally.record_memory(HeldFor::Jobs, self.job_memory.held(), self.job_memory.limit());
         self.tally.dropped_lines.set(crate::logs::dropped_lines() as i64);
         self.tally.text_format()
     }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -19,6 +19,7 @@
 mod keys;
 mod leader;
 mod membership;
+mod memory_budget;
 mod owned_jobs;
 mod peer;
 mod ports;
@@ -42,6 +43,7 @@
 pub use app::App;
 pub use entry_node::EntryNode;
 pub use follow::{Feed, FeedUpdate, PackedRange};
+pub use memory_budget::{MemoryBudget, MemoryCharge};
 pub use peer::{
     FeedTopic, HttpPeers, PeerReply, PeerRequest, PeerResponder, PeerServer, Peers, StoreReply,
     StoreRequest,
@@ -49,4 +51,4 @@
 pub use ports::Ports;
 pub use read::{Lookup, ReadResult};
 pub use relay::{RelayRequest, RelayResponse};
-pub use submit::SubmitResult;
+pub use submit::{NO_MEMORY, SubmitResult, TOO_LARGE_FOR_MEMORY};
--- a/src/entry/owned_jobs.rs
+++ b/src/entry/owned_jobs.rs
@@ -10,6 +10,7 @@
 use super::app::ByName;
 use super::keys::JobRecord;
 use super::membership::Stored;
+use super::memory_budget::MemoryCharge;
 use crate::Name;
 use crate::decide::failures::JobFailures;
 use crate::decide::job::{Job, JobOrder, JobSpec, SampleText, SavedProgress, TextDelta};
@@ -62,6 +63,8 @@
     pub write_unknown: AtomicBool,
     /// Cancelled to stop the job's samples.
     pub stop: CancellationToken,
+    /// The memory that the job is expected to take.
+    pub _held: MemoryCharge,
     /// The job's rank for slots among the jobs of this node.
     pub queue_order: u64,
 }
--- a/src/entry/peer/requests.rs
+++ b/src/entry/peer/requests.rs
@@ -11,7 +11,8 @@
 
 use super::messages::{FeedTopic, PeerReply, PeerRequest};
 use crate::Name;
-use crate::decide::affinity;
+use crate::decide::WeightedScore;
+use crate::decide::affinity::{self, OwnerCandidate};
 use crate::decide::job::JobSpec;
 use crate::edge::peer::PeerError;
 use crate::edge::store::StoreError;
@@ -40,6 +41,10 @@
 /// within two seconds.
 const UNREACHABLE_BACKOFF: Duration = Duration::from_millis(2_500);
 
+/// The most nodes that are offered a job besides its preferred owner. Each may take
+/// [`SUBMIT_TIMEOUT`], and a trainer waits a few seconds.
+const MAX_OFFERS: usize = 2;
+
 /// The outcome of forwarding a job to another node. The variant names appear in log lines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(in crate::entry) enum ForwardOutcome {
@@ -66,6 +71,11 @@
     /// Forwards a job to the node that is preferred as its owner, if that is another one.
     pub(in crate::entry) async fn forward_job(&self, spec: &JobSpec) -> ForwardOutcome {
         let Some(to) = self.preferred_owner(spec) else { return ForwardOutcome::Not };
+        self.send_job(to, spec).await
+    }
+
+    /// Sends a job to another node that is to own it.
+    async fn send_job(&self, to: SocketAddr, spec: &JobSpec) -> ForwardOutcome {
         let reply = self.request(to, PeerRequest::Submit(spec.clone()), SUBMIT_TIMEOUT).await;
         let passed = match &reply {
             Ok(PeerReply::Submitted(SubmitResult::Accepted)) => ForwardOutcome::Kept,
@@ -81,6 +91,32 @@
         passed
     }
 
+    /// Offers a job that neither its preferred owner nor this node takes to other machines that are
+    /// large enough, at most [`MAX_OFFERS`], one after the other.
+    pub(in crate::entry) async fn offer_job(&self, spec: &JobSpec) -> ForwardOutcome {
+        let preferred = self.preferred_owner(spec);
+        let offers = {
+            let membership = self.membership.lock();
+            let mut candidates = membership.owner_candidates();
+            candidates.retain(|n| n.name != self.settings.name && n.capacity.may_own_jobs());
+            let score = |n: &OwnerCandidate| {
+                WeightedScore::new(&spec.id, &n.name, n.capacity.owner_weight())
+            };
+            candidates.sort_by_key(|n| std::cmp::Reverse(score(n)));
+            let addresses = candidates.iter().filter_map(|n| membership.incarnation_of(&n.name));
+            let addresses = addresses.map(|(_, to)| to).filter(|to| Some(*to) != preferred);
+            addresses.collect::<Vec<_>>()
+        };
+        let reachable = offers.into_iter().filter(|to| !self.is_unreachable(*to));
+        for to in reachable.take(MAX_OFFERS) {
+            match self.send_job(to, spec).await {
+                ForwardOutcome::Not => {}
+                outcome => return outcome,
+            }
+        }
+        ForwardOutcome::Not
+    }
+
     /// Returns the address of the node that should own the jobs of a route. None if it is this
     /// node, is unknown or is unreachable.
     fn preferred_owner(&self, spec: &JobSpec) -> Option<SocketAddr> {
--- a/src/entry/runner.rs
+++ b/src/entry/runner.rs
@@ -11,6 +11,7 @@
 use super::app::{App, ByName};
 use super::keys::{JobRecord, job_record_key};
 use super::membership::Stored;
+use super::memory_budget::MemoryCharge;
 use super::owned_jobs::{OwnedJob, OwnershipEvidence};
 use super::results::{drop_lost_job, flush, update_record, write_results};
 use super::sample;
@@ -44,6 +45,8 @@
     pub failures: JobFailures,
     /// The number of saves of unfinished texts so far.
     pub text_writes: usize,
+    /// The memory that was reserved for it. None for a job that has to run in any case.
+    pub held: Option<MemoryCharge>,
 }
 
 impl App {
@@ -55,7 +58,8 @@
         restored: RestoredJob,
         record: Stored<JobRecord>,
     ) {
-        let RestoredJob { results, texts, failures, text_writes } = restored;
+        let RestoredJob { results, texts, failures, text_writes, held } = restored;
+        let held = held.unwrap_or_else(|| self.job_memory.charge(spec.expected_memory()));
         let id = spec.id.clone();
         let queue_order = self.owned_jobs.assign_order(&spec);
         let job = Job::new(spec, results);
@@ -79,6 +83,7 @@
             write_lock: tokio::sync::Mutex::default(),
             write_unknown: AtomicBool::new(false),
             stop: CancellationToken::new(),
+            _held: held,
             queue_order,
         });
         let Some(owned) = self.owned_jobs.insert(&id, owned) else { return };
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -175,7 +175,13 @@
                         return PartEnd::ClientLeft;
                     }
                 }
-                if to.send(Ok(event.raw)).await.is_err() {
+                // If memory is short, nothing is buffered for a client that reads slowly.
+                if self.app.memory.is_full() && to.reserve_many(MAX_BUFFERED_EVENTS).await.is_err()
+                {
+                    return PartEnd::ClientLeft;
+                }
+                let raw = self.app.memory.hold(event.raw);
+                if to.send(Ok(raw)).await.is_err() {
                     return PartEnd::ClientLeft;
                 }
             }
--- a/src/entry/submit.rs
+++ b/src/entry/submit.rs
@@ -9,12 +9,14 @@
 use super::app::App;
 use super::keys::{JobRecord, job_record_key, spec_part_key};
 use super::membership::Stored;
+use super::memory_budget::MemoryCharge;
 use super::peer::ForwardOutcome;
 use super::runner::RestoredJob;
 use super::takeover;
 use crate::Name;
 use crate::decide::failures::JobFailures;
 use crate::decide::job::JobSpec;
+use crate::decide::load::MemoryUse;
 use crate::edge::store::{StoreError, Txn, TxnOutcome};
 use crate::metrics::JobEvent;
 
@@ -29,6 +31,11 @@
 /// The delay between attempts to write a submission.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// The reason of a refusal because the memory of the nodes is in use.
+pub const NO_MEMORY: &str = "memory";
+/// The reason of a refusal because no machine has enough memory for the job.
+pub const TOO_LARGE_FOR_MEMORY: &str = "too_large_for_memory";
+
 /// The result of a submission.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum SubmitResult {
@@ -52,7 +59,7 @@
         };
         match passed {
             ForwardOutcome::Kept => SubmitResult::Accepted,
-            ForwardOutcome::Not => self.accept_here(spec).await,
+            ForwardOutcome::Not => self.place_job(spec).await,
             // If the other node has written the job, this node's own write finds it in the
             // store. If this write fails as well, the outcome is unknown.
             ForwardOutcome::Unsure => match self.accept_here(spec).await {
@@ -62,6 +69,49 @@
         }
     }
 
+    /// Accepts a job that its preferred owner does not take, at this node or at another one. A
+    /// machine that is too small for jobs offers it to larger ones first; another one does that if
+    /// it has no memory for the job.
+    async fn place_job(self: &Arc<Self>, spec: JobSpec) -> SubmitResult {
+        let small = !self.settings.limits.may_own_jobs();
+        if small && !self.draining() {
+            match self.offer_job(&spec).await {
+                ForwardOutcome::Kept => return SubmitResult::Accepted,
+                ForwardOutcome::Not => {}
+                ForwardOutcome::Unsure => {
+                    return match self.accept_here(spec).await {
+                        SubmitResult::Refused(_) => SubmitResult::Unknown,
+                        submitted => submitted,
+                    };
+                }
+            }
+        }
+        let submitted = self.accept_here(spec.clone()).await;
+        if submitted != SubmitResult::Refused(NO_MEMORY.into()) {
+            return submitted;
+        }
+        if small {
+            return self.refuse_for_memory(&spec);
+        }
+        match self.offer_job(&spec).await {
+            ForwardOutcome::Kept => SubmitResult::Accepted,
+            ForwardOutcome::Not => self.refuse_for_memory(&spec),
+            ForwardOutcome::Unsure => SubmitResult::Unknown,
+        }
+    }
+
+    /// The refusal of a job that no node has taken: for good if no known machine could hold it.
+    fn refuse_for_memory(&self, spec: &JobSpec) -> SubmitResult {
+        let bytes = spec.expected_memory();
+        let others = self.membership.lock().owner_candidates();
+        let machines = others.iter().map(|n| &n.capacity).chain([&self.settings.limits]);
+        let could_hold = |limit: Option<usize>| limit.is_none_or(|limit| bytes <= limit);
+        let held = machines.map(MemoryUse::job_limit).any(could_hold);
+        let reason = if held { NO_MEMORY } else { TOO_LARGE_FOR_MEMORY };
+        tracing::warn!(event = "job_refused_for_memory", job = %spec.id, bytes, reason, held = self.job_memory.held(), limit = self.job_memory.limit());
+        SubmitResult::Refused(reason.into())
+    }
+
     /// Accepts a job at this node, and counts the outcome.
     pub(super) async fn accept_here(self: &Arc<Self>, spec: JobSpec) -> SubmitResult {
         let submitted = self.store_job(spec).await;
@@ -81,6 +131,9 @@
         if self.draining() {
             return SubmitResult::Refused("draining".into());
         }
+        let Some(held) = self.job_memory.try_reserve(spec.expected_memory()) else {
+            return SubmitResult::Refused(NO_MEMORY.into());
+        };
         let Ok(bytes) = bincode::serde::encode_to_vec(&spec, bincode::config::standard()) else {
             return SubmitResult::Refused("unreadable".into());
         };
@@ -109,7 +162,7 @@
             txn = txn.put(spec_part_key(&id, index), bytes);
         }
         let spec = Arc::new(spec);
-        self.write_submission(spec, value, txn).await
+        self.write_submission(spec, value, txn, held).await
     }
 
     async fn write_submission(
@@ -117,6 +170,7 @@
         spec: Arc<JobSpec>,
         value: JobRecord,
         txn: Txn,
+        held: MemoryCharge,
     ) -> SubmitResult {
         let started_at = self.now();
         let mut first = true;
@@ -138,7 +192,8 @@
                             JobFailures::default()
                         }),
                     };
-                    let restored = RestoredJob { failures, ..RestoredJob::default() };
+                    let restored =
+                        RestoredJob { failures, held: Some(held), ..RestoredJob::default() };
                     self.run_job(spec, restored, Stored { value, revision });
                     return SubmitResult::Accepted;
                 }
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -191,7 +191,7 @@
     let page = app.store.range(&texts_prefix(job)).await?;
     let (texts, text_writes) = decode_texts(&page, &results);
     let failures = app.load_failures(&spec).await?;
-    Ok((spec, RestoredJob { results, texts, failures, text_writes }))
+    Ok((spec, RestoredJob { results, texts, failures, text_writes, held: None }))
 }
 
 /// Rebuilds the unfinished texts from all their saves in order, and returns them with the index
--- a/src/error/kind.rs
+++ b/src/error/kind.rs
@@ -65,6 +65,8 @@
     TooManyConnections,
     /// The node failed in a way that no other kind covers.
     Internal,
+    /// The node holds as much memory for its callers as its machine allows.
+    MemoryFull,
 }
 
 impl Kind {
@@ -98,6 +100,7 @@
         Self::PeerVersion,
         Self::TooManyConnections,
         Self::Internal,
+        Self::MemoryFull,
     ];
 
     /// The kind's name in responses, logs and metrics.
@@ -131,6 +134,7 @@
             Self::PeerVersion => "peer_version",
             Self::TooManyConnections => "too_many_connections",
             Self::Internal => "internal",
+            Self::MemoryFull => "memory_full",
         }
     }
 }
--- a/src/error/response.rs
+++ b/src/error/response.rs
@@ -129,6 +129,12 @@
                 true,
                 "the node has as many connections open as it takes",
             ),
+            Self::MemoryFull => row(
+                S::SERVICE_UNAVAILABLE,
+                NotRun,
+                true,
+                "the node has no memory left for the request",
+            ),
             Self::Internal => row(S::INTERNAL_SERVER_ERROR, Unknown, false, "the node failed"),
         }
     }
--- a/src/metrics/entry_metrics.rs
+++ b/src/metrics/entry_metrics.rs
@@ -153,6 +153,15 @@
     Usage,
 }
 
+/// The purpose for which memory is held.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum HeldFor {
+    /// Bodies, responses and events of calls.
+    Calls,
+    /// Jobs that the node owns.
+    Jobs,
+}
+
 macro_rules! label {
     ($name:ident, $field:ident: $kind:ty) => {
         #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -169,6 +178,7 @@
 label!(OrderLabel, result: OrderOutcome);
 label!(DutyLabel, result: DutyOutcome);
 label!(PeerPurposeLabel, purpose: PeerPurpose);
+label!(HeldLabel, purpose: HeldFor);
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct PeerTrafficLabel {
@@ -200,6 +210,8 @@
     peer_bytes: Family<PeerTrafficLabel, Counter>,
     peer_messages: Family<PeerTrafficLabel, Counter>,
     peer_failures: Family<PeerPurposeLabel, Counter>,
+    held_bytes: Family<HeldLabel, Gauge<i64, AtomicI64>>,
+    held_bytes_limit: Family<HeldLabel, Gauge<i64, AtomicI64>>,
     store_seconds: Histogram,
     request_seconds: Histogram,
     /// Jobs that this node runs.
@@ -231,6 +243,8 @@
             peer_bytes: Family::default(),
             peer_messages: Family::default(),
             peer_failures: Family::default(),
+            held_bytes: Family::default(),
+            held_bytes_limit: Family::default(),
             store_seconds: seconds(),
             request_seconds: seconds(),
             open_jobs: Gauge::default(),
@@ -287,11 +301,22 @@
         registry.register("routes_version", "Configuration in force", self.routes_version.clone());
         let help = "Nodes whose published capacity is not plausible";
         registry.register("invalid_capacities", help, self.invalid_capacities.clone());
+        let help = "Bytes held for callers, by purpose";
+        registry.register("held_bytes", help, self.held_bytes.clone());
+        let help = "The most bytes that may be held for callers; 0 for no limit";
+        registry.register("held_bytes_limit", help, self.held_bytes_limit.clone());
         let help = "Log lines left out for their number";
         registry.register("log_lines_dropped", help, self.dropped_lines.clone());
         registry.register_collector(Box::new(ProcessCollector));
     }
 
+    /// Records the memory that is held for a purpose and its limit, in bytes.
+    pub fn record_memory(&self, purpose: HeldFor, held: usize, limit: Option<usize>) {
+        let label = HeldLabel { purpose };
+        self.held_bytes.get_or_create(&label).set(held as i64);
+        self.held_bytes_limit.get_or_create(&label).set(limit.map_or(0, |n| n as i64));
+    }
+
     /// Counts a refusal.
     pub fn count_refusal(&self, kind: Kind) {
         self.refusals.get_or_create(&KindLabel { kind }).inc();
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -8,7 +8,8 @@
 mod traffic;
 
 pub use entry_metrics::{
-    AttemptEnd, EntryMetrics, JobEvent, PeerPurpose, SampleEnd, StoreCall, StoreEnd, StorePurpose,
+    AttemptEnd, EntryMetrics, HeldFor, JobEvent, PeerPurpose, SampleEnd, StoreCall, StoreEnd,
+    StorePurpose,
 };
 pub use labels::{
     ControlPurpose, ControlTask, Direction, OrderCause, PlatformPurpose, RetryReason, StateKind,
--- a/tests/entry/uneven_nodes.rs
+++ b/tests/entry/uneven_nodes.rs
@@ -1,9 +1,17 @@
-//! Entry nodes on machines of uneven size: which of them own jobs.
+//! Entry nodes on machines of uneven size: which of them own jobs, and how much they hold for their
+//! callers.
 
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use mulberrycourse::decide::job::{ItemSpec, JobSpec};
 use mulberrycourse::decide::load::NodeCapacity;
-use mulberrycourse::entry::SubmitResult;
+use mulberrycourse::edge::replica::BodyStream;
+use mulberrycourse::entry::{NO_MEMORY, RelayResponse, SubmitResult, TOO_LARGE_FOR_MEMORY};
+use standins::replicas::ReplicaFleet;
 
-use crate::world::{Node, World, sleep_ms, wait_until};
+use crate::world::{HOST, Node, World, job_spec, relay_request, sleep_ms, wait_until};
 
 /// A machine that is large enough to own jobs.
 const LARGE: NodeCapacity = NodeCapacity {
@@ -116,3 +124,107 @@
     assert_eq!(record("/a")["capacity"]["millicores"], 500);
     assert_eq!(record("/b").get("capacity"), None);
 }
+
+/// A machine that is just large enough to own jobs. It holds up to 26 MB of jobs.
+const MIDDLE: NodeCapacity = NodeCapacity {
+    millicores: Some(300),
+    memory_mb: Some(160),
+    descriptors: Some(4_100),
+    link_mbps: Some(60),
+};
+
+/// Returns a job of one item with a body of this size.
+fn large_job(job: &str, bytes: usize) -> JobSpec {
+    let mut spec = job_spec(job, &[&format!("item-of-{job}")]);
+    let item = ItemSpec { body: vec![0; bytes].into(), ..(*spec.items[0]).clone() };
+    spec.items = vec![Arc::new(item)];
+    spec
+}
+
+/// Guards against a node that takes jobs until its machine ends it, against a refusal while another
+/// node has memory, and against memory that counts as held after its job has ended.
+#[tokio::test(start_paused = true)]
+async fn a_job_goes_to_a_node_that_can_hold_it() {
+    let world = World::new();
+    let nodes = start(&world, &[("a", MIDDLE), ("b", MIDDLE)]).await;
+    for i in 0..8 {
+        world.replicas.set_event_count(&format!("item-of-j{i}"), 2_000);
+        let spec = large_job(&format!("j{i}"), 6 << 20);
+        assert_eq!(nodes[0].app().submit(spec).await, SubmitResult::Accepted, "j{i}");
+    }
+    let owned = |name| (0..8).filter(|i| owner(&world, &format!("j{i}")) == name).count();
+    assert_eq!((owned("a"), owned("b")), (4, 4));
+    for node in &nodes {
+        let refused = node.app().submit(large_job("j8", 6 << 20)).await;
+        assert_eq!(refused, SubmitResult::Refused(NO_MEMORY.into()));
+    }
+    assert!(world.kv.items("mulberry/home/j8").is_empty());
+    nodes[1].app().end_job("j3").await;
+    let accepted = async {
+        while nodes[0].app().submit(large_job("j8", 6 << 20)).await != SubmitResult::Accepted {
+            sleep_ms(100).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(20), accepted).await.unwrap();
+    for i in 0..=8 {
+        nodes[0].app().end_job(&format!("j{i}")).await;
+    }
+    let holds_none =
+        |node: &Node| node.app().metrics().contains("mulberry_held_bytes{purpose=\"Jobs\"} 0\n");
+    wait_until(|| nodes.iter().all(holds_none)).await;
+}
+
+/// Guards against a trainer that submits a job again and again although no machine can hold it.
+#[tokio::test(start_paused = true)]
+async fn a_job_that_no_machine_can_hold_is_refused_for_good() {
+    let world = World::new();
+    let nodes = start(&world, &[("a", MIDDLE), ("b", SMALL)]).await;
+    for node in &nodes {
+        let refused = node.app().submit(large_job("j", 27 << 20)).await;
+        assert_eq!(refused, SubmitResult::Refused(TOO_LARGE_FOR_MEMORY.into()));
+    }
+    assert!(world.kv.items("mulberry/home/j").is_empty());
+}
+
+/// Opens a stream of 60 events at a node whose memory for calls is in use but for a few bytes.
+async fn open_stream(world: &World, node: &Node, id: &str) -> BodyStream {
+    world.replicas.set_event_count(id, 60);
+    let route = node.app().routes().unwrap().find(HOST, "/text/x").cloned().unwrap();
+    let mut request = relay_request(id, "/text/x");
+    request.deadline = Some(Duration::from_secs(60));
+    match node.app().relay(&route, request).await {
+        RelayResponse::Stream { body, .. } => body.0,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Guards against a node that buffers ever more for clients that don't read, against events that are
+/// missing at one that reads in the end, and against memory that counts as held after a client has
+/// gone.
+#[tokio::test(start_paused = true)]
+async fn a_stream_that_is_not_read_buffers_little_if_memory_is_short() {
+    let world = World::new();
+    let nodes = start(&world, &[("a", MIDDLE)]).await;
+    let memory = &nodes[0].app().memory;
+    let held_by_stream = async |limit: usize| {
+        let filled = memory.charge(limit);
+        let stream = open_stream(&world, &nodes[0], &format!("s{limit}")).await;
+        sleep_ms(1_000).await;
+        let held = memory.held() - limit;
+        drop(filled);
+        (stream, held)
+    };
+    let (stream, with_space) = held_by_stream(0).await;
+    assert!(memory.held() > 0);
+    drop(stream);
+    wait_until(|| memory.held() == 0).await;
+    let (stream, without_space) = held_by_stream(memory.limit().unwrap()).await;
+    assert!(without_space * 8 <= with_space, "{without_space} bytes, {with_space} with space");
+    let id = format!("s{}", memory.limit().unwrap());
+    let pieces: Vec<_> = stream.collect().await;
+    let text: String =
+        pieces.into_iter().map(|p| String::from_utf8(p.unwrap().to_vec()).unwrap()).collect();
+    assert_eq!(text.lines().filter(|l| l.starts_with("id: ")).count(), 60);
+    assert!(text.contains(&ReplicaFleet::event_data(&id, 60)));
+    wait_until(|| memory.held() == 0).await;
+}
