Addresses are weighted by the size of machines and the zone of the client

Cause: where more than 64 nodes are known, the 64 of a response were chosen by the hash alone, so that the smallest machines got as many clients as the largest and two thirds were in other zones.

Change: rendezvous hashing weighted by processor share or link, whichever is the shorter one, and four times as much in the zone that the client names; a quarter of the addresses are of other zones, if they have nodes. Up to 64 nodes, and with equal nodes of unknown zone, responses are as before.

Weighed: repeating the addresses of large machines; some clients drop repetitions, and others would open several connections to one node. A new choice for each response: connections of clients would last as long as a response is valid, which is a second.

--- a/src/entry/membership.rs
+++ b/src/entry/membership.rs
@@ -6,6 +6,7 @@
 
 use super::keys::{LeaderRecord, MembershipKey, NodeRecord, parse_membership_key};
 use crate::decide::affinity::OwnerCandidate;
+use crate::decide::load::ClientNode;
 use crate::edge::store::{Change, KeyValue, RangeResult};
 use crate::{Moment, Name};
 
@@ -118,12 +119,20 @@
         NodeSet { changes: self.changes, retained: self.retained(now).len() }
     }
 
-    /// Names and client addresses of nodes that serve clients: the live ones, and those whose
-    /// records vanished together in an outage of the store.
-    pub(super) fn client_addresses(&self, now: Moment) -> Vec<(Name, SocketAddr)> {
+    /// The nodes that serve clients: the live ones, and those whose records vanished together in an
+    /// outage of the store.
+    pub(super) fn client_nodes(&self, now: Moment) -> Vec<ClientNode<SocketAddr>> {
         let retained = self.retained(now);
         let nodes = self.nodes.iter().chain(retained.into_iter().map(|(n, (v, _))| (n, v)));
-        nodes.filter_map(|(name, value)| Some((name.clone(), value.callers?))).collect()
+        let client_node = |(name, value): (&Name, &NodeRecord)| {
+            Some(ClientNode {
+                name: name.clone(),
+                address: value.callers?,
+                zone: value.zone.clone(),
+                weight: value.capacity.capacity.client_weight(),
+            })
+        };
+        nodes.filter_map(client_node).collect()
     }
 
     /// The number of node records that were removed so far.
--- a/tests/entry/uneven_nodes.rs
+++ b/tests/entry/uneven_nodes.rs
@@ -6,7 +6,7 @@
 
 use futures_util::StreamExt;
 use mulberrycourse::decide::job::{ItemSpec, JobSpec};
-use mulberrycourse::decide::load::NodeCapacity;
+use mulberrycourse::decide::load::{MAX_ADDRESSES, NodeCapacity};
 use mulberrycourse::edge::replica::BodyStream;
 use mulberrycourse::entry::{NO_MEMORY, RelayResponse, SubmitResult, TOO_LARGE_FOR_MEMORY};
 use standins::replicas::ReplicaFleet;
@@ -228,3 +228,28 @@
     assert!(text.contains(&ReplicaFleet::event_data(&id, 60)));
     wait_until(|| memory.held() == 0).await;
 }
+
+/// Guards against responses that ignore what the nodes publish: machines with a hundredth of the
+/// processor share of the others.
+#[tokio::test(start_paused = true)]
+async fn addresses_are_weighted_by_what_nodes_publish() {
+    let world = World::new();
+    let nodes = start(&world, &[("a", LARGE)]).await;
+    let put = |i: usize, zone: &str, millicores: u32| {
+        let record = format!(
+            r#"{{"life":"x{i}.1","callers":"127.0.0.2:{}","zone":"{zone}","capacity":{{"millicores":{millicores}}}}}"#,
+            1_000 + i
+        );
+        world.kv.put(&format!("mulberry/live/node/x{i}"), record);
+    };
+    (0..100).for_each(|i| if i < 20 { put(i, "y", 5) } else { put(i, "z", 500) });
+    let addresses = || nodes[0].app().client_addresses("z");
+    wait_until(|| addresses().len() == MAX_ADDRESSES).await;
+    sleep_ms(1_000).await;
+    let small = addresses().iter().filter(|a| (1_000..1_020).contains(&a.port())).count();
+    // 16 are of another zone in any case, if there are as many.
+    assert_eq!(small, MAX_ADDRESSES / 4);
+    (0..20).for_each(|i| put(i, "z", 5));
+    wait_until(|| addresses().iter().all(|a| !(1_000..1_020).contains(&a.port()))).await;
+    assert_eq!(addresses().len(), MAX_ADDRESSES);
+}
