Clients that stall are cut off, and lost jobs go to nodes with memory

Cause: with a bound on what is held, a few clients that are frozen or never read keep all others out for good. A node took over all jobs of a lost node, whether it has memory for them or not.

A node that scans for jobs leaves those for which it has no memory to the nodes that scan after it; the last one takes them in any case.

Weighed: TCP_USER_TIMEOUT, which covers peers that don't answer rather than those that don't read; a limit of the whole time of a response, which cuts slow readers as well.

--- a/src/edge/http/mod.rs
+++ b/src/edge/http/mod.rs
@@ -5,6 +5,7 @@
 mod json_client;
 mod pool;
 mod server;
+mod write_timeout;
 
 pub use body::{
     Body, BodyAborted, BodyError, BodySender, body_from_stream, empty_body, full_body,
@@ -14,3 +15,4 @@
 pub use json_client::{JsonClient, JsonClientError};
 pub use pool::{ConnectionPool, ResponseBody, SendError};
 pub use server::{Handler, Listener};
+pub use write_timeout::WriteTimeout;
--- a/src/edge/http/server.rs
+++ b/src/edge/http/server.rs
@@ -18,7 +18,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use super::{Body, problem_response};
+use super::{Body, WriteTimeout, problem_response};
 use crate::edge::acceptor::Acceptor;
 use crate::error::{Kind, Refusal};
 use crate::settings::ConnectionSettings;
@@ -118,6 +118,7 @@
     });
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder.http1().timer(TokioTimer::new()).header_read_timeout(shared.limits.head_timeout);
+    let stream = WriteTimeout::new(stream, shared.limits.write_timeout);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     // hyper's own limit for the head begins once the protocol version is known. This one covers
--- a/src/entry/memory_budget.rs
+++ b/src/entry/memory_budget.rs
@@ -85,6 +85,11 @@
         self.charge(bytes.len()).attach(bytes)
     }
 
+    /// Whether bytes would fit now.
+    pub fn could_reserve(&self, bytes: usize) -> bool {
+        self.shared.usage.lock().clone().try_take(bytes)
+    }
+
     /// Whether nothing more fits.
     pub fn is_full(&self) -> bool {
         self.shared.usage.lock().is_full()
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -17,6 +17,7 @@
 use super::runner::RestoredJob;
 use super::submit::unix_millis;
 use crate::decide::job::{ItemResult, JobSpec, SampleText, SavedProgress, TextDelta};
+use crate::decide::load::MemoryUse;
 use crate::decide::rendezvous_rank;
 use crate::edge::store::{RangeResult, StoreError, Txn, TxnOutcome};
 use crate::metrics::JobEvent;
@@ -46,6 +47,7 @@
     let mut known: BTreeSet<Name> = BTreeSet::new();
     let mut known_set = None;
     let mut position = None;
+    let mut successor_count = 0;
     let mut due: Option<Moment> = None;
     loop {
         let now = app.now();
@@ -73,6 +75,7 @@
                     due = None;
                 }
                 let serving = membership.successor_incarnations();
+                successor_count = serving.len();
                 position = rendezvous_rank(JOB_RECORD_PREFIX, serving.iter().map(|l| &**l))
                     .iter()
                     .position(|l| **l == *app.incarnation);
@@ -90,7 +93,8 @@
             due = Some(now + RESCAN_DELAY);
             continue;
         }
-        due = match scan_jobs(&app).await {
+        let is_last = position + 1 >= successor_count.min(MAX_SCANNERS);
+        due = match scan_jobs(&app, is_last).await {
             Ok(true) => None,
             Ok(false) => Some(app.now() + RESCAN_DELAY),
             Err(e) => {
@@ -104,8 +108,9 @@
 }
 
 /// Takes over jobs without a live owner, resumes this node's own, and deletes old ones. False if
-/// another scan is needed soon: an owner may still come back, or a call failed.
-async fn scan_jobs(app: &Arc<App>) -> Result<bool, StoreError> {
+/// another scan is needed soon: an owner may still come back, or a call failed. Jobs for which this
+/// node has no memory are left to the nodes that scan after it, unless it is the last one.
+async fn scan_jobs(app: &Arc<App>, is_last: bool) -> Result<bool, StoreError> {
     let page = app.store.range(JOB_RECORD_PREFIX).await?;
     let mut settled = true;
     for item in &page.items {
@@ -135,7 +140,10 @@
                 membership.is_registered(&seen.value.incarnation),
             )
         };
-        if !alive {
+        let bytes = MemoryUse::of_job(0, seen.value.sample_count);
+        if !alive && !is_last && !app.job_memory.could_reserve(bytes) {
+            tracing::info!(event = "job_left_to_others", %job, held = app.job_memory.held());
+        } else if !alive {
             settled &= take_over(app, &job, seen).await;
         } else if !back {
             settled = false;
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -99,6 +99,9 @@
     pub max_open: usize,
     /// `head`: how long a client may take to send the head of a request.
     pub head_timeout: Duration,
+    /// How long a client may read nothing while a response waits for it; none for any time. Not a
+    /// key of the settings.
+    pub write_timeout: Option<Duration>,
 }
 
 impl Settings {
@@ -128,7 +131,11 @@
 
 impl Default for ConnectionSettings {
     fn default() -> Self {
-        Self { max_open: DEFAULT_MAX_CONNECTIONS, head_timeout: DEFAULT_HEAD_TIMEOUT }
+        Self {
+            max_open: DEFAULT_MAX_CONNECTIONS,
+            head_timeout: DEFAULT_HEAD_TIMEOUT,
+            write_timeout: None,
+        }
     }
 }
 
@@ -189,6 +196,7 @@
     let settings = ConnectionSettings {
         max_open: section.in_range("most", 1..=100_000, DEFAULT_MAX_CONNECTIONS)?,
         head_timeout: head,
+        write_timeout: None,
     };
     check_timeout(&section, "head", head)?;
     section.finish()?;
--- a/tests/entry/uneven_nodes.rs
+++ b/tests/entry/uneven_nodes.rs
@@ -1,6 +1,7 @@
 //! Entry nodes on machines of uneven size: which of them own jobs, and how much they hold for their
 //! callers.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -174,6 +175,40 @@
     wait_until(|| nodes.iter().all(holds_none)).await;
 }
 
+/// Guards against a node without memory taking over the jobs of a lost one while another has memory,
+/// and against jobs that nobody takes over because all are full.
+#[tokio::test(start_paused = true)]
+async fn lost_jobs_go_to_a_node_that_can_hold_them() {
+    // The rank of nodes depends on the random part of their names, so that either of two is first.
+    for lost in [0, 1, 0, 1, 0, 1] {
+        let world = World::new();
+        let mut nodes = start(&world, &[("a", MIDDLE), ("b", MIDDLE), ("c", MIDDLE)]).await;
+        let jobs: Vec<String> = (0..8).map(|i| format!("j{i}")).collect();
+        for job in &jobs {
+            // 25 MB of expected texts for the first four jobs.
+            let items: Vec<String> = (0..780).map(|i| format!("{job}-{i}")).collect();
+            let items: Vec<&str> = items.iter().map(|id| &**id).collect();
+            // The node that is preferred as the owner of all jobs has the first one. The others go
+            // through the same other node, which is the next one that is full.
+            let first = (job != "j0").then(|| owner(&world, "j0"));
+            let other = nodes.iter().find(|n| Some(&*n.app().settings.name) != first.as_deref());
+            let by = other.unwrap();
+            assert_eq!(by.submit(job, &items).await, SubmitResult::Accepted);
+        }
+        let owners: Vec<String> = jobs.iter().map(|job| owner(&world, job)).collect();
+        let full: BTreeSet<&String> = owners.iter().collect();
+        assert_eq!(full.len(), 2, "{owners:?}");
+        let lost = full.iter().nth(lost).unwrap().to_string();
+        let spare = ["a", "b", "c"].into_iter().find(|n| !full.contains(&n.to_string())).unwrap();
+        let moving: Vec<&String> = jobs.iter().filter(|job| owner(&world, job) == lost).collect();
+        nodes.retain(|node| *node.app().settings.name != *lost);
+        wait_until(|| moving.iter().all(|job| owner(&world, job) == spare)).await;
+        // The last node takes the jobs of all others.
+        nodes.retain(|node| *node.app().settings.name == *spare);
+        wait_until(|| jobs.iter().all(|job| owner(&world, job) == spare)).await;
+    }
+}
+
 /// Guards against a trainer that submits a job again and again although no machine can hold it.
 #[tokio::test(start_paused = true)]
 async fn a_job_that_no_machine_can_hold_is_refused_for_good() {
