--- a/src/entry/keys.rs
+++ b/src/entry/keys.rs
@@ -7,7 +7,7 @@
 
 use std::net::SocketAddr;
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 
 use super::reported_capacity::ReportedCapacity;
 use crate::Name;
@@ -45,8 +45,8 @@
     /// The listen address for other nodes; none if they don't connect to this one.
     #[serde(default)]
     pub peers: Option<SocketAddr>,
-    /// The availability zone. None in the records of older versions.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    /// The availability zone. None in the records of older versions, or if it is not a text.
+    #[serde(default, deserialize_with = "text_or_none", skip_serializing_if = "Option::is_none")]
     pub zone: Option<Name>,
     /// The capacity of the machine. Unknown in the records of older versions.
     #[serde(default, skip_serializing_if = "ReportedCapacity::is_unknown")]
@@ -146,6 +146,12 @@
     }
 }
 
+/// Reads a text; none for any other value, which must not make the whole record unreadable.
+fn text_or_none<'de, D: Deserializer<'de>>(value: D) -> Result<Option<Name>, D::Error> {
+    let value = serde_json::Value::deserialize(value)?;
+    Ok(value.as_str().map(Name::from))
+}
+
 /// Key of a node's record.
 pub(super) fn node_key(name: &str) -> Name {
     format!("{NODE_PREFIX}{name}").into()
--- a/tests/entry/uneven_nodes.rs
+++ b/tests/entry/uneven_nodes.rs
@@ -96,8 +96,10 @@
     .iter()
     .enumerate()
     {
-        let record =
-            format!(r#"{{"life":"x{i}.1","callers":"127.0.0.1:{}","capacity":{capacity}}}"#, 9 + i);
+        let record = format!(
+            r#"{{"life":"x{i}.1","callers":"127.0.0.1:{}","zone":{i},"capacity":{capacity}}}"#,
+            9 + i
+        );
         world.kv.put(&format!("mulberry/live/node/x{i}"), record);
     }
     wait_until(|| nodes[0].app().client_addresses("z").len() == 6).await;
