--- a/src/metrics/entry_metrics.rs
+++ b/src/metrics/entry_metrics.rs
@@ -156,6 +156,15 @@
     Quarantine,
 }
 
+/// The purpose for which memory is held.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum HeldFor {
+    /// Bodies, responses and events of calls.
+    Calls,
+    /// Jobs that the node owns.
+    Jobs,
+}
+
 macro_rules! label {
     ($name:ident, $field:ident: $kind:ty) => {
         #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -173,6 +182,7 @@
 label!(DutyLabel, result: DutyOutcome);
 label!(ShareLabel, result: ShareOutcome);
 label!(PeerPurposeLabel, purpose: PeerPurpose);
+label!(HeldLabel, purpose: HeldFor);
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ServiceLabel {
@@ -226,6 +236,8 @@
     calls_refused: Family<CallRefusalLabel, Counter>,
     calls_waiting: Family<ServiceLabel, Gauge>,
     call_wait_seconds: Family<ServiceLabel, Histogram>,
+    held_bytes: Family<HeldLabel, Gauge<i64, AtomicI64>>,
+    held_bytes_limit: Family<HeldLabel, Gauge<i64, AtomicI64>>,
     store_seconds: Histogram,
     request_seconds: Histogram,
     share_orders: Family<ShareLabel, Counter>,
@@ -238,6 +250,8 @@
     pub routes_version: Gauge<i64, AtomicI64>,
     /// Load reports of replicas that count more requests than can be there.
     pub ignored_load_reports: Counter,
+    /// Registered nodes whose published capacity is not plausible.
+    pub invalid_capacities: Gauge<i64, AtomicI64>,
     /// Log lines that the rate limit dropped.
     pub dropped_lines: Gauge<i64, AtomicI64>,
     /// Figures from replicas that were out of range and ignored.
@@ -272,6 +286,8 @@
             calls_refused: Family::default(),
             calls_waiting: Family::default(),
             call_wait_seconds: Family::new_with_constructor(seconds),
+            held_bytes: Family::default(),
+            held_bytes_limit: Family::default(),
             store_seconds: seconds(),
             request_seconds: seconds(),
             share_orders: Family::default(),
@@ -280,6 +296,7 @@
             open_jobs: Gauge::default(),
             routes_version: Gauge::default(),
             ignored_load_reports: Counter::default(),
+            invalid_capacities: Gauge::default(),
             dropped_lines: Gauge::default(),
             ignored_figures: Counter::default(),
             replica_crashes: Counter::default(),
@@ -349,6 +366,12 @@
         registry.register("over_share", help, self.over_share.clone());
         registry.register("open_jobs", "Jobs that run here", self.open_jobs.clone());
         registry.register("routes_version", "Configuration in force", self.routes_version.clone());
+        let help = "Nodes whose published capacity is not plausible";
+        registry.register("invalid_capacities", help, self.invalid_capacities.clone());
+        let help = "Bytes held for callers, by purpose";
+        registry.register("held_bytes", help, self.held_bytes.clone());
+        let help = "The most bytes that may be held for callers; 0 for no limit";
+        registry.register("held_bytes_limit", help, self.held_bytes_limit.clone());
         let help = "Log lines left out for their number";
         registry.register("log_lines_dropped", help, self.dropped_lines.clone());
         let help = "Figures from replicas that were out of range";
@@ -362,6 +385,13 @@
         registry.register_collector(Box::new(ProcessCollector));
     }
 
+    /// Records the memory that is held for a purpose and its limit, in bytes.
+    pub fn record_memory(&self, purpose: HeldFor, held: usize, limit: Option<usize>) {
+        let label = HeldLabel { purpose };
+        self.held_bytes.get_or_create(&label).set(held as i64);
+        self.held_bytes_limit.get_or_create(&label).set(limit.map_or(0, |n| n as i64));
+    }
+
     /// Counts a refusal.
     pub fn count_refusal(&self, kind: Kind) {
         self.refusals.get_or_create(&KindLabel { kind }).inc();
