A node passes on at most two announcements of the store's return

Up to six nodes announced in 20 ms, as timers have a resolution of a millisecond and a tree takes longer than that; a node that announced was then the first of a part in two more trees.

Change: a node passes on at most two announcements of one event, the second only if its id is lower, which bounds it to 31 notices by construction; the delay before an announcement grows with the fleet (0.2 ms a node, 60 ms at most), so that small fleets do not wait.

--- a/src/decide/announcements.rs
+++ b/src/decide/announcements.rs
@@ -5,8 +5,8 @@
 //! as many times its part as there are announcements. If each node passed on only the first one
 //! that it received, a node could be left out: on its way in each tree, some node may have
 //! received another tree first. So a node passes on an announcement only if its id is lower than
-//! that of all earlier ones. The one with the lowest id then reaches every node, and of `n`
-//! announcements in random order a node passes on about `ln n`.
+//! that of the ones before, and at most two. Of two announcements the lower one reaches every node.
+//! Of more, a part of one is dropped only where two others were passed on.
 
 use std::time::Duration;
 
@@ -16,20 +16,31 @@
 /// for an unreachable node on each, takes about a second.
 const SAME_EVENT_WINDOW: Duration = Duration::from_secs(3);
 
-/// The announcement with the lowest id that a node has passed on.
+/// The most announcements of one event that a node passes on.
+const MAX_PASSED_ON: u32 = 2;
+
+/// The announcements of the last event that a node has passed on.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Announcements {
+    /// The lowest id, and when it was passed on.
     lowest: Option<(u64, Moment)>,
+    /// Their number.
+    count: u32,
 }
 
 impl Announcements {
     /// Whether an announcement is to be passed on, which is recorded as done.
     pub fn passes_on(&mut self, id: u64, now: Moment) -> bool {
-        let known = self.current(now).is_some_and(|lowest| lowest <= id);
-        if !known {
+        let current = self.current(now);
+        if current.is_none() {
+            self.count = 0;
+        }
+        let passes = current.is_none_or(|lowest| id < lowest) && self.count < MAX_PASSED_ON;
+        if passes {
             self.lowest = Some((id, now));
+            self.count += 1;
         }
-        !known
+        passes
     }
 
     /// Whether an announcement of the same event has been passed on.
@@ -45,6 +56,6 @@
 
     /// Records that the service became unreachable: later announcements are of another return.
     pub fn outage_began(&mut self) {
-        self.lowest = None;
+        *self = Self::default();
     }
 }
--- a/src/entry/peer/fallback_store.rs
+++ b/src/entry/peer/fallback_store.rs
@@ -55,9 +55,12 @@
 /// node that misses it finds out by its own probe.
 const NOTICE_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// The longest delay before a node that reaches the store again announces it. Most announcements
-/// reach all nodes within a third of it.
-const MAX_ANNOUNCE_DELAY: Duration = Duration::from_millis(20);
+/// The delay before a node that reaches the store again announces it is drawn from this time for
+/// each node that it knows. Timers have a resolution of a millisecond: with 20 ms for 250 nodes,
+/// six that reached the store at once often began within the same one.
+const ANNOUNCE_DELAY_PER_NODE: Duration = Duration::from_micros(200);
+/// The longest delay: callers that wait for the store are held up for it.
+const MAX_ANNOUNCE_DELAY: Duration = Duration::from_millis(60);
 
 /// What is known about the reachability of the store.
 #[derive(Debug)]
@@ -391,7 +394,9 @@
     ///
     /// Load pattern: the probes of several of hundreds of nodes are answered at the same moment.
     async fn announce_unless_told(self) {
-        tokio::time::sleep(MAX_ANNOUNCE_DELAY.mul_f64(rand::random())).await;
+        let nodes = self.state.lock().nodes.len() as u32;
+        let longest = (ANNOUNCE_DELAY_PER_NODE * nodes).min(MAX_ANNOUNCE_DELAY);
+        tokio::time::sleep(longest.mul_f64(rand::random())).await;
         let id = rand::random();
         let mut nodes = {
             let mut state = self.state.lock();
