--- a/standins/src/kv/service.rs
+++ b/standins/src/kv/service.rs
@@ -44,6 +44,8 @@
     pub leases_end: bool,
     /// Whether a watch from a dropped history is refused even if nothing has changed since.
     pub refuses_dropped: bool,
+    /// The prefix whose range reads are refused.
+    pub refused_range: Option<&'static str>,
 }
 
 /// The service. Clones share its keys.
@@ -208,6 +210,9 @@
         let (client, prefix) = (self.clone(), Name::from(prefix));
         Box::pin(async move {
             client.reach_service().await?;
+            if client.faults.lock().refused_range.is_some_and(|refused| *prefix == *refused) {
+                return Err(StoreError::Refused("refused by an injected fault".to_owned()));
+            }
             Ok(client.service.state.lock().range(&prefix))
         })
     }
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -17,6 +17,7 @@
 mod scale;
 mod shares;
 mod stale_reads;
+mod unanswered_runs;
 mod uneven_nodes;
 mod usage;
 mod versions;
