A run is counted before it is sent, and stays open until its replica answers

Cause: the count of failures was no part of what it limits. (1) Runs without a response were free until a first failure was known, and replicas that hang carry out all of them; streams that break without an event had no limit at all. (2) A run was counted when it ended, so that an owner or a job that ended before took the runs in flight with it: up to max_attempts of a relay, where one was charged for a takeover. (4) A submission that could not read the earlier counts began with none, and open jobs with the same request did not see each other.

Now the count of a request that has one includes its next run before that is sent, and the store has it; only the first run of a request is not stored, and takeovers are charged for it. An owner that stops, and a job that ends, store the runs that they have sent. A job without the earlier counts waits for them, and reads them again before runs beyond the attempts of its route. A reward call is relayed one run at a time.

A run without a response in time is no longer cut off: three of them at most are open until their replica answers, is no longer listed, or has answered others for a second; an answer that comes late is used. Delays double up to 3.2 s, so that the runs of a sound request last for most of its retention.

Tests that changed: a request that was only interrupted is now limited, so its test asks for that; counts of several jobs add up, since open jobs do not know each other; the property has crashes at any run, drains and ends of jobs, and bounds all of them as before.

Failed try: an unpaced count of 12 without open runs was designed and not built, as sound calls would have used it up within ten seconds of a hang.

--- a/src/decide/failures/failure_count.rs
+++ b/src/decide/failures/failure_count.rs
@@ -1,21 +1,31 @@
 //! The failures of one request, and whether it may run again.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
-/// How many times the attempts of its route a request may run once it has failed, over all jobs and
+/// How many times the attempts of its route a request may run without success, over all jobs and
 /// owners.
 const MAX_RUN_FACTOR: u32 = 3;
+/// How many runs of a request may be open: sent, and neither answered nor known to have ended. Their
+/// replicas may still reject each of them, and a rejected request must not run a fourth time.
+const MAX_OPEN_RUNS: usize = 3;
+/// The delay before a request runs again after a run without a response, doubled with each further
+/// one up to [`MAX_RETRY_DELAY`].
+const RETRY_BASE_DELAY: Duration = Duration::from_millis(25);
+/// The longest such delay. With it the runs of a request last for most of its retention.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(3_200);
 
-/// How often one request has failed in a job, over all owners of the job, and in earlier jobs.
+/// How often one request has failed in a job, over all owners of the job, and in other jobs.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FailureCount {
     /// Responses of replicas that ran it and failed.
     pub failed: u32,
-    /// Runs that brought nothing and whose outcome is unknown.
+    /// Runs without a response, also those that have not ended.
     pub unknown: u32,
-    /// The same as `failed`, in earlier jobs.
+    /// The same as `failed`, in other jobs.
     pub earlier_failed: u32,
-    /// The same as `unknown`, in earlier jobs.
+    /// The same as `unknown`, in other jobs.
     pub earlier_unknown: u32,
     /// Whether a replica responded that the request can never succeed.
     pub rejected: bool,
@@ -37,6 +47,8 @@
 pub enum RetryDecision {
     /// It may run.
     Run,
+    /// It does not run until one of its open runs has ended.
+    Await,
     /// It does not run again, and is not given up before its retention ends: some of its runs may
     /// have failed without a response, but fewer responses than its route allows say so.
     Hold,
@@ -65,47 +77,84 @@
         }
     }
 
-    /// Whether a retry has to wait until this count is stored. A request that has only been
-    /// interrupted is not known to fail, and goes on at once.
-    pub fn must_be_stored(&self) -> bool {
-        self.failed > 0 || self.earlier_failed > 0 || self.rejected
+    /// Counts a run that was counted as unknown by its response.
+    pub(super) fn settle(&mut self, failure: Option<RequestFailure>) {
+        self.unknown = self.unknown.saturating_sub(1);
+        if let Some(failure) = failure {
+            self.record(failure);
+        }
     }
 
-    /// Returns the part of earlier jobs.
-    pub fn earlier(&self) -> Self {
-        Self { failed: 0, unknown: 0, ..*self }
+    /// The runs without success, in all jobs.
+    fn runs(&self) -> u32 {
+        self.failed + self.unknown + self.earlier_failed + self.earlier_unknown
     }
 
-    /// Takes over the failures in another job with the same request, whose owners may have missed
-    /// this many. Of several jobs the one with the most counts, as it had those of the others.
-    pub fn add_earlier(&mut self, other: &Self, missed: u32) {
-        let failed = other.failed + other.earlier_failed;
-        let unknown = other.unknown + other.earlier_unknown + missed;
+    /// Sets the part of other jobs, unless a larger one is known.
+    pub fn set_earlier(&mut self, other: &EarlierRuns) {
+        let (failed, unknown) = other.counts();
         if failed + unknown > self.earlier_failed + self.earlier_unknown {
             (self.earlier_failed, self.earlier_unknown) = (failed, unknown);
         }
         self.rejected |= other.rejected;
     }
 
-    /// Decides whether the request may run again on a route that allows `max_attempts`, after this
-    /// many takeovers of its job. An owner stores each failure before the next run, so that one run
-    /// at most is not counted when it ends.
-    pub fn decide(&self, max_attempts: u32, takeovers: u32) -> RetryDecision {
-        let max_runs = MAX_RUN_FACTOR * max_attempts;
+    /// Whether the counts of other jobs are to be read again before the next run, since two open
+    /// jobs may have the same request.
+    pub fn wants_other_jobs(&self, max_attempts: u32) -> bool {
+        self.failed + self.unknown >= max_attempts
+    }
+
+    /// The delay before the request runs again.
+    pub fn retry_delay(&self) -> Duration {
+        (RETRY_BASE_DELAY * (1 << self.unknown.min(16))).min(MAX_RETRY_DELAY)
+    }
+
+    /// Decides whether the request may run again on a route that allows `max_attempts`, while this
+    /// many of its runs are open.
+    pub fn decide(&self, max_attempts: u32, open_runs: usize) -> RetryDecision {
         if self.rejected || self.failed >= max_attempts {
-            return RetryDecision::GiveUp;
-        }
-        let failed = self.failed + self.earlier_failed;
-        if failed == 0 {
-            return RetryDecision::Run;
-        }
-        let runs = failed + self.unknown + self.earlier_unknown + takeovers;
-        if runs < max_runs {
+            RetryDecision::GiveUp
+        } else if open_runs >= MAX_OPEN_RUNS {
+            RetryDecision::Await
+        } else if self.runs() < MAX_RUN_FACTOR * max_attempts {
             RetryDecision::Run
-        } else if failed >= max_attempts {
+        } else if self.failed + self.earlier_failed >= max_attempts {
             RetryDecision::GiveUp
         } else {
             RetryDecision::Hold
         }
     }
 }
+
+/// The runs of a request in other jobs.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct EarlierRuns {
+    failed: u32,
+    unknown: u32,
+    /// The counts of the job that knows of the most runs, those of jobs before it included.
+    longest: (u32, u32),
+    rejected: bool,
+}
+
+impl EarlierRuns {
+    /// Adds the count of one other job. The job may be open, and then has one more run that its
+    /// count does not show yet.
+    pub fn add(&mut self, other: &FailureCount) {
+        let unseen = u32::from(other.failed + other.unknown > 0);
+        self.failed += other.failed;
+        self.unknown += other.unknown + unseen;
+        self.rejected |= other.rejected;
+        let known =
+            (other.failed + other.earlier_failed, other.unknown + other.earlier_unknown + unseen);
+        if known.0 + known.1 > self.longest.0 + self.longest.1 {
+            self.longest = known;
+        }
+    }
+
+    /// Failures and runs without a response. The jobs that an other job counted may be deleted.
+    fn counts(&self) -> (u32, u32) {
+        let all = (self.failed, self.unknown);
+        if self.longest.0 + self.longest.1 > all.0 + all.1 { self.longest } else { all }
+    }
+}
--- a/src/decide/failures/job_failures.rs
+++ b/src/decide/failures/job_failures.rs
@@ -1,26 +1,59 @@
 //! The failures of all requests of a job.
 
 use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
-use super::{FailureCount, RequestFailure};
+use super::{EarlierRuns, FailureCount, RequestFailure, RetryDecision};
 use crate::Name;
 
 /// The failures of all requests of a job, and how many of them the store has.
+///
+/// A request that has a count is counted once more before each run, so that the store has the run
+/// whatever ends its owner or job. The first run of a request is not.
 #[derive(Debug, Default)]
 pub struct JobFailures {
     counts: HashMap<Name, FailureCount>,
-    /// Number of recorded failures at this owner.
+    /// The runs that have not ended.
+    running: HashMap<Name, Run>,
+    /// The earlier owners of the job, each of which may have made a first run of any request.
+    owners: u32,
+    /// Number of recorded changes at this owner.
     recorded: u64,
-    /// Value of `recorded` at the last failure that must be stored before a retry.
+    /// Value of `recorded` at the last change that must be stored before a run.
     urgent: u64,
     /// Value of `recorded` up to which the store has them.
     stored: u64,
 }
 
+/// A run that has not ended.
+#[derive(Debug)]
+struct Run {
+    /// Whether it is part of the request's count.
+    counted: bool,
+    /// Whether the request was sent.
+    sent: RunSent,
+}
+
+/// Whether a run has been sent to a replica. Clones share the state.
+#[derive(Debug, Clone, Default)]
+pub struct RunSent(Arc<AtomicBool>);
+
+impl RunSent {
+    /// Sets whether the run has been sent, and may have begun.
+    pub fn set(&self, sent: bool) {
+        self.0.store(sent, Ordering::Relaxed);
+    }
+
+    fn get(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
 impl JobFailures {
-    /// The failures that the store has of a job.
-    pub fn restored(counts: HashMap<Name, FailureCount>) -> Self {
-        Self { counts, ..Self::default() }
+    /// The failures that the store has of a job which has had this many owners before.
+    pub fn restored(counts: HashMap<Name, FailureCount>, owners: u32) -> Self {
+        Self { counts, owners, ..Self::default() }
     }
 
     /// Returns the count of a request.
@@ -28,24 +61,85 @@
         self.counts.get(request).copied().unwrap_or_default()
     }
 
-    /// Records a failure and returns the new count of the request.
-    pub fn record(&mut self, request: &Name, failure: RequestFailure) -> FailureCount {
+    /// Decides whether a request may run on a route that allows `max_attempts`, while this many of
+    /// its runs are open. A run that is counted already may be made.
+    pub fn decide(&self, request: &str, max_attempts: u32, open_runs: usize) -> RetryDecision {
+        if self.running.contains_key(request) {
+            return RetryDecision::Run;
+        }
+        self.count(request).decide(max_attempts, open_runs)
+    }
+
+    /// Counts the next run of a request that has a count. Returns the number that the store must
+    /// have before the run; none if the request has no count.
+    pub fn reserve(&mut self, request: &Name) -> Option<u64> {
+        let count = self.counts.get_mut(request)?;
+        if !self.running.contains_key(request) {
+            count.unknown += 1;
+            let run = Run { counted: true, sent: RunSent::default() };
+            self.running.insert(request.clone(), run);
+            self.recorded += 1;
+            self.urgent = self.recorded;
+        }
+        Some(self.urgent)
+    }
+
+    /// Begins a run of a request.
+    pub fn begin(&mut self, request: &Name) -> RunSent {
+        let first = || Run { counted: false, sent: RunSent::default() };
+        self.running.entry(request.clone()).or_insert_with(first).sent.clone()
+    }
+
+    /// Ends the run of a request that has begun, if it has not ended yet. Returns the new count
+    /// after a failure.
+    pub fn end(&mut self, request: &Name, failure: Option<RequestFailure>) -> Option<FailureCount> {
+        let run = self.running.remove(request)?;
+        if run.counted {
+            let count = self.counts.get_mut(request)?;
+            match failure {
+                // It stays counted as one without a response.
+                Some(RequestFailure::Unknown) => {}
+                failure => count.settle(failure),
+            }
+        } else {
+            self.first_failure(request, failure?);
+        }
+        self.recorded += 1;
+        failure.map(|_| self.count(request))
+    }
+
+    /// Adds a request that fails for the first time in this job.
+    fn first_failure(&mut self, request: &Name, failure: RequestFailure) {
+        let lost = self.owners;
         let count = self.counts.entry(request.clone()).or_default();
+        count.unknown += lost;
         count.record(failure);
-        self.recorded += 1;
-        if count.must_be_stored() {
-            self.urgent = self.recorded;
+    }
+
+    /// Counts the response to a run that had ended as unknown.
+    pub fn settle(&mut self, request: &Name, failure: Option<RequestFailure>) {
+        if let Some(count) = self.counts.get_mut(request) {
+            count.settle(failure);
+            self.recorded += 1;
+        }
+    }
+
+    /// Forgets a request that has succeeded.
+    pub fn remove(&mut self, request: &str) {
+        self.running.remove(request);
+        if self.counts.remove(request).is_some() {
+            self.recorded += 1;
         }
-        *count
     }
 
-    /// Returns the number that [`JobFailures::mark_stored`] has to confirm before a request that
-    /// has failed runs again.
-    pub fn urgent(&self) -> u64 {
-        self.urgent
+    /// Adds what the records of other jobs have of the requests.
+    pub fn set_earlier(&mut self, earlier: &HashMap<Name, EarlierRuns>) {
+        for (request, runs) in earlier {
+            self.counts.entry(request.clone()).or_default().set_earlier(runs);
+        }
     }
 
-    /// Whether a retry waits for the counts to be stored.
+    /// Whether a run waits for its count to be stored.
     pub fn must_be_stored(&self) -> bool {
         self.stored < self.urgent
     }
@@ -56,6 +150,21 @@
         (self.stored < self.recorded).then(|| (counts.collect(), self.recorded))
     }
 
+    /// The same for the last write of an owner that stops: with the first runs that it has sent and
+    /// does not see the end of.
+    pub fn unstored_at_end(&mut self) -> Option<(Vec<(Name, FailureCount)>, u64)> {
+        let unseen: Vec<Name> = self
+            .running
+            .extract_if(|_, run| !run.counted && run.sent.get())
+            .map(|(request, _)| request)
+            .collect();
+        for request in unseen {
+            self.first_failure(&request, RequestFailure::Unknown);
+            self.recorded += 1;
+        }
+        self.unstored()
+    }
+
     /// Records that the store has the counts up to a number.
     pub fn mark_stored(&mut self, number: u64) {
         self.stored = self.stored.max(number);
--- a/src/decide/fleet/fleet.rs
+++ b/src/decide/fleet/fleet.rs
@@ -265,6 +265,18 @@
         valid
     }
 
+    /// Records that a replica answered a request.
+    pub fn record_answer(&mut self, id: &str, now: Moment) {
+        if let Some(replica) = self.replicas.get_mut(id) {
+            replica.answered = now;
+        }
+    }
+
+    /// When a replica last answered a request; none if it is not listed.
+    pub fn last_answer(&self, id: &str) -> Option<Moment> {
+        self.replicas.get(id).map(|replica| replica.answered)
+    }
+
     /// Records an answer of a replica without a load report.
     pub fn report_no_load(&mut self, id: &str) {
         if let Some(replica) = self.replicas.get_mut(id) {
--- a/src/decide/fleet/replica.rs
+++ b/src/decide/fleet/replica.rs
@@ -44,6 +44,8 @@
     pub versions: HashMap<Name, u64>,
     /// When the last attempt began there.
     pub began: Moment,
+    /// When it last answered a request.
+    pub answered: Moment,
     /// Whether and when it reported its load.
     pub load_report: LoadReporting,
     /// Until when it gets no sample of a model, by model.
@@ -68,6 +70,7 @@
             excluded_until: Moment::ZERO,
             full_until: Moment::ZERO,
             began: Moment::ZERO,
+            answered: Moment::ZERO,
             load_report: LoadReporting::Unknown,
             loading: HashMap::new(),
         }
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -6,6 +6,7 @@
 use http::StatusCode;
 
 use super::app::App;
+use super::late_runs::SentCall;
 use super::owned_jobs::OwnedJob;
 use super::slots::SlotGuard;
 use crate::Moment;
@@ -45,6 +46,8 @@
     Impossible,
     /// The text is continued at another replica, for this reason.
     Continue(AttemptEnd),
+    /// No response came in time.
+    Silent(SentCall),
 }
 
 /// How reading the events of a replica ended.
@@ -67,23 +70,24 @@
         call: ReplicaCall,
     ) -> AttemptResult {
         let result = self.call_and_read(slot, call).await;
-        self.app.tally.count_sample_attempt(match result {
+        self.app.tally.count_sample_attempt(match &result {
             AttemptResult::Complete => AttemptEnd::Answered,
             AttemptResult::Failed | AttemptResult::Impossible => AttemptEnd::Failed,
-            AttemptResult::Continue(end) => end,
+            AttemptResult::Continue(end) => *end,
+            AttemptResult::Silent(_) => AttemptEnd::Broken,
         });
         result
     }
 
     async fn call_and_read(self, slot: &mut SlotGuard<'_>, call: ReplicaCall) -> AttemptResult {
         let started_at = self.app.now();
-        let sending = self.app.replicas.send(&slot.target, call);
-        let reply = match tokio::time::timeout(HEAD_TIMEOUT, sending).await {
+        let mut sending = self.app.replicas.send(&slot.target, call);
+        let reply = match tokio::time::timeout(HEAD_TIMEOUT, &mut sending).await {
             Ok(Ok(reply)) => reply,
             Ok(Err(failure)) => return self.failed_before_answer(slot, &failure),
             Err(_) => {
                 slot.set_end(ReplicaOutcome::Failed);
-                return AttemptResult::Continue(AttemptEnd::Broken);
+                return AttemptResult::Silent(sending);
             }
         };
         self.app.record_response_head(&slot.target.id, reply.load);
@@ -171,6 +175,10 @@
                 Ok(Some(Ok(bytes))) => bytes,
             };
             let version = self.add_events(&reader.push(&piece)?)?;
+            if version.is_some() || self.last_event() > 0 {
+                // A request that brings events does not fail at every run.
+                self.app.end_run(self.owned, &self.item.id, None);
+            }
             if version.is_some() && seen_version != version {
                 seen_version = version;
                 self.note_version(slot, version);
--- a/src/entry/end_job.rs
+++ b/src/entry/end_job.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::app::App;
-use super::keys::{JobRecord, job_record_key};
+use super::keys::{JobRecord, failures_key, job_record_key};
 use super::membership::Stored;
 use super::read::Lookup;
 use crate::edge::store::{Txn, TxnOutcome};
@@ -42,7 +42,12 @@
             let value = JobRecord { ended: true, done: true, ..stored.value.clone() };
             let Ok(value) = serde_json::to_vec(&value) else { return Lookup::Unsure };
             let key = job_record_key(job);
-            let txn = Txn::when(key.clone(), stored.revision).put(key.clone(), value);
+            let mut txn = Txn::when(key.clone(), stored.revision).put(key.clone(), value);
+            let own = stored.value.incarnation == self.incarnation;
+            let failures = owned.as_ref().filter(|_| own).and_then(|owned| owned.last_failures());
+            if let Some(failures) = failures.and_then(|(record, _)| record.encode(job)) {
+                txn = txn.put(failures_key(job), failures);
+            }
             match self.store.txn(txn).await {
                 Ok(TxnOutcome::Done(_)) => {
                     self.tally.count_job_event(JobEvent::Ended);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -18,6 +18,7 @@
 mod fenced_value;
 mod follow;
 mod keys;
+mod late_runs;
 mod leader;
 mod membership;
 mod memory_budget;
--- a/src/entry/owned_jobs.rs
+++ b/src/entry/owned_jobs.rs
@@ -48,7 +48,9 @@
     pub text_writes: Mutex<usize>,
     /// The failures of its texts and reward calls.
     pub failures: Mutex<JobFailures>,
-    /// Notified when a request fails that may only run again once the store has the failure.
+    /// Whether the failures in other jobs are read.
+    pub failures_read: watch::Sender<bool>,
+    /// Notified when a request may only run again once the store has its count.
     pub failure_added: Notify,
     /// The number of the last failure that the store has.
     pub stored_failures: watch::Sender<u64>,
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -7,9 +7,11 @@
 use http::{HeaderMap, Method, StatusCode};
 
 use super::app::App;
+use super::late_runs::LateCall;
 use super::quarantine::{RequestCheck, RequestContent};
 use super::slots::SlotGuard;
 use super::stream;
+use crate::decide::failures::RunSent;
 use crate::decide::load::{CallRequest, TextLength};
 use crate::decide::retry_after::DEFAULT_RETRY_AFTER;
 use crate::decide::{
@@ -108,10 +110,11 @@
     pub organisation: Option<Name>,
     /// When it was first made.
     pub since: Moment,
+    /// Set while it may run at a replica.
+    pub sent: RunSent,
 }
 
 /// A final response, and what the attempts met.
-#[derive(Debug)]
 pub(super) struct RelayOutcome {
     pub response: RelayResponse,
     /// The number of replicas that ran the request and failed. One that ran out of time does not
@@ -121,6 +124,8 @@
     pub unknown: u32,
     /// The replicas that did not answer or failed, in the order of the attempts.
     pub avoid: Vec<Name>,
+    /// The run of a reward call that brought no response in time.
+    pub late: Option<LateCall>,
 }
 
 /// A request and the state of its attempts.
@@ -220,8 +225,9 @@
             may_wait: !route.streaming,
             history: AttemptHistory::new(),
         };
+        let mut late = None;
         loop {
-            let response = match self.attempt(&mut state).await {
+            let response = match self.attempt(&mut state, &mut late).await {
                 RelayStep::Done(response) => response,
                 RelayStep::Failed(refusal) => RelayResponse::Refused(state.history.adjust(refusal)),
                 RelayStep::Retry => continue,
@@ -235,12 +241,17 @@
             }
             log(self, &state, &response);
             let RequestState { failures, unknown, avoid, .. } = state;
-            return RelayOutcome { response, failures, unknown, avoid };
+            return RelayOutcome { response, failures, unknown, avoid, late };
         }
     }
 
-    /// Makes one attempt at one replica.
-    async fn attempt(self: &Arc<Self>, state: &mut RequestState) -> RelayStep {
+    /// Makes one attempt at one replica. That of a reward call is left in `late` if it brings no
+    /// response in time.
+    async fn attempt(
+        self: &Arc<Self>,
+        state: &mut RequestState,
+        late: &mut Option<LateCall>,
+    ) -> RelayStep {
         let left = state.response_deadline.saturating_sub(self.now());
         if left.is_zero() {
             return RelayStep::Failed(refused(Kind::DeadlinePassed, "the deadline has passed"));
@@ -287,8 +298,9 @@
         let call = state.call(self.now());
         // The wait for a slot does not shorten the time that a replica gets for the work.
         let limit = state.limit(left).min(state.response_deadline.saturating_sub(self.now()));
-        let sending = self.replicas.send(&slot.target, call);
-        let reply = match tokio::time::timeout(limit, sending).await {
+        state.set_sent(true);
+        let mut sending = self.replicas.send(&slot.target, call);
+        let reply = match tokio::time::timeout(limit, &mut sending).await {
             Ok(Ok(reply)) => reply,
             Ok(Err(failure)) => {
                 if failure.not_run() {
@@ -302,6 +314,8 @@
             }
             Err(_) => {
                 metered.not_run();
+                let replica = slot.target.id.clone();
+                *late = state.reward.is_some().then_some(LateCall { replica, call: sending });
                 return state.failed(self, &mut slot, CallError::Interrupted("silent".to_owned()));
             }
         };
@@ -397,6 +411,13 @@
         }
     }
 
+    /// Records whether a reward call may run at a replica.
+    fn set_sent(&self, sent: bool) {
+        if let Some(reward) = &self.reward {
+            reward.sent.set(sent);
+        }
+    }
+
     /// What decides on its place among the requests that wait for a slot.
     fn call_request(&self) -> CallRequest {
         let (class, organisation, order) = match &self.reward {
@@ -453,10 +474,11 @@
         self.avoid.push(slot.target.id.clone());
         self.tried += 1;
         if failure.not_run() {
+            self.set_sent(false);
             self.history.record(AttemptOutcome::Refused);
             // The replica did not run the request, so the attempt does not count toward the
             // route's limit, unless too many replicas were tried already.
-            if self.tried < 2 * self.max_attempts.max(1) {
+            if self.tried < 2 * self.route.max_attempts.max(1) {
                 self.attempts -= 1;
             }
             return RelayStep::Retry;
--- a/src/entry/results.rs
+++ b/src/entry/results.rs
@@ -134,8 +134,10 @@
             txn = txn.put(texts_key(id, index), texts);
         }
         let mut stored_failures = None;
-        if let Some((record, number)) = owned.unstored_failures() {
-            let Some(failures) = encode(id, &record) else { return false };
+        let stops = owned.stop.is_cancelled();
+        let failures = if stops { owned.last_failures() } else { owned.unstored_failures() };
+        if let Some((record, number)) = failures {
+            let Some(failures) = record.encode(id) else { return false };
             txn = txn.put(failures_key(id), failures);
             stored_failures = Some(number);
         }
@@ -244,6 +246,7 @@
     if ended && !owned.job.lock().ended() {
         app.stop_job(owned);
         app.retain_ended(owned.clone());
+        app.store_last_failures(owned.clone());
     }
     true
 }
--- a/src/entry/runner.rs
+++ b/src/entry/runner.rs
@@ -43,8 +43,8 @@
     pub results: Vec<Arc<ItemResult>>,
     /// The unfinished texts, and how much of each the store has.
     pub texts: ByName<(SampleText, SavedProgress)>,
-    /// The failures of its texts and reward calls.
-    pub failures: JobFailures,
+    /// The failures of its texts and reward calls. None if those in other jobs could not be read.
+    pub failures: Option<JobFailures>,
     /// The number of saves of unfinished texts so far.
     pub text_writes: usize,
     /// The memory that was reserved for it. None for a job that has to run in any case.
@@ -72,13 +72,15 @@
         let todo = job.pending_items(slots);
         let by_group = job.begins_by_group(slots);
         let count = job.next_position();
+        let failures_read = failures.is_some();
         let owned = Arc::new(OwnedJob {
             job: Mutex::new(job),
             record: Mutex::new(record),
             confirmed: Mutex::default(),
             texts: Mutex::new(texts),
             text_writes: Mutex::new(text_writes),
-            failures: Mutex::new(failures),
+            failures: Mutex::new(failures.unwrap_or_default()),
+            failures_read: watch::Sender::new(failures_read),
             failure_added: Notify::new(),
             stored_failures: watch::Sender::new(0),
             sample_ended: Notify::new(),
@@ -116,6 +118,9 @@
                 }
             });
         }
+        if !failures_read {
+            self.spawn(self.clone().read_earlier_failures(owned.clone()));
+        }
         self.spawn(follow_record(self.clone(), owned.clone(), id.clone()));
         self.spawn(write_results(self.clone(), owned, id));
     }
--- a/src/entry/sample.rs
+++ b/src/entry/sample.rs
@@ -7,6 +7,7 @@
 
 use super::app::App;
 use super::attempt::{AttemptResult, TextAttempt};
+use super::late_runs::{LateCall, LateEnd, LateRuns};
 use super::owned_jobs::OwnedJob;
 use super::quarantine::{RequestCheck, RequestContent};
 use super::score::request_score;
@@ -53,6 +54,7 @@
 
 /// Generates the text and requests its score. The sample is dead if either fails for good.
 async fn make(app: &Arc<App>, owned: &OwnedJob, item: &ItemSpec, index: u64) -> ItemState {
+    owned.wait_for_failures().await;
     let spec = owned.job.lock().spec.clone();
     let started_at = app.now();
     if !make_text(app, owned, &spec, item, index).await {
@@ -85,7 +87,12 @@
     let mut idle_attempts = 0;
     let mut avoid: Vec<Name> = Vec::new();
     let mut check = None;
+    let mut delay = Duration::ZERO;
+    let mut late = LateRuns::default();
     loop {
+        while let Some(end) = late.next_within(Duration::ZERO).await {
+            settle_late(app, owned, &item.id, end);
+        }
         let Some(routes) = app.routes() else {
             tokio::time::sleep(ROUTE_POLL_INTERVAL).await;
             continue;
@@ -98,10 +105,12 @@
             tracing::info!(event = "sample_given_up", item = %item.id, reason = "retention");
             return false;
         }
-        match owned.retry_decision(&item.id, route.max_attempts) {
+        match app.retry_decision(owned, &item.id, route.max_attempts, late.len()).await {
             RetryDecision::Run => {}
-            RetryDecision::Hold => {
-                tokio::time::sleep(HOLD_INTERVAL).await;
+            RetryDecision::Await | RetryDecision::Hold => {
+                if let Some(end) = late.next_within(HOLD_INTERVAL).await {
+                    settle_late(app, owned, &item.id, end);
+                }
                 continue;
             }
             RetryDecision::GiveUp => {
@@ -109,7 +118,7 @@
                 return false;
             }
         }
-        owned.failures_stored(&item.id).await;
+        owned.reserve_run(&item.id, std::mem::take(&mut delay)).await;
         let check = check.get_or_insert_with(|| text_check(app, &route, item));
         if !may_run(check).await {
             continue;
@@ -139,6 +148,7 @@
         let before = owned.with_text(&item.id, |text| text.last_event());
         let run = TextAttempt { app, owned, item, spec, route: &route };
         let left = route.retention.saturating_sub(app.now().saturating_sub(started_at));
+        owned.begin_run(&item.id).set(true);
         let result = run.attempt(&mut slot, call(left, priority, spec, item, before)).await;
         let ran = app.now().saturating_sub(sent_at);
         match &result {
@@ -148,7 +158,10 @@
             }
             AttemptResult::Continue(AttemptEnd::Unsent | AttemptEnd::NotRun)
             | AttemptResult::Continue(AttemptEnd::Stranger) => {}
-            AttemptResult::Continue(_) | AttemptResult::Failed | AttemptResult::Impossible => {
+            AttemptResult::Continue(_)
+            | AttemptResult::Failed
+            | AttemptResult::Impossible
+            | AttemptResult::Silent(_) => {
                 check.survived(ran);
             }
         }
@@ -158,23 +171,29 @@
         let (job, revision) = (&spec.id, owned.record.lock().revision);
         match result {
             AttemptResult::Complete => {
+                owned.failures.lock().remove(&item.id);
                 let length = TextLength { hint: item.length_hint, events };
                 app.slots.fleet.lock().record_text(&service, length);
                 tracing::debug!(event = "text_completed", item = %item.id, %replica, events);
                 return true;
             }
             AttemptResult::Impossible => {
-                app.record_failure(owned, &item.id, RequestFailure::Rejected);
+                app.end_run(owned, &item.id, Some(RequestFailure::Rejected));
                 tracing::info!(event = "sample_given_up", item = %item.id, reason = "impossible");
                 return false;
             }
             AttemptResult::Failed => {
-                app.record_failure(owned, &item.id, RequestFailure::Failed);
+                app.end_run(owned, &item.id, Some(RequestFailure::Failed));
+            }
+            AttemptResult::Silent(sent) => {
+                app.end_run(owned, &item.id, Some(RequestFailure::Unknown));
+                late.add_for_status(app, LateCall { replica: replica.clone(), call: sent });
+                tracing::info!(event = "sample_continued", %job, revision, item = %item.id, %replica, events, reason = "silent");
             }
             AttemptResult::Continue(end) => {
-                if end == AttemptEnd::Broken && events == before {
-                    app.record_failure(owned, &item.id, RequestFailure::Unknown);
-                }
+                let unknown = end == AttemptEnd::Broken && events == before;
+                let failure = unknown.then_some(RequestFailure::Unknown);
+                app.end_run(owned, &item.id, failure);
                 tracing::info!(event = "sample_continued", %job, revision, item = %item.id, %replica, events, reason = ?end);
             }
         }
@@ -184,11 +203,22 @@
         }
         idle_attempts = if events > before { 0 } else { idle_attempts + 1 };
         if idle_attempts > 1 {
-            tokio::time::sleep(RETRY_BASE_DELAY * (1 << (idle_attempts - 1).min(3))).await;
+            let paced = owned.retry_delay(&item.id);
+            delay = (RETRY_BASE_DELAY * (1 << (idle_attempts - 1).min(3))).max(paced);
         }
     }
 }
 
+/// Records the end of a late run.
+fn settle_late(app: &App, owned: &OwnedJob, request: &Name, end: LateEnd) {
+    tracing::info!(event = "late_answer", %request, ?end);
+    match end {
+        LateEnd::Failed(failure) => app.settle_run(owned, request, Some(failure)),
+        LateEnd::Succeeded(_) | LateEnd::NotRun => app.settle_run(owned, request, None),
+        LateEnd::Lost => {}
+    }
+}
+
 /// The quarantine as it applies to a text.
 fn text_check(app: &App, route: &Route, item: &ItemSpec) -> RequestCheck {
     let content = RequestContent {
--- a/src/entry/score.rs
+++ b/src/entry/score.rs
@@ -7,8 +7,9 @@
 use http::{HeaderMap, Method, StatusCode};
 
 use super::app::App;
+use super::late_runs::{LateEnd, LateRuns};
 use super::owned_jobs::OwnedJob;
-use super::relay::{RelayLimits, RelayRequest, RelayResponse, RewardCall};
+use super::relay::{RelayLimits, RelayOutcome, RelayRequest, RelayResponse, RewardCall};
 use crate::decide::failures::{RequestFailure, RetryDecision};
 use crate::decide::job::{Score, Scorer};
 use crate::error::Kind;
@@ -38,9 +39,16 @@
     started_at: Moment,
 ) -> Option<Score> {
     let first_call = app.now();
+    let mut delay = Duration::ZERO;
     let mut attempts = 0;
     let mut avoid: Vec<Name> = Vec::new();
+    let mut late = LateRuns::default();
     loop {
+        while let Some(end) = late.next_within(Duration::ZERO).await {
+            if let Some(score) = settle_late(app, owned, &scorer.id, end) {
+                return Some(score);
+            }
+        }
         let routes = app.routes();
         let route = routes.and_then(|r| r.find(&scorer.host, &scorer.path).cloned());
         let retention = route.as_ref().map_or(MIN_RETENTION, |r| r.retention.max(MIN_RETENTION));
@@ -52,72 +60,125 @@
             tokio::time::sleep(ROUTE_POLL_INTERVAL).await;
             continue;
         };
-        let runs = match owned.retry_decision(&scorer.id, route.max_attempts) {
-            RetryDecision::Run if owned.has_failed(&scorer.id) => 1,
-            RetryDecision::Run => route.max_attempts,
-            RetryDecision::Hold => {
-                tokio::time::sleep(HOLD_INTERVAL).await;
+        match app.retry_decision(owned, &scorer.id, route.max_attempts, late.len()).await {
+            RetryDecision::Run => {}
+            RetryDecision::Await | RetryDecision::Hold => {
+                if let Some(end) = late.next_within(HOLD_INTERVAL).await
+                    && let Some(score) = settle_late(app, owned, &scorer.id, end)
+                {
+                    return Some(score);
+                }
                 continue;
             }
             RetryDecision::GiveUp => {
                 tracing::info!(event = "score_given_up", %item, request = %scorer.id, reason = "failed");
                 return None;
             }
-        };
-        owned.failures_stored(&scorer.id).await;
-        // The runs of a call that has failed are counted one by one, so the relay repeats none.
+        }
+        owned.reserve_run(&scorer.id, std::mem::take(&mut delay)).await;
         let organisation = owned.job.lock().spec.organisation.clone();
-        let reward = RewardCall { organisation, since: first_call };
+        let sent = owned.begin_run(&scorer.id);
+        // The runs are counted one by one, so the relay repeats none.
         let limits = RelayLimits {
-            attempts: runs,
+            attempts: 1,
             rerun_failed: false,
             avoid: avoid.clone(),
-            reward: Some(reward),
+            reward: Some(RewardCall { organisation, since: first_call, sent }),
         };
         let outcome = app.relay_within(&route, scorer_request(scorer), limits).await;
-        let rejected = match outcome.response {
-            RelayResponse::Complete { status, signature: Some(signature), .. }
-                if status.is_success() =>
-            {
-                return Some(signature);
+        let end = match call_end(item, scorer, &outcome) {
+            CallEnd::Scored(score) => {
+                owned.failures.lock().remove(&scorer.id);
+                return Some(score);
             }
-            RelayResponse::Complete { status, .. } => {
-                tracing::info!(event = "score_failed", %item, request = %scorer.id, %status);
-                status == StatusCode::UNPROCESSABLE_ENTITY
-            }
-            RelayResponse::Stream { .. } => {
-                tracing::warn!(event = "score_streamed", %item, request = %scorer.id);
-                false
+            // It has only waited for a slot, and asks for its place in the queue again.
+            CallEnd::Queued => {
+                delay = RETRY_BASE_DELAY;
+                continue;
             }
-            RelayResponse::Refused(refusal) => {
-                tracing::info!(event = "score_refused", %item, request = %scorer.id, kind = %refusal.kind);
-                if refusal.kind == Kind::Quarantined {
-                    // No response says that the call failed, so it ends with its retention.
-                    tokio::time::sleep(HOLD_INTERVAL).await;
-                }
-                // It has only waited for a slot, and asks for its place in the queue again.
-                if refusal.kind == Kind::DeadlineUnreachable {
-                    tokio::time::sleep(RETRY_BASE_DELAY).await;
-                    continue;
-                }
-                false
+            CallEnd::Quarantined => {
+                // No response says that the call failed, so it ends with its retention.
+                tokio::time::sleep(HOLD_INTERVAL).await;
+                None
             }
+            CallEnd::NotRun => None,
+            CallEnd::Failed(failure) => Some(failure),
         };
-        let failures = [
-            (RequestFailure::Unknown, outcome.unknown),
-            (RequestFailure::Failed, outcome.failures),
-            (RequestFailure::Rejected, u32::from(rejected)),
-        ];
-        for (failure, count) in failures {
-            for _ in 0..count {
-                app.record_failure(owned, &scorer.id, failure);
-            }
-        }
+        app.end_run(owned, &scorer.id, end);
         avoid.clear();
         avoid.extend(outcome.avoid.into_iter().rev().take(MAX_AVOIDED));
+        if let Some(call) = outcome.late {
+            late.add(app, call);
+        }
         attempts += 1;
-        tokio::time::sleep(RETRY_BASE_DELAY * (1 << attempts.min(4))).await;
+        let paced = owned.retry_delay(&scorer.id);
+        delay = (RETRY_BASE_DELAY * (1 << attempts.min(4))).max(paced);
+    }
+}
+
+/// How a relay of a call ended.
+enum CallEnd {
+    /// With the score.
+    Scored(Score),
+    /// Without a slot in time.
+    Queued,
+    /// It may not be sent.
+    Quarantined,
+    /// No replica ran it.
+    NotRun,
+    /// A replica ran it, or may have.
+    Failed(RequestFailure),
+}
+
+/// Classifies the outcome of a relay of a call.
+fn call_end(item: &Name, scorer: &Scorer, outcome: &RelayOutcome) -> CallEnd {
+    let request = &scorer.id;
+    match &outcome.response {
+        RelayResponse::Complete { status, signature: Some(signature), .. }
+            if status.is_success() =>
+        {
+            return CallEnd::Scored(signature.clone());
+        }
+        RelayResponse::Complete { status, .. } => {
+            tracing::info!(event = "score_failed", %item, %request, %status);
+            if *status == StatusCode::UNPROCESSABLE_ENTITY {
+                return CallEnd::Failed(RequestFailure::Rejected);
+            }
+        }
+        RelayResponse::Stream { .. } => {
+            tracing::warn!(event = "score_streamed", %item, %request);
+        }
+        RelayResponse::Refused(refusal) => {
+            tracing::info!(event = "score_refused", %item, %request, kind = %refusal.kind);
+            match refusal.kind {
+                Kind::Quarantined => return CallEnd::Quarantined,
+                Kind::DeadlineUnreachable => return CallEnd::Queued,
+                _ => {}
+            }
+        }
+    }
+    if outcome.failures > 0 {
+        CallEnd::Failed(RequestFailure::Failed)
+    } else if outcome.unknown > 0 {
+        CallEnd::Failed(RequestFailure::Unknown)
+    } else {
+        CallEnd::NotRun
+    }
+}
+
+/// Records the end of a late run, and returns the score if it brought one.
+fn settle_late(app: &App, owned: &OwnedJob, request: &Name, end: LateEnd) -> Option<Score> {
+    tracing::info!(event = "late_answer", %request, ?end);
+    match end {
+        LateEnd::Succeeded(Some(score)) => {
+            owned.failures.lock().remove(request);
+            return Some(score);
+        }
+        LateEnd::Failed(failure) => app.settle_run(owned, request, Some(failure)),
+        LateEnd::NotRun => app.settle_run(owned, request, None),
+        LateEnd::Succeeded(None) | LateEnd::Lost => {}
     }
+    None
 }
 
 /// The request to a scorer.
--- a/src/entry/slots.rs
+++ b/src/entry/slots.rs
@@ -238,6 +238,7 @@
         let now = self.now();
         {
             let mut fleet = self.slots.fleet.lock();
+            fleet.record_answer(replica, now);
             match load {
                 Some(load) => {
                     if !fleet.report_load(replica, load, now) {
--- a/src/entry/submit.rs
+++ b/src/entry/submit.rs
@@ -14,7 +14,6 @@
 use super::runner::RestoredJob;
 use super::takeover;
 use crate::Name;
-use crate::decide::failures::JobFailures;
 use crate::decide::job::JobSpec;
 use crate::decide::load::MemoryUse;
 use crate::edge::store::{StoreError, Txn, TxnOutcome};
@@ -179,19 +178,16 @@
         loop {
             // Both calls at once, but only one of them is repeated in an outage.
             let reading = async {
-                if std::mem::take(&mut first) { self.load_failures(&spec).await.ok() } else { None }
+                if std::mem::take(&mut first) {
+                    self.load_failures(&spec, 0).await.ok()
+                } else {
+                    None
+                }
             };
             let (written, failures) = tokio::join!(self.store.txn(txn.clone()), reading);
             let reason = match written {
                 Ok(TxnOutcome::Done(revision)) => {
                     tracing::info!(event = "job_accepted", job = %spec.id, items = spec.items.len(), revision);
-                    let failures = match failures {
-                        Some(failures) => failures,
-                        None => self.load_failures(&spec).await.unwrap_or_else(|e| {
-                            tracing::warn!(event = "failures_not_read", job = %spec.id, error = %e);
-                            JobFailures::default()
-                        }),
-                    };
                     let restored =
                         RestoredJob { failures, held: Some(held), ..RestoredJob::default() };
                     self.run_job(spec, restored, Stored { value, revision });
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -180,7 +180,7 @@
 
 /// Runs a job of this node from what the store has of it. False if that can't be read.
 pub(super) async fn resume_job(app: &Arc<App>, job: &Name, record: Stored<JobRecord>) -> bool {
-    match load_job(app, job).await {
+    match load_job(app, job, record.value.takeovers).await {
         Ok((spec, restored)) => {
             app.run_job(spec, restored, record);
             true
@@ -193,12 +193,16 @@
 }
 
 /// Reads a job's submission, results and unfinished texts from the store.
-async fn load_job(app: &App, job: &str) -> Result<(Arc<JobSpec>, RestoredJob), StoreError> {
+async fn load_job(
+    app: &App,
+    job: &str,
+    owners: u32,
+) -> Result<(Arc<JobSpec>, RestoredJob), StoreError> {
     let spec = app.load_spec(job).await?;
     let results = app.load_results(job).await?;
     let page = app.store.range(&texts_prefix(job)).await?;
     let (texts, text_writes) = decode_texts(&page, &results);
-    let failures = app.load_failures(&spec).await?;
+    let failures = Some(app.load_failures(&spec, owners).await?);
     Ok((spec, RestoredJob { results, texts, failures, text_writes, held: None }))
 }
 
--- a/standins/src/replicas/fleet.rs
+++ b/standins/src/replicas/fleet.rs
@@ -34,6 +34,8 @@
 const PROBE_DELAY: Duration = Duration::from_millis(40);
 /// How long a plain request runs.
 const PLAIN_RUN_TIME: Duration = Duration::from_millis(25);
+/// How often a replica that hangs looks whether it goes on.
+const HANG_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// How long a load of weights takes.
 const WEIGHT_LOAD_TIME: Duration = Duration::from_millis(900);
 /// How long a replica that has crashed takes to be back.
@@ -239,6 +241,16 @@
         self.state.lock().replicas.get_mut(id).map(work)
     }
 
+    /// Waits while a replica hangs, and returns how it behaves then. None if it does not exist.
+    async fn unless_hanging(&self, id: &str) -> Option<Behaviour> {
+        loop {
+            match self.with(id, |r| r.behaviour)? {
+                Behaviour::Hangs => tokio::time::sleep(HANG_CHECK_INTERVAL).await,
+                behaviour => return Some(behaviour),
+            }
+        }
+    }
+
     /// Checks and records an order, and starts the load if it is accepted.
     fn apply_order(&self, to: &Name, order: &WeightOrder) -> OrderOutcome {
         let outcome = self.with(to, |r| {
@@ -369,6 +381,7 @@
                 _ => {}
             }
             let run = fleet.record_run(&to, &call);
+            let behaviour = fleet.unless_hanging(&to.id).await.unwrap_or(behaviour);
             if fleet.state.lock().crash_paths.contains(&call.path) {
                 fleet.crash(&to.id);
                 return Err(CallError::Interrupted("connection reset".to_owned()));
--- a/standins/src/replicas/replica.rs
+++ b/standins/src/replicas/replica.rs
@@ -21,6 +21,8 @@
     Unreachable,
     /// It runs requests and never responds.
     Unresponsive,
+    /// It receives requests, and runs them once it behaves otherwise.
+    Hangs,
     /// It runs nothing and responds with 503.
     Full,
     /// Its streams break after this many events, and its plain bodies in the middle.
--- a/tests/entry/unanswered_runs.rs
+++ b/tests/entry/unanswered_runs.rs
@@ -10,7 +10,7 @@
 use standins::replicas::Behaviour;
 use tokio::time::Instant;
 
-use crate::world::{Node, World, sleep_ms, wait_until};
+use crate::world::{HOST, Node, World, relay_request, sleep_ms, wait_until};
 
 /// The runs after which a request that may have failed at each of them must not run again, for the
 /// three attempts of all routes.
@@ -76,7 +76,7 @@
 async fn a_sound_sample_is_completed_once_its_replicas_go_on() {
     for id in ["i1", "score-i1"] {
         let world = World::new();
-        set_behaviour(&world, id, Behaviour::Unresponsive);
+        set_behaviour(&world, id, Behaviour::Hangs);
         let node = start_node(&world, 0).await;
         node.submit("j", &["i1"]).await;
         sleep_ms(6_000).await;
@@ -88,6 +88,26 @@
     }
 }
 
+/// Guards against calls that wait for answers that their replicas will never give.
+#[tokio::test(start_paused = true)]
+async fn a_sound_call_is_made_again_where_replicas_lost_its_runs() {
+    let world = World::new();
+    set_behaviour(&world, "score-i1", Behaviour::Unresponsive);
+    let node = start_node(&world, 0).await;
+    node.submit("j", &["i1"]).await;
+    sleep_ms(6_000).await;
+    set_behaviour(&world, "score-i1", Behaviour::Normal);
+    let goes_on = Instant::now();
+    let route = node.app().routes().unwrap().find(HOST, "/plain/x").unwrap().clone();
+    for number in 0..20 {
+        node.app().relay(&route, relay_request(&format!("lookup-{number}"), "/plain/x")).await;
+        sleep_ms(100).await;
+    }
+    let result = node.read_all("j", 1).await.remove(0);
+    assert!(matches!(result.state, ItemState::Completed { .. }));
+    assert!(goes_on.elapsed() < ANSWER_TIME, "{:?}", goes_on.elapsed());
+}
+
 /// Guards against owners that end with runs of which the next owner does not know.
 #[tokio::test(start_paused = true)]
 async fn runs_of_successive_owners_that_crash_are_limited() {
