Sound reward calls find a working scorer as fast as before

With runs counted one by one, a reward call whose scorers hang or break connections came to a working one later: each run was waited for 1.2 s, delays doubled from the first run on, and only the last two replicas were avoided; a run that hangs alone at a replica held its slot there.

A further run waits 60% as long as the one before, as it did within a relay; the delay grows after four runs without a response; six replicas are avoided; a run at a replica that answers others meanwhile is cut off and not left open.

--- a/src/decide/failures/failure_count.rs
+++ b/src/decide/failures/failure_count.rs
@@ -10,11 +10,14 @@
 /// How many runs of a request may be open: sent, and neither answered nor known to have ended. Their
 /// replicas may still reject each of them, and a rejected request must not run a fourth time.
 const MAX_OPEN_RUNS: usize = 3;
-/// The delay before a request runs again after a run without a response, doubled with each further
-/// one up to [`MAX_RETRY_DELAY`].
-const RETRY_BASE_DELAY: Duration = Duration::from_millis(25);
-/// The longest such delay. With it the runs of a request last for most of its retention.
+/// The delay before a request runs again. It is doubled with each run without a response after the
+/// first [`FAST_RETRIES`], up to [`MAX_RETRY_DELAY`], so that replicas that break connections for
+/// some seconds do not use up the runs of a sound request.
+const RETRY_BASE_DELAY: Duration = Duration::from_millis(50);
+/// The longest such delay.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(3_200);
+/// The runs after which the delay grows. A replica that works is mostly found by then.
+const FAST_RETRIES: u32 = 4;
 
 /// How often one request has failed in a job, over all owners of the job, and in other jobs.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -107,7 +110,8 @@
 
     /// The delay before the request runs again.
     pub fn retry_delay(&self) -> Duration {
-        (RETRY_BASE_DELAY * (1 << self.unknown.min(16))).min(MAX_RETRY_DELAY)
+        let doublings = self.unknown.saturating_sub(FAST_RETRIES).min(8);
+        (RETRY_BASE_DELAY * (1 << doublings)).min(MAX_RETRY_DELAY)
     }
 
     /// Decides whether the request may run again on a route that allows `max_attempts`, while this
--- a/src/entry/late_runs.rs
+++ b/src/entry/late_runs.rs
@@ -14,11 +14,11 @@
 use http::StatusCode;
 
 use super::app::App;
-use crate::Name;
 use crate::decide::failures::RequestFailure;
 use crate::decide::job::Score;
 use crate::edge::http::collect_pieces;
 use crate::edge::replica::{CallError, Reply};
+use crate::{Moment, Name};
 
 /// How long an answer may come late. A machine that stands still longer counts as lost.
 const LATE_ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -35,6 +35,8 @@
 /// A call without a response in time.
 pub(super) struct LateCall {
     pub replica: Name,
+    /// When it was sent.
+    pub sent_at: Moment,
     pub call: SentCall,
 }
 
@@ -58,14 +60,25 @@
 }
 
 impl LateRuns {
-    /// Adds a run at a replica, whose response is read to its end.
+    /// Adds a run whose response is read to its end.
     pub(super) fn add(&mut self, app: &Arc<App>, late: LateCall) {
-        self.runs.push(late_run(app.clone(), late, true).boxed());
+        self.add_run(app, late, true);
     }
 
-    /// Adds a run at a replica, of which only the status is of use.
+    /// Adds a run of which only the status is of use.
     pub(super) fn add_for_status(&mut self, app: &Arc<App>, late: LateCall) {
-        self.runs.push(late_run(app.clone(), late, false).boxed());
+        self.add_run(app, late, false);
+    }
+
+    /// Adds a run, or cuts it off if its replica has answered other requests meanwhile: only this
+    /// one hangs there, and would hold its slot.
+    fn add_run(&mut self, app: &Arc<App>, late: LateCall, whole: bool) {
+        let now = app.now();
+        let waited = now.saturating_sub(late.sent_at);
+        let last = app.slots.fleet.lock().last_answer(&late.replica);
+        if last.is_some_and(|last| now.saturating_sub(last) > waited / 2) {
+            self.runs.push(late_run(app.clone(), late, whole).boxed());
+        }
     }
 
     /// The number of runs that have not ended.
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -110,6 +110,8 @@
     pub organisation: Option<Name>,
     /// When it was first made.
     pub since: Moment,
+    /// How long its sender waits for a response before it tries another replica.
+    pub patience: Duration,
     /// Set while it may run at a replica.
     pub sent: RunSent,
 }
@@ -315,7 +317,8 @@
             Err(_) => {
                 metered.not_run();
                 let replica = slot.target.id.clone();
-                *late = state.reward.is_some().then_some(LateCall { replica, call: sending });
+                let call = LateCall { replica, sent_at: started_at, call: sending };
+                *late = state.reward.is_some().then_some(call);
                 return state.failed(self, &mut slot, CallError::Interrupted("silent".to_owned()));
             }
         };
@@ -436,6 +439,9 @@
 
     /// The time limit of one attempt, given the time left for the request.
     fn limit(&self, left: Duration) -> Duration {
+        if let Some(reward) = &self.reward {
+            return reward.patience.min(left);
+        }
         if !self.may_repeat() || self.attempts >= self.route.max_attempts {
             return left;
         }
--- a/src/entry/sample.rs
+++ b/src/entry/sample.rs
@@ -187,7 +187,10 @@
             }
             AttemptResult::Silent(sent) => {
                 app.end_run(owned, &item.id, Some(RequestFailure::Unknown));
-                late.add_for_status(app, LateCall { replica: replica.clone(), call: sent });
+                late.add_for_status(
+                    app,
+                    LateCall { replica: replica.clone(), sent_at, call: sent },
+                );
                 tracing::info!(event = "sample_continued", %job, revision, item = %item.id, %replica, events, reason = "silent");
             }
             AttemptResult::Continue(end) => {
--- a/src/entry/score.rs
+++ b/src/entry/score.rs
@@ -17,15 +17,20 @@
 
 /// Timeout of one attempt: ordinary work of a scorer, with room for a full queue.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(3_000);
-/// Base of the delay after a failed attempt: twice this after the first one, doubled with each
-/// further one up to sixteen times this value.
+/// How long the first run of a call is waited for before another replica is tried. It stays open,
+/// so that a slow scorer costs one more run and no answer.
+const FIRST_PATIENCE: Duration = Duration::from_millis(1_200);
+/// The part of that for each further run while earlier ones are open.
+const PATIENCE_PERCENT: u32 = 60;
+/// Base of the delay after an attempt that did not run: twice this after the first one, doubled with
+/// each further one up to sixteen times this value.
 const RETRY_BASE_DELAY: Duration = Duration::from_millis(25);
 /// The delay between two checks while the scorer's route is missing.
 const ROUTE_POLL_INTERVAL: Duration = Duration::from_millis(200);
 /// The delay between two checks of a call that may have failed too often to run again.
 const HOLD_INTERVAL: Duration = Duration::from_millis(500);
 /// Number of replicas that a call avoids: the last ones that did not answer it.
-const MAX_AVOIDED: usize = 2;
+const MAX_AVOIDED: usize = 6;
 /// Minimum time for which a sample may wait for its score; its scorer's route may allow more.
 const MIN_RETENTION: Duration = Duration::from_secs(40);
 
@@ -83,7 +88,12 @@
             attempts: 1,
             rerun_failed: false,
             avoid: avoid.clone(),
-            reward: Some(RewardCall { organisation, since: first_call, sent }),
+            reward: Some(RewardCall {
+                organisation,
+                since: first_call,
+                patience: patience(late.len()),
+                sent,
+            }),
         };
         let outcome = app.relay_within(&route, scorer_request(scorer), limits).await;
         let end = match call_end(item, scorer, &outcome) {
@@ -111,11 +121,18 @@
             late.add(app, call);
         }
         attempts += 1;
-        let paced = owned.retry_delay(&scorer.id);
-        delay = (RETRY_BASE_DELAY * (1 << attempts.min(4))).max(paced);
+        delay = owned.retry_delay(&scorer.id);
+        if end.is_none() {
+            delay = delay.max(RETRY_BASE_DELAY * (1 << attempts.min(4)));
+        }
     }
 }
 
+/// How long a run is waited for while this many others are open.
+fn patience(open_runs: usize) -> Duration {
+    (0..open_runs).fold(FIRST_PATIENCE, |time, _| time * PATIENCE_PERCENT / 100)
+}
+
 /// How a relay of a call ended.
 enum CallEnd {
     /// With the score.
