A response with another status is no run without a response

A sample whose replicas answered 504 for four seconds was given up: the nine runs that its route allows were counted as without a response, though each of them had one that is neither 500 nor 422.

Such a run, and one with an unsigned response, is not counted. The delay between runs grows from the third on again, so that connections that break for some seconds leave a sound text some of its nine runs.

--- a/src/decide/failures/failure_count.rs
+++ b/src/decide/failures/failure_count.rs
@@ -17,7 +17,7 @@
 /// The longest such delay.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(3_200);
 /// The runs after which the delay grows. A replica that works is mostly found by then.
-const FAST_RETRIES: u32 = 4;
+const FAST_RETRIES: u32 = 2;
 
 /// How often one request has failed in a job, over all owners of the job, and in other jobs.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -46,6 +46,8 @@
     Impossible,
     /// The text is continued at another replica, for this reason.
     Continue(AttemptEnd),
+    /// The replica responded with another status, or without a signature.
+    OtherResponse,
     /// No response came in time.
     Silent(SentCall),
 }
@@ -74,7 +76,7 @@
             AttemptResult::Complete => AttemptEnd::Answered,
             AttemptResult::Failed | AttemptResult::Impossible => AttemptEnd::Failed,
             AttemptResult::Continue(end) => *end,
-            AttemptResult::Silent(_) => AttemptEnd::Broken,
+            AttemptResult::OtherResponse | AttemptResult::Silent(_) => AttemptEnd::Broken,
         });
         result
     }
@@ -96,7 +98,7 @@
             StatusCode::INTERNAL_SERVER_ERROR => return AttemptResult::Failed,
             status if !status.is_success() || reply.signature.is_none() => {
                 slot.set_end(ReplicaOutcome::Failed);
-                return AttemptResult::Continue(AttemptEnd::Broken);
+                return AttemptResult::OtherResponse;
             }
             _ => {}
         }
--- a/src/entry/keys.rs
+++ b/src/entry/keys.rs
@@ -83,7 +83,7 @@
 pub(super) struct FailureRecord {
     /// The organisation that submitted the job; none if it came without a key.
     pub organisation: Option<Name>,
-    /// How often the job had been taken over.
+    /// How often the job had been taken over. Only older versions read it.
     pub takeovers: u32,
     /// The failures by request.
     pub counts: Vec<(Name, FailureCount)>,
--- a/src/entry/sample.rs
+++ b/src/entry/sample.rs
@@ -153,7 +153,7 @@
         let ran = app.now().saturating_sub(sent_at);
         match &result {
             AttemptResult::Complete => check.succeeded(),
-            AttemptResult::Continue(AttemptEnd::Broken) => {
+            AttemptResult::Continue(AttemptEnd::Broken) | AttemptResult::OtherResponse => {
                 check.broke(&service, &slot.target, ran);
             }
             AttemptResult::Continue(AttemptEnd::Unsent | AttemptEnd::NotRun)
@@ -185,6 +185,10 @@
             AttemptResult::Failed => {
                 app.end_run(owned, &item.id, Some(RequestFailure::Failed));
             }
+            AttemptResult::OtherResponse => {
+                app.end_run(owned, &item.id, None);
+                tracing::info!(event = "sample_continued", %job, revision, item = %item.id, %replica, events, reason = "other_response");
+            }
             AttemptResult::Silent(sent) => {
                 app.end_run(owned, &item.id, Some(RequestFailure::Unknown));
                 late.add_for_status(
