Open runs are limited over a change of owner or job, and outages stop no sound request

Two faults of the limit on runs without a response, which depend on each other.

Two are open now, and one where runs of a former owner or other jobs may be, unless a response has said that the request fails but is not rejected.

An owner may send two runs before the store has them, if none has failed; a takeover is charged for both.

--- a/src/decide/failures/failure_count.rs
+++ b/src/decide/failures/failure_count.rs
@@ -7,9 +7,8 @@
 /// How many times the attempts of its route a request may run without success, over all jobs and
 /// owners.
 const MAX_RUN_FACTOR: u32 = 3;
-/// How many runs of a request may be open: sent, and neither answered nor known to have ended. Their
-/// replicas may still reject each of them, and a rejected request must not run a fourth time.
-const MAX_OPEN_RUNS: usize = 3;
+/// How many runs of a request an owner may send before the store has them.
+pub(super) const MAX_UNSTORED_RUNS: u32 = 2;
 /// The delay before a request runs again. It is doubled with each run without a response after the
 /// first [`FAST_RETRIES`], up to [`MAX_RETRY_DELAY`], so that replicas that break connections for
 /// some seconds do not use up the runs of a sound request.
@@ -88,6 +87,19 @@
         }
     }
 
+    /// Whether the next run may be sent before the store has it: an outage of the store must not stop
+    /// a request whose one answer was lost.
+    pub(super) fn may_run_unstored(&self) -> bool {
+        self.runs() == self.unknown && self.unknown < MAX_UNSTORED_RUNS
+    }
+
+    /// Charges for the runs that a former owner may have sent before the store had them.
+    pub(super) fn add_unstored(&mut self) {
+        if self.may_run_unstored() {
+            self.unknown = MAX_UNSTORED_RUNS;
+        }
+    }
+
     /// The runs without success, in all jobs.
     fn runs(&self) -> u32 {
         self.failed + self.unknown + self.earlier_failed + self.earlier_unknown
@@ -114,12 +126,12 @@
         (RETRY_BASE_DELAY * (1 << doublings)).min(MAX_RETRY_DELAY)
     }
 
-    /// Decides whether the request may run again on a route that allows `max_attempts`, while this
-    /// many of its runs are open.
-    pub fn decide(&self, max_attempts: u32, open_runs: usize) -> RetryDecision {
+    /// Decides whether the request may run again on a route that allows `max_attempts`. `may_open`
+    /// tells whether it may have one more open run.
+    pub fn decide(&self, max_attempts: u32, may_open: bool) -> RetryDecision {
         if self.rejected || self.failed >= max_attempts {
             RetryDecision::GiveUp
-        } else if open_runs >= MAX_OPEN_RUNS {
+        } else if !may_open {
             RetryDecision::Await
         } else if self.runs() < MAX_RUN_FACTOR * max_attempts {
             RetryDecision::Run
--- a/src/decide/failures/job_failures.rs
+++ b/src/decide/failures/job_failures.rs
@@ -1,22 +1,32 @@
 //! The failures of all requests of a job.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
+use super::failure_count::MAX_UNSTORED_RUNS;
 use super::{EarlierRuns, FailureCount, RequestFailure, RetryDecision};
 use crate::Name;
 
+/// How many runs of a request may be open: sent, and neither answered nor known to have ended. Their
+/// replicas may still reject each of them, and a rejected request must not run a fourth time.
+const MAX_OPEN_RUNS: usize = 2;
+/// The same if runs of a former owner or another job may be open as well.
+const MAX_OPEN_LATER_RUNS: usize = 1;
+
 /// The failures of all requests of a job, and how many of them the store has.
 ///
 /// A request that has a count is counted once more before each run, so that the store has the run
-/// whatever ends its owner or job. The first run of a request is not.
+/// whatever ends its owner or job. The first run of a request is not counted before, and the second
+/// one is not waited for if the first brought no response.
 #[derive(Debug, Default)]
 pub struct JobFailures {
     counts: HashMap<Name, FailureCount>,
     /// The runs that have not ended.
     running: HashMap<Name, Run>,
-    /// The earlier owners of the job, each of which may have made a first run of any request.
+    /// The requests with runs of former owners that had no response.
+    inherited: HashSet<Name>,
+    /// The earlier owners of the job, each of which may have sent unstored runs of any request.
     owners: u32,
     /// Number of recorded changes at this owner.
     recorded: u64,
@@ -52,8 +62,11 @@
 
 impl JobFailures {
     /// The failures that the store has of a job which has had this many owners before.
-    pub fn restored(counts: HashMap<Name, FailureCount>, owners: u32) -> Self {
-        Self { counts, owners, ..Self::default() }
+    pub fn restored(mut counts: HashMap<Name, FailureCount>, owners: u32) -> Self {
+        counts.values_mut().for_each(FailureCount::add_unstored);
+        let unanswered = counts.iter().filter(|(_, count)| count.unknown > 0);
+        let inherited = unanswered.map(|(request, _)| request.clone()).collect();
+        Self { counts, inherited, owners, ..Self::default() }
     }
 
     /// Returns the count of a request.
@@ -67,21 +80,27 @@
         if self.running.contains_key(request) {
             return RetryDecision::Run;
         }
-        self.count(request).decide(max_attempts, open_runs)
+        let count = self.count(request);
+        let others = self.inherited.contains(request) || count.earlier_unknown > 0;
+        let fails = count.failed + count.earlier_failed > 0;
+        let limit = if others && !fails { MAX_OPEN_LATER_RUNS } else { MAX_OPEN_RUNS };
+        count.decide(max_attempts, open_runs < limit)
     }
 
     /// Counts the next run of a request that has a count. Returns the number that the store must
-    /// have before the run; none if the request has no count.
+    /// have before the run; none if the run need not wait.
     pub fn reserve(&mut self, request: &Name) -> Option<u64> {
         let count = self.counts.get_mut(request)?;
+        let mut may_run = false;
         if !self.running.contains_key(request) {
+            may_run = count.may_run_unstored();
             count.unknown += 1;
             let run = Run { counted: true, sent: RunSent::default() };
             self.running.insert(request.clone(), run);
             self.recorded += 1;
             self.urgent = self.recorded;
         }
-        Some(self.urgent)
+        (!may_run).then_some(self.urgent)
     }
 
     /// Begins a run of a request.
@@ -110,7 +129,7 @@
 
     /// Adds a request that fails for the first time in this job.
     fn first_failure(&mut self, request: &Name, failure: RequestFailure) {
-        let lost = self.owners;
+        let lost = self.owners * MAX_UNSTORED_RUNS;
         let count = self.counts.entry(request.clone()).or_default();
         count.unknown += lost;
         count.record(failure);
--- a/src/entry/failures.rs
+++ b/src/entry/failures.rs
@@ -210,12 +210,14 @@
     }
 
     /// Counts the next run of a request that has a count, and waits for at least `delay` and until
-    /// the store has that run. Waits for the delay only if the request has no count.
+    /// the store has that run, if it must.
     pub(super) async fn reserve_run(&self, request: &Name, delay: Duration) {
         let number = self.failures.lock().reserve(request);
+        if self.failures.lock().must_be_stored() {
+            self.failure_added.notify_one();
+        }
         let stored = async {
             let Some(number) = number else { return };
-            self.failure_added.notify_one();
             // The sender lives as long as the job.
             let _ = self.stored_failures.subscribe().wait_for(|stored| *stored >= number).await;
         };
--- a/tests/entry/unanswered_runs.rs
+++ b/tests/entry/unanswered_runs.rs
@@ -71,6 +71,31 @@
     }
 }
 
+/// Guards against a next owner, or a next job, that does not count the open runs of the one before.
+#[tokio::test(start_paused = true)]
+async fn runs_before_and_after_an_owner_or_job_ends_may_all_be_rejected() {
+    for id in ["i1", "score-i1"] {
+        for job_ends in [false, true] {
+            let world = World::new();
+            set_behaviour(&world, id, Behaviour::Unresponsive);
+            let mut owner = start_node(&world, 0).await;
+            owner.submit("j", &["i1"]).await;
+            sleep_ms(4_500).await;
+            if job_ends {
+                assert_eq!(owner.app().end_job("j").await, Lookup::Found(()));
+                owner.submit("k", &["i1"]).await;
+            } else {
+                drop(owner);
+                owner = start_node(&world, 1).await;
+            }
+            sleep_ms(4_500).await;
+            let runs = runs(&world, id);
+            assert!((2..=MAX_REJECTED_RUNS).contains(&runs), "{id} {job_ends}: {runs}");
+            drop(owner);
+        }
+    }
+}
+
 /// Guards against limits that cost a sound request its result after its replicas hung.
 #[tokio::test(start_paused = true)]
 async fn a_sound_sample_is_completed_once_its_replicas_go_on() {
