A rejection is stored within the next write again

An item that a replica had rejected (422) reached replicas again after its owner ended: since runs are counted before they are sent, only the next run of a request brought its count to the store, and a rejected one has none. Its rejection waited for the next regular write, up to 0.9 s. The new test fails without the change.

--- a/src/decide/failures/job_failures.rs
+++ b/src/decide/failures/job_failures.rs
@@ -123,10 +123,18 @@
         } else {
             self.first_failure(request, failure?);
         }
-        self.recorded += 1;
+        self.record_change(failure);
         failure.map(|_| self.count(request))
     }
 
+    /// Counts a change. A rejection is stored soon, as no later run of the request stores it.
+    fn record_change(&mut self, failure: Option<RequestFailure>) {
+        self.recorded += 1;
+        if failure == Some(RequestFailure::Rejected) {
+            self.urgent = self.recorded;
+        }
+    }
+
     /// Adds a request that fails for the first time in this job.
     fn first_failure(&mut self, request: &Name, failure: RequestFailure) {
         let lost = self.owners * MAX_UNSTORED_RUNS;
@@ -139,7 +147,7 @@
     pub fn settle(&mut self, request: &Name, failure: Option<RequestFailure>) {
         if let Some(count) = self.counts.get_mut(request) {
             count.settle(failure);
-            self.recorded += 1;
+            self.record_change(failure);
         }
     }
 
--- a/src/entry/failures.rs
+++ b/src/entry/failures.rs
@@ -146,6 +146,7 @@
         count: FailureCount,
     ) {
         self.tally.count_sample_failure(failure);
+        owned.notify_writer();
         let job = owned.job.lock().spec.id.clone();
         let FailureCount { failed, unknown, earlier_failed, earlier_unknown, .. } = count;
         let revision = owned.record.lock().revision;
@@ -213,9 +214,7 @@
     /// the store has that run, if it must.
     pub(super) async fn reserve_run(&self, request: &Name, delay: Duration) {
         let number = self.failures.lock().reserve(request);
-        if self.failures.lock().must_be_stored() {
-            self.failure_added.notify_one();
-        }
+        self.notify_writer();
         let stored = async {
             let Some(number) = number else { return };
             // The sender lives as long as the job.
@@ -224,6 +223,13 @@
         tokio::join!(tokio::time::sleep(delay), stored);
     }
 
+    /// Has the counts written soon, if the store must have them.
+    fn notify_writer(&self) {
+        if self.failures.lock().must_be_stored() {
+            self.failure_added.notify_one();
+        }
+    }
+
     /// Begins a run of a request.
     pub(super) fn begin_run(&self, request: &Name) -> RunSent {
         self.failures.lock().begin(request)
--- a/src/entry/owned_jobs.rs
+++ b/src/entry/owned_jobs.rs
@@ -50,7 +50,7 @@
     pub failures: Mutex<JobFailures>,
     /// Whether the failures in other jobs are read.
     pub failures_read: watch::Sender<bool>,
-    /// Notified when a request may only run again once the store has its count.
+    /// Notified when the store must have a count soon.
     pub failure_added: Notify,
     /// The number of the last failure that the store has.
     pub stored_failures: watch::Sender<u64>,
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -120,6 +120,15 @@
     assert!(failures.reserve(&request).is_some());
 }
 
+#[test]
+fn a_rejection_is_stored_soon() {
+    let request = Name::from("i1");
+    let mut failures = JobFailures::default();
+    failures.begin(&request).set(true);
+    failures.end(&request, Some(RequestFailure::Rejected));
+    assert!(failures.must_be_stored());
+}
+
 #[test]
 fn an_owner_that_stops_counts_the_first_runs_that_it_has_sent() {
     let (sent, waiting) = (Name::from("i1"), Name::from("i2"));
