--- a/standins/src/replicas/fleet.rs
+++ b/standins/src/replicas/fleet.rs
@@ -1,6 +1,6 @@
 //! All replicas, as one implementation of the library's `Replicas` trait.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -45,6 +45,15 @@
 /// Number of events in a text, unless a test sets another.
 const DEFAULT_EVENT_COUNT: u64 = 5;
 
+/// How a replica that has crashed is replaced by another one.
+#[derive(Debug, Clone, Copy)]
+pub struct Replacement {
+    /// The time from the crash until its entry is removed.
+    pub gone_after: Duration,
+    /// The time from the crash until the other replica starts.
+    pub back_after: Duration,
+}
+
 /// The replicas and their records.
 #[derive(Debug, Default)]
 struct State {
@@ -53,8 +62,10 @@
     event_counts: HashMap<Name, u64>,
     /// How long a replica that has crashed takes to be back; [`RESTART_TIME`] if none.
     restart_time: Option<Duration>,
-    /// The paths of requests that crash each replica that runs them.
-    crash_paths: HashSet<Name>,
+    /// Set if replicas that have crashed come back under another id.
+    replacement: Option<Replacement>,
+    /// The paths of requests that crash each replica that runs them, and how long they run there.
+    crash_paths: HashMap<Name, Duration>,
     /// The status of every response to a request, by request id.
     set_statuses: HashMap<Name, StatusCode>,
     runs: Vec<RecordedRun>,
@@ -109,6 +120,7 @@
     /// Writes the entry of a replica with its present versions.
     pub fn write_entry(&self, service: &str, id: &str, draining: bool) {
         let address = SocketAddr::from(([127, 0, 0, 1], 1));
+        self.with(id, |r| r.service = service.into());
         let versions = self.state.lock().replicas[id].versions.clone();
         let listed = ListedReplica {
             target: Target {
@@ -187,7 +199,18 @@
 
     /// Makes requests with this path crash each replica that runs them.
     pub fn crash_on(&self, path: &str) {
-        self.state.lock().crash_paths.insert(path.into());
+        self.crash_after(path, Duration::ZERO);
+    }
+
+    /// Makes requests with this path crash each replica that has run them for this time, also if
+    /// their sender has left.
+    pub fn crash_after(&self, path: &str, time: Duration) {
+        self.state.lock().crash_paths.insert(path.into(), time);
+    }
+
+    /// Replaces replicas that crash from now on by others, with new ids.
+    pub fn replace_crashed(&self, replacement: Replacement) {
+        self.state.lock().replacement = Some(replacement);
     }
 
     /// Sets how long a replica that has crashed takes to be back.
@@ -198,9 +221,16 @@
     /// Ends the process of a replica with everything that runs there, and starts it again, with a
     /// newer start time if it reports one.
     pub fn crash(&self, id: &str) {
-        self.set_behaviour(id, Behaviour::Unreachable);
+        let was = self.with(id, |r| std::mem::replace(&mut r.behaviour, Behaviour::Unreachable));
         self.with(id, |r| r.crashes.send_modify(|n| *n += 1));
         let (fleet, id) = (self.clone(), Name::from(id));
+        let replacement = self.state.lock().replacement;
+        if let Some(replacement) = replacement {
+            if was != Some(Behaviour::Unreachable) {
+                tokio::spawn(fleet.replace(id, replacement));
+            }
+            return;
+        }
         let restart_time = self.state.lock().restart_time.unwrap_or(RESTART_TIME);
         tokio::spawn(async move {
             tokio::time::sleep(restart_time).await;
@@ -211,6 +241,19 @@
         });
     }
 
+    /// Removes the entry of a replica that has crashed, and starts another one in its place.
+    async fn replace(self, id: Name, replacement: Replacement) {
+        let Replacement { gone_after, back_after } = replacement;
+        tokio::time::sleep(gone_after).await;
+        self.schema.remove_replica(&self.service, &id);
+        tokio::time::sleep(back_after.saturating_sub(gone_after)).await;
+        let former = self.with(&id, |r| (r.service.clone(), r.versions.clone()));
+        let Some((service, versions)) = former else { return };
+        let next = Name::from(format!("{id}+"));
+        self.state.lock().replicas.insert(next.clone(), Replica::new(versions, None));
+        self.write_entry(&service, &next, false);
+    }
+
     /// Waits until the process of a replica ends.
     async fn crashed(mut crashes: watch::Receiver<u64>) {
         let _ = crashes.changed().await;
@@ -290,6 +333,22 @@
         outcome
     }
 
+    /// Runs a request that crashes its replica after this time, and returns once it has crashed.
+    async fn run_crashing(&self, id: &Name, time: Duration) {
+        if time.is_zero() {
+            return self.crash(id);
+        }
+        let Some(crashes) = self.with(id, |r| r.crashes.subscribe()) else { return };
+        let (fleet, id, mut ended) = (self.clone(), id.clone(), crashes.clone());
+        tokio::spawn(async move {
+            tokio::select! {
+                _ = ended.changed() => {}
+                () = tokio::time::sleep(time) => fleet.crash(&id),
+            }
+        });
+        Self::crashed(crashes).await;
+    }
+
     /// Records a run; returns its index.
     fn record_run(&self, to: &Target, call: &ReplicaCall) -> usize {
         let mut state = self.state.lock();
@@ -382,8 +441,9 @@
             }
             let run = fleet.record_run(&to, &call);
             let behaviour = fleet.unless_hanging(&to.id).await.unwrap_or(behaviour);
-            if fleet.state.lock().crash_paths.contains(&call.path) {
-                fleet.crash(&to.id);
+            let crash_after = fleet.state.lock().crash_paths.get(&call.path).copied();
+            if let Some(time) = crash_after {
+                fleet.run_crashing(&to.id, time).await;
                 return Err(CallError::Interrupted("connection reset".to_owned()));
             }
             let is_stream = call.path.starts_with("/text");
--- a/standins/src/replicas/mod.rs
+++ b/standins/src/replicas/mod.rs
@@ -4,5 +4,5 @@
 mod fleet;
 mod replica;
 
-pub use fleet::ReplicaFleet;
+pub use fleet::{Replacement, ReplicaFleet};
 pub use replica::{Behaviour, RecordedOrder, RecordedRun};
--- a/standins/src/replicas/replica.rs
+++ b/standins/src/replicas/replica.rs
@@ -81,6 +81,8 @@
 #[derive(Debug)]
 pub(super) struct Replica {
     pub behaviour: Behaviour,
+    /// The service of its last entry.
+    pub service: Name,
     /// The weight version of each model.
     pub versions: BTreeMap<Name, u64>,
     /// How many orders it has accepted since its start.
@@ -111,6 +113,7 @@
     pub(super) fn new(versions: BTreeMap<Name, u64>, started_ms: Option<u64>) -> Self {
         Self {
             behaviour: Behaviour::Normal,
+            service: "".into(),
             versions,
             accepted_orders: 0,
             fencing_token: 0,
