A request that crashes replicas runs three times at most after its third crash

Cause: whether such a request was refused depended on a probability, and on nothing else. Its own crashes raise the rate against which they are judged, and longer runs or smaller services make a coincidence likelier: 6 or 7 crashes at a service of five with runs of 100 ms, never at 600 ms. A limit on repeats must not depend on evidence.

Now the runs after the third crash are counted over all nodes, each before it is sent: the node tells a group of up to seven nodes, and needs a majority of them; their replies carry what they know, so of two nodes that ask at once the later one is refused. Three runs in all, at most two of them later than 2 s after the third crash, one at a time. A completion clears the request; other requests of the same content wait for it for a second at most. Runs that nodes sent without knowing of the crashes count as well. The statistic stays, and may stop a request sooner.

New lines: rerun_granted, rerun_refused, rerun_not_confirmed, no_crash_found (why a broken attempt was not a crash), and reason= in request_quarantined.

Failed tries: a majority of two nodes, where one that is gone stops the other; asking for a run once a slot is taken, where requests of the same content were refused instead of waiting; counting replicas of one zone that were lost at the same moment as several crashes.

--- a/src/decide/quarantine/mod.rs
+++ b/src/decide/quarantine/mod.rs
@@ -9,6 +9,7 @@
 mod notice;
 mod quarantine;
 mod recent_crashes;
+mod reruns;
 mod trial_locks;
 
 pub use coincidence::{MIN_CRASHES, RunCrash, SETTLE_TIME};
@@ -17,4 +18,5 @@
     FingerprintStatus, InFlightAttempt, MAX_FINGERPRINTS, Quarantine, QuarantineRule, Verdict,
 };
 pub use recent_crashes::RecentCrashes;
+pub use reruns::RerunDecision;
 pub use trial_locks::TrialLocks;
--- a/src/decide/quarantine/notice.rs
+++ b/src/decide/quarantine/notice.rs
@@ -52,4 +52,17 @@
         /// Time since it was quarantined, in milliseconds.
         age_ms: u64,
     },
+    /// The request is run once more after its third crash, or that run was not sent.
+    Rerun {
+        /// Hash of the service and the content.
+        fingerprint: u64,
+        /// How often the fingerprint was cleared before.
+        epoch: u32,
+        /// The run.
+        run: CrashId,
+        /// Time since it was granted, in milliseconds.
+        age_ms: u64,
+        /// Whether it was not sent.
+        withdrawn: bool,
+    },
 }
--- a/src/decide/quarantine/quarantine.rs
+++ b/src/decide/quarantine/quarantine.rs
@@ -8,12 +8,13 @@
 //!
 //! Nodes that make no trials use [`QuarantineRule::UnlikelyCoincidence`]: suspects run like all
 //! others, and are quarantined once an innocent request would practically never have met the same
-//! crashes, see [`super::coincidence`].
+//! crashes, see [`super::coincidence`], or once they have used up their runs, see [`super::reruns`].
 
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::coincidence::{self, MIN_CRASHES, SETTLE_TIME};
+use super::coincidence::{self, MIN_CRASHES};
+use super::reruns::{CrashTime, Rerun, RerunDecision, Reruns};
 use super::{CrashId, CrashNotice, CrashReport, RecentCrashes, RunCrash};
 use crate::{Moment, Name};
 
@@ -29,6 +30,8 @@
 /// Crashes of the same upstream that two nodes report within this time are one crash; an
 /// engine needs longer than that to load its weights and crash again.
 const SAME_CRASH_WINDOW: Duration = Duration::from_secs(2);
+/// Crashes within this time are of the same moment: times of crashes are known that exactly.
+const SAME_MOMENT: Duration = Duration::from_millis(20);
 /// Bound on the fingerprints that are remembered: 100 engines with 40 requests each in one
 /// rack.
 pub const MAX_FINGERPRINTS: usize = 4_096;
@@ -46,8 +49,8 @@
 pub enum QuarantineRule {
     /// At its second crash. Suspects run in trials, apart from each other.
     SecondCrash,
-    /// Once its crashes are too unlikely for a coincidence, by [`Quarantine::judge`]. Suspects run
-    /// without a trial.
+    /// Once its crashes are too unlikely for a coincidence, by [`Quarantine::judge`], or once it has
+    /// used up its runs, by [`Quarantine::begin_rerun`]. Suspects run without a trial.
     UnlikelyCoincidence,
 }
 
@@ -110,6 +113,8 @@
     epoch: u32,
     /// The crashes of this epoch.
     crashes: Vec<RecordedCrash>,
+    /// The runs after the third crash of this epoch.
+    reruns: Reruns,
     quarantined: bool,
     /// The service of the last crash that this node saw itself.
     service: Option<Name>,
@@ -126,7 +131,34 @@
     }
 
     fn retention(&self) -> Duration {
-        if self.is_quarantined() { QUARANTINE_DURATION } else { SUSPECT_RETENTION }
+        if self.is_quarantined() || self.is_limited() {
+            QUARANTINE_DURATION
+        } else {
+            SUSPECT_RETENTION
+        }
+    }
+
+    /// Whether its further runs are limited.
+    fn is_limited(&self) -> bool {
+        self.crash_times().len() >= MIN_CRASHES
+    }
+
+    /// When its crashes were, the earliest first. Copies that were lost at the same moment, as with a
+    /// zone, count once.
+    fn crash_times(&self) -> Vec<CrashTime> {
+        let time = |c: &RecordedCrash| CrashTime { at: c.at, began_at: c.at.saturating_sub(c.ran) };
+        let mut crashes: Vec<CrashTime> = self.crashes.iter().map(time).collect();
+        crashes.sort_by_key(|crash| crash.at);
+        let mut times: Vec<CrashTime> = Vec::new();
+        for crash in crashes {
+            let is_same = |last: &CrashTime| {
+                crash.at.saturating_sub(last.at) <= SAME_MOMENT && crash.began_at < last.at
+            };
+            if !times.last().is_some_and(is_same) {
+                times.push(crash);
+            }
+        }
+        times
     }
 }
 
@@ -235,14 +267,63 @@
         self.records.get(&fingerprint).map_or(0, |r| r.crashes.len())
     }
 
-    /// Returns how long a fingerprint should not run again, because it is about to be judged. That
-    /// is only after one more run than [`MIN_CRASHES`]: an innocent request gets that run at once,
-    /// and its success clears it.
-    pub fn pause(&self, fingerprint: u64, now: Moment) -> Duration {
+    /// Decides whether a request may run, and records a rerun if that is limited.
+    pub fn begin_rerun(&mut self, fingerprint: u64, now: Moment) -> RerunDecision {
+        let Some(record) = self.records.get_mut(&fingerprint) else {
+            return RerunDecision::Unlimited;
+        };
+        if record.quarantined {
+            return RerunDecision::UsedUp;
+        }
+        let crashes = record.crash_times();
+        let Some(third) = crashes.get(MIN_CRASHES - 1).map(|crash| crash.at) else {
+            return RerunDecision::Unlimited;
+        };
+        let wait = record.reruns.wait(&crashes, now);
+        if !wait.is_zero() {
+            return RerunDecision::Wait(wait);
+        }
+        let used_up = record.reruns.are_used_up(&crashes, third, None, now);
+        record.updated = now;
+        if used_up {
+            record.quarantined = true;
+        } else {
+            self.last_number = self.last_number.wrapping_add(1);
+            let id = CrashId { node: self.node.clone(), number: self.last_number };
+            record.reruns.record(Rerun { id, at: now, withdrawn: false });
+        }
+        self.mark_changed(fingerprint);
+        if used_up {
+            return RerunDecision::UsedUp;
+        }
+        RerunDecision::Granted(CrashId { node: self.node.clone(), number: self.last_number })
+    }
+
+    /// Whether a rerun that other nodes know by now may be sent. Of two that began at the same time,
+    /// the one that is asked for later is refused. A rerun that may not be sent is withdrawn.
+    pub fn confirm_rerun(&mut self, fingerprint: u64, id: &CrashId, now: Moment) -> bool {
+        let Some(record) = self.records.get(&fingerprint).filter(|r| !r.quarantined) else {
+            return false;
+        };
+        let crashes = record.crash_times();
+        let Some(third) = crashes.get(MIN_CRASHES - 1).map(|crash| crash.at) else { return true };
+        record.reruns.is_first(id, &crashes, now)
+            && !record.reruns.are_used_up(&crashes, third, Some(id), now)
+    }
+
+    /// Records that a rerun was not sent.
+    pub fn withdraw_rerun(&mut self, fingerprint: u64, id: &CrashId, now: Moment) {
+        if let Some(record) = self.records.get_mut(&fingerprint)
+            && record.reruns.record(Rerun { id: id.clone(), at: now, withdrawn: true })
+        {
+            self.mark_changed(fingerprint);
+        }
+    }
+
+    /// Returns the notices of what is known of one request.
+    pub fn notices_of(&self, fingerprint: u64, now: Moment) -> Vec<CrashNotice> {
         let record = self.records.get(&fingerprint);
-        let record = record.filter(|r| !r.quarantined && r.crashes.len() > MIN_CRASHES);
-        let last = record.and_then(|r| r.crashes.iter().map(|c| c.at).max());
-        last.map_or(Duration::ZERO, |at| SETTLE_TIME.saturating_sub(now.saturating_sub(at)))
+        record.map(|r| record_notices(fingerprint, r, now)).unwrap_or_default()
     }
 
     /// Records that a run ended without a crash and without a complete response. A suspect that
@@ -370,6 +451,11 @@
                 let at = now.saturating_sub(Duration::from_millis(*age_ms));
                 self.apply_verdict(*fingerprint, *epoch, at)
             }
+            CrashNotice::Rerun { fingerprint, epoch, run, age_ms, withdrawn } => {
+                let at = now.saturating_sub(Duration::from_millis(*age_ms));
+                let rerun = Rerun { id: run.clone(), at, withdrawn: *withdrawn };
+                self.apply_rerun(*fingerprint, *epoch, rerun)
+            }
         }
     }
 
@@ -413,7 +499,8 @@
         record.updated = record.updated.max(at);
         record.shared |= report.crash.node != self.node;
         if record.crashes.len() >= MAX_CRASHES_PER_FINGERPRINT {
-            record.crashes.remove(0);
+            // The third crash is when the further runs began to be limited.
+            record.crashes.remove(MIN_CRASHES);
         }
         record.crashes.push(RecordedCrash {
             crash: report.crash.clone(),
@@ -428,6 +515,20 @@
         true
     }
 
+    fn apply_rerun(&mut self, fingerprint: u64, epoch: u32, rerun: Rerun) -> bool {
+        self.make_room(fingerprint);
+        let record = self.records.entry(fingerprint).or_default();
+        if epoch < record.epoch || record.is_quarantined() {
+            return false;
+        }
+        if epoch > record.epoch {
+            *record = FingerprintRecord { epoch, ..FingerprintRecord::default() };
+        }
+        record.shared = true;
+        record.updated = record.updated.max(rerun.at);
+        record.reruns.record(rerun)
+    }
+
     fn apply_verdict(&mut self, fingerprint: u64, epoch: u32, at: Moment) -> bool {
         self.make_room(fingerprint);
         let record = self.records.entry(fingerprint).or_default();
@@ -495,6 +596,13 @@
         notices.push(CrashNotice::Clear { fingerprint, epoch });
     }
     notices.extend(crash_notices(fingerprint, record, now));
+    notices.extend(record.reruns.iter().map(|rerun| CrashNotice::Rerun {
+        fingerprint,
+        epoch,
+        run: rerun.id.clone(),
+        age_ms: now.saturating_sub(rerun.at).as_millis() as u64,
+        withdrawn: rerun.withdrawn,
+    }));
     if record.quarantined {
         let age_ms = now.saturating_sub(record.updated).as_millis() as u64;
         notices.push(CrashNotice::Quarantine { fingerprint, epoch, age_ms });
--- a/src/entry/peer/messages.rs
+++ b/src/entry/peer/messages.rs
@@ -84,6 +84,14 @@
     },
     /// Tell the node of requests that crashed replicas.
     Crashes(Vec<CrashNotice>),
+    /// Tell the node of one more run of a request that crashed several replicas, and ask what it
+    /// knows of the request.
+    Rerun {
+        /// Hash of the service and the content.
+        fingerprint: u64,
+        /// What the sender knows, with the run.
+        notices: Vec<CrashNotice>,
+    },
 }
 
 /// A topic that one node may follow on another.
@@ -164,6 +172,8 @@
     TooLarge,
     /// Replies to `Follow`: the sender needs a snapshot, and the node is sending others.
     Busy,
+    /// Replies to `Rerun`: what the node knows of the request.
+    Reruns(Vec<CrashNotice>),
 }
 
 /// The reply of the store to a [`StoreRequest`].
@@ -198,7 +208,7 @@
             Self::Snapshot { .. } | Self::Follow { .. } | Self::Demand(_) => PeerPurpose::Follow,
             Self::Store(_) | Self::StoreRecovered { .. } => PeerPurpose::Store,
             Self::Usage { .. } => PeerPurpose::Usage,
-            Self::Crashes(_) => PeerPurpose::Quarantine,
+            Self::Crashes(_) | Self::Rerun { .. } => PeerPurpose::Quarantine,
         }
     }
 }
--- a/src/entry/peer/server.rs
+++ b/src/entry/peer/server.rs
@@ -146,6 +146,10 @@
                 app.quarantine.apply_notices(&notices);
                 PeerReply::Noted
             }
+            PeerRequest::Rerun { fingerprint, notices } => {
+                app.quarantine.apply_notices(&notices);
+                PeerReply::Reruns(app.quarantine.notices_of(fingerprint))
+            }
         }
     }
 
--- /dev/null
+++ b/src/entry/quarantine/broken_attempts.rs
@@ -0,0 +1,80 @@
+//! Attempts that ended without a response, and whether their replicas crashed meanwhile.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use super::entry_quarantine::EntryQuarantine;
+use super::replica_checks::CheckResult;
+use crate::decide::quarantine::InFlightAttempt;
+use crate::edge::replica::Target;
+use crate::{Moment, Name};
+
+/// An attempt that ended without a response.
+#[derive(Debug, Clone)]
+pub(super) struct BrokenAttempt {
+    pub service: Name,
+    pub target: Target,
+    pub fingerprint: u64,
+    pub sent_at: Moment,
+    pub broke_at: Moment,
+    /// Whether its replica was listed then, and did not drain.
+    pub listed: bool,
+}
+
+impl EntryQuarantine {
+    /// Checks the replica of an attempt whose connection broke, and records the crash if there was
+    /// one. `excused` is set once the request completes elsewhere.
+    pub(super) async fn check_broken(&self, broken: &BrokenAttempt, excused: &Arc<AtomicBool>) {
+        let result = if broken.listed {
+            self.checks.check(&broken.target).await
+        } else {
+            CheckResult::Draining
+        };
+        if result == CheckResult::Crashed {
+            return self.record_crash(broken, excused);
+        }
+        tracing::info!(
+            event = "no_crash_found",
+            replica = %broken.target.id,
+            fingerprint = format!("{:016x}", broken.fingerprint),
+            listed = broken.listed,
+            result = result.as_str()
+        );
+    }
+
+    /// Records the crash of a replica, against the request unless that has completed elsewhere.
+    fn record_crash(&self, broken: &BrokenAttempt, excused: &Arc<AtomicBool>) {
+        let BrokenAttempt { service, target, fingerprint, sent_at, broke_at, .. } = broken;
+        if self.recent.lock().record(service, &target.id, *broke_at) {
+            self.tally.replica_crashes.inc();
+        }
+        let innocent = excused.load(Ordering::Relaxed);
+        let replica = target.id.clone();
+        let attempt = InFlightAttempt {
+            upstream: replica.clone(),
+            fingerprint: *fingerprint,
+            sent_at: *sent_at,
+        };
+        let mut crashes = 0;
+        if !innocent {
+            let mut state = self.state.lock();
+            state.record_crash(&attempt, *broke_at, self.now());
+            state.set_service(*fingerprint, service);
+            if Arc::strong_count(excused) == 1 {
+                // Nobody waits for the response any more, so the caller may send the request again.
+                state.share(*fingerprint);
+            }
+            crashes = state.crash_count(*fingerprint);
+        }
+        tracing::warn!(
+            event = "replica_crashed",
+            %replica,
+            %service,
+            fingerprint = format!("{fingerprint:016x}"),
+            ran_ms = broke_at.saturating_sub(*sent_at).as_millis() as u64,
+            completed_elsewhere = innocent,
+            crashes
+        );
+        self.activate();
+    }
+}
--- /dev/null
+++ b/src/entry/quarantine/mod.rs
@@ -0,0 +1,10 @@
+//! Quarantine of requests that crash the replicas that run them, over all nodes.
+
+mod broken_attempts;
+mod entry_quarantine;
+mod replica_checks;
+mod request_check;
+mod reruns;
+
+pub(super) use entry_quarantine::EntryQuarantine;
+pub(super) use request_check::{RequestCheck, RequestContent};
--- /dev/null
+++ b/src/entry/quarantine/request_check.rs
@@ -0,0 +1,285 @@
+//! The quarantine as it applies to one request.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::future::join_all;
+use http::Method;
+use tokio::task::JoinHandle;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::broken_attempts::BrokenAttempt;
+use super::entry_quarantine::EntryQuarantine;
+use crate::Name;
+use crate::decide::quarantine::{CrashId, FingerprintStatus, MIN_CRASHES, RerunDecision};
+use crate::edge::replica::Target;
+use crate::error::{Kind, Refusal};
+
+/// How long the final response to a request that crashed a replica waits for the other nodes to
+/// know it. Probing takes up to 0.1 s of that at a replica that refuses connections, and a notice
+/// some milliseconds; a node that does not reply must not delay a live request by more.
+const NOTICE_WAIT: Duration = Duration::from_millis(300);
+/// When a run may be asked for again that other nodes did not confirm.
+const REFUSED_RERUN_DELAY: Duration = Duration::from_millis(1_000);
+/// How long a request waits for the end of another run of the same content. Most runs of plain
+/// services end within it.
+const RERUN_PATIENCE: Duration = Duration::from_millis(1_000);
+
+/// What identifies a request, under whichever id it is sent.
+#[derive(Debug, Clone)]
+pub(in crate::entry) struct RequestContent {
+    /// The service of its route.
+    pub service: Name,
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub path: Name,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+impl RequestContent {
+    /// The hash of the content.
+    fn fingerprint(&self) -> u64 {
+        let head = xxh3_64_with_seed(self.service.as_bytes(), 0);
+        let head = xxh3_64_with_seed(self.method.as_str().as_bytes(), head);
+        xxh3_64_with_seed(&self.body, xxh3_64_with_seed(self.path.as_bytes(), head))
+    }
+}
+
+/// The quarantine as it applies to one request, over its attempts.
+#[derive(Debug)]
+pub(in crate::entry) struct RequestCheck {
+    quarantine: Arc<EntryQuarantine>,
+    content: RequestContent,
+    /// Computed once it is needed, which is not before something crashes.
+    fingerprint: Option<u64>,
+    /// Whether the request has completed, so that crashes that are still being checked don't count
+    /// against it.
+    excused: Arc<AtomicBool>,
+    /// The checks of replicas at which attempts broke off.
+    pending: Vec<JoinHandle<()>>,
+    /// The run that was granted and has not reached a replica.
+    rerun: Option<CrashId>,
+}
+
+impl RequestCheck {
+    /// The checks of a request.
+    pub(in crate::entry) fn new(
+        quarantine: &Arc<EntryQuarantine>,
+        content: RequestContent,
+    ) -> Self {
+        Self {
+            quarantine: quarantine.clone(),
+            content,
+            fingerprint: None,
+            excused: Arc::default(),
+            pending: Vec::new(),
+            rerun: None,
+        }
+    }
+
+    /// Checks of the same request that another task makes.
+    pub(in crate::entry) fn fork(&self) -> Self {
+        Self {
+            quarantine: self.quarantine.clone(),
+            content: self.content.clone(),
+            fingerprint: self.fingerprint,
+            excused: self.excused.clone(),
+            pending: Vec::new(),
+            rerun: None,
+        }
+    }
+
+    fn fingerprint(&mut self) -> u64 {
+        *self.fingerprint.get_or_insert_with(|| self.content.fingerprint())
+    }
+
+    /// Refuses the request if it is quarantined.
+    ///
+    /// # Errors
+    ///
+    /// `Quarantined`, which is final.
+    pub(in crate::entry) fn check(&mut self) -> Result<(), Refusal> {
+        if !self.quarantine.is_active() {
+            return Ok(());
+        }
+        let fingerprint = self.fingerprint();
+        let now = self.quarantine.now();
+        match self.quarantine.state.lock().status(fingerprint, now) {
+            FingerprintStatus::Clear | FingerprintStatus::Suspect(_) => Ok(()),
+            FingerprintStatus::Quarantined(left) => Err(quarantined(left)),
+        }
+    }
+
+    /// Refuses the request unless it may be sent now. After [`MIN_CRASHES`] crashes its runs are
+    /// limited and have to be known to other nodes, which takes up to 200 ms; call
+    /// [`Self::run_sent`] once it has reached a replica. While another run of it may still crash its
+    /// replica, it waits for `patience` and [`RERUN_PATIENCE`] at most.
+    ///
+    /// # Errors
+    ///
+    /// `Quarantined`, with the time after which it may run.
+    pub(in crate::entry) async fn permit(&mut self, patience: Duration) -> Result<(), Refusal> {
+        self.check()?;
+        if !self.quarantine.is_active() || self.rerun.is_some() {
+            return Ok(());
+        }
+        let (quarantine, fingerprint) = (self.quarantine.clone(), self.fingerprint());
+        let mut updates = quarantine.updates.subscribe();
+        let give_up_at = quarantine.now() + patience.min(RERUN_PATIENCE);
+        let wait = loop {
+            let now = quarantine.now();
+            let decision = quarantine.state.lock().begin_rerun(fingerprint, now);
+            let wait = match decision {
+                RerunDecision::Unlimited => return Ok(()),
+                RerunDecision::Wait(wait) => wait,
+                RerunDecision::UsedUp => {
+                    quarantine.stop_request(fingerprint);
+                    return self.check();
+                }
+                RerunDecision::Granted(id) => {
+                    self.rerun = Some(id.clone());
+                    if quarantine.confirm_rerun(fingerprint, &id).await {
+                        return Ok(());
+                    }
+                    self.withdraw();
+                    self.check()?;
+                    REFUSED_RERUN_DELAY
+                }
+            };
+            let left = give_up_at.saturating_sub(quarantine.now());
+            if left.is_zero() {
+                break wait;
+            }
+            // A completion or a crash of the other run ends the wait early.
+            let _ = tokio::time::timeout(wait.min(left), updates.changed()).await;
+        };
+        Err(quarantined(wait))
+    }
+
+    /// Records that the request has reached a replica, so that the run counts.
+    pub(in crate::entry) fn run_sent(&mut self) {
+        self.rerun = None;
+    }
+
+    /// Records that the run that was granted is not sent.
+    fn withdraw(&mut self) {
+        if let Some(id) = self.rerun.take() {
+            let fingerprint = self.fingerprint();
+            self.quarantine.withdraw_rerun(fingerprint, &id);
+        }
+    }
+
+    /// Whether the request may run again on behalf of the same caller. After [`MIN_CRASHES`] it
+    /// runs once for each request of its caller.
+    pub(in crate::entry) fn may_rerun(&mut self) -> bool {
+        if !self.quarantine.is_active() {
+            return true;
+        }
+        let fingerprint = self.fingerprint();
+        self.quarantine.state.lock().crash_count(fingerprint) < MIN_CRASHES
+    }
+
+    /// Records that the connection of an attempt broke after this time. The replica is checked in
+    /// the background.
+    pub(in crate::entry) fn broke(&mut self, service: &Name, target: &Target, ran: Duration) {
+        let broken = self.broken_attempt(service, target, ran);
+        let (quarantine, excused) = (self.quarantine.clone(), self.excused.clone());
+        self.pending
+            .push(tokio::spawn(async move { quarantine.check_broken(&broken, &excused).await }));
+    }
+
+    fn broken_attempt(&mut self, service: &Name, target: &Target, ran: Duration) -> BrokenAttempt {
+        let broke_at = self.quarantine.now();
+        BrokenAttempt {
+            service: service.clone(),
+            target: target.clone(),
+            fingerprint: self.fingerprint(),
+            sent_at: broke_at.saturating_sub(ran),
+            broke_at,
+            listed: self.quarantine.checks.is_listed(target),
+        }
+    }
+
+    /// Records that the request has completed.
+    pub(in crate::entry) fn succeeded(&mut self) {
+        self.excused.store(true, Ordering::Relaxed);
+        self.pending.clear();
+        if !self.quarantine.is_active() {
+            return;
+        }
+        let fingerprint = self.fingerprint();
+        let cleared = self
+            .quarantine
+            .state
+            .lock()
+            .record_success(fingerprint, self.quarantine.now())
+            .is_some();
+        if cleared {
+            tracing::info!(event = "suspect_cleared", fingerprint = format!("{fingerprint:016x}"));
+            self.quarantine.activate();
+        }
+    }
+
+    /// Records that a replica ran the request for this time and did not crash.
+    pub(in crate::entry) fn survived(&mut self, ran: Duration) {
+        if self.quarantine.is_active() {
+            let fingerprint = self.fingerprint();
+            self.quarantine.state.lock().record_survival(fingerprint, ran, self.quarantine.now());
+        }
+    }
+
+    /// Waits until the crashes of the request are known to the other nodes, for at most
+    /// [`NOTICE_WAIT`]: once the caller has its response, it may send the request to any of them.
+    pub(in crate::entry) async fn notify_peers(&mut self) {
+        if self.pending.is_empty() {
+            return;
+        }
+        let (pending, fingerprint) = (std::mem::take(&mut self.pending), self.fingerprint());
+        let quarantine = &self.quarantine;
+        let notified = async {
+            join_all(pending).await;
+            let change = {
+                let mut state = quarantine.state.lock();
+                if state.crash_count(fingerprint) == 0 {
+                    return;
+                }
+                state.share(fingerprint);
+                state.last_change()
+            };
+            let mut rounds = quarantine.rounds.subscribe();
+            quarantine.changed.notify_one();
+            while !quarantine.is_acknowledged(change) {
+                if rounds.changed().await.is_err() {
+                    return;
+                }
+            }
+        };
+        if tokio::time::timeout(NOTICE_WAIT, notified).await.is_err() {
+            let fingerprint = format!("{fingerprint:016x}");
+            tracing::info!(event = "crash_notice_late", fingerprint);
+        }
+    }
+}
+
+impl Drop for RequestCheck {
+    /// Withdraws a run that was not sent, and reports the crashes of a request that was given up, as
+    /// when its caller disconnected. It may come again at any node.
+    fn drop(&mut self) {
+        self.withdraw();
+        if !self.pending.is_empty() && !self.excused.load(Ordering::Relaxed) {
+            let fingerprint = self.fingerprint();
+            self.quarantine.state.lock().share(fingerprint);
+            self.quarantine.changed.notify_one();
+        }
+    }
+}
+
+/// The refusal of a request that may not run for this time.
+fn quarantined(left: Duration) -> Refusal {
+    let detail = format!("refused for another {} ms", left.as_millis());
+    Refusal::new(Kind::Quarantined, detail).with_retry_after(left)
+}
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -261,7 +261,7 @@
         if state.attempts >= state.max_attempts {
             return RelayStep::Failed(refused(Kind::RetriesSpent, "all attempts are used"));
         }
-        if let Err(refusal) = state.check.check() {
+        if let Err(refusal) = state.check.permit(left).await {
             return RelayStep::Failed(refusal);
         }
         let Some(service) = state.route.pick_service(self.draw()).cloned() else {
@@ -302,7 +302,11 @@
         let limit = state.limit(left).min(state.response_deadline.saturating_sub(self.now()));
         state.set_sent(true);
         let mut sending = self.replicas.send(&slot.target, call);
-        let reply = match tokio::time::timeout(limit, &mut sending).await {
+        let sent = tokio::time::timeout(limit, &mut sending).await;
+        if !matches!(sent, Ok(Err(CallError::Unsent(_)))) {
+            state.check.run_sent();
+        }
+        let reply = match sent {
             Ok(Ok(reply)) => reply,
             Ok(Err(failure)) => {
                 if failure.not_run() {
--- a/src/entry/sample.rs
+++ b/src/entry/sample.rs
@@ -151,6 +151,9 @@
         owned.begin_run(&item.id).set(true);
         let result = run.attempt(&mut slot, call(left, priority, spec, item, before)).await;
         let ran = app.now().saturating_sub(sent_at);
+        if !matches!(result, AttemptResult::Continue(AttemptEnd::Unsent)) {
+            check.run_sent();
+        }
         match &result {
             AttemptResult::Complete => check.succeeded(),
             AttemptResult::Continue(AttemptEnd::Broken) | AttemptResult::OtherResponse => {
@@ -241,16 +244,11 @@
 /// quarantined text is held: no response of a replica says that it failed, so that it ends with
 /// its retention.
 async fn may_run(check: &mut RequestCheck) -> bool {
-    if check.check().is_err() {
+    let permitted = check.permit(HOLD_INTERVAL).await.is_ok();
+    if !permitted {
         tokio::time::sleep(HOLD_INTERVAL).await;
-        return false;
-    }
-    let pause = check.pause();
-    if pause.is_zero() {
-        return true;
     }
-    tokio::time::sleep(pause).await;
-    false
+    permitted
 }
 
 /// The request for a sample's text, from after event `last` on, within `left`.
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -128,11 +128,11 @@
     ) -> (Option<SlotGuard<'a>>, Option<Reply>) {
         while self.resume && self.attempts_left > 0 {
             self.attempts_left -= 1;
-            if self.check.check().is_err() || !self.check.may_rerun() {
+            let time = self.client_deadline.saturating_sub(app.now());
+            if time.is_zero() || !self.check.may_rerun() {
                 break;
             }
-            let time = self.client_deadline.saturating_sub(app.now());
-            if time.is_zero() {
+            if self.check.permit(time).await.is_err() {
                 break;
             }
             let Some(service) = self.service.clone() else { break };
@@ -149,7 +149,11 @@
             call.timeout = time;
             self.attempt_started_at = app.now();
             let sending = app.replicas.send(&slot.target, call);
-            match tokio::time::timeout(EVENT_TIMEOUT, sending).await {
+            let sent = tokio::time::timeout(EVENT_TIMEOUT, sending).await;
+            if !matches!(sent, Ok(Err(CallError::Unsent(_)))) {
+                self.check.run_sent();
+            }
+            match sent {
                 Ok(Ok(reply)) if reply.status.is_success() => return (Some(slot), Some(reply)),
                 Ok(Err(CallError::Interrupted(_))) => {
                     let ran = app.now().saturating_sub(self.attempt_started_at);
