Crashes count if the entry of the replica is gone, or its caller was not waiting

Two ways in which a crash was not seen, so that the request behind it kept its free runs:

Now it counts as crashed if it was listed and did not drain when the connection broke, and refuses connections since. - A run that got no response in time said nothing, and of a text even cleared the suspicion, as a run that its replica survived. Now the replica is looked at three more times over the next two seconds: it may crash after the sender has left.

--- a/src/decide/fleet/fleet.rs
+++ b/src/decide/fleet/fleet.rs
@@ -184,6 +184,11 @@
         self.replicas.get(id).is_some_and(|r| !r.listed.draining)
     }
 
+    /// Whether a replica is listed and draining.
+    pub fn is_draining(&self, id: &str) -> bool {
+        self.replicas.get(id).is_some_and(|r| r.listed.draining)
+    }
+
     /// Returns up to `limit` replicas that serve a model and are not draining, with the version
     /// that each was last seen at: the newest version first, then in the order of the ids.
     pub fn newest(&self, model: &str, limit: usize) -> Vec<(Name, u64)> {
--- a/src/entry/quarantine/broken_attempts.rs
+++ b/src/entry/quarantine/broken_attempts.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 use super::entry_quarantine::EntryQuarantine;
 use super::replica_checks::CheckResult;
@@ -9,6 +10,11 @@
 use crate::edge::replica::Target;
 use crate::{Moment, Name};
 
+/// When a replica is looked at that did not respond in time. It may go on with the request, and
+/// crash after its sender has left.
+const SILENT_CHECK_DELAYS: [Duration; 3] =
+    [Duration::from_millis(300), Duration::from_millis(700), Duration::from_millis(1_000)];
+
 /// An attempt that ended without a response.
 #[derive(Debug, Clone)]
 pub(super) struct BrokenAttempt {
@@ -42,6 +48,21 @@
         );
     }
 
+    /// Checks the replica of an attempt that got no response in time, several times.
+    pub(super) async fn check_silent(&self, broken: BrokenAttempt, excused: &Arc<AtomicBool>) {
+        for delay in SILENT_CHECK_DELAYS {
+            tokio::time::sleep(delay).await;
+            match self.checks.check(&broken.target).await {
+                CheckResult::Crashed => {
+                    let broken = BrokenAttempt { broke_at: self.now(), ..broken };
+                    return self.record_crash(&broken, excused);
+                }
+                CheckResult::Draining => return,
+                CheckResult::Runs | CheckResult::Silent => {}
+            }
+        }
+    }
+
     /// Records the crash of a replica, against the request unless that has completed elsewhere.
     fn record_crash(&self, broken: &BrokenAttempt, excused: &Arc<AtomicBool>) {
         let BrokenAttempt { service, target, fingerprint, sent_at, broke_at, .. } = broken;
--- a/src/entry/quarantine/replica_checks.rs
+++ b/src/entry/quarantine/replica_checks.rs
@@ -1,4 +1,4 @@
-//! Whether a replica has crashed at which an attempt broke off.
+//! Whether a replica has crashed at which an attempt broke off or got no response.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,7 +21,7 @@
 pub(super) enum CheckResult {
     /// The process of the replica has ended.
     Crashed,
-    /// It was stopped: it drains, or is not listed any more.
+    /// It was stopped: it drains.
     Draining,
     /// It accepts connections, as the same instance.
     Runs,
@@ -68,7 +68,8 @@
         self.fleet.lock().accepts_work(&target.id)
     }
 
-    /// Checks a replica at which an attempt broke off.
+    /// Checks a replica that was listed when an attempt ended there without a response. Its entry may
+    /// be gone by now, as a replica that has crashed does not renew it.
     pub(super) async fn check(&self, target: &Target) -> CheckResult {
         *self.running_check(target).get_or_init(|| self.probe(target)).await
     }
@@ -97,6 +98,7 @@
                 Err(_) => CheckResult::Silent,
             },
         };
-        if self.is_listed(target) { result } else { CheckResult::Draining }
+        let draining = self.fleet.lock().is_draining(&target.id);
+        if draining { CheckResult::Draining } else { result }
     }
 }
--- a/src/entry/quarantine/request_check.rs
+++ b/src/entry/quarantine/request_check.rs
@@ -192,6 +192,16 @@
             .push(tokio::spawn(async move { quarantine.check_broken(&broken, &excused).await }));
     }
 
+    /// Records that an attempt got no response within this time. Its replica is checked for some
+    /// seconds, for which no response waits.
+    pub(in crate::entry) fn silent(&mut self, service: &Name, target: &Target, ran: Duration) {
+        let broken = self.broken_attempt(service, target, ran);
+        if broken.listed {
+            let (quarantine, excused) = (self.quarantine.clone(), self.excused.clone());
+            tokio::spawn(async move { quarantine.check_silent(broken, &excused).await });
+        }
+    }
+
     fn broken_attempt(&mut self, service: &Name, target: &Target, ran: Duration) -> BrokenAttempt {
         let broke_at = self.quarantine.now();
         BrokenAttempt {
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -320,6 +320,8 @@
             }
             Err(_) => {
                 metered.not_run();
+                let ran = self.now().saturating_sub(started_at);
+                state.check.silent(&service, &slot.target, ran);
                 let replica = slot.target.id.clone();
                 let call = LateCall { replica, sent_at: started_at, call: sending };
                 *late = state.reward.is_some().then_some(call);
@@ -341,6 +343,8 @@
                 return state.failed(self, &mut slot, CallError::Interrupted(reason));
             }
             Err(_) => {
+                let ran = self.now().saturating_sub(started_at);
+                state.check.silent(&service, &slot.target, ran);
                 return state.failed(self, &mut slot, CallError::Interrupted("silent".to_owned()));
             }
         };
--- a/src/entry/sample.rs
+++ b/src/entry/sample.rs
@@ -161,10 +161,8 @@
             }
             AttemptResult::Continue(AttemptEnd::Unsent | AttemptEnd::NotRun)
             | AttemptResult::Continue(AttemptEnd::Stranger) => {}
-            AttemptResult::Continue(_)
-            | AttemptResult::Failed
-            | AttemptResult::Impossible
-            | AttemptResult::Silent(_) => {
+            AttemptResult::Silent(_) => check.silent(&service, &slot.target, ran),
+            AttemptResult::Continue(_) | AttemptResult::Failed | AttemptResult::Impossible => {
                 check.survived(ran);
             }
         }
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -159,7 +159,11 @@
                     let ran = app.now().saturating_sub(self.attempt_started_at);
                     self.check.broke(&service, &slot.target, ran);
                 }
-                Ok(_) | Err(_) => {}
+                Err(_) => {
+                    let ran = app.now().saturating_sub(self.attempt_started_at);
+                    self.check.silent(&service, &slot.target, ran);
+                }
+                Ok(_) => {}
             }
             self.avoid.push(slot.target.id.clone());
             tokio::time::sleep(RETRY_DELAY).await;
--- a/tests/entry/crashing_requests.rs
+++ b/tests/entry/crashing_requests.rs
@@ -4,10 +4,10 @@
 
 use http::StatusCode;
 use mulberrycourse::entry::RelayResponse;
-use standins::replicas::Replacement;
+use standins::replicas::{Behaviour, Replacement};
 use tokio::time::Instant;
 
-use crate::world::{HOST, Node, World, relay_request, sleep_ms};
+use crate::world::{HOST, Node, World, relay_request, sleep_ms, wait_until};
 
 /// How long after the third crash the nodes have to stop such a request.
 const NOTICE_TIME: Duration = Duration::from_millis(3_000);
@@ -232,6 +232,46 @@
     }
 }
 
+/// Guards against silence that counts as a run that its replica survived.
+#[tokio::test(start_paused = true)]
+async fn a_silent_text_clears_no_suspect() {
+    let world = World::new();
+    world.replicas.set_restart_time(Duration::from_secs(60));
+    world.replicas.set_event_count("i1", 20);
+    let node = world.linked_node("a").await;
+    node.submit("j", &["i1"]).await;
+    let runs = || world.replicas.runs().into_iter().filter(|r| &*r.id == "i1").collect::<Vec<_>>();
+    for crash in 1..=2 {
+        wait_until(|| runs().len() == crash).await;
+        sleep_ms(100).await;
+        if crash == 2 {
+            for id in ["e1", "e2", "e3"] {
+                world.replicas.set_behaviour(id, Behaviour::Unresponsive);
+            }
+        }
+        world.replicas.crash(&runs()[crash - 1].replica);
+    }
+    wait_until(|| runs().len() == 3).await;
+    sleep_ms(2_500).await;
+    assert!(node.app().metrics().contains("mulberry_suspect_requests 1"));
+}
+
+/// Guards against a crash that is taken for a stop, as the entry of the replica is gone when it is
+/// checked.
+#[tokio::test(start_paused = true)]
+async fn a_crash_counts_if_the_entry_of_the_replica_is_gone_soon_after() {
+    for gone_after in [10, 30] {
+        let world = World::new();
+        world.replicas.crash_after(CRASHING, Duration::from_millis(100));
+        let [gone_after, back_after] = [gone_after, 3_000].map(Duration::from_millis);
+        world.replicas.replace_crashed(Replacement { gone_after, back_after });
+        let node = world.linked_node("a").await;
+        send(&node, "sent", CRASHING).await;
+        let metrics = node.app().metrics();
+        assert!(metrics.contains("mulberry_replica_crashes_total 2"), "{gone_after:?}");
+    }
+}
+
 /// Guards against two such requests of which each explains the crashes of the other.
 #[tokio::test(start_paused = true)]
 async fn two_requests_that_crash_the_same_replicas_are_both_stopped() {
