Requests that crash replicas stay limited if all nodes restart

Nodes knew of crashes in memory only. When all of them ended, the request had its free runs again: 13 late runs over two restarts, three are allowed. The same where nodes were replaced one after the other and the two that should have told a new one were themselves gone: 4 to 6.

Now a node writes each request with limited runs to the store, when a run is granted, when it is stopped, and when a completion ends the limit. The records lie under the prefix that every node reads when it starts and follows afterwards, so there is no further call at a start, and the store is a second way for the news. A node that is cut off from the others and reaches the store learns of it too. Records are dropped after an hour, with the next write.

Failed try: a prefix of its own, read by each node at its start. That made 250 calls when a fleet starts (existing tests), and with three readers that the others ask still 762 calls where 750 are the bound, as the first ones know no others.

--- a/src/decide/quarantine/mod.rs
+++ b/src/decide/quarantine/mod.rs
@@ -15,7 +15,8 @@
 pub use coincidence::{MIN_CRASHES, RunCrash, SETTLE_TIME};
 pub use notice::{CrashId, CrashNotice, CrashReport};
 pub use quarantine::{
-    FingerprintStatus, InFlightAttempt, MAX_FINGERPRINTS, Quarantine, QuarantineRule, Verdict,
+    FingerprintStatus, InFlightAttempt, LimitChange, MAX_FINGERPRINTS, Quarantine, QuarantineRule,
+    Verdict,
 };
 pub use recent_crashes::RecentCrashes;
 pub use reruns::RerunDecision;
--- a/src/decide/quarantine/notice.rs
+++ b/src/decide/quarantine/notice.rs
@@ -1,5 +1,7 @@
 //! The notices that nodes exchange about crashes.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 use crate::Name;
@@ -66,3 +68,16 @@
         withdrawn: bool,
     },
 }
+
+impl CrashNotice {
+    /// The notice after this time has passed.
+    pub fn aged(mut self, passed: Duration) -> Self {
+        let passed = passed.as_millis() as u64;
+        match &mut self {
+            Self::Suspect(report) => report.age_ms += passed,
+            Self::Quarantine { age_ms, .. } | Self::Rerun { age_ms, .. } => *age_ms += passed,
+            Self::Clear { .. } => {}
+        }
+        self
+    }
+}
--- a/src/decide/quarantine/quarantine.rs
+++ b/src/decide/quarantine/quarantine.rs
@@ -65,6 +65,15 @@
     pub coincidence: f64,
 }
 
+/// Whether the runs of a request are limited.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LimitChange {
+    /// They are, or it is quarantined.
+    Limited,
+    /// They are no longer, as one has completed.
+    Ended,
+}
+
 /// The status of a fingerprint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FingerprintStatus {
@@ -120,6 +129,8 @@
     service: Option<Name>,
     /// Whether other nodes know or are to know this record.
     shared: bool,
+    /// Whether its runs were limited before it was cleared.
+    was_limited: bool,
     /// The number of the last change that this node made itself; 0 if none.
     local_change: u64,
     updated: Moment,
@@ -320,6 +331,20 @@
         }
     }
 
+    /// Returns the requests with limited runs that this node changed after the change with this number,
+    /// and those whose limit it has ended by then.
+    pub fn limited_after(&self, change: u64) -> Vec<(u64, LimitChange)> {
+        let changed = self.records.iter().filter(|(_, record)| record.local_change > change);
+        let limits = changed.filter_map(|(fingerprint, record)| {
+            if record.quarantined || record.is_limited() {
+                Some((*fingerprint, LimitChange::Limited))
+            } else {
+                record.was_limited.then_some((*fingerprint, LimitChange::Ended))
+            }
+        });
+        limits.collect()
+    }
+
     /// Returns the notices of what is known of one request.
     pub fn notices_of(&self, fingerprint: u64, now: Moment) -> Vec<CrashNotice> {
         let record = self.records.get(&fingerprint);
@@ -435,7 +460,9 @@
             return None;
         }
         let (epoch, shared) = (record.epoch + 1, record.shared);
-        *record = FingerprintRecord { epoch, shared, updated: now, ..FingerprintRecord::default() };
+        let was_limited = record.was_limited || record.is_limited();
+        let cleared = FingerprintRecord { epoch, shared, was_limited, ..Default::default() };
+        *record = FingerprintRecord { updated: now, ..cleared };
         self.mark_changed(fingerprint);
         Some(CrashNotice::Clear { fingerprint, epoch })
     }
--- a/src/entry/entry_node.rs
+++ b/src/entry/entry_node.rs
@@ -53,6 +53,7 @@
                 app.spawn(share_counts(app.clone(), usage));
             }
             app.spawn(app.quarantine.clone().run());
+            app.spawn(app.quarantine.clone().write_records(app.store.clone()));
             let waiting = app.clone();
             app.spawn(async move { waiting.retry_waiting().await });
             let calls = app.clone();
--- a/src/entry/follow/apply.rs
+++ b/src/entry/follow/apply.rs
@@ -25,6 +25,7 @@
             Topic::Nodes => {
                 self.membership.lock().load(page, self.store_time());
                 self.update_peers();
+                self.quarantine.apply_records(page.items.iter());
             }
             Topic::Routes | Topic::Versions | Topic::Retirements => {
                 page.items.iter().for_each(|item| self.apply_directive(item));
@@ -94,6 +95,7 @@
             watched.changes.iter().for_each(|change| membership.apply_change(change, now));
         }
         self.update_peers();
+        self.quarantine.apply_record_changes(&watched.changes);
     }
 
     /// Updates which nodes may be asked for calls to the store, in an order that is particular to
--- a/src/entry/keys.rs
+++ b/src/entry/keys.rs
@@ -1,7 +1,7 @@
 //! The keys that this service writes in the store, and the records under them.
 //!
 //! Everything that every node must know lies under one prefix, so that a single watch follows
-//! it; it changes only when nodes join or leave. The data of a job lies elsewhere and is
+//! it; it changes only when nodes join or leave, and for requests that crash replicas. The data of a job lies elsewhere and is
 //! watched only by the job's owner, because otherwise each change would cost a store call at
 //! every node.
 
@@ -14,7 +14,8 @@
 use crate::decide::failures::FailureCount;
 use crate::metrics::StorePurpose;
 
-/// Prefix of the node records and the leader record; watched by every node.
+/// Prefix of what every node watches: the records of the nodes, of the leader, and of requests that
+/// crashed several replicas.
 pub(super) const MEMBERSHIP_PREFIX: &str = "mulberry/live/";
 /// Key of the leader record.
 pub(super) const LEADER_KEY: &str = "mulberry/live/holder";
@@ -31,6 +32,8 @@
 pub(super) const JOB_RECORD_PREFIX: &str = "mulberry/home/";
 /// Prefix of the failure records of all jobs.
 pub(super) const FAILURES_PREFIX: &str = "mulberry/failed/";
+/// Prefix of the records of requests that crashed several replicas.
+pub(super) const CRASHING_PREFIX: &str = "mulberry/live/crashing/";
 /// Prefix of the submissions, results and unfinished texts of all jobs.
 const JOB_DATA_PREFIX: &str = "mulberry/job/";
 
@@ -134,6 +137,9 @@
     if key.starts_with(FAILURES_PREFIX) {
         return StorePurpose::Failures;
     }
+    if key.starts_with(CRASHING_PREFIX) {
+        return StorePurpose::Quarantine;
+    }
     let Some(part) = key.strip_prefix(JOB_DATA_PREFIX).and_then(|rest| rest.split('/').nth(1))
     else {
         return StorePurpose::Other;
@@ -167,6 +173,11 @@
     format!("{FAILURES_PREFIX}{job}").into()
 }
 
+/// Key of the record of a request that crashed several replicas.
+pub(super) fn crashing_key(fingerprint: u64) -> Name {
+    format!("{CRASHING_PREFIX}{fingerprint:016x}").into()
+}
+
 /// Key of one part of a job's submission.
 pub(super) fn spec_part_key(job: &str, index: usize) -> Name {
     format!("{JOB_DATA_PREFIX}{job}/spec/{index:04}").into()
--- a/src/entry/quarantine/entry_quarantine.rs
+++ b/src/entry/quarantine/entry_quarantine.rs
@@ -66,6 +66,8 @@
     pub(super) rounds: watch::Sender<u64>,
     /// Counts the changes of what is known of any request.
     pub(super) updates: watch::Sender<u64>,
+    /// The keys of records in the store that have expired.
+    pub(super) expired: Mutex<HashSet<Name>>,
     fleet: Arc<Mutex<Fleet>>,
     pub(super) peers: Arc<dyn Peers>,
     pub(super) tally: Arc<EntryMetrics>,
@@ -92,6 +94,7 @@
             changed: Notify::new(),
             rounds: watch::Sender::new(0),
             updates: watch::Sender::new(0),
+            expired: Mutex::default(),
             fleet,
             peers,
             tally,
--- a/src/entry/quarantine/mod.rs
+++ b/src/entry/quarantine/mod.rs
@@ -2,6 +2,7 @@
 
 mod broken_attempts;
 mod entry_quarantine;
+mod records;
 mod replica_checks;
 mod request_check;
 mod reruns;
--- a/src/metrics/entry_metrics.rs
+++ b/src/metrics/entry_metrics.rs
@@ -129,6 +129,8 @@
     Texts,
     /// The failures of texts and reward calls.
     Failures,
+    /// The requests that crashed several replicas.
+    Quarantine,
     /// Usage reports.
     Usage,
     /// The number of replicas ordered.
