A run whose caller has left still counts, and may still crash its replica

A caller that disconnects while its request runs drops everything that the node knew of the run: its crash was never looked for, and a run that had been granted was withdrawn as not sent.

Now a run is counted when it is sent, and given back only if it did not reach the replica. If its caller leaves, the node looks for a crash over the next seconds, without a connection of its own unless the entry of the replica is gone: callers leave often. A client that leaves a stream no longer clears a suspicion either.

Beside it: an attempt whose replica is still being checked waits for that if it may be the third crash, so that no fourth run goes without a grant.

--- a/src/decide/quarantine/recent_crashes.rs
+++ b/src/decide/quarantine/recent_crashes.rs
@@ -44,6 +44,11 @@
         true
     }
 
+    /// Whether a replica has crashed since a time.
+    pub fn has_crashed(&self, upstream: &Name, since: Moment) -> bool {
+        self.crashes.iter().any(|crash| crash.upstream == *upstream && crash.at >= since)
+    }
+
     /// Returns how many crashes of a service there were around a time, without those at the
     /// upstreams that `is_own` selects.
     pub(super) fn count_others(
--- a/src/entry/quarantine/broken_attempts.rs
+++ b/src/entry/quarantine/broken_attempts.rs
@@ -15,6 +15,11 @@
 const SILENT_CHECK_DELAYS: [Duration; 3] =
     [Duration::from_millis(300), Duration::from_millis(700), Duration::from_millis(1_000)];
 
+/// When it is looked whether a replica has crashed whose run the caller did not wait for. Its entry
+/// ends some seconds after it.
+const LEFT_CHECK_DELAYS: [Duration; 3] =
+    [Duration::from_millis(500), Duration::from_millis(1_500), Duration::from_millis(4_000)];
+
 /// An attempt that ended without a response.
 #[derive(Debug, Clone)]
 pub(super) struct BrokenAttempt {
@@ -63,6 +68,21 @@
         }
     }
 
+    /// Checks the replica of an attempt whose caller left while it ran, without a connection unless
+    /// there is another sign of a crash: callers leave often.
+    pub(super) async fn check_left(&self, broken: BrokenAttempt, excused: &Arc<AtomicBool>) {
+        for delay in LEFT_CHECK_DELAYS {
+            tokio::time::sleep(delay).await;
+            let broke_off = self.recent.lock().has_crashed(&broken.target.id, broken.sent_at);
+            let gone = broken.listed && !self.checks.is_listed(&broken.target);
+            if broke_off
+                || (gone && self.checks.check(&broken.target).await == CheckResult::Crashed)
+            {
+                return self.record_crash(&broken, excused);
+            }
+        }
+    }
+
     /// Records the crash of a replica, against the request unless that has completed elsewhere.
     fn record_crash(&self, broken: &BrokenAttempt, excused: &Arc<AtomicBool>) {
         let BrokenAttempt { service, target, fingerprint, sent_at, broke_at, .. } = broken;
--- a/src/entry/quarantine/request_check.rs
+++ b/src/entry/quarantine/request_check.rs
@@ -7,15 +7,16 @@
 use bytes::Bytes;
 use futures_util::future::join_all;
 use http::Method;
+use tokio::runtime::Handle;
 use tokio::task::JoinHandle;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::broken_attempts::BrokenAttempt;
 use super::entry_quarantine::EntryQuarantine;
-use crate::Name;
 use crate::decide::quarantine::{CrashId, FingerprintStatus, MIN_CRASHES, RerunDecision};
 use crate::edge::replica::Target;
 use crate::error::{Kind, Refusal};
+use crate::{Moment, Name};
 
 /// How long the final response to a request that crashed a replica waits for the other nodes to
 /// know it. Probing takes up to 0.1 s of that at a replica that refuses connections, and a notice
@@ -61,7 +62,19 @@
     excused: Arc<AtomicBool>,
     /// The checks of replicas at which attempts broke off.
     pending: Vec<JoinHandle<()>>,
-    /// The run that was granted and has not reached a replica.
+    /// The run that was granted and is not sent.
+    rerun: Option<CrashId>,
+    /// The run at a replica that has not ended.
+    in_flight: Option<InFlightRun>,
+}
+
+/// A run that has been sent.
+#[derive(Debug)]
+struct InFlightRun {
+    service: Name,
+    target: Target,
+    sent_at: Moment,
+    /// Set if it had to be granted.
     rerun: Option<CrashId>,
 }
 
@@ -78,11 +91,12 @@
             excused: Arc::default(),
             pending: Vec::new(),
             rerun: None,
+            in_flight: None,
         }
     }
 
-    /// Checks of the same request that another task makes.
-    pub(in crate::entry) fn fork(&self) -> Self {
+    /// Checks of the same request that another task makes, which takes over the run in flight.
+    pub(in crate::entry) fn fork(&mut self) -> Self {
         Self {
             quarantine: self.quarantine.clone(),
             content: self.content.clone(),
@@ -90,6 +104,7 @@
             excused: self.excused.clone(),
             pending: Vec::new(),
             rerun: None,
+            in_flight: self.in_flight.take(),
         }
     }
 
@@ -116,13 +131,14 @@
 
     /// Refuses the request unless it may be sent now. After [`MIN_CRASHES`] crashes its runs are
     /// limited and have to be known to other nodes, which takes up to 200 ms; call
-    /// [`Self::run_sent`] once it has reached a replica. While another run of it may still crash its
+    /// [`Self::run_sent`] when it is sent. While another run of it may still crash its
     /// replica, it waits for `patience` and [`RERUN_PATIENCE`] at most.
     ///
     /// # Errors
     ///
     /// `Quarantined`, with the time after which it may run.
     pub(in crate::entry) async fn permit(&mut self, patience: Duration) -> Result<(), Refusal> {
+        self.await_third_crash().await;
         self.check()?;
         if !self.quarantine.is_active() || self.rerun.is_some() {
             return Ok(());
@@ -160,9 +176,40 @@
         Err(quarantined(wait))
     }
 
-    /// Records that the request has reached a replica, so that the run counts.
-    pub(in crate::entry) fn run_sent(&mut self) {
-        self.rerun = None;
+    /// Waits for the checks of replicas if one of them may find the third crash of the request.
+    async fn await_third_crash(&mut self) {
+        if self.pending.is_empty() {
+            return;
+        }
+        let fingerprint = self.fingerprint();
+        let known = self.quarantine.state.lock().crash_count(fingerprint);
+        if known < MIN_CRASHES && known + self.pending.len() >= MIN_CRASHES {
+            let checks = join_all(self.pending.iter_mut());
+            // A check that takes longer finds no crash, or finds it for the next run.
+            let _ = tokio::time::timeout(NOTICE_WAIT, checks).await;
+            self.pending.retain(|check| !check.is_finished());
+        }
+    }
+
+    /// Records that the request is sent to a replica, so that the run counts. One of the methods
+    /// below records how it ended.
+    pub(in crate::entry) fn run_sent(&mut self, service: &Name, target: &Target) {
+        self.in_flight = Some(InFlightRun {
+            service: service.clone(),
+            target: target.clone(),
+            sent_at: self.quarantine.now(),
+            rerun: self.rerun.take(),
+        });
+    }
+
+    /// Records that the request did not reach the replica.
+    pub(in crate::entry) fn run_unsent(&mut self) {
+        self.rerun = self.in_flight.take().and_then(|run| run.rerun);
+    }
+
+    /// Records that the replica responded that it did not run the request.
+    pub(in crate::entry) fn run_declined(&mut self) {
+        self.in_flight = None;
     }
 
     /// Records that the run that was granted is not sent.
@@ -186,6 +233,7 @@
     /// Records that the connection of an attempt broke after this time. The replica is checked in
     /// the background.
     pub(in crate::entry) fn broke(&mut self, service: &Name, target: &Target, ran: Duration) {
+        self.in_flight = None;
         let broken = self.broken_attempt(service, target, ran);
         let (quarantine, excused) = (self.quarantine.clone(), self.excused.clone());
         self.pending
@@ -195,6 +243,7 @@
     /// Records that an attempt got no response within this time. Its replica is checked for some
     /// seconds, for which no response waits.
     pub(in crate::entry) fn silent(&mut self, service: &Name, target: &Target, ran: Duration) {
+        self.in_flight = None;
         let broken = self.broken_attempt(service, target, ran);
         if broken.listed {
             let (quarantine, excused) = (self.quarantine.clone(), self.excused.clone());
@@ -202,6 +251,17 @@
         }
     }
 
+    /// Looks for a crash by a run whose caller has left.
+    fn watch_left(&mut self, run: InFlightRun) {
+        let ran = self.quarantine.now().saturating_sub(run.sent_at);
+        let broken = self.broken_attempt(&run.service, &run.target, ran);
+        let (quarantine, excused) = (self.quarantine.clone(), self.excused.clone());
+        // There is no runtime if the whole process ends.
+        if let Ok(runtime) = Handle::try_current() {
+            runtime.spawn(async move { quarantine.check_left(broken, &excused).await });
+        }
+    }
+
     fn broken_attempt(&mut self, service: &Name, target: &Target, ran: Duration) -> BrokenAttempt {
         let broke_at = self.quarantine.now();
         BrokenAttempt {
@@ -218,6 +278,7 @@
     pub(in crate::entry) fn succeeded(&mut self) {
         self.excused.store(true, Ordering::Relaxed);
         self.pending.clear();
+        self.in_flight = None;
         if !self.quarantine.is_active() {
             return;
         }
@@ -236,6 +297,7 @@
 
     /// Records that a replica ran the request for this time and did not crash.
     pub(in crate::entry) fn survived(&mut self, ran: Duration) {
+        self.in_flight = None;
         if self.quarantine.is_active() {
             let fingerprint = self.fingerprint();
             self.quarantine.state.lock().record_survival(fingerprint, ran, self.quarantine.now());
@@ -277,9 +339,13 @@
 
 impl Drop for RequestCheck {
     /// Withdraws a run that was not sent, and reports the crashes of a request that was given up, as
-    /// when its caller disconnected. It may come again at any node.
+    /// when its caller disconnected. It may come again at any node. A run in flight may still crash its
+    /// replica.
     fn drop(&mut self) {
         self.withdraw();
+        if let Some(run) = self.in_flight.take() {
+            self.watch_left(run);
+        }
         if !self.pending.is_empty() && !self.excused.load(Ordering::Relaxed) {
             let fingerprint = self.fingerprint();
             self.quarantine.state.lock().share(fingerprint);
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -301,20 +301,21 @@
         // The wait for a slot does not shorten the time that a replica gets for the work.
         let limit = state.limit(left).min(state.response_deadline.saturating_sub(self.now()));
         state.set_sent(true);
+        state.check.run_sent(&service, &slot.target);
         let mut sending = self.replicas.send(&slot.target, call);
-        let sent = tokio::time::timeout(limit, &mut sending).await;
-        if !matches!(sent, Ok(Err(CallError::Unsent(_)))) {
-            state.check.run_sent();
-        }
-        let reply = match sent {
+        let reply = match tokio::time::timeout(limit, &mut sending).await {
             Ok(Ok(reply)) => reply,
             Ok(Err(failure)) => {
                 if failure.not_run() {
                     metered.not_run();
                 }
-                if let CallError::Interrupted(_) = failure {
-                    let ran = self.now().saturating_sub(started_at);
-                    state.check.broke(&service, &slot.target, ran);
+                match failure {
+                    CallError::Unsent(_) => state.check.run_unsent(),
+                    CallError::NotRun(_) | CallError::WrongInstance => state.check.run_declined(),
+                    CallError::Interrupted(_) => {
+                        let ran = self.now().saturating_sub(started_at);
+                        state.check.broke(&service, &slot.target, ran);
+                    }
                 }
                 return state.failed(self, &mut slot, failure);
             }
@@ -351,6 +352,7 @@
         let took = self.now().saturating_sub(started_at);
         slot.set_end(ReplicaOutcome::Answered { duration: took, cost: 1 });
         if signature.is_none() {
+            state.check.run_declined();
             return state.failed(self, &mut slot, CallError::Interrupted("unsigned".to_owned()));
         }
         let failed = status.is_server_error();
--- a/src/entry/sample.rs
+++ b/src/entry/sample.rs
@@ -149,18 +149,18 @@
         let run = TextAttempt { app, owned, item, spec, route: &route };
         let left = route.retention.saturating_sub(app.now().saturating_sub(started_at));
         owned.begin_run(&item.id).set(true);
+        check.run_sent(&service, &slot.target);
         let result = run.attempt(&mut slot, call(left, priority, spec, item, before)).await;
         let ran = app.now().saturating_sub(sent_at);
-        if !matches!(result, AttemptResult::Continue(AttemptEnd::Unsent)) {
-            check.run_sent();
-        }
         match &result {
             AttemptResult::Complete => check.succeeded(),
             AttemptResult::Continue(AttemptEnd::Broken) | AttemptResult::OtherResponse => {
                 check.broke(&service, &slot.target, ran);
             }
-            AttemptResult::Continue(AttemptEnd::Unsent | AttemptEnd::NotRun)
-            | AttemptResult::Continue(AttemptEnd::Stranger) => {}
+            AttemptResult::Continue(AttemptEnd::Unsent) => check.run_unsent(),
+            AttemptResult::Continue(AttemptEnd::NotRun | AttemptEnd::Stranger) => {
+                check.run_declined();
+            }
             AttemptResult::Silent(_) => check.silent(&service, &slot.target, ran),
             AttemptResult::Continue(_) | AttemptResult::Failed | AttemptResult::Impossible => {
                 check.survived(ran);
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -58,7 +58,7 @@
 /// Forwards a stream. The result ends in an error if the stream can't be completed.
 pub(super) fn forward(
     app: Arc<App>,
-    state: &RequestState,
+    state: &mut RequestState,
     target: Target,
     reply: Reply,
 ) -> BodyStream {
@@ -101,10 +101,8 @@
                     self.check.succeeded();
                     return;
                 }
-                PartEnd::ClientLeft => {
-                    self.check.survived(app.now().saturating_sub(started_at));
-                    return;
-                }
+                // The run is still in flight.
+                PartEnd::ClientLeft => return,
                 PartEnd::Interrupted => current.set_end(ReplicaOutcome::Failed),
             }
             if let Some(service) = &self.service {
@@ -148,12 +146,9 @@
             call.last_event = self.last_event;
             call.timeout = time;
             self.attempt_started_at = app.now();
+            self.check.run_sent(&service, &slot.target);
             let sending = app.replicas.send(&slot.target, call);
-            let sent = tokio::time::timeout(EVENT_TIMEOUT, sending).await;
-            if !matches!(sent, Ok(Err(CallError::Unsent(_)))) {
-                self.check.run_sent();
-            }
-            match sent {
+            match tokio::time::timeout(EVENT_TIMEOUT, sending).await {
                 Ok(Ok(reply)) if reply.status.is_success() => return (Some(slot), Some(reply)),
                 Ok(Err(CallError::Interrupted(_))) => {
                     let ran = app.now().saturating_sub(self.attempt_started_at);
@@ -163,7 +158,10 @@
                     let ran = app.now().saturating_sub(self.attempt_started_at);
                     self.check.silent(&service, &slot.target, ran);
                 }
-                Ok(_) => {}
+                Ok(Err(CallError::Unsent(_))) => self.check.run_unsent(),
+                Ok(Ok(_) | Err(CallError::NotRun(_) | CallError::WrongInstance)) => {
+                    self.check.run_declined();
+                }
             }
             self.avoid.push(slot.target.id.clone());
             tokio::time::sleep(RETRY_DELAY).await;
--- a/tests/entry/crashing_requests.rs
+++ b/tests/entry/crashing_requests.rs
@@ -256,6 +256,28 @@
     assert!(node.app().metrics().contains("mulberry_suspect_requests 1"));
 }
 
+/// Guards against crashes that nobody sees, as the client of the request leaves before each.
+#[tokio::test(start_paused = true)]
+async fn a_request_whose_client_leaves_before_the_crash_is_stopped() {
+    let world = World::new();
+    for number in 3..=5 {
+        world.replicas.add("plain", &format!("p{number}"), &[]);
+    }
+    let after = Duration::from_millis(100);
+    world.replicas.crash_after(CRASHING, after);
+    let [gone_after, back_after] = [1_000, 3_000].map(Duration::from_millis);
+    world.replicas.replace_crashed(Replacement { gone_after, back_after });
+    let nodes = [world.linked_node("a").await, world.linked_node("b").await];
+    for number in 0..60 {
+        let id = format!("sent-{number}");
+        let sent = send(&nodes[number % 2], &id, CRASHING);
+        assert!(tokio::time::timeout(after / 2, sent).await.is_err() || number > 3);
+        sleep_ms(700).await;
+    }
+    let late = count_late(&world, "", after);
+    assert!(late <= MAX_LATE_RUNS, "{late} runs");
+}
+
 /// Guards against a crash that is taken for a stop, as the entry of the replica is gone when it is
 /// checked.
 #[tokio::test(start_paused = true)]
