Nodes without a registration still count when a run is granted

After an outage of the store all registrations end and come back within seconds. A node that saw the others go was alone in the group for that time, and granted runs by itself. Nodes now count for five seconds after their registration ended. Read, not seen in a run.

--- a/src/entry/quarantine/reruns.rs
+++ b/src/entry/quarantine/reruns.rs
@@ -5,10 +5,11 @@
 //! end of a node nor a lost message loses a run from the count.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use futures_util::future::join_all;
 
-use super::entry_quarantine::{EntryQuarantine, PEER_TIMEOUT};
+use super::entry_quarantine::{EntryQuarantine, PEER_TIMEOUT, PeerState};
 use crate::decide::quarantine::{CrashId, CrashNotice};
 use crate::decide::rendezvous_rank;
 use crate::entry::peer::{PeerReply, PeerRequest};
@@ -16,6 +17,10 @@
 /// How many nodes are asked about the runs of one request. Three of them may be gone.
 const GROUP_SIZE: usize = 7;
 
+/// How long a node that is not registered any more still counts. After an outage of the store all
+/// registrations end, and come back soon.
+const DEPARTURE_TIME: Duration = Duration::from_millis(5_000);
+
 /// How many nodes of a group have to know a run. One of two nodes goes on without the other.
 fn quorum(group: usize) -> usize {
     if group == 2 { 1 } else { group / 2 + 1 }
@@ -74,7 +79,11 @@
     /// the others among them.
     pub(super) fn ranked_peers(&self, key: &str, count: usize) -> (usize, Vec<SocketAddr>) {
         let states = self.peer_states.lock();
-        let registered = states.iter().filter(|(_, peer)| peer.departed_at.is_none());
+        let now = self.now();
+        let counts = |peer: &PeerState| {
+            peer.departed_at.is_none_or(|at| now.saturating_sub(at) < DEPARTURE_TIME)
+        };
+        let registered = states.iter().filter(|(_, peer)| counts(peer));
         let names = registered.map(|(name, _)| &**name).chain([&*self.incarnation]);
         let mut ranked = rendezvous_rank(key, names);
         ranked.truncate(count);
