A granted run is not sent long after it was counted

A run counts from when it was recorded. A node that stood still between that and the replies of the others sent it seconds later, so that it counted as early and came late. Such a run is now refused after half a second.

--- a/src/decide/quarantine/reruns.rs
+++ b/src/decide/quarantine/reruns.rs
@@ -19,6 +19,9 @@
 const MAX_LATE_RERUNS: usize = 2;
 /// Within this time after the third crash, callers allow any number of runs.
 const LATE_TIME: Duration = Duration::from_millis(2_000);
+/// How long after it was recorded a rerun may be sent: it counts from then on, also if its node
+/// stands still in between.
+const CONFIRM_TIME: Duration = Duration::from_millis(500);
 /// How long a rerun that has neither completed nor crashed its replica keeps others back.
 const RERUN_TIME: Duration = Duration::from_millis(5_000);
 /// Bound on the reruns that are remembered, withdrawn ones included.
@@ -88,8 +91,12 @@
         self.wait_for(self.sent(), crashes, now)
     }
 
-    /// Whether the rerun with this id may be sent, after it was recorded.
+    /// Whether the rerun with this id may be sent, soon after it was recorded.
     pub(super) fn is_first(&self, id: &CrashId, crashes: &[CrashTime], now: Moment) -> bool {
+        let is_recent = |rerun: &Rerun| now.saturating_sub(rerun.at) <= CONFIRM_TIME;
+        if !self.sent().any(|rerun| rerun.id == *id && is_recent(rerun)) {
+            return false;
+        }
         let others = self.sent().filter(|rerun| rerun.id != *id);
         self.wait_for(others, crashes, now).is_zero()
     }
