--- a/src/decide/quarantine/mod.rs
+++ b/src/decide/quarantine/mod.rs
@@ -6,6 +6,7 @@
 //! quarantine that is too broad, harmless requests are refused along with it.
 
 mod coincidence;
+mod fingerprint_record;
 mod notice;
 mod quarantine;
 mod recent_crashes;
--- a/src/decide/quarantine/quarantine.rs
+++ b/src/decide/quarantine/quarantine.rs
@@ -14,7 +14,10 @@
 use std::time::Duration;
 
 use super::coincidence::{self, MIN_CRASHES};
-use super::reruns::{CrashTime, Rerun, RerunDecision, Reruns};
+use super::fingerprint_record::{
+    FingerprintRecord, QUARANTINE_DURATION, RecordedCrash, crash_notices, record_notices,
+};
+use super::reruns::{Rerun, RerunDecision};
 use super::{CrashId, CrashNotice, CrashReport, RecentCrashes, RunCrash};
 use crate::{Moment, Name};
 
@@ -22,16 +25,9 @@
 /// affects all requests that share the engine; in the second one, the suspect was the only
 /// suspect at its engine.
 const CRASHES_TO_QUARANTINE: usize = 2;
-/// How long a suspect is remembered: client programs retry within minutes.
-const SUSPECT_RETENTION: Duration = Duration::from_secs(600);
-/// How long a quarantine lasts: long enough to repair an engine or a caller, short enough
-/// that a wrong one ends by itself.
-const QUARANTINE_DURATION: Duration = Duration::from_secs(3_600);
 /// Crashes of the same upstream that two nodes report within this time are one crash; an
 /// engine needs longer than that to load its weights and crash again.
 const SAME_CRASH_WINDOW: Duration = Duration::from_secs(2);
-/// Crashes within this time are of the same moment: times of crashes are known that exactly.
-const SAME_MOMENT: Duration = Duration::from_millis(20);
 /// Bound on the fingerprints that are remembered: 100 engines with 40 requests each in one
 /// rack.
 pub const MAX_FINGERPRINTS: usize = 4_096;
@@ -97,16 +93,6 @@
     pub sent_at: Moment,
 }
 
-/// A crash during which a fingerprint was in flight.
-#[derive(Debug, Clone)]
-struct RecordedCrash {
-    crash: CrashId,
-    upstream: Name,
-    at: Moment,
-    /// How long the request had run at the upstream.
-    ran: Duration,
-}
-
 /// The last crash of an upstream that this node saw.
 #[derive(Debug, Clone, Copy)]
 struct LastCrash {
@@ -114,65 +100,6 @@
     at: Moment,
 }
 
-/// What is known of a fingerprint. It is kept for some time after it was cleared, so that
-/// older notices that arrive later are ignored.
-#[derive(Debug, Clone, Default)]
-struct FingerprintRecord {
-    /// How often the fingerprint was cleared.
-    epoch: u32,
-    /// The crashes of this epoch.
-    crashes: Vec<RecordedCrash>,
-    /// The runs after the third crash of this epoch.
-    reruns: Reruns,
-    quarantined: bool,
-    /// The service of the last crash that this node saw itself.
-    service: Option<Name>,
-    /// Whether other nodes know or are to know this record.
-    shared: bool,
-    /// Whether its runs were limited before it was cleared.
-    was_limited: bool,
-    /// The number of the last change that this node made itself; 0 if none.
-    local_change: u64,
-    updated: Moment,
-}
-
-impl FingerprintRecord {
-    fn is_quarantined(&self) -> bool {
-        self.quarantined
-    }
-
-    fn retention(&self) -> Duration {
-        if self.is_quarantined() || self.is_limited() {
-            QUARANTINE_DURATION
-        } else {
-            SUSPECT_RETENTION
-        }
-    }
-
-    /// Whether its further runs are limited.
-    fn is_limited(&self) -> bool {
-        self.crash_times().len() >= MIN_CRASHES
-    }
-
-    /// When its crashes were, the earliest first. Copies that were lost at the same moment, as with a
-    /// zone, count once.
-    fn crash_times(&self) -> Vec<CrashTime> {
-        let time = |c: &RecordedCrash| CrashTime { at: c.at, began_at: c.at.saturating_sub(c.ran) };
-        let mut crashes: Vec<CrashTime> = self.crashes.iter().map(time).collect();
-        crashes.sort_by_key(|crash| crash.at);
-        let mut times: Vec<CrashTime> = Vec::new();
-        for crash in crashes {
-            let is_same = |last: &CrashTime| {
-                crash.at.saturating_sub(last.at) <= SAME_MOMENT && crash.began_at < last.at
-            };
-            if !times.last().is_some_and(is_same) {
-                times.push(crash);
-            }
-        }
-        times
-    }
-}
-
 /// The crashes and fingerprints that one node knows.
 #[derive(Debug, Clone)]
 pub struct Quarantine {
@@ -596,43 +523,3 @@
         }
     }
 }
-
-/// The notices of the crashes of a record.
-fn crash_notices(
-    fingerprint: u64,
-    record: &FingerprintRecord,
-    now: Moment,
-) -> impl Iterator<Item = CrashNotice> {
-    record.crashes.iter().map(move |c| {
-        CrashNotice::Suspect(CrashReport {
-            fingerprint,
-            epoch: record.epoch,
-            crash: c.crash.clone(),
-            upstream: c.upstream.clone(),
-            ran_ms: c.ran.as_millis() as u64,
-            age_ms: now.saturating_sub(c.at).as_millis() as u64,
-        })
-    })
-}
-
-/// The notices that carry a whole record to a node that may have an older one.
-fn record_notices(fingerprint: u64, record: &FingerprintRecord, now: Moment) -> Vec<CrashNotice> {
-    let epoch = record.epoch;
-    let mut notices = Vec::new();
-    if epoch > 0 {
-        notices.push(CrashNotice::Clear { fingerprint, epoch });
-    }
-    notices.extend(crash_notices(fingerprint, record, now));
-    notices.extend(record.reruns.iter().map(|rerun| CrashNotice::Rerun {
-        fingerprint,
-        epoch,
-        run: rerun.id.clone(),
-        age_ms: now.saturating_sub(rerun.at).as_millis() as u64,
-        withdrawn: rerun.withdrawn,
-    }));
-    if record.quarantined {
-        let age_ms = now.saturating_sub(record.updated).as_millis() as u64;
-        notices.push(CrashNotice::Quarantine { fingerprint, epoch, age_ms });
-    }
-    notices
-}
