Replicas are checked after a silent attempt only for requests that met a crash

Every attempt without a response in time had its replica checked three times, each with a new connection.

Now only a request that has met a crash before, or may just have, has the replica checked so; of others it is watched without a connection, as for callers that leave: its entry ends some seconds after a crash. The tests of crashes that nobody waits for pass as before.

--- a/src/entry/quarantine/broken_attempts.rs
+++ b/src/entry/quarantine/broken_attempts.rs
@@ -10,14 +10,13 @@
 use crate::edge::replica::Target;
 use crate::{Moment, Name};
 
-/// When a replica is looked at that did not respond in time. It may go on with the request, and
-/// crash after its sender has left.
-const SILENT_CHECK_DELAYS: [Duration; 3] =
+/// When a replica is checked that did not respond to a suspect in time. It may go on with the request,
+/// and crash after its sender has left.
+const SUSPECT_CHECK_DELAYS: [Duration; 3] =
     [Duration::from_millis(300), Duration::from_millis(700), Duration::from_millis(1_000)];
 
-/// When it is looked whether a replica has crashed whose run the caller did not wait for. Its entry
-/// ends some seconds after it.
-const LEFT_CHECK_DELAYS: [Duration; 3] =
+/// When it is looked for signs that a replica has crashed. Its entry ends some seconds after it.
+const WATCH_DELAYS: [Duration; 3] =
     [Duration::from_millis(500), Duration::from_millis(1_500), Duration::from_millis(4_000)];
 
 /// An attempt that ended without a response.
@@ -53,9 +52,10 @@
         );
     }
 
-    /// Checks the replica of an attempt that got no response in time, several times.
-    pub(super) async fn check_silent(&self, broken: BrokenAttempt, excused: &Arc<AtomicBool>) {
-        for delay in SILENT_CHECK_DELAYS {
+    /// Checks the replica of an attempt that got no response in time, several times. The request has
+    /// met a crash before.
+    pub(super) async fn check_suspect(&self, broken: BrokenAttempt, excused: &Arc<AtomicBool>) {
+        for delay in SUSPECT_CHECK_DELAYS {
             tokio::time::sleep(delay).await;
             match self.checks.check(&broken.target).await {
                 CheckResult::Crashed => {
@@ -68,10 +68,13 @@
         }
     }
 
-    /// Checks the replica of an attempt whose caller left while it ran, without a connection unless
-    /// there is another sign of a crash: callers leave often.
-    pub(super) async fn check_left(&self, broken: BrokenAttempt, excused: &Arc<AtomicBool>) {
-        for delay in LEFT_CHECK_DELAYS {
+    /// Looks for a crash of the replica of an attempt that was given up while it ran, without a
+    /// connection unless there is another sign of one.
+    ///
+    /// Load pattern: callers leave and attempts time out on every day, and each new connection may
+    /// hold a slot of a replica.
+    pub(super) async fn watch_replica(&self, broken: BrokenAttempt, excused: &Arc<AtomicBool>) {
+        for delay in WATCH_DELAYS {
             tokio::time::sleep(delay).await;
             let broke_off = self.recent.lock().has_crashed(&broken.target.id, broken.sent_at);
             let gone = broken.listed && !self.checks.is_listed(&broken.target);
--- a/src/entry/quarantine/request_check.rs
+++ b/src/entry/quarantine/request_check.rs
@@ -240,15 +240,21 @@
             .push(tokio::spawn(async move { quarantine.check_broken(&broken, &excused).await }));
     }
 
-    /// Records that an attempt got no response within this time. Its replica is checked for some
-    /// seconds, for which no response waits.
+    /// Records that an attempt got no response within this time. A crash of its replica is looked for
+    /// over some seconds, for which no response waits.
     pub(in crate::entry) fn silent(&mut self, service: &Name, target: &Target, ran: Duration) {
         self.in_flight = None;
         let broken = self.broken_attempt(service, target, ran);
-        if broken.listed {
-            let (quarantine, excused) = (self.quarantine.clone(), self.excused.clone());
-            tokio::spawn(async move { quarantine.check_silent(broken, &excused).await });
-        }
+        let known = self.quarantine.state.lock().crash_count(broken.fingerprint);
+        let suspect = known > 0 || !self.pending.is_empty();
+        let (quarantine, excused) = (self.quarantine.clone(), self.excused.clone());
+        tokio::spawn(async move {
+            if suspect && broken.listed {
+                quarantine.check_suspect(broken, &excused).await;
+            } else {
+                quarantine.watch_replica(broken, &excused).await;
+            }
+        });
     }
 
     /// Looks for a crash by a run whose caller has left.
@@ -258,7 +264,7 @@
         let (quarantine, excused) = (self.quarantine.clone(), self.excused.clone());
         // There is no runtime if the whole process ends.
         if let Ok(runtime) = Handle::try_current() {
-            runtime.spawn(async move { quarantine.check_left(broken, &excused).await });
+            runtime.spawn(async move { quarantine.watch_replica(broken, &excused).await });
         }
     }
 
