Other nodes know of a third crash before the request runs again

An attempt that waited for the check of its replica, as that might be the third crash, took the check for done, so that the response to the caller no longer waited until other nodes knew. The caller could send the request to one that did not. Now the attempt itself waits for them.

--- a/src/entry/quarantine/request_check.rs
+++ b/src/entry/quarantine/request_check.rs
@@ -176,7 +176,8 @@
         Err(quarantined(wait))
     }
 
-    /// Waits for the checks of replicas if one of them may find the third crash of the request.
+    /// Waits for the checks of replicas if one of them may find the third crash of the request, and
+    /// until other nodes know of it.
     async fn await_third_crash(&mut self) {
         if self.pending.is_empty() {
             return;
@@ -184,10 +185,7 @@
         let fingerprint = self.fingerprint();
         let known = self.quarantine.state.lock().crash_count(fingerprint);
         if known < MIN_CRASHES && known + self.pending.len() >= MIN_CRASHES {
-            let checks = join_all(self.pending.iter_mut());
-            // A check that takes longer finds no crash, or finds it for the next run.
-            let _ = tokio::time::timeout(NOTICE_WAIT, checks).await;
-            self.pending.retain(|check| !check.is_finished());
+            self.notify_peers().await;
         }
     }
 
