--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,7 +9,8 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "common"))
-from standins import (BROKEN, COULD_NOT_RUN, HELD, TROUBLE, Closed, Deployment, Replica, http, main)
+from standins import (BROKEN, COULD_NOT_RUN, HELD, TROUBLE, Closed, Deployment, Replica, Scorer, http,
+                      main, scorer, scorer_route)
 
 HOST = "rollouts.example"
 MODEL = "m0"
@@ -39,9 +40,10 @@
                "route_type": "rollout", "timeout_ms": 10000, "target_latency_ms": 400, "priority": 1,
                "service": "models", "max_attempts": 3, "session_affinity": True, "resumable": True,
                "result_deadline_ms": 7500, "retention_s": 40} for i in range(count)]
-    service = {"name": "models", "health_path": "/health", "max_conns": 140, "protocol": "h1",
-               "tls": False}
-    return {"version": version, "routes": routes, "services": [service],
+    services = [{"name": name, "health_path": "/health", "max_conns": 140, "protocol": "h1",
+                 "tls": False} for name in ("models", "shop")]
+    return {"version": version, "routes": routes + [scorer_route(HOST, "shop")],
+            "services": services,
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 33554432,
                        "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
 
@@ -50,8 +52,9 @@
     items = []
     for group in range(GROUPS):
         for index in range(SIZE):
+            item = f"5{route}{group:02x}{index:02x}0000000000"
             items.append({
-                "id": f"5{route}{group:02x}{index:02x}0000000000",
+                "id": item, "scorer": scorer(item, HOST),
                 "path": f"/draft{route}/{group}/{index}",
                 "headers": {"Model": MODEL, "Token-Count": f"1016,{EVENTS}",
                             "Prompt-Prefix": f"{route}{group + 1:x}:1000,{group * 100 + index:x}:16"},
@@ -104,6 +107,8 @@
     for i in range(9):
         Engine(deployment.ip(100 + i), store, "models", f"z-{'abc'[i % 3]}", 8, record, MODEL,
                arrivals=arrivals)
+    for i in range(3):
+        Scorer(deployment.ip(120 + i), store, "shop", f"z-{'abc'[i]}", 6, record)
     if not deployment.start():
         record("the nodes are not ready")
         return COULD_NOT_RUN
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -441,6 +441,28 @@
         wire.send(b"0\r\n\r\n")
 
 
+class Scorer(Replica):
+    """A replica of the plain service that the reward calls of items go to."""
+
+    def run(self, wire, method, path, headers, body, echo):
+        request = headers["request-id"]
+        time.sleep(0.03)
+        wire.send(message(200, {**echo, "Server-Stamp": f"stamp.{self.id}.{request}",
+                                "Server-Load": self.load()}, b"scored"))
+
+
+def scorer(item, host):
+    """The reward call of an item."""
+    return {"id": "5c" + item[2:], "host": host, "path": f"/reward/{item}",
+            "body": base64.b64encode(b"reward").decode()}
+
+
+def scorer_route(host, service):
+    return {"name": "r-reward", "host": host, "path_prefix": "/reward/", "route_type": "idempotent",
+            "timeout_ms": 3000, "target_latency_ms": 800, "priority": 2, "service": service,
+            "max_attempts": 4}
+
+
 def render(template, fields):
     """Fills in a template of settings as DEPLOY.md describes."""
 
