--- a/review/1/case.py
+++ b/review/1/case.py
@@ -126,7 +126,7 @@
         record(f"{frozen.name} stands still for {FREEZE_S} s")
         frozen.process.send_signal(signal.SIGSTOP)
     thaw_at = time.monotonic() + FREEZE_S
-    time.sleep(0.1)
+    time.sleep(0.3)
     store.put("op/config", config(4, 1 + NEW_ROUTES))
     record(f"the store has acknowledged configuration 4, with {NEW_ROUTES} more routes")
     time.sleep(0.05)
