--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -635,12 +635,21 @@
     record(f"trouble: {'on' if TROUBLE else 'off'}")
     deployments = []
     code = COULD_NOT_RUN
+
+    def give_up(*_):
+        raise TimeoutError("stopped, or not done within 110 s")
+
+    # Whatever ends the script, the processes that it has started end with it.
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+        signal.signal(number, give_up)
+    signal.alarm(110)
     try:
         code = case(record, deployments)
-    except Exception as error:  # the case could not run
+    except Exception as error:
         record(f"could not run: {error!r}")
-        raise
+        print(f"could not run: {error!r}", flush=True)
     finally:
+        signal.alarm(0)
         for deployment in deployments:
             deployment.stop()
         record({HELD: "the rule held", BROKEN: "THE RULE WAS BROKEN",
