--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -38,6 +38,10 @@
             self.file.flush()
 
 
+class Stopped(BaseException):
+    """The script has to end. Not an Exception, so that no handler for failed requests takes it."""
+
+
 class Closed(Exception):
     """The peer has closed the connection."""
 
@@ -637,7 +641,7 @@
     code = COULD_NOT_RUN
 
     def give_up(*_):
-        raise TimeoutError("stopped, or not done within 110 s")
+        raise Stopped("stopped, or not done within 110 s")
 
     # Whatever ends the script, the processes that it has started end with it.
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
@@ -645,7 +649,7 @@
     signal.alarm(110)
     try:
         code = case(record, deployments)
-    except Exception as error:
+    except (Exception, Stopped) as error:
         record(f"could not run: {error!r}")
         print(f"could not run: {error!r}", flush=True)
     finally:
