Jobs are judged by the configuration that they were accepted under

Cause: a job carried its host and path only, and its owner judged it by its own view. A node whose view is behind can't tell a route that it has not seen from one that was removed, and took both for removed.

Fix: a submission carries the version under which it was accepted, to its owner and through the store to later ones. An owner with an older version reads the store at once, one call for all its samples, and they wait until it has the version. The step is opened after that as well, so that its services, priority and due time are those of the route. Protocol between nodes: version 11.

Before: the first test of tests/entry/route_versions.rs failed with the first item dead; with the wait taken out five of its six tests fail.

--- a/src/decide/job/job.rs
+++ b/src/decide/job/job.rs
@@ -26,9 +26,9 @@
 /// long as usual.
 const MAX_ROUNDS_BY_LENGTH: usize = 3;
 
-/// Number of optional fields that were added at the end of a submission since its first format.
-const ADDED_FIELD_COUNT: usize = 2;
-/// The encoding of an optional field without a value.
+/// Number of fields that were added at the end of a submission since its first format.
+const ADDED_FIELD_COUNT: usize = 3;
+/// The encoding of an added field without a value, or of zero.
 const ENCODED_NONE: u8 = 0;
 
 /// A batch job as it was submitted.
@@ -50,11 +50,14 @@
     pub wanted_groups: Option<usize>,
     /// The organisation that submitted it; none if it came without a key.
     pub organisation: Option<Name>,
+    /// The version of the configuration that it was accepted under; 0 if not known. A node with an
+    /// older one can't judge its route.
+    pub routes_version: u64,
 }
 
 impl JobSpec {
-    /// Decodes a stored submission. An earlier format ends before the last one or two fields,
-    /// which are none then. Fails if the bytes are not a submission of any format.
+    /// Decodes a stored submission. An earlier format ends before the last one to three
+    /// fields, which are none or zero then. Fails if the bytes are not a submission of any format.
     pub fn decode(mut bytes: Vec<u8>) -> Result<Self, bincode::error::DecodeError> {
         let config = bincode::config::standard();
         for _ in 0..ADDED_FIELD_COUNT {
--- a/src/edge/peer/codec.rs
+++ b/src/edge/peer/codec.rs
@@ -8,7 +8,7 @@
 use serde::de::DeserializeOwned;
 
 /// The version of the protocol between nodes. Both sides must use the same.
-pub const PROTOCOL_VERSION: &str = "10";
+pub const PROTOCOL_VERSION: &str = "11";
 
 /// The largest message. It bounds the memory that invalid input can make a node allocate.
 pub(super) const MAX_MESSAGE_BYTES: usize = 8 << 20;
--- a/src/entry/app.rs
+++ b/src/entry/app.rs
@@ -15,7 +15,7 @@
 use super::calls::Calls;
 use super::counted_store::CountedStore;
 use super::ended_jobs::EndedJobs;
-use super::follow::Feeds;
+use super::follow::{Feeds, RouteVersions};
 use super::membership::Membership;
 use super::memory_budget::MemoryBudget;
 use super::owned_jobs::OwnedJobs;
@@ -71,6 +71,8 @@
     pub(super) incarnation: Name,
     /// The configuration in force. None before the first.
     pub(super) routes: Mutex<Option<Arc<Routes>>>,
+    /// The versions of the configuration that this node knows, and those that its jobs need.
+    pub(super) route_versions: RouteVersions,
     /// The newest version of the weights that was announced for each model.
     pub(super) versions: Mutex<BTreeMap<Name, u64>>,
     /// The work of training steps by model: of the jobs of this node, and on the leader
@@ -180,6 +182,7 @@
             usage,
             incarnation,
             routes: Mutex::default(),
+            route_versions: RouteVersions::default(),
             versions: Mutex::default(),
             demand: Mutex::default(),
             slot_load: Mutex::default(),
--- a/src/entry/follow/apply.rs
+++ b/src/entry/follow/apply.rs
@@ -5,7 +5,7 @@
 
 use super::topic::Topic;
 use crate::Name;
-use crate::decide::{rendezvous_rank, unlisted};
+use crate::decide::{Routes, rendezvous_rank, unlisted};
 use crate::edge::schema::Directive;
 use crate::edge::store::{Change, KeyValue, RangeResult, WatchBatch};
 use crate::entry::app::App;
@@ -18,6 +18,16 @@
 const MAX_LOGGED_REPLICAS: usize = 100;
 
 impl App {
+    /// Returns the configuration in force once it is at least as new as a version. If this node has
+    /// an older one, it reads the store.
+    ///
+    /// Load pattern: a change of the configuration is followed by jobs for each of its routes, at
+    /// owners that wait for the change from another node. All their samples wait for one read.
+    pub(in crate::entry) async fn routes_since(&self, version: u64) -> Arc<Routes> {
+        self.route_versions.wait_until_known(version).await;
+        self.routes().unwrap_or_default()
+    }
+
     /// Replaces the state of a topic by everything that the store has under its prefix.
     pub(super) fn apply_snapshot(self: &Arc<Self>, topic: Topic, page: &RangeResult, prefix: &str) {
         match topic {
@@ -121,8 +131,10 @@
             Ok(Some(Directive::Routes(routes))) => {
                 let mut current = self.routes.lock();
                 if current.as_ref().is_none_or(|c| c.version < routes.version) {
-                    tracing::info!(event = "routes_adopted", version = routes.version);
+                    let version = routes.version;
+                    tracing::info!(event = "routes_adopted", version);
                     *current = Some(Arc::new(routes));
+                    self.route_versions.record_known(version);
                 }
             }
             Ok(Some(Directive::Version { model, version })) => {
--- a/src/entry/follow/follower.rs
+++ b/src/entry/follow/follower.rs
@@ -79,8 +79,29 @@
 }
 
 impl Follower {
-    /// Gets and applies the next update, from another node or from the store.
+    /// Gets and applies the next update. Reads the store if work at this node needs a version of the
+    /// configuration that it does not know.
     async fn update(&mut self) -> Result<(), StoreError> {
+        if self.topic != Topic::Routes || !self.loaded {
+            return self.next_update().await;
+        }
+        let app = self.app.clone();
+        let needed = tokio::select! {
+            biased;
+            needed = app.route_versions.wait_until_missing() => needed,
+            result = self.next_update() => return result,
+        };
+        let known = app.routes().map_or(0, |routes| routes.version);
+        tracing::info!(event = "routes_behind", known, needed);
+        self.position = None;
+        self.update_from_store().await?;
+        // What is not in the store by now was never accepted, or can't be read here.
+        app.route_versions.record_known(needed);
+        Ok(())
+    }
+
+    /// Gets and applies the next update, from another node or from the store.
+    async fn next_update(&mut self) -> Result<(), StoreError> {
         if let Some(feed_topic) = self.topic.feed_topic() {
             if !self.loaded
                 && let Some(peer_update) = self.app.fetch_initial(feed_topic).await
--- a/src/entry/runner.rs
+++ b/src/entry/runner.rs
@@ -17,8 +17,9 @@
 use super::sample;
 use super::submit::unix_millis;
 use crate::Name;
+use crate::decide::Routes;
 use crate::decide::failures::JobFailures;
-use crate::decide::job::{ItemResult, Job, JobSpec, SampleText, SavedProgress};
+use crate::decide::job::{ItemResult, ItemSpec, Job, JobSpec, SampleText, SavedProgress};
 use crate::decide::load::{OpenStep, StepOrder};
 use crate::edge::store::{Change, KeyValue, StoreError};
 use crate::metrics::JobEvent;
@@ -97,15 +98,39 @@
         if let Some(model) = &spec.model {
             self.demand.lock().record(model, spec.step_demand(), self.now());
         }
-        let open = self.open_step(&owned, &spec);
+        let unfinished = owned.texts.lock().len();
+        tracing::info!(event = "job_started", job = %id, listed = count, todo = todo.len(), unfinished, routes = spec.routes_version);
+        let (app, started) = (self.clone(), owned.clone());
+        self.spawn(async move {
+            tokio::select! {
+                () = started.stop.cancelled() => {}
+                () = app.run_samples(&started, todo, by_group) => {}
+            }
+        });
+        if !failures_read {
+            self.spawn(self.clone().read_earlier_failures(owned.clone()));
+        }
+        self.spawn(follow_record(self.clone(), owned.clone(), id.clone()));
+        self.spawn(write_results(self.clone(), owned, id));
+    }
+
+    /// Starts the samples of a job once this node knows the configuration that the job was accepted
+    /// under.
+    async fn run_samples(
+        self: &Arc<Self>,
+        owned: &Arc<OwnedJob>,
+        todo: Vec<Arc<ItemSpec>>,
+        by_group: bool,
+    ) {
+        let spec = owned.job.lock().spec.clone();
+        let routes = self.routes_since(spec.routes_version).await;
+        let open = self.open_step(owned, &spec, &routes);
         let order = if by_group {
             StepOrder::new(open, todo.iter().map(|item| &*item.group))
         } else {
             StepOrder::by_length(open)
         };
         let step = Arc::new(self.slots.open_step(order, self.now()));
-        let unfinished = owned.texts.lock().len();
-        tracing::info!(event = "job_started", job = %id, listed = count, todo = todo.len(), unfinished);
         for (index, item) in todo.into_iter().enumerate() {
             let (app, owned) = (self.clone(), owned.clone());
             let (stop, step) = (owned.stop.clone(), step.clone());
@@ -118,26 +143,18 @@
                 }
             });
         }
-        if !failures_read {
-            self.spawn(self.clone().read_earlier_failures(owned.clone()));
-        }
-        self.spawn(follow_record(self.clone(), owned.clone(), id.clone()));
-        self.spawn(write_results(self.clone(), owned, id));
     }
 
     /// Returns a job as a step whose samples wait for slots.
-    fn open_step(&self, owned: &OwnedJob, spec: &JobSpec) -> OpenStep {
-        let routes = self.routes();
-        let route = routes.as_ref().and_then(|r| r.find(&spec.host, &spec.path));
-        let priority = routes.as_ref().zip(route);
+    fn open_step(&self, owned: &OwnedJob, spec: &JobSpec, routes: &Routes) -> OpenStep {
+        let route = routes.find(&spec.host, &spec.path);
         let since = owned.record.lock().value.accepted_ms;
         let age = Duration::from_millis(unix_millis().saturating_sub(since));
         let deadline = route.and_then(|route| route.result_deadline);
         OpenStep {
             id: owned.step,
             order: owned.queue_order,
-            priority: priority
-                .map_or(0, |(r, route)| r.priority(route, spec.organisation.as_ref())),
+            priority: route.map_or(0, |route| routes.priority(route, spec.organisation.as_ref())),
             services: route
                 .map(|r| r.services.iter().map(|(service, _)| service.clone()).collect())
                 .unwrap_or_default(),
--- a/src/entry/sample.rs
+++ b/src/entry/sample.rs
@@ -22,7 +22,7 @@
 /// Base of the delay after attempts that brought no events: twice this after the second one in a
 /// row, doubled with each further one up to eight times this value.
 const RETRY_BASE_DELAY: Duration = Duration::from_millis(25);
-/// The delay between two checks while the route's configuration or service is missing.
+/// The delay between two checks while the route's service is missing.
 const ROUTE_POLL_INTERVAL: Duration = Duration::from_millis(200);
 /// The delay between two checks of a text that may have failed too often to run again.
 const HOLD_INTERVAL: Duration = Duration::from_millis(500);
@@ -93,12 +93,10 @@
         while let Some(end) = late.next_within(Duration::ZERO).await {
             settle_late(app, owned, &item.id, end);
         }
-        let Some(routes) = app.routes() else {
-            tokio::time::sleep(ROUTE_POLL_INTERVAL).await;
-            continue;
-        };
+        let routes = app.routes_since(spec.routes_version).await;
         let Some(route) = routes.find(&spec.host, &spec.path).cloned() else {
-            tracing::info!(event = "sample_given_up", item = %item.id, reason = "no_route");
+            let (version, accepted) = (routes.version, spec.routes_version);
+            tracing::info!(event = "sample_given_up", item = %item.id, reason = "no_route", version, accepted);
             return false;
         };
         if app.now().saturating_sub(started_at) > route.retention {
--- a/src/entry/submit.rs
+++ b/src/entry/submit.rs
@@ -48,8 +48,10 @@
 }
 
 impl App {
-    /// Accepts a job, at this node or at one that it forwards the job to.
-    pub async fn submit(self: &Arc<Self>, spec: JobSpec) -> SubmitResult {
+    /// Accepts a job under the configuration in force here, at this node or at one that it forwards
+    /// the job to.
+    pub async fn submit(self: &Arc<Self>, mut spec: JobSpec) -> SubmitResult {
+        spec.routes_version = self.routes().map_or(0, |routes| routes.version);
         let owned = self.owned_jobs.get(&spec.id).is_some();
         let passed = if owned || self.draining() {
             ForwardOutcome::Not
--- a/standins/src/kv/service.rs
+++ b/standins/src/kv/service.rs
@@ -46,6 +46,8 @@
     pub refuses_dropped: bool,
     /// The prefix whose range reads are refused.
     pub refused_range: Option<&'static str>,
+    /// The prefix whose watches return no changes.
+    pub silent_watch: Option<&'static str>,
 }
 
 /// The service. Clones share its keys.
@@ -230,7 +232,11 @@
                 if client.faults.lock().outage == Some(Outage::Hanging) {
                     std::future::pending::<()>().await;
                 }
-                let seen = client.service.state.lock().watch(&prefix, after);
+                let silent = client.faults.lock().silent_watch;
+                let seen = match silent.is_some_and(|silent| *prefix == *silent) {
+                    true => Some(WatchBatch { changes: Vec::new(), revision: after }),
+                    false => client.service.state.lock().watch(&prefix, after),
+                };
                 match seen {
                     None if client.faults.lock().refuses_dropped
                         || client.service.state.lock().changed_since_compaction(&prefix) =>
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -14,6 +14,7 @@
 mod quarantines;
 mod reads;
 mod relays;
+mod route_versions;
 mod scale;
 mod shares;
 mod stale_reads;
--- a/tests/entry/world.rs
+++ b/tests/entry/world.rs
@@ -377,6 +377,7 @@
         items: items.iter().map(|id| Arc::new(item(id))).collect(),
         wanted_groups: None,
         organisation: None,
+        routes_version: 0,
     }
 }
 
@@ -440,6 +441,11 @@
     count_calls(node, &format!("{{call=\"{call}\",end=\"Answered\","))
 }
 
+/// Returns how often a node has read the configuration from the store.
+pub(crate) fn config_reads(node: &Node) -> u64 {
+    count_calls(node, "{call=\"Range\",end=\"Answered\",purpose=\"Routes\"}")
+}
+
 /// Returns the number of all store calls of some nodes. A lease renewal counts as a tenth of a
 /// call.
 pub(crate) fn charged_calls(nodes: &[Node]) -> u64 {
--- a/tests/jobs.rs
+++ b/tests/jobs.rs
@@ -30,6 +30,7 @@
         items: lengths.iter().enumerate().map(item).collect(),
         wanted_groups: None,
         organisation: None,
+        routes_version: 0,
     })
 }
 
@@ -211,14 +212,14 @@
     assert!(Job::new(spec, listed.map(Arc::new).collect()).is_urgent());
 }
 
-/// Decodes submissions of earlier versions, which had no organisation, or also no number of wanted
-/// groups.
+/// Decodes submissions of earlier versions, which had no version of the configuration, or also no
+/// organisation, or also no number of wanted groups.
 #[test]
 fn a_submission_without_added_fields_is_decoded() {
     let spec = JobSpec::clone(&spec(&[Some(3), None]));
     let mut bytes = bincode::serde::encode_to_vec(&spec, bincode::config::standard()).unwrap();
     assert_eq!(JobSpec::decode(bytes.clone()).unwrap(), spec);
-    for _ in 0..2 {
+    for _ in 0..3 {
         assert_eq!(bytes.pop(), Some(0));
         assert_eq!(JobSpec::decode(bytes.clone()).unwrap(), spec);
     }
