Excluded replicas are chosen last where exclusions don't apply

Callers saw: while more than a third of the replicas of a service were gone, a request or text was sent to those again and again, beside sound replicas with free slots. A text under which three replicas had crashed reached no sound one for two seconds.

Cause: exclusions are not applied at all if more than a third are excluded, and an excluded replica then rated like any other. Those that come first in the list are idle, as nothing runs there, so that they were the best choice. Attempts avoid only the last two replicas of a text and six of a call.

Evidence: attempts of one text, all at e1 to e3 of eight replicas, 21 refused connections in 1.9 s; e4 to e8 were idle. Found by a test of items under which replicas crash, which follows.

Fix: the exclusion is a penalty of its own, after that of a full replica: a sound replica with a free slot comes first, and if there is none the choice is as before.

The test failed before: "a" was chosen for "e".

--- a/src/decide/fleet/calls.rs
+++ b/src/decide/fleet/calls.rs
@@ -139,7 +139,8 @@
             let (known, typical) = self.pace_and_typical(replica, request);
             let good = self.is_idle_and_near(replica, now)
                 && known.decayed(typical, now) <= SLOW_FACTOR * typical
-                && !request.avoid.contains(&replica.listed.target.id);
+                && !request.avoid.contains(&replica.listed.target.id)
+                && replica.excluded_until <= now;
             if good {
                 candidates.clear();
             }
--- a/src/decide/fleet/fleet.rs
+++ b/src/decide/fleet/fleet.rs
@@ -41,13 +41,30 @@
 /// A candidate for an attempt. Smaller is better.
 #[derive(Clone, Copy)]
 pub(super) struct Candidate<'a> {
-    /// Whether an earlier attempt failed there, and whether it has no free slot.
-    pub(super) penalties: (bool, bool),
+    pub(super) penalties: Penalties,
     /// Expected time until an answer, in seconds.
     pub(super) latency: f64,
     pub(super) replica: &'a Replica,
 }
 
+/// Why a replica is chosen after others, the most important reason first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Penalties {
+    /// Whether an earlier attempt failed there.
+    pub(super) avoided: bool,
+    /// Whether it has no free slot.
+    pub(super) full: bool,
+    /// Whether it is excluded for a time, where exclusions are not applied.
+    pub(super) excluded: bool,
+}
+
+impl Penalties {
+    /// Whether a replica without a penalty might be better.
+    fn is_last_choice(self) -> bool {
+        self.avoided || self.excluded
+    }
+}
+
 impl Candidate<'_> {
     pub(super) fn order(&self, other: &Self) -> Ordering {
         self.penalties.cmp(&other.penalties).then(self.latency.total_cmp(&other.latency))
@@ -313,7 +330,7 @@
                 Some(_) => rated.latency <= expected_latency(0.0, typical, 1, false),
                 None => self.is_idle_and_near(replica, now) && pace <= SLOW_FACTOR * typical,
             };
-            if many && uneven.is_none() && load_known && good && !rated.penalties.0 {
+            if many && uneven.is_none() && load_known && good && !rated.penalties.is_last_choice() {
                 return Some(replica.listed.target.clone());
             }
             if load_known && chosen.as_ref().is_none_or(|c| rated.order(c).is_lt()) {
@@ -415,7 +432,7 @@
         let full = load >= f64::from(listed.slots);
         let avoided = request.avoid.contains(&listed.target.id);
         Candidate {
-            penalties: (avoided, full),
+            penalties: Penalties { avoided, full, excluded: replica.excluded_until > now },
             latency: expected_latency(load, pace, 1, far),
             replica,
         }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -129,6 +129,25 @@
     assert!(fleet.choose(&request, NOW + Duration::from_secs(1)).is_some());
 }
 
+/// Guards against replicas that are gone, and more than may be excluded, being tried in turn beside
+/// sound ones.
+#[test]
+fn excluded_replicas_are_chosen_last_if_too_many_are_excluded() {
+    let ids = ["a", "b", "c", "d", "e", "f"];
+    for weights in [None, Some(("m", 1))] {
+        let mut fleet = fleet(&ids);
+        let request = AttemptRequest { weights, ..request(false) };
+        for id in &ids[..4] {
+            fleet.start_attempt(id, NOW);
+            fleet.end_attempt(id, None, ReplicaOutcome::Unreachable, NOW);
+        }
+        assert_eq!(&*fleet.choose(&request, NOW).unwrap().id, "e");
+        let avoid = ["e".into(), "f".into()];
+        let request = AttemptRequest { avoid: &avoid, ..request };
+        assert_eq!(&*fleet.choose(&request, NOW).unwrap().id, "a");
+    }
+}
+
 #[test]
 fn failing_replicas_are_excluded_but_never_most_of_them() {
     let mut fleet = fleet(&["a", "b", "c"]);
