Items under which replicas crash run again until they complete

Callers saw: a text or reward call that had met six crashes was never run again, though replicas had room; its item was dead at the end of its retention, and its step incomplete (reported from a system like ours, shown here by a test).

Cause: the quarantine of what crashes replicas did not tell requests of callers from items of accepted jobs. Behind it, runs whose replicas crashed counted toward the limit of runs that may have failed, and held the item after nine.

Fix: the quarantine applies to requests of callers only.

--- a/benches/calls.rs
+++ b/benches/calls.rs
@@ -23,6 +23,7 @@
     avoid: &[],
     length: TextLength { hint: None, events: 0 },
     allow_full: true,
+    apart: false,
 };
 
 fn replica_id(replica: usize) -> Name {
@@ -94,6 +95,7 @@
             order: START,
             deadline: Duration::from_secs(1 << 30),
             avoid: Vec::new(),
+            apart: false,
         };
         for number in 0..callers {
             queue.submit(request(number), number, &mut fleet, START);
--- a/benches/places.rs
+++ b/benches/places.rs
@@ -42,6 +42,7 @@
         min_version: 1,
         avoid: Vec::new(),
         length: TextLength::default(),
+        apart: false,
     }
 }
 
--- a/benches/shares.rs
+++ b/benches/shares.rs
@@ -52,6 +52,7 @@
         min_version: 1,
         avoid: Vec::new(),
         length: TextLength::default(),
+        apart: false,
     }
 }
 
--- a/src/decide/failures/job_failures.rs
+++ b/src/decide/failures/job_failures.rs
@@ -137,18 +137,28 @@
 
     /// Adds a request that fails for the first time in this job.
     fn first_failure(&mut self, request: &Name, failure: RequestFailure) {
-        let lost = self.owners * MAX_UNSTORED_RUNS;
+        let lost = self.unstored_runs();
         let count = self.counts.entry(request.clone()).or_default();
         count.unknown += lost;
         count.record(failure);
     }
 
-    /// Counts the response to a run that had ended as unknown.
+    /// The runs that earlier owners may have sent of a request without a count.
+    fn unstored_runs(&self) -> u32 {
+        self.owners * MAX_UNSTORED_RUNS
+    }
+
+    /// Counts the response to a run that had ended as unknown. Without a failure the request has no
+    /// count again if that run was the only one.
     pub fn settle(&mut self, request: &Name, failure: Option<RequestFailure>) {
-        if let Some(count) = self.counts.get_mut(request) {
-            count.settle(failure);
-            self.record_change(failure);
+        let before_first = FailureCount { unknown: self.unstored_runs(), ..Default::default() };
+        let Some(count) = self.counts.get_mut(request) else { return };
+        count.settle(failure);
+        let is_new = !self.inherited.contains(request) && !self.running.contains_key(request);
+        if is_new && *count == before_first {
+            self.counts.remove(request);
         }
+        self.record_change(failure);
     }
 
     /// Forgets a request that has succeeded.
--- a/src/decide/fleet/attempt_request.rs
+++ b/src/decide/fleet/attempt_request.rs
@@ -16,4 +16,6 @@
     pub length: TextLength,
     /// Whether a replica without a free slot may be chosen.
     pub allow_full: bool,
+    /// Whether the replica with the fewest requests is chosen, as the attempt may crash it.
+    pub apart: bool,
 }
--- a/src/decide/fleet/fleet.rs
+++ b/src/decide/fleet/fleet.rs
@@ -56,6 +56,8 @@
     pub(super) full: bool,
     /// Whether it is excluded for a time, where exclusions are not applied.
     pub(super) excluded: bool,
+    /// The requests there, if the attempt is to run apart.
+    pub(super) requests: u32,
 }
 
 impl Penalties {
@@ -432,7 +434,12 @@
         let full = load >= f64::from(listed.slots);
         let avoided = request.avoid.contains(&listed.target.id);
         Candidate {
-            penalties: Penalties { avoided, full, excluded: replica.excluded_until > now },
+            penalties: Penalties {
+                avoided,
+                full,
+                excluded: replica.excluded_until > now,
+                requests: if request.apart { load.round() as u32 } else { 0 },
+            },
             latency: expected_latency(load, pace, 1, far),
             replica,
         }
--- a/src/decide/fleet/pace.rs
+++ b/src/decide/fleet/pace.rs
@@ -71,7 +71,14 @@
             return false;
         }
         let length = TextLength::default();
-        let request = AttemptRequest { service, weights, avoid: &[], length, allow_full: false };
+        let request = AttemptRequest {
+            service,
+            weights,
+            avoid: &[],
+            length,
+            allow_full: false,
+            apart: false,
+        };
         let others =
             self.candidates(&request).filter(|r| r.listed.target.id != here.listed.target.id);
         others
@@ -128,8 +135,14 @@
     ) -> bool {
         let Some(here) = self.replicas.get(id) else { return false };
         let service = here.listed.service.clone();
-        let request =
-            AttemptRequest { service: &service, weights, avoid: &[], length, allow_full: false };
+        let request = AttemptRequest {
+            service: &service,
+            weights,
+            avoid: &[],
+            length,
+            allow_full: false,
+            apart: false,
+        };
         let Some(speed) = self.uneven_speed(&request, now) else {
             return self.has_faster_replica(id, weights, pace, now);
         };
--- a/src/decide/fleet/slot_queue.rs
+++ b/src/decide/fleet/slot_queue.rs
@@ -56,6 +56,8 @@
     pub avoid: Vec<Name>,
     /// The length of the text.
     pub length: TextLength,
+    /// Whether the replica with the fewest requests is chosen, as the sample may crash it.
+    pub apart: bool,
 }
 
 impl SlotRequest {
@@ -70,6 +72,7 @@
             avoid: &self.avoid,
             length: self.length,
             allow_full: false,
+            apart: self.apart,
         }
     }
 }
--- a/src/decide/load/call_queue.rs
+++ b/src/decide/load/call_queue.rs
@@ -62,6 +62,8 @@
     pub deadline: Moment,
     /// Replicas that are chosen last.
     pub avoid: Vec<Name>,
+    /// Whether the replica with the fewest requests is chosen, as the call may crash it.
+    pub apart: bool,
 }
 
 /// What becomes of a call.
@@ -246,6 +248,7 @@
             avoid: &request.avoid,
             length: TextLength::default(),
             allow_full: true,
+            apart: request.apart,
         };
         fleet.choose_for_call(&wish, now)
     }
--- a/src/decide/quarantine/mod.rs
+++ b/src/decide/quarantine/mod.rs
@@ -6,6 +6,7 @@
 //! quarantine that is too broad, harmless requests are refused along with it.
 
 mod coincidence;
+mod crash_delay;
 mod fingerprint_record;
 mod notice;
 mod quarantine;
@@ -14,6 +15,7 @@
 mod trial_locks;
 
 pub use coincidence::{MIN_CRASHES, RunCrash, SETTLE_TIME};
+pub use crash_delay::CrashDelay;
 pub use notice::{CrashId, CrashNotice, CrashReport};
 pub use quarantine::{
     FingerprintStatus, InFlightAttempt, LimitChange, MAX_FINGERPRINTS, Quarantine, QuarantineRule,
--- a/src/entry/late_runs.rs
+++ b/src/entry/late_runs.rs
@@ -17,7 +17,7 @@
 use crate::decide::failures::RequestFailure;
 use crate::decide::job::Score;
 use crate::edge::http::collect_pieces;
-use crate::edge::replica::{CallError, Reply};
+use crate::edge::replica::{CallError, Reply, Target};
 use crate::{Moment, Name};
 
 /// How long an answer may come late. A machine that stands still longer counts as lost.
@@ -34,7 +34,10 @@
 
 /// A call without a response in time.
 pub(super) struct LateCall {
-    pub replica: Name,
+    /// The service of the replica.
+    pub service: Name,
+    /// The replica.
+    pub target: Target,
     /// When it was sent.
     pub sent_at: Moment,
     pub call: SentCall,
@@ -51,6 +54,8 @@
     NotRun,
     /// No answer will come.
     Lost,
+    /// The replica has crashed.
+    Crashed,
 }
 
 /// The late runs of one request.
@@ -75,7 +80,7 @@
     fn add_run(&mut self, app: &Arc<App>, late: LateCall, whole: bool) {
         let now = app.now();
         let waited = now.saturating_sub(late.sent_at);
-        let last = app.slots.fleet.lock().last_answer(&late.replica);
+        let last = app.slots.fleet.lock().last_answer(&late.target.id);
         if last.is_some_and(|last| now.saturating_sub(last) > waited / 2) {
             self.runs.push(late_run(app.clone(), late, whole).boxed());
         }
@@ -98,11 +103,18 @@
 
 /// Waits for the end of a run that is late from now on.
 async fn late_run(app: Arc<App>, late: LateCall, whole: bool) -> LateEnd {
-    tokio::select! {
+    let LateCall { service, target, sent_at, call } = late;
+    // Its entry may be gone by the time at which the run ends.
+    let run = app.quarantine.lost_run(&service, &target, app.now().saturating_sub(sent_at));
+    let end = tokio::select! {
         biased;
-        end = read_answer(late.call, whole) => end,
-        () = overtaken(&app, &late.replica) => LateEnd::Lost,
+        end = read_answer(call, whole) => end,
+        () = overtaken(&app, &target.id) => LateEnd::Lost,
         () = tokio::time::sleep(LATE_ANSWER_TIMEOUT) => LateEnd::Lost,
+    };
+    match end {
+        LateEnd::Lost if app.quarantine.has_crashed(&run).await => LateEnd::Crashed,
+        end => end,
     }
 }
 
--- a/src/entry/quarantine/broken_attempts.rs
+++ b/src/entry/quarantine/broken_attempts.rs
@@ -24,7 +24,8 @@
 pub(super) struct BrokenAttempt {
     pub service: Name,
     pub target: Target,
-    pub fingerprint: u64,
+    /// The hash of the request. None for an item of a job, whose crashes count against nobody.
+    pub fingerprint: Option<u64>,
     pub sent_at: Moment,
     pub broke_at: Moment,
     /// Whether its replica was listed then, and did not drain.
@@ -32,24 +33,49 @@
 }
 
 impl EntryQuarantine {
+    /// Describes an attempt that has ended now without a response, after this time.
+    pub(super) fn broken_attempt(
+        &self,
+        service: &Name,
+        target: &Target,
+        fingerprint: Option<u64>,
+        ran: Duration,
+    ) -> BrokenAttempt {
+        let broke_at = self.now();
+        BrokenAttempt {
+            service: service.clone(),
+            target: target.clone(),
+            fingerprint,
+            sent_at: broke_at.saturating_sub(ran),
+            broke_at,
+            listed: self.checks.is_listed(target),
+        }
+    }
+
     /// Checks the replica of an attempt whose connection broke, and records the crash if there was
     /// one. `excused` is set once the request completes elsewhere.
-    pub(super) async fn check_broken(&self, broken: &BrokenAttempt, excused: &Arc<AtomicBool>) {
+    pub(super) async fn check_broken(
+        &self,
+        broken: &BrokenAttempt,
+        excused: &Arc<AtomicBool>,
+    ) -> bool {
         let result = if broken.listed {
             self.checks.check(&broken.target).await
         } else {
             CheckResult::Draining
         };
         if result == CheckResult::Crashed {
-            return self.record_crash(broken, excused);
+            self.record_crash(broken, excused);
+            return true;
         }
         tracing::info!(
             event = "no_crash_found",
             replica = %broken.target.id,
-            fingerprint = format!("{:016x}", broken.fingerprint),
+            fingerprint = broken.fingerprint.map(|f| format!("{f:016x}")),
             listed = broken.listed,
             result = result.as_str()
         );
+        false
     }
 
     /// Checks the replica of an attempt that got no response in time, several times. The request has
@@ -94,27 +120,24 @@
         }
         let innocent = excused.load(Ordering::Relaxed);
         let replica = target.id.clone();
-        let attempt = InFlightAttempt {
-            upstream: replica.clone(),
-            fingerprint: *fingerprint,
-            sent_at: *sent_at,
-        };
         let mut crashes = 0;
-        if !innocent {
+        if let Some(fingerprint) = fingerprint.filter(|_| !innocent) {
+            let upstream = replica.clone();
+            let attempt = InFlightAttempt { upstream, fingerprint, sent_at: *sent_at };
             let mut state = self.state.lock();
             state.record_crash(&attempt, *broke_at, self.now());
-            state.set_service(*fingerprint, service);
+            state.set_service(fingerprint, service);
             if Arc::strong_count(excused) == 1 {
                 // Nobody waits for the response any more, so the caller may send the request again.
-                state.share(*fingerprint);
+                state.share(fingerprint);
             }
-            crashes = state.crash_count(*fingerprint);
+            crashes = state.crash_count(fingerprint);
         }
         tracing::warn!(
             event = "replica_crashed",
             %replica,
             %service,
-            fingerprint = format!("{fingerprint:016x}"),
+            fingerprint = fingerprint.map(|f| format!("{f:016x}")),
             ran_ms = broke_at.saturating_sub(*sent_at).as_millis() as u64,
             completed_elsewhere = innocent,
             crashes
--- a/src/entry/quarantine/mod.rs
+++ b/src/entry/quarantine/mod.rs
@@ -2,10 +2,12 @@
 
 mod broken_attempts;
 mod entry_quarantine;
+mod lost_run;
 mod records;
 mod replica_checks;
 mod request_check;
 mod reruns;
 
 pub(super) use entry_quarantine::EntryQuarantine;
+pub(super) use lost_run::LostRun;
 pub(super) use request_check::{RequestCheck, RequestContent};
--- a/src/entry/quarantine/request_check.rs
+++ b/src/entry/quarantine/request_check.rs
@@ -13,6 +13,7 @@
 
 use super::broken_attempts::BrokenAttempt;
 use super::entry_quarantine::EntryQuarantine;
+use super::lost_run::LostRun;
 use crate::decide::quarantine::{CrashId, FingerprintStatus, MIN_CRASHES, RerunDecision};
 use crate::edge::replica::Target;
 use crate::error::{Kind, Refusal};
@@ -50,18 +51,23 @@
     }
 }
 
-/// The quarantine as it applies to one request, over its attempts.
+/// The quarantine as it applies to one request, over its attempts. It does not apply to reward calls,
+/// which are owed like the texts of a job.
 #[derive(Debug)]
 pub(in crate::entry) struct RequestCheck {
     quarantine: Arc<EntryQuarantine>,
     content: RequestContent,
+    /// Set for a reward call.
+    owed: bool,
+    /// The run of a reward call that broke off.
+    lost: Option<LostRun>,
     /// Computed once it is needed, which is not before something crashes.
     fingerprint: Option<u64>,
     /// Whether the request has completed, so that crashes that are still being checked don't count
     /// against it.
     excused: Arc<AtomicBool>,
     /// The checks of replicas at which attempts broke off.
-    pending: Vec<JoinHandle<()>>,
+    pending: Vec<JoinHandle<bool>>,
     silence: Silence,
     /// The run that was granted and is not sent.
     rerun: Option<CrashId>,
@@ -97,6 +103,8 @@
         Self {
             quarantine: quarantine.clone(),
             content,
+            owed: false,
+            lost: None,
             fingerprint: None,
             excused: Arc::default(),
             pending: Vec::new(),
@@ -106,11 +114,28 @@
         }
     }
 
+    /// The checks of a reward call: it is never refused, and its crashes count against nobody.
+    pub(in crate::entry) fn of_reward_call(
+        quarantine: &Arc<EntryQuarantine>,
+        content: RequestContent,
+    ) -> Self {
+        let mut check = Self::new(quarantine, content);
+        check.owed = true;
+        check
+    }
+
+    /// Takes the run of a reward call that broke off, to look for a crash of its replica.
+    pub(in crate::entry) fn take_lost(&mut self) -> Option<LostRun> {
+        self.lost.take()
+    }
+
     /// Checks of the same request that another task makes, which takes over the run in flight.
     pub(in crate::entry) fn fork(&mut self) -> Self {
         Self {
             quarantine: self.quarantine.clone(),
             content: self.content.clone(),
+            owed: self.owed,
+            lost: None,
             fingerprint: self.fingerprint,
             excused: self.excused.clone(),
             pending: Vec::new(),
@@ -120,6 +145,11 @@
         }
     }
 
+    /// Whether the request may be refused, and anything is known of any request.
+    fn applies(&self) -> bool {
+        !self.owed && self.quarantine.is_active()
+    }
+
     fn fingerprint(&mut self) -> u64 {
         *self.fingerprint.get_or_insert_with(|| self.content.fingerprint())
     }
@@ -130,7 +160,7 @@
     ///
     /// `Quarantined`, which is final.
     pub(in crate::entry) fn check(&mut self) -> Result<(), Refusal> {
-        if !self.quarantine.is_active() {
+        if !self.applies() {
             return Ok(());
         }
         let fingerprint = self.fingerprint();
@@ -152,7 +182,7 @@
     pub(in crate::entry) async fn permit(&mut self, patience: Duration) -> Result<(), Refusal> {
         self.await_third_crash().await;
         self.check()?;
-        if !self.quarantine.is_active() || self.rerun.is_some() {
+        if !self.applies() || self.rerun.is_some() {
             return Ok(());
         }
         let (quarantine, fingerprint) = (self.quarantine.clone(), self.fingerprint());
@@ -204,6 +234,9 @@
     /// Records that the request is sent to a replica, so that the run counts. One of the methods
     /// below records how it ended.
     pub(in crate::entry) fn run_sent(&mut self, service: &Name, target: &Target) {
+        if self.owed {
+            return;
+        }
         self.in_flight = Some(InFlightRun {
             service: service.clone(),
             target: target.clone(),
@@ -233,7 +266,7 @@
     /// Whether the request may run again on behalf of the same caller. After [`MIN_CRASHES`] it
     /// runs once for each request of its caller.
     pub(in crate::entry) fn may_rerun(&mut self) -> bool {
-        if !self.quarantine.is_active() {
+        if !self.applies() {
             return true;
         }
         let fingerprint = self.fingerprint();
@@ -244,10 +277,15 @@
     /// the background.
     pub(in crate::entry) fn broke(&mut self, service: &Name, target: &Target, ran: Duration) {
         self.in_flight = None;
-        let broken = self.broken_attempt(service, target, ran);
+        if self.owed {
+            self.lost = Some(self.quarantine.lost_run(service, target, ran));
+            return;
+        }
+        let fingerprint = self.fingerprint();
+        let broken = self.quarantine.broken_attempt(service, target, Some(fingerprint), ran);
         let (quarantine, excused) = (self.quarantine.clone(), self.excused.clone());
-        self.pending
-            .push(tokio::spawn(async move { quarantine.check_broken(&broken, &excused).await }));
+        let check = async move { quarantine.check_broken(&broken, &excused).await };
+        self.pending.push(tokio::spawn(check));
     }
 
     /// Records that an attempt got no response within this time. A crash of its replica is looked for
@@ -255,8 +293,12 @@
     /// suspect: its replicas may all crash just after their attempts have ended.
     pub(in crate::entry) fn silent(&mut self, service: &Name, target: &Target, ran: Duration) {
         self.in_flight = None;
-        let broken = self.broken_attempt(service, target, ran);
-        let known = self.quarantine.state.lock().crash_count(broken.fingerprint);
+        if self.owed {
+            return;
+        }
+        let fingerprint = self.fingerprint();
+        let broken = self.quarantine.broken_attempt(service, target, Some(fingerprint), ran);
+        let known = self.quarantine.state.lock().crash_count(fingerprint);
         let mut suspect = known > 0 || !self.pending.is_empty();
         self.silence = match std::mem::replace(&mut self.silence, Silence::Repeated) {
             Silence::None => Silence::Once(broken.clone()),
@@ -288,7 +330,9 @@
     /// Looks for a crash by a run whose caller has left.
     fn watch_left(&mut self, run: InFlightRun) {
         let ran = self.quarantine.now().saturating_sub(run.sent_at);
-        let broken = self.broken_attempt(&run.service, &run.target, ran);
+        let fingerprint = self.fingerprint();
+        let broken =
+            self.quarantine.broken_attempt(&run.service, &run.target, Some(fingerprint), ran);
         let (quarantine, excused) = (self.quarantine.clone(), self.excused.clone());
         // There is no runtime if the whole process ends.
         if let Ok(runtime) = Handle::try_current() {
@@ -296,24 +340,12 @@
         }
     }
 
-    fn broken_attempt(&mut self, service: &Name, target: &Target, ran: Duration) -> BrokenAttempt {
-        let broke_at = self.quarantine.now();
-        BrokenAttempt {
-            service: service.clone(),
-            target: target.clone(),
-            fingerprint: self.fingerprint(),
-            sent_at: broke_at.saturating_sub(ran),
-            broke_at,
-            listed: self.quarantine.checks.is_listed(target),
-        }
-    }
-
     /// Records that the request has completed.
     pub(in crate::entry) fn succeeded(&mut self) {
         self.excused.store(true, Ordering::Relaxed);
         self.pending.clear();
         self.in_flight = None;
-        if !self.quarantine.is_active() {
+        if !self.applies() {
             return;
         }
         let fingerprint = self.fingerprint();
@@ -332,7 +364,7 @@
     /// Records that a replica ran the request for this time and did not crash.
     pub(in crate::entry) fn survived(&mut self, ran: Duration) {
         self.in_flight = None;
-        if self.quarantine.is_active() {
+        if self.applies() {
             let fingerprint = self.fingerprint();
             self.quarantine.state.lock().record_survival(fingerprint, ran, self.quarantine.now());
         }
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -8,7 +8,7 @@
 
 use super::app::App;
 use super::late_runs::LateCall;
-use super::quarantine::{RequestCheck, RequestContent};
+use super::quarantine::{LostRun, RequestCheck, RequestContent};
 use super::slots::SlotGuard;
 use super::stream;
 use crate::decide::failures::RunSent;
@@ -112,6 +112,8 @@
     pub since: Moment,
     /// How long its sender waits for a response before it tries another replica.
     pub patience: Duration,
+    /// Whether it goes to the replica with the fewest requests.
+    pub apart: bool,
     /// Set while it may run at a replica.
     pub sent: RunSent,
 }
@@ -128,6 +130,8 @@
     pub avoid: Vec<Name>,
     /// The run of a reward call that brought no response in time.
     pub late: Option<LateCall>,
+    /// The run of a reward call that broke off.
+    pub lost: Option<LostRun>,
 }
 
 /// A request and the state of its attempts.
@@ -209,8 +213,12 @@
             path: request.path.clone(),
             body: request.body.clone(),
         };
+        let check = match &limits.reward {
+            Some(_) => RequestCheck::of_reward_call(&self.quarantine, content),
+            None => RequestCheck::new(&self.quarantine, content),
+        };
         let mut state = RequestState {
-            check: RequestCheck::new(&self.quarantine, content),
+            check,
             request,
             route: route.clone(),
             started_at: self.now(),
@@ -242,8 +250,9 @@
                 }
             }
             log(self, &state, &response);
+            let lost = state.check.take_lost();
             let RequestState { failures, unknown, avoid, .. } = state;
-            return RelayOutcome { response, failures, unknown, avoid, late };
+            return RelayOutcome { response, failures, unknown, avoid, late, lost };
         }
     }
 
@@ -273,6 +282,7 @@
             avoid: &state.avoid,
             length: TextLength::default(),
             allow_full: true,
+            apart: state.reward.as_ref().is_some_and(|reward| reward.apart),
         };
         let asked_at = self.now();
         let taken = if state.may_wait {
@@ -323,8 +333,8 @@
                 metered.not_run();
                 let ran = self.now().saturating_sub(started_at);
                 state.check.silent(&service, &slot.target, ran);
-                let replica = slot.target.id.clone();
-                let call = LateCall { replica, sent_at: started_at, call: sending };
+                let (service, target) = (service.clone(), slot.target.clone());
+                let call = LateCall { service, target, sent_at: started_at, call: sending };
                 *late = state.reward.is_some().then_some(call);
                 return state.failed(self, &mut slot, CallError::Interrupted("silent".to_owned()));
             }
@@ -444,6 +454,7 @@
             order,
             deadline: self.response_deadline,
             avoid: self.avoid.clone(),
+            apart: self.reward.as_ref().is_some_and(|reward| reward.apart),
         }
     }
 
--- a/src/entry/sample.rs
+++ b/src/entry/sample.rs
@@ -9,13 +9,13 @@
 use super::attempt::{AttemptResult, TextAttempt};
 use super::late_runs::{LateCall, LateEnd, LateRuns};
 use super::owned_jobs::OwnedJob;
-use super::quarantine::{RequestCheck, RequestContent};
 use super::score::request_score;
 use crate::Name;
+use crate::decide::SlotRequest;
 use crate::decide::failures::{RequestFailure, RetryDecision};
 use crate::decide::job::{FinishEffect, ItemSpec, ItemState, JobSpec};
 use crate::decide::load::TextLength;
-use crate::decide::{Route, SlotRequest};
+use crate::decide::quarantine::CrashDelay;
 use crate::edge::replica::ReplicaCall;
 use crate::metrics::{AttemptEnd, SampleEnd};
 
@@ -86,12 +86,12 @@
     let started_at = app.now();
     let mut idle_attempts = 0;
     let mut avoid: Vec<Name> = Vec::new();
-    let mut check = None;
     let mut delay = Duration::ZERO;
     let mut late = LateRuns::default();
+    let mut crashes = CrashDelay::default();
     loop {
         while let Some(end) = late.next_within(Duration::ZERO).await {
-            settle_late(app, owned, &item.id, end);
+            settle_late(app, owned, &item.id, end, &mut crashes);
         }
         let routes = app.routes_since(spec.routes_version).await;
         let Some(route) = routes.find(&spec.host, &spec.path).cloned() else {
@@ -107,7 +107,7 @@
             RetryDecision::Run => {}
             RetryDecision::Await | RetryDecision::Hold => {
                 if let Some(end) = late.next_within(HOLD_INTERVAL).await {
-                    settle_late(app, owned, &item.id, end);
+                    settle_late(app, owned, &item.id, end, &mut crashes);
                 }
                 continue;
             }
@@ -117,10 +117,6 @@
             }
         }
         owned.reserve_run(&item.id, std::mem::take(&mut delay)).await;
-        let check = check.get_or_insert_with(|| text_check(app, &route, item));
-        if !may_run(check).await {
-            continue;
-        }
         let Some(service) = route.pick_service(app.draw()).cloned() else {
             tokio::time::sleep(ROUTE_POLL_INTERVAL).await;
             continue;
@@ -134,37 +130,21 @@
                 hint: item.length_hint,
                 events: owned.with_text(&item.id, |text| text.last_event()),
             },
+            apart: crashes.runs_apart(),
         };
         let priority = routes.sample_priority(&want.service).unwrap_or(route.priority);
         let queued = app.wait_for_slot(owned.step, index, want);
         let Some(mut slot) = queued.await else { continue };
-        // The text may have been quarantined while it waited.
-        if check.check().is_err() {
-            continue;
-        }
         let sent_at = app.now();
         let before = owned.with_text(&item.id, |text| text.last_event());
         let run = TextAttempt { app, owned, item, spec, route: &route };
         let left = route.retention.saturating_sub(app.now().saturating_sub(started_at));
         owned.begin_run(&item.id).set(true);
-        check.run_sent(&service, &slot.target);
         let result = run.attempt(&mut slot, call(left, priority, spec, item, before)).await;
         let ran = app.now().saturating_sub(sent_at);
-        match &result {
-            AttemptResult::Complete => check.succeeded(),
-            AttemptResult::Continue(AttemptEnd::Broken) | AttemptResult::OtherResponse => {
-                check.broke(&service, &slot.target, ran);
-            }
-            AttemptResult::Continue(AttemptEnd::Unsent) => check.run_unsent(),
-            AttemptResult::Continue(AttemptEnd::NotRun | AttemptEnd::Stranger) => {
-                check.run_declined();
-            }
-            AttemptResult::Silent(_) => check.silent(&service, &slot.target, ran),
-            AttemptResult::Continue(_) | AttemptResult::Failed | AttemptResult::Impossible => {
-                check.survived(ran);
-            }
-        }
-        let replica = slot.target.id.clone();
+        let target = slot.target.clone();
+        let replica = target.id.clone();
+        let lost = app.quarantine.lost_run(&service, &target, ran);
         drop(slot);
         let events = owned.with_text(&item.id, |text| text.last_event());
         let (job, revision) = (&spec.id, owned.record.lock().revision);
@@ -190,15 +170,21 @@
             }
             AttemptResult::Silent(sent) => {
                 app.end_run(owned, &item.id, Some(RequestFailure::Unknown));
-                late.add_for_status(
-                    app,
-                    LateCall { replica: replica.clone(), sent_at, call: sent },
-                );
+                let call = LateCall { service, target, sent_at, call: sent };
+                late.add_for_status(app, call);
                 tracing::info!(event = "sample_continued", %job, revision, item = %item.id, %replica, events, reason = "silent");
             }
             AttemptResult::Continue(end) => {
-                let unknown = end == AttemptEnd::Broken && events == before;
-                let failure = unknown.then_some(RequestFailure::Unknown);
+                let broken = end == AttemptEnd::Broken;
+                let mut failure = None;
+                if broken && events > before {
+                    app.quarantine.look_for_crash(lost);
+                } else if broken && app.quarantine.has_crashed(&lost).await {
+                    // Such a run can't have failed.
+                    crashes.record();
+                } else if broken {
+                    failure = Some(RequestFailure::Unknown);
+                }
                 app.end_run(owned, &item.id, failure);
                 tracing::info!(event = "sample_continued", %job, revision, item = %item.id, %replica, events, reason = ?end);
             }
@@ -212,41 +198,30 @@
             let paced = owned.retry_delay(&item.id);
             delay = (RETRY_BASE_DELAY * (1 << (idle_attempts - 1).min(3))).max(paced);
         }
+        delay = delay.max(crashes.delay());
     }
 }
 
 /// Records the end of a late run.
-fn settle_late(app: &App, owned: &OwnedJob, request: &Name, end: LateEnd) {
+fn settle_late(
+    app: &App,
+    owned: &OwnedJob,
+    request: &Name,
+    end: LateEnd,
+    crashes: &mut CrashDelay,
+) {
     tracing::info!(event = "late_answer", %request, ?end);
     match end {
         LateEnd::Failed(failure) => app.settle_run(owned, request, Some(failure)),
         LateEnd::Succeeded(_) | LateEnd::NotRun => app.settle_run(owned, request, None),
+        LateEnd::Crashed => {
+            crashes.record();
+            app.settle_run(owned, request, None);
+        }
         LateEnd::Lost => {}
     }
 }
 
-/// The quarantine as it applies to a text.
-fn text_check(app: &App, route: &Route, item: &ItemSpec) -> RequestCheck {
-    let content = RequestContent {
-        service: route.services.first().map(|(s, _)| s.clone()).unwrap_or_default(),
-        method: Method::POST,
-        path: item.path.clone(),
-        body: item.body.clone(),
-    };
-    RequestCheck::new(&app.quarantine, content)
-}
-
-/// Whether a text may run now; if not, this returns after some time in which it should not run. A
-/// quarantined text is held: no response of a replica says that it failed, so that it ends with
-/// its retention.
-async fn may_run(check: &mut RequestCheck) -> bool {
-    let permitted = check.permit(HOLD_INTERVAL).await.is_ok();
-    if !permitted {
-        tokio::time::sleep(HOLD_INTERVAL).await;
-    }
-    permitted
-}
-
 /// The request for a sample's text, from after event `last` on, within `left`.
 fn call(left: Duration, priority: u8, spec: &JobSpec, item: &ItemSpec, last: u64) -> ReplicaCall {
     let mut headers = HeaderMap::new();
--- a/src/entry/score.rs
+++ b/src/entry/score.rs
@@ -12,6 +12,7 @@
 use super::relay::{RelayLimits, RelayOutcome, RelayRequest, RelayResponse, RewardCall};
 use crate::decide::failures::{RequestFailure, RetryDecision};
 use crate::decide::job::{Score, Scorer};
+use crate::decide::quarantine::CrashDelay;
 use crate::error::Kind;
 use crate::{Moment, Name};
 
@@ -48,9 +49,10 @@
     let mut attempts = 0;
     let mut avoid: Vec<Name> = Vec::new();
     let mut late = LateRuns::default();
+    let mut crashes = CrashDelay::default();
     loop {
         while let Some(end) = late.next_within(Duration::ZERO).await {
-            if let Some(score) = settle_late(app, owned, &scorer.id, end) {
+            if let Some(score) = settle_late(app, owned, &scorer.id, end, &mut crashes) {
                 return Some(score);
             }
         }
@@ -69,7 +71,7 @@
             RetryDecision::Run => {}
             RetryDecision::Await | RetryDecision::Hold => {
                 if let Some(end) = late.next_within(HOLD_INTERVAL).await
-                    && let Some(score) = settle_late(app, owned, &scorer.id, end)
+                    && let Some(score) = settle_late(app, owned, &scorer.id, end, &mut crashes)
                 {
                     return Some(score);
                 }
@@ -92,6 +94,7 @@
                 organisation,
                 since: first_call,
                 patience: patience(late.len()),
+                apart: crashes.runs_apart(),
                 sent,
             }),
         };
@@ -106,14 +109,18 @@
                 delay = RETRY_BASE_DELAY;
                 continue;
             }
-            CallEnd::Quarantined => {
-                // No response says that the call failed, so it ends with its retention.
-                tokio::time::sleep(HOLD_INTERVAL).await;
-                None
-            }
             CallEnd::NotRun => None,
             CallEnd::Failed(failure) => Some(failure),
         };
+        let crashed = match &outcome.lost {
+            Some(run) => app.quarantine.has_crashed(run).await,
+            None => false,
+        };
+        if crashed {
+            crashes.record();
+        }
+        // Such a run can't have failed.
+        let end = end.filter(|_| !crashed);
         app.end_run(owned, &scorer.id, end);
         avoid.clear();
         avoid.extend(outcome.avoid.into_iter().rev().take(MAX_AVOIDED));
@@ -121,7 +128,7 @@
             late.add(app, call);
         }
         attempts += 1;
-        delay = owned.retry_delay(&scorer.id);
+        delay = owned.retry_delay(&scorer.id).max(crashes.delay());
         if end.is_none() {
             delay = delay.max(RETRY_BASE_DELAY * (1 << attempts.min(4)));
         }
@@ -139,8 +146,6 @@
     Scored(Score),
     /// Without a slot in time.
     Queued,
-    /// It may not be sent.
-    Quarantined,
     /// No replica ran it.
     NotRun,
     /// A replica ran it, or may have.
@@ -167,10 +172,8 @@
         }
         RelayResponse::Refused(refusal) => {
             tracing::info!(event = "score_refused", %item, %request, kind = %refusal.kind);
-            match refusal.kind {
-                Kind::Quarantined => return CallEnd::Quarantined,
-                Kind::DeadlineUnreachable => return CallEnd::Queued,
-                _ => {}
+            if refusal.kind == Kind::DeadlineUnreachable {
+                return CallEnd::Queued;
             }
         }
     }
@@ -184,7 +187,13 @@
 }
 
 /// Records the end of a late run, and returns the score if it brought one.
-fn settle_late(app: &App, owned: &OwnedJob, request: &Name, end: LateEnd) -> Option<Score> {
+fn settle_late(
+    app: &App,
+    owned: &OwnedJob,
+    request: &Name,
+    end: LateEnd,
+    crashes: &mut CrashDelay,
+) -> Option<Score> {
     tracing::info!(event = "late_answer", %request, ?end);
     match end {
         LateEnd::Succeeded(Some(score)) => {
@@ -193,6 +202,10 @@
         }
         LateEnd::Failed(failure) => app.settle_run(owned, request, Some(failure)),
         LateEnd::NotRun => app.settle_run(owned, request, None),
+        LateEnd::Crashed => {
+            crashes.record();
+            app.settle_run(owned, request, None);
+        }
         LateEnd::Succeeded(None) | LateEnd::Lost => {}
     }
     None
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -139,6 +139,7 @@
                 weights: None,
                 avoid: &self.avoid,
                 length: TextLength::default(),
+                apart: false,
                 allow_full: true,
             };
             let Some(slot) = app.take_slot(&wish) else { break };
--- a/standins/src/replicas/fleet.rs
+++ b/standins/src/replicas/fleet.rs
@@ -54,6 +54,15 @@
     pub back_after: Duration,
 }
 
+/// How runs of a request crash their replicas.
+#[derive(Debug, Clone, Copy)]
+struct CrashRule {
+    /// How long each runs before.
+    time: Duration,
+    /// The number of runs that do so from now on.
+    left: u32,
+}
+
 /// The replicas and their records.
 #[derive(Debug, Default)]
 struct State {
@@ -64,14 +73,23 @@
     restart_time: Option<Duration>,
     /// Set if replicas that have crashed come back under another id.
     replacement: Option<Replacement>,
-    /// The paths of requests that crash each replica that runs them, and how long they run there.
-    crash_paths: HashMap<Name, Duration>,
+    /// The paths of requests that crash replicas.
+    crash_paths: HashMap<Name, CrashRule>,
     /// The status of every response to a request, by request id.
     set_statuses: HashMap<Name, StatusCode>,
     runs: Vec<RecordedRun>,
     orders: Vec<RecordedOrder>,
 }
 
+impl State {
+    /// Returns after which time a run of a request with this path crashes its replica, if it does.
+    fn take_crash(&mut self, path: &str) -> Option<Duration> {
+        let rule = self.crash_paths.get_mut(path).filter(|rule| rule.left > 0)?;
+        rule.left -= 1;
+        Some(rule.time)
+    }
+}
+
 /// All replicas. Clones share them.
 #[derive(Debug, Clone)]
 pub struct ReplicaFleet {
@@ -205,7 +223,13 @@
     /// Makes requests with this path crash each replica that has run them for this time, also if
     /// their sender has left.
     pub fn crash_after(&self, path: &str, time: Duration) {
-        self.state.lock().crash_paths.insert(path.into(), time);
+        self.crash_times(path, time, u32::MAX);
+    }
+
+    /// Makes the next `count` runs of requests with this path crash their replicas after this time.
+    pub fn crash_times(&self, path: &str, time: Duration, count: u32) {
+        let rule = CrashRule { time, left: count };
+        self.state.lock().crash_paths.insert(path.into(), rule);
     }
 
     /// Replaces replicas that crash from now on by others, with new ids.
@@ -441,7 +465,7 @@
             }
             let run = fleet.record_run(&to, &call);
             let behaviour = fleet.unless_hanging(&to.id).await.unwrap_or(behaviour);
-            let crash_after = fleet.state.lock().crash_paths.get(&call.path).copied();
+            let crash_after = fleet.state.lock().take_crash(&call.path);
             if let Some(time) = crash_after {
                 fleet.run_crashing(&to.id, time).await;
                 return Err(CallError::Interrupted("connection reset".to_owned()));
--- a/tests/call_queue.rs
+++ b/tests/call_queue.rs
@@ -64,6 +64,7 @@
         order: deadline,
         deadline,
         avoid: Vec::new(),
+        apart: false,
     }
 }
 
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -10,6 +10,7 @@
 mod large_fleets;
 mod links;
 mod orders;
+mod owed_items;
 mod peers;
 mod quarantines;
 mod reads;
--- a/tests/entry/world.rs
+++ b/tests/entry/world.rs
@@ -322,6 +322,22 @@
     tokio::time::timeout(TEST_TIMEOUT, wait).await.unwrap();
 }
 
+/// Takes the node out of `nodes` that owns the job `j`, once one of them does.
+pub(crate) async fn take_owner(world: &World, nodes: &mut Vec<Node>) -> Node {
+    let take = async {
+        loop {
+            let record =
+                String::from_utf8(world.kv.items("mulberry/home/j")[0].value.to_vec()).unwrap();
+            let owns = |n: &Node| record.contains(&format!("\"{}.", n.app().settings.name));
+            if let Some(index) = nodes.iter().position(owns) {
+                return nodes.remove(index);
+            }
+            sleep_ms(10).await;
+        }
+    };
+    tokio::time::timeout(TEST_TIMEOUT, take).await.unwrap()
+}
+
 pub(crate) async fn sleep_ms(millis: u64) {
     tokio::time::sleep(Duration::from_millis(millis)).await;
 }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -45,6 +45,7 @@
         avoid: &[],
         length: TextLength::default(),
         allow_full,
+        apart: false,
     }
 }
 
@@ -148,6 +149,22 @@
     }
 }
 
+/// Guards against an item under which replicas crash taking many other requests along.
+#[test]
+fn an_attempt_that_runs_apart_gets_the_replica_with_the_fewest_requests() {
+    for weights in [None, Some(("m", 1))] {
+        let mut fleet = fleet(&["a", "b", "c"]);
+        for (id, running, cost) in [("a", 2, 1), ("b", 1, 50), ("c", 3, 1)] {
+            fleet.start_attempt(id, NOW);
+            let answered = ReplicaOutcome::Answered { duration: NOW, cost };
+            fleet.end_attempt(id, None, answered, NOW);
+            (0..running).for_each(|_| fleet.start_attempt(id, NOW));
+        }
+        let request = AttemptRequest { weights, apart: true, ..request(false) };
+        assert_eq!(&*fleet.choose(&request, NOW).unwrap().id, "b");
+    }
+}
+
 #[test]
 fn failing_replicas_are_excluded_but_never_most_of_them() {
     let mut fleet = fleet(&["a", "b", "c"]);
--- a/tests/slot_queue.rs
+++ b/tests/slot_queue.rs
@@ -43,6 +43,7 @@
         min_version: 1,
         avoid: Vec::new(),
         length: TextLength::default(),
+        apart: false,
     }
 }
 
