Responses without end take a part of the memory for calls

Cause: each response may grow to 64 MB, and counts toward the node's memory for calls only once it is whole. All of the body of a reward call was kept, of which only the signature is used, and of reports and orders up to 64 MB.

Fix: bytes of a response count as they arrive. A small response always has room; one may take a quarter of the memory for calls, all larger ones together a half, and one that finds no room within 0.1 s is given up. That is an attempt without a response, as before: it counts in budgets, and its replica as failing. The body of a reward call is read and not kept, at most 256 kB; reports and responses to orders have 1 MB.

--- a/src/decide/load/memory_use.rs
+++ b/src/decide/load/memory_use.rs
@@ -56,7 +56,13 @@
 
     /// Takes some bytes if they fit. False if they don't.
     pub fn try_take(&mut self, bytes: usize) -> bool {
-        let fits = self.limit.is_none_or(|limit| self.held.saturating_add(bytes) <= limit);
+        self.try_take_leaving(bytes, 0)
+    }
+
+    /// Takes some bytes if `free` bytes more would fit. False if they don't.
+    pub fn try_take_leaving(&mut self, bytes: usize, free: usize) -> bool {
+        let wanted = self.held.saturating_add(bytes).saturating_add(free);
+        let fits = self.limit.is_none_or(|limit| wanted <= limit);
         if fits {
             self.take(bytes);
         }
--- a/src/edge/http/collect.rs
+++ b/src/edge/http/collect.rs
@@ -6,8 +6,8 @@
 
 use crate::decide::Transfer;
 
-/// The largest body that is collected.
-const MAX_BODY_BYTES: usize = 64 << 20;
+/// The largest body of the store that is collected.
+const MAX_STORE_BODY_BYTES: usize = 64 << 20;
 
 /// Why a body was not read to its end.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -20,13 +20,15 @@
     Interrupted(String),
 }
 
-/// Collects the pieces of a body until its end. The error is the reason why that failed.
+/// Collects the pieces of a body of at most `most` bytes until its end. The error is the reason why
+/// that failed.
 pub async fn collect_pieces(
     mut pieces: impl Stream<Item = Result<Bytes, String>> + Unpin,
+    most: usize,
 ) -> Result<Bytes, String> {
     let mut body = BytesMut::new();
     while let Some(piece) = pieces.next().await {
-        append(&mut body, &piece?)?;
+        append(&mut body, &piece?, most)?;
     }
     Ok(body.freeze())
 }
@@ -47,14 +49,14 @@
         };
         let piece = piece.map_err(CollectError::Interrupted)?;
         transfer.record_received(piece.len(), started.elapsed());
-        append(&mut body, &piece).map_err(CollectError::Interrupted)?;
+        append(&mut body, &piece, MAX_STORE_BODY_BYTES).map_err(CollectError::Interrupted)?;
     }
 }
 
 /// Appends a piece, unless the body gets too large.
-fn append(body: &mut BytesMut, piece: &Bytes) -> Result<(), String> {
-    if body.len() + piece.len() > MAX_BODY_BYTES {
-        return Err(format!("the body is larger than {MAX_BODY_BYTES} bytes"));
+fn append(body: &mut BytesMut, piece: &Bytes, most: usize) -> Result<(), String> {
+    if body.len() + piece.len() > most {
+        return Err(format!("the body is larger than {most} bytes"));
     }
     body.extend_from_slice(piece);
     Ok(())
--- a/src/entry/late_runs.rs
+++ b/src/entry/late_runs.rs
@@ -14,9 +14,9 @@
 use http::StatusCode;
 
 use super::app::App;
+use super::response_body::skip_response;
 use crate::decide::failures::RequestFailure;
 use crate::decide::job::Score;
-use crate::edge::http::collect_pieces;
 use crate::edge::replica::{CallError, Reply, Target};
 use crate::{Moment, Name};
 
@@ -143,7 +143,7 @@
         Err(_) => return LateEnd::Lost,
     };
     let (status, signature) = (reply.status, reply.signature);
-    if whole && collect_pieces(reply.body).await.is_err() {
+    if whole && skip_response(reply.body).await.is_err() {
         return LateEnd::Lost;
     }
     match status {
--- a/src/entry/memory_budget.rs
+++ b/src/entry/memory_budget.rs
@@ -51,21 +51,36 @@
 
     /// Reserves bytes if they fit now.
     pub fn try_reserve(&self, bytes: usize) -> Option<MemoryCharge> {
-        let taken = self.shared.usage.lock().try_take(bytes);
+        self.try_reserve_leaving(bytes, 0)
+    }
+
+    /// Reserves bytes if `free` bytes more would fit now.
+    fn try_reserve_leaving(&self, bytes: usize, free: usize) -> Option<MemoryCharge> {
+        let taken = self.shared.usage.lock().try_take_leaving(bytes, free);
         taken.then(|| MemoryCharge { shared: self.shared.clone(), bytes })
     }
 
     /// Reserves bytes, and waits for them for at most `wait`. None if they don't fit by then, or
     /// never would.
     pub async fn reserve(&self, bytes: usize, wait: Duration) -> Option<MemoryCharge> {
-        if !self.shared.usage.lock().could_take(bytes) {
+        self.reserve_leaving(bytes, 0, wait).await
+    }
+
+    /// The same, and leaves `free` bytes for others.
+    pub async fn reserve_leaving(
+        &self,
+        bytes: usize,
+        free: usize,
+        wait: Duration,
+    ) -> Option<MemoryCharge> {
+        if !self.shared.usage.lock().could_take(bytes.saturating_add(free)) {
             return None;
         }
         let waiting = async {
             loop {
                 let mut released = std::pin::pin!(self.shared.released.notified());
                 released.as_mut().enable();
-                if let Some(charge) = self.try_reserve(bytes) {
+                if let Some(charge) = self.try_reserve_leaving(bytes, free) {
                     return charge;
                 }
                 released.await;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -31,6 +31,7 @@
 mod relay;
 mod remote_jobs;
 mod reported_capacity;
+mod response_body;
 mod results;
 mod retire;
 mod runner;
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -9,6 +9,7 @@
 use super::app::App;
 use super::late_runs::LateCall;
 use super::quarantine::{LostRun, RequestCheck, RequestContent};
+use super::response_body::{read_response, skip_response};
 use super::slots::SlotGuard;
 use super::stream;
 use crate::decide::failures::RunSent;
@@ -17,7 +18,6 @@
 use crate::decide::{
     AttemptHistory, AttemptOutcome, AttemptRequest, Class, ReplicaOutcome, RetryPolicy, Route,
 };
-use crate::edge::http::collect_pieces;
 use crate::edge::replica::{BodyStream, CallError, ReplicaCall, Reply};
 use crate::error::{Kind, Refusal};
 use crate::metrics::AttemptEnd;
@@ -65,7 +65,7 @@
         headers: HeaderMap,
         /// The replica's signature of it.
         signature: Option<Name>,
-        /// Its body.
+        /// Its body, which the node's memory for calls counts. That of a reward call is empty.
         body: Bytes,
     },
     /// A replica's stream of events, forwarded as it arrives.
@@ -346,7 +346,15 @@
         let left = limit.saturating_sub(self.now().saturating_sub(started_at));
         let status = reply.status;
         let (headers, signature) = (reply.headers, reply.signature);
-        let body = match tokio::time::timeout(left, collect_pieces(reply.body)).await {
+        let is_reward = state.reward.is_some();
+        let reading = async {
+            // Only the signature of the response to a reward call is used.
+            if is_reward {
+                return skip_response(reply.body).await.map(|()| Bytes::new());
+            }
+            read_response(&self.memory, &headers, reply.body).await
+        };
+        let body = match tokio::time::timeout(left, reading).await {
             Ok(Ok(body)) => body,
             Ok(Err(reason)) => {
                 let ran = self.now().saturating_sub(started_at);
--- a/standins/src/replicas/fleet.rs
+++ b/standins/src/replicas/fleet.rs
@@ -34,6 +34,10 @@
 const PROBE_DELAY: Duration = Duration::from_millis(40);
 /// How long a plain request runs.
 const PLAIN_RUN_TIME: Duration = Duration::from_millis(25);
+/// The time between two pieces of an endless body.
+const ENDLESS_INTERVAL: Duration = Duration::from_millis(1);
+/// The size of such a piece.
+const ENDLESS_PIECE_BYTES: usize = 60_000;
 /// How often a replica that hangs looks whether it goes on.
 const HANG_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// How long a load of weights takes.
@@ -54,6 +58,34 @@
     pub back_after: Duration,
 }
 
+/// The bytes of endless bodies that their readers have not closed.
+#[derive(Debug, Default)]
+struct EndlessBytes {
+    open: usize,
+    most: usize,
+}
+
+/// An endless body that is open.
+struct EndlessBody {
+    state: Arc<Mutex<State>>,
+    bytes: usize,
+}
+
+impl EndlessBody {
+    fn count(&mut self, bytes: usize) {
+        self.bytes += bytes;
+        let endless = &mut self.state.lock().endless;
+        endless.open += bytes;
+        endless.most = endless.most.max(endless.open);
+    }
+}
+
+impl Drop for EndlessBody {
+    fn drop(&mut self) {
+        self.state.lock().endless.open -= self.bytes;
+    }
+}
+
 /// How runs of a request crash their replicas.
 #[derive(Debug, Clone, Copy)]
 struct CrashRule {
@@ -77,6 +109,8 @@
     crash_paths: HashMap<Name, CrashRule>,
     /// The status of every response to a request, by request id.
     set_statuses: HashMap<Name, StatusCode>,
+    /// The bytes of all endless bodies that are still open, and the most there were.
+    endless: EndlessBytes,
     runs: Vec<RecordedRun>,
     orders: Vec<RecordedOrder>,
 }
@@ -278,6 +312,25 @@
         self.write_entry(&service, &next, false);
     }
 
+    /// The most bytes that endless bodies had sent which were open at the same time.
+    pub fn most_endless_bytes(&self) -> usize {
+        self.state.lock().endless.most
+    }
+
+    /// A body that does not end, in pieces by number.
+    fn endless(&self, piece: impl Fn(u64) -> String + Send + 'static) -> BodyStream {
+        let body = EndlessBody { state: self.state.clone(), bytes: 0 };
+        let stream = futures_util::stream::unfold((body, 1), move |(mut body, number)| {
+            let bytes = Bytes::from(piece(number));
+            async move {
+                tokio::time::sleep(ENDLESS_INTERVAL).await;
+                body.count(bytes.len());
+                Some((Ok(bytes), (body, number + 1)))
+            }
+        });
+        stream.boxed()
+    }
+
     /// Waits until the process of a replica ends.
     async fn crashed(mut crashes: watch::Receiver<u64>) {
         let _ = crashes.changed().await;
@@ -493,6 +546,17 @@
                     let broken = futures_util::stream::iter([Err("connection reset".to_owned())]);
                     (StatusCode::OK, broken.boxed())
                 }
+                Behaviour::Endless if is_stream => {
+                    let first = call.last_event.unwrap_or(0);
+                    let data = "x".repeat(ENDLESS_PIECE_BYTES);
+                    let event = move |number| {
+                        format!("version: 1\nid: {}\ndata: {data}\n\n", first + number)
+                    };
+                    (StatusCode::OK, fleet.endless(event))
+                }
+                Behaviour::Endless => {
+                    (StatusCode::OK, fleet.endless(|_| "x".repeat(ENDLESS_PIECE_BYTES)))
+                }
                 _ if is_stream => (StatusCode::OK, fleet.stream_events(&to, &call, behaviour, run)),
                 _ => {
                     let times = if let Behaviour::Slow(times) = behaviour { times } else { 1 };
--- a/standins/src/replicas/replica.rs
+++ b/standins/src/replicas/replica.rs
@@ -33,6 +33,8 @@
     TimesOut,
     /// It takes this many times as long.
     Slow(u32),
+    /// Its bodies don't end. Texts have further events of 60 kB.
+    Endless,
 }
 
 /// A run of a request, as the replica recorded it.
--- a/tests/collect_body.rs
+++ b/tests/collect_body.rs
@@ -7,7 +7,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::{self, BoxStream};
 use mulberrycourse::decide::{AdaptiveTimeout, Transfer};
-use mulberrycourse::edge::http::{CollectError, collect_while_received};
+use mulberrycourse::edge::http::{CollectError, collect_pieces, collect_while_received};
 use tokio::time::Instant;
 
 /// The size of each piece of a body.
@@ -23,6 +23,15 @@
     if ends { pieces.boxed() } else { pieces.chain(stream::pending()).boxed() }
 }
 
+/// Guards against a report without end that is kept up to the limit of the largest response.
+#[tokio::test(start_paused = true)]
+async fn a_body_without_end_is_given_up_at_its_limit() {
+    let (pieces, most) = (1_000, 4 * PIECE_BYTES);
+    let mut endless = body(pieces, Duration::from_millis(1), false);
+    assert!(collect_pieces(&mut endless, most).await.is_err());
+    assert_eq!(endless.take(pieces - 5).count().await, pieces - 5);
+}
+
 /// Guards against a fixed timeout for the whole body: with 350 ms, every first read of a large
 /// configuration timed out. The store answers after 240 ms, and then sends a megabyte over a link
 /// of 60 Mbit/s.
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -4,6 +4,7 @@
 mod bulk;
 mod calls;
 mod crashing_requests;
+mod endless_responses;
 mod failing_items;
 mod feeds;
 mod jobs;
