A text has a limit, and begins again at another replica beyond it

Cause: events were added to a text for as long as they came, whatever had been asked, and also once the text was larger than the store could save.

Fix: a text has as many events as tokens were asked for it, and two more, and at most half of a value of the store. One that gets longer is no answer: it begins again at another replica, and its replica counts as failing.

--- a/src/decide/job/mod.rs
+++ b/src/decide/job/mod.rs
@@ -9,4 +9,4 @@
 pub use job::{FinishEffect, ItemResult, ItemState, Job, JobSpec};
 pub use order::JobOrder;
 pub use sample::{ItemSpec, Score, Scorer};
-pub use text::{Event, EventReader, SampleText, SavedProgress, StreamError, TextDelta};
+pub use text::{Event, EventReader, SampleText, SavedProgress, StreamError, TextDelta, TextLimit};
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -7,10 +7,10 @@
 
 use super::app::App;
 use super::late_runs::SentCall;
-use super::owned_jobs::OwnedJob;
+use super::owned_jobs::{OwnedJob, SAVED_TEXT_DIVISOR};
 use super::slots::SlotGuard;
 use crate::Moment;
-use crate::decide::job::{Event, EventReader, ItemSpec, JobSpec, StreamError};
+use crate::decide::job::{Event, EventReader, ItemSpec, JobSpec, StreamError, TextLimit};
 use crate::decide::load::TextLength;
 use crate::decide::{ReplicaOutcome, Route};
 use crate::edge::replica::{CallError, ReplicaCall, Reply};
@@ -26,6 +26,9 @@
 /// events a weight load or the reading of a prompt would dominate.
 const PACE_EVENTS: u64 = 6;
 
+/// Events without a token that a text may have, such as one at its end.
+const EXTRA_EVENTS: u64 = 2;
+
 /// The sample that an attempt is for, and its surroundings.
 #[derive(Clone, Copy)]
 pub(super) struct TextAttempt<'a> {
@@ -130,6 +133,9 @@
                 AttemptResult::Continue(AttemptEnd::Fault)
             }
             Err(fault) => {
+                if matches!(fault, StreamError::TooLong(_)) {
+                    slot.set_end(ReplicaOutcome::Failed);
+                }
                 let replica = &slot.target.id;
                 tracing::info!(event = "text_restarted", item = %self.item.id, %replica, %fault);
                 self.owned.with_text(&self.item.id, |text| text.restart());
@@ -202,16 +208,27 @@
     /// Adds events to the text and returns the weight version that generated the last one. An
     /// event of a version that the sample does not allow is an error.
     fn add_events(self, events: &[Event]) -> Result<Option<u64>, StreamError> {
+        let limit = self.text_limit();
         self.owned.with_text(&self.item.id, |text| {
             for event in events {
                 let known = text.versions();
                 let fits = |v| !self.route.single_version || known.iter().all(|k| *k == v);
-                text.push(event, |v| v >= self.spec.min_version && fits(v))?;
+                text.push(event, limit, |v| v >= self.spec.min_version && fits(v))?;
             }
             Ok(text.current_version().filter(|_| !events.is_empty()))
         })
     }
 
+    /// Returns how long the text may get: an event has at least one token, and a longer text than can
+    /// be saved is no answer.
+    fn text_limit(self) -> TextLimit {
+        let tokens = self.app.replicas.max_tokens(&self.item.headers);
+        TextLimit {
+            events: tokens.map(|tokens| tokens.saturating_add(EXTRA_EVENTS)),
+            bytes: self.app.settings.value_bytes / SAVED_TEXT_DIVISOR,
+        }
+    }
+
     /// Records the weight version that a replica was seen to serve.
     fn note_version(self, slot: &SlotGuard<'_>, version: Option<u64>) {
         if let (Some(model), Some(version)) = (&self.spec.model, version) {
--- a/src/entry/owned_jobs.rs
+++ b/src/entry/owned_jobs.rs
@@ -15,6 +15,9 @@
 use crate::decide::failures::JobFailures;
 use crate::decide::job::{Job, JobOrder, JobSpec, SampleText, SavedProgress, TextDelta};
 
+/// One save of unfinished texts takes one part in this many of the largest value.
+pub(super) const SAVED_TEXT_DIVISOR: usize = 2;
+
 /// The growth of unfinished texts since their last save.
 #[derive(Debug, Default)]
 pub(super) struct UnsavedTexts {
--- a/src/entry/results.rs
+++ b/src/entry/results.rs
@@ -10,7 +10,7 @@
 use super::app::App;
 use super::keys::{JobRecord, failures_key, job_record_key, results_key, texts_key};
 use super::membership::Stored;
-use super::owned_jobs::{OwnedJob, UnsavedTexts};
+use super::owned_jobs::{OwnedJob, SAVED_TEXT_DIVISOR, UnsavedTexts};
 use super::submit::VALUE_RESERVE_BYTES;
 use crate::Name;
 use crate::edge::store::{KeyValue, StoreError, Txn, TxnOutcome};
@@ -127,7 +127,8 @@
                 }
             }
         }
-        let UnsavedTexts { deltas, saved } = owned.unsaved_texts(app.settings.value_bytes / 2);
+        let UnsavedTexts { deltas, saved } =
+            owned.unsaved_texts(app.settings.value_bytes / SAVED_TEXT_DIVISOR);
         if !deltas.is_empty() && !last {
             let index = *owned.text_writes.lock();
             let Some(texts) = encode(id, &deltas) else { return false };
--- a/standins/src/replicas/fleet.rs
+++ b/standins/src/replicas/fleet.rs
@@ -498,6 +498,10 @@
 }
 
 impl Replicas for ReplicaFleet {
+    fn max_tokens(&self, headers: &[(Name, Name)]) -> Option<u64> {
+        headers.iter().find(|(name, _)| **name == *"max-tokens")?.1.parse().ok()
+    }
+
     fn version_field(&self) -> &'static str {
         "version"
     }
--- a/tests/codec.rs
+++ b/tests/codec.rs
@@ -3,11 +3,16 @@
 
 use std::sync::Arc;
 
-use mulberrycourse::decide::job::{Event, ItemResult, ItemState, SampleText, SavedProgress};
+use mulberrycourse::decide::job::{
+    Event, ItemResult, ItemState, SampleText, SavedProgress, TextLimit,
+};
 use mulberrycourse::edge::peer::{CodecError, pack, unpack};
 use mulberrycourse::edge::store::{KeyValue, RangeResult};
 use proptest::prelude::*;
 
+/// Texts of these tests are as long as they get.
+const NO_LIMIT: TextLimit = TextLimit { events: None, bytes: usize::MAX };
+
 /// Returns a message that holds this value, a range result with one item.
 fn message_with(value: Vec<u8>) -> RangeResult {
     let item = KeyValue { key: "routes".into(), value: value.into(), revision: 7 };
@@ -97,7 +102,7 @@
         prop_assert_eq!(decoded.unwrap().0, batch);
         let mut text = SampleText::default();
         let event = Event { id: 1, data: output, version: Some(1), raw: Default::default() };
-        text.push(&event, |_| true).unwrap();
+        text.push(&event, NO_LIMIT, |_| true).unwrap();
         let (delta, _) = text.delta_since(SavedProgress::default()).unwrap();
         prop_assert!(bincode::serde::encode_to_vec(vec![(id, delta)], config).is_ok());
     }
--- a/tests/entry/endless_responses.rs
+++ b/tests/entry/endless_responses.rs
@@ -1,17 +1,22 @@
 //! Tests of replicas that answer with bytes without end.
 
+use std::sync::Arc;
+
 use http::StatusCode;
+use mulberrycourse::Name;
 use mulberrycourse::decide::load::NodeCapacity;
 use mulberrycourse::entry::RelayResponse;
 use standins::replicas::Behaviour;
 
-use crate::world::{HOST, Node, World, assert_completed, relay_request};
+use crate::world::{HOST, Node, World, assert_completed, job_spec, relay_request};
 
 /// The memory of a small machine, in MB.
 const MEMORY_MB: u32 = 260;
 /// The most of it that responses under way may take. The process takes some 40 MB at rest, and jobs
 /// and requests have their own parts.
 const MAX_RESPONSE_BYTES: usize = 60 << 20;
+/// The same for the texts of a job with 24 items.
+const MAX_TEXT_BYTES: usize = 16 << 20;
 
 /// A world with six plain replicas, of which this many don't end their bodies, and a node on a small
 /// machine.
@@ -66,3 +71,24 @@
     let most = world.replicas.most_endless_bytes();
     assert!(most <= MAX_RESPONSE_BYTES, "{most} bytes");
 }
+
+/// Guards against texts that grow as long as a replica sends events, with and without a number of
+/// tokens that was asked.
+#[tokio::test(start_paused = true)]
+async fn texts_without_end_take_little_memory() {
+    for most_tokens in [None, Some("5")] {
+        let (world, node) = start(0).await;
+        world.replicas.set_behaviour("e1", Behaviour::Endless);
+        let ids: Vec<String> = (0..24).map(|number| format!("i{number}")).collect();
+        let mut spec = job_spec("j", &ids.iter().map(|id| &**id).collect::<Vec<_>>());
+        for item in &mut spec.items {
+            let item = Arc::make_mut(item);
+            item.headers.extend(most_tokens.map(|most| ("max-tokens".into(), Name::from(most))));
+        }
+        node.app().submit(spec).await;
+        let results = node.read_all("j", 24).await;
+        results.iter().for_each(|result| assert_completed(result, 5));
+        let most = world.replicas.most_endless_bytes();
+        assert!(most <= MAX_TEXT_BYTES, "{most_tokens:?}: {most} bytes");
+    }
+}
--- a/tests/texts.rs
+++ b/tests/texts.rs
@@ -3,12 +3,17 @@
 #![allow(clippy::unwrap_used)]
 
 use bytes::Bytes;
-use mulberrycourse::decide::job::{Event, EventReader, SampleText, SavedProgress, StreamError};
+use mulberrycourse::decide::job::{
+    Event, EventReader, SampleText, SavedProgress, StreamError, TextLimit,
+};
 use proptest::prelude::*;
 
 /// The name of the event field that has the weight version.
 const VERSION_FIELD: &str = "version";
 
+/// Texts of these tests are as long as they get.
+const NO_LIMIT: TextLimit = TextLimit { events: None, bytes: usize::MAX };
+
 /// Returns the bytes of this many events. The version changes to 2 at event `changes_at`.
 fn stream(events: u64, changes_at: Option<u64>) -> String {
     let line = |n: u64| if Some(n) == changes_at { "version: 2\n" } else { "" };
@@ -35,7 +40,7 @@
 
 fn push(text: &mut SampleText, events: &[Event]) {
     for event in events {
-        text.push(event, |_| true).unwrap();
+        text.push(event, NO_LIMIT, |_| true).unwrap();
     }
 }
 
@@ -67,7 +72,7 @@
                     for id in from..from + count as u64 {
                         let data = format!("d{id}");
                         let event = Event { id, data, version: None, raw: Bytes::new() };
-                        text.push(&event, |_| true).unwrap();
+                        text.push(&event, NO_LIMIT, |_| true).unwrap();
                     }
                 }
                 2 => {
@@ -96,7 +101,7 @@
     for wrong in [vec![0, 2], vec![0, 0], vec![1]] {
         let mut text = SampleText::default();
         text.set_version(Some(1));
-        let error = wrong.iter().find_map(|i| text.push(&events[*i], |_| true).err());
+        let error = wrong.iter().find_map(|i| text.push(&events[*i], NO_LIMIT, |_| true).err());
         assert!(matches!(error, Some(StreamError::OutOfOrder { .. })), "{wrong:?}");
     }
 }
@@ -121,10 +126,10 @@
     let events = read(&stream(2, None), &[]);
     let mut text = SampleText::default();
     text.set_version(Some(1));
-    assert_eq!(text.push(&events[0], |v| v >= 2), Err(StreamError::DisallowedVersion(1)));
+    assert_eq!(text.push(&events[0], NO_LIMIT, |v| v >= 2), Err(StreamError::DisallowedVersion(1)));
     let mut text = SampleText::default();
     text.set_version(None);
-    assert_eq!(text.push(&events[0], |_| true), Err(StreamError::MissingVersion));
+    assert_eq!(text.push(&events[0], NO_LIMIT, |_| true), Err(StreamError::MissingVersion));
 }
 
 /// Guards against a refused event leaving its version behind: an event after it that states none
@@ -136,7 +141,7 @@
     let mut text = SampleText::default();
     text.set_version(Some(1));
     push(&mut text, &events[..1]);
-    assert_eq!(text.push(&events[1], |v| v == 1), Err(StreamError::DisallowedVersion(2)));
+    assert_eq!(text.push(&events[1], NO_LIMIT, |v| v == 1), Err(StreamError::DisallowedVersion(2)));
     assert_eq!(text.current_version(), Some(1));
     push(&mut text, &[unstated]);
     assert_eq!(text.versions(), [1]);
@@ -159,3 +164,20 @@
     let events = reader.push(&Bytes::from("id: 1\ndata: a\ndata: b\n\n")).unwrap();
     assert_eq!(events[0].data, "a\nb");
 }
+
+/// Guards against a text that grows as long as its replica sends events.
+#[test]
+fn an_event_beyond_the_limit_of_a_text_is_refused() {
+    let events = read(&stream(4, Some(1)), &[]);
+    for (limit, most) in [
+        (TextLimit { events: Some(3), bytes: usize::MAX }, 3),
+        (TextLimit { events: None, bytes: "d1\nd2\n ".len() }, 2),
+    ] {
+        let mut text = SampleText::default();
+        let pushed = events.iter().take_while(|event| text.push(event, limit, |_| true).is_ok());
+        assert_eq!(pushed.count(), most);
+        let next = &events[most];
+        assert_eq!(text.push(next, limit, |_| true), Err(StreamError::TooLong(next.id)));
+        assert_eq!(text.last_event(), most as u64);
+    }
+}
