Samples of steps under which engines crash run again until they complete

Callers saw: a trainer's group whose prompt had met two crashes of engines was refused for an hour, so that its step never became whole. Found as the same cause on a related path: the quarantine of src/node applied to samples as to requests of callers.

Fix: it applies to requests of callers only. Samples are retried as after any broken attempt, and crashes under them count against no content.

--- a/src/node/completion.rs
+++ b/src/node/completion.rs
@@ -91,6 +91,12 @@
 }
 
 impl CompletionJob<'_> {
+    /// Whether it is a sample of a training step. Samples are owed to their trainers: engines that
+    /// crash under one crash for another reason, so that the quarantine does not apply to them.
+    fn is_sample(&self) -> bool {
+        self.min_version.is_some()
+    }
+
     fn is_too_old(&self, version: u64) -> bool {
         self.min_version.is_some_and(|min| version < min.load(Ordering::Relaxed))
     }
@@ -114,7 +120,9 @@
     let deadline = app.clock.instant(job.call.deadline);
     let content = xxh3_64(job.request.prompt.as_bytes());
     let fingerprint = quarantine::fingerprint(&job.request.model, content);
-    app.quarantine.check(app, fingerprint)?;
+    if !job.is_sample() {
+        app.quarantine.check(app, fingerprint)?;
+    }
     let mut permit = dispatcher.acquire(job.call.clone()).await?;
     loop {
         if let Some(min_version) = job.min_version
@@ -130,20 +138,24 @@
             );
         }
         let tokens_before = progress.label.tokens();
-        let checked = CheckedAttempt::wait_to_send(
-            app,
-            &permit.upstream,
-            permit.address,
-            fingerprint,
-            deadline,
-        )
-        .await;
-        let mut checked = checked.map_err(|refusal| permit.adjust_refusal(refusal))?;
+        let mut checked = None;
+        if !job.is_sample() {
+            let (upstream, address) = (&permit.upstream, permit.address);
+            let check =
+                CheckedAttempt::wait_to_send(app, upstream, address, fingerprint, deadline).await;
+            checked = Some(check.map_err(|refusal| permit.adjust_refusal(refusal))?);
+        }
         permit.mark_sent();
-        let attempt = checked.run(run_attempt(app, &permit, &job, progress));
-        match tokio::time::timeout_at(deadline, attempt).await {
+        let attempt = run_attempt(app, &permit, &job, progress);
+        let ended = match &mut checked {
+            Some(checked) => tokio::time::timeout_at(deadline, checked.run(attempt)).await,
+            None => tokio::time::timeout_at(deadline, attempt).await,
+        };
+        match ended {
             Ok(Ok(AttemptResult::Finished(finish))) => {
-                checked.succeeded();
+                if let Some(checked) = checked {
+                    checked.succeeded();
+                }
                 let upstream = permit.upstream.clone();
                 permit.finish(Some(progress.label.tokens() - tokens_before));
                 let Progress { text, label, .. } = std::mem::take(progress);
@@ -160,7 +172,9 @@
                     outcome = ?failure.outcome,
                     reason = %failure.reason,
                 );
-                checked.failed(failure.outcome).await;
+                if let Some(checked) = checked {
+                    checked.failed(failure.outcome).await;
+                }
                 if progress.label.tokens() > tokens_before {
                     permit.report_progress();
                 }
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -1,9 +1,11 @@
 //! A request that crashes each engine that runs it and is retried through other nodes.
 #![allow(clippy::unwrap_used)]
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use mulberrycourse::client::CallerClient;
+use mulberrycourse::client::{CallerClient, TrainerClient};
+use mulberrycourse::decide::{GroupSpec, StepSpec};
 use mulberrycourse::edge::upstream::CompletionRequest;
 use standins::caller::{CallResponse, complete, completion_request, expected_text};
 use standins::engine::{EngineSettings, Faults};
@@ -67,6 +69,26 @@
     assert_eq!(total_crashes(&fleet), 2);
 }
 
+/// Guards against samples that are refused for an hour because engines crashed under them.
+#[tokio::test(flavor = "multi_thread")]
+async fn samples_under_which_engines_crash_are_completed() {
+    let fleet = start_fleet(3, 5).await;
+    let group = |prompt: &str| GroupSpec { prompt: prompt.into(), samples: 2, max_tokens: 16 };
+    let spec = StepSpec { version: 1, groups: vec![group("the clumsy palm"), group("the pass")] };
+    let trainer = TrainerClient::new("coach".into(), fleet.client_addresses());
+    let crashes = async {
+        while total_crashes(&fleet) < 6 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        fleet.engines.iter().for_each(|e| e.set_faults(Faults::default()));
+    };
+    let mut pulling = trainer.resume_step(1, &spec, BTreeMap::new());
+    let pull = async { while !pulling.next_groups().await.unwrap().is_empty() {} };
+    tokio::time::timeout(STREAM_TIMEOUT, async { tokio::join!(crashes, pull) }).await.unwrap();
+    assert_eq!(pulling.report().groups.len(), 2);
+    assert_eq!(fleet.nodes.iter().map(|n| n.quarantined_count()).sum::<usize>(), 0);
+}
+
 /// Every node knows of the quarantine before the caller gets its answer. Otherwise a caller that
 /// retries at once through another node crashes a third engine. This happened on a busy machine,
 /// where a connection between nodes took longer than the time limit.
