A stream whose forwarding ends with its node doesn't look complete

The body of a forwarded stream was the receiver of a channel, and ended as complete when its sender was dropped for whatever reason: also if the node is dropped in the middle of the stream, as at the end of a stop. Clients of a process were kept from it only because the runtime polls no connection after the node is dropped.

The sender now marks the end of a complete stream. Without the mark, the body ends in an error. The slot at the replica is released before the mark is sent.

Found by a test of the stop beside an endless stream, which took the cut stream for complete. The new test fails without this change.

--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use futures_util::StreamExt;
+use futures_util::stream::BoxStream;
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
 
@@ -45,6 +46,16 @@
     attempt_started_at: Moment,
 }
 
+/// What the client gets next.
+enum Piece {
+    /// These bytes.
+    Bytes(Bytes),
+    /// The end of a complete stream.
+    End,
+    /// The end of an incomplete stream, for this reason.
+    Aborted(&'static str),
+}
+
 /// How the part of a stream that one replica sent ended.
 enum PartEnd {
     /// The stream is complete.
@@ -81,13 +92,31 @@
     // The task ends when the client leaves: the next send fails once the receiver is dropped,
     // and the select in `forward_part` notices that between events.
     app.spawn(forward.run(target, reply, sender));
-    ReceiverStream::new(receiver).boxed()
+    until_end_marker(ReceiverStream::new(receiver).boxed())
+}
+
+/// Returns the pieces up to the end marker. Without one, the last item is an error: the task that
+/// forwards the stream was dropped, and the response must not look complete.
+fn until_end_marker(pieces: BoxStream<'static, Piece>) -> BodyStream {
+    let without_end = futures_util::stream::once(async { Piece::Aborted("the node has stopped") });
+    let pieces = pieces.chain(without_end).scan(false, |ended, piece| {
+        let item = match piece {
+            Piece::Bytes(bytes) if !*ended => Some(Ok(bytes)),
+            Piece::Aborted(reason) if !*ended => {
+                *ended = true;
+                Some(Err(reason.to_owned()))
+            }
+            Piece::Bytes(_) | Piece::Aborted(_) | Piece::End => None,
+        };
+        std::future::ready(item)
+    });
+    pieces.boxed()
 }
 
 impl StreamForwarder {
     /// Forwards the parts of the stream until it is complete or can't be resumed, or until the
     /// client leaves.
-    async fn run(mut self, target: Target, reply: Reply, to: mpsc::Sender<Result<Bytes, String>>) {
+    async fn run(mut self, target: Target, reply: Reply, to: mpsc::Sender<Piece>) {
         let app = self.app.clone();
         let mut slot = Some(SlotGuard::started(&app, target));
         let mut reply = Some(reply);
@@ -99,6 +128,8 @@
                     let took = app.now().saturating_sub(started_at);
                     current.set_end(ReplicaOutcome::Answered { duration: took, cost: 1 });
                     self.check.succeeded();
+                    drop(slot.take());
+                    let _ = to.send(Piece::End).await;
                     return;
                 }
                 // The run is still in flight.
@@ -116,7 +147,7 @@
         }
         self.check.notify_peers().await;
         tracing::info!(event = "stream_aborted", request = %self.call.id, last = self.last_event);
-        let _ = to.send(Err("the stream was interrupted".to_owned())).await;
+        let _ = to.send(Piece::Aborted("the stream was interrupted")).await;
     }
 
     /// Resumes the stream at another replica, within the attempts and the time that are left.
@@ -172,11 +203,7 @@
 
     /// Forwards the events of one response. If the weight version changes with the response and
     /// its first event does not state it, a line with the version is inserted before that event.
-    async fn forward_part(
-        &mut self,
-        reply: Reply,
-        to: &mpsc::Sender<Result<Bytes, String>>,
-    ) -> PartEnd {
+    async fn forward_part(&mut self, reply: Reply, to: &mpsc::Sender<Piece>) -> PartEnd {
         let field = self.app.replicas.version_field();
         let mut reader = EventReader::new(field);
         let mut body = reply.body;
@@ -203,7 +230,7 @@
                 self.version = event.version.or(self.version);
                 if let Some(version) = changed.take().filter(|_| !stated) {
                     let line = Bytes::from(format!("{field}: {version}\n"));
-                    if to.send(Ok(line)).await.is_err() {
+                    if to.send(Piece::Bytes(line)).await.is_err() {
                         return PartEnd::ClientLeft;
                     }
                 }
@@ -213,7 +240,7 @@
                     return PartEnd::ClientLeft;
                 }
                 let raw = self.app.memory.hold(event.raw);
-                if to.send(Ok(raw)).await.is_err() {
+                if to.send(Piece::Bytes(raw)).await.is_err() {
                     return PartEnd::ClientLeft;
                 }
             }
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -20,6 +20,7 @@
 mod scale;
 mod shares;
 mod stale_reads;
+mod stopping;
 mod unanswered_runs;
 mod uneven_nodes;
 mod usage;
