A stop follows the grace period, and streams run on until it is nearly over

Cause: the drain waited for the clients' cached addresses (3.2 s), and the close of the listeners for a constant 3 s more. Only the drain knew the setting. With a grace period of 4 s the stop took 5.2 s, longer than the process had.

One module now has the schedule (decide/stop_plan.rs), all of it from the grace period: open requests go on until half a second before its end (a tenth of it, where that is less). A node with nothing open still ends 3.2 s after the signal.

Requests that can't end before the node are refused at once as not run, with no time to wait. Whether one can is judged by its limit, or by how long nine in ten of the last requests to its service took and whether a replica has a free slot; requests that arrive 2.8 s after the signal or later only by their limit. This is checked again when a request has waited for a slot.

--- a/src/decide/load/mod.rs
+++ b/src/decide/load/mod.rs
@@ -8,6 +8,7 @@
 mod memory_use;
 mod move_budget;
 mod node_capacity;
+mod request_times;
 mod sample_rank;
 mod shares;
 mod text_lengths;
@@ -20,6 +21,7 @@
 pub use memory_use::MemoryUse;
 pub use move_budget::{MoveBudget, move_gain};
 pub use node_capacity::{NodeCapacity, RESERVED_DESCRIPTORS};
+pub use request_times::RequestTimes;
 pub use sample_rank::{OpenStep, SampleRank, StepOrder};
 pub use shares::{
     ComputedShares, MAX_SHARE_AGE, Share, ShareOrder, ShareOutcome, ShareView, SlotPool,
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -44,6 +44,7 @@
 pub mod scale;
 mod slow_engine;
 mod step;
+mod stop_plan;
 mod subset;
 mod transfer;
 mod upstream_choice;
@@ -95,6 +96,7 @@
 };
 pub use slow_engine::SlowEngineDetector;
 pub use step::{FillOutcome, Group, GroupSpec, Sample, Slot, Step, StepSpec};
+pub use stop_plan::{StopDecision, StopPlan, StoppingRequest};
 pub use subset::subset;
 pub use transfer::Transfer;
 pub use upstream_choice::{OtherLoad, expected_latency, two_random, within_load_bound};
--- a/src/entry/app.rs
+++ b/src/entry/app.rs
@@ -2,8 +2,8 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use parking_lot::Mutex;
@@ -23,12 +23,13 @@
 use super::ports::Ports;
 use super::quarantine::EntryQuarantine;
 use super::remote_jobs::RemoteJobs;
+use super::service_times::ServiceTimes;
 use super::slots::Slots;
 use super::usage::Usage;
 use crate::decide::load::MemoryUse;
 use crate::decide::retry_after::retry_after;
 use crate::decide::scale::DemandEstimator;
-use crate::decide::{Demand, Routes};
+use crate::decide::{Demand, Routes, StopPlan};
 use crate::edge::duty::Duties;
 use crate::edge::replica::Replicas;
 use crate::edge::schema::StoreSchema;
@@ -84,6 +85,8 @@
     pub(super) slots: Slots,
     /// Requests that crash the replicas that run them.
     pub(super) quarantine: Arc<EntryQuarantine>,
+    /// How long the requests of clients take.
+    pub(super) service_times: ServiceTimes,
     /// The requests without weights that wait for a slot.
     pub(super) calls: Calls,
     /// The registered nodes and the leader.
@@ -105,8 +108,8 @@
     pub(super) renewal_due: Notify,
     /// When this node last sent an order or made another call as the leader.
     pub(super) last_duty: Mutex<Option<Moment>>,
-    /// Whether the process is stopping.
-    pub(super) draining: AtomicBool,
+    /// The schedule of the stop, once the process is stopping.
+    pub(super) stop_plan: OnceLock<StopPlan>,
     /// Whether the node has its key in the store.
     pub(super) registered: AtomicBool,
     /// Whether the routes are from another node's old snapshot, and the store has not answered
@@ -167,6 +170,7 @@
         let job_memory = MemoryBudget::new(MemoryUse::job_limit(&settings.limits));
         Arc::new(Self {
             settings,
+            service_times: ServiceTimes::default(),
             calls: Calls::new(tally.clone()),
             memory,
             job_memory,
@@ -197,7 +201,7 @@
             lease: Mutex::default(),
             renewal_due: Notify::new(),
             last_duty: Mutex::default(),
-            draining: AtomicBool::new(false),
+            stop_plan: OnceLock::new(),
             registered: AtomicBool::new(false),
             stale_routes: AtomicBool::new(false),
             draw_counter: AtomicU64::new(u64::from(rand::random::<u32>())),
@@ -263,7 +267,7 @@
 
     /// Whether the process is stopping.
     pub fn draining(&self) -> bool {
-        self.draining.load(Ordering::Relaxed)
+        self.stop_plan.get().is_some()
     }
 
     /// Returns a number that differs from call to call, for weighted choices.
--- a/src/entry/entry_node.rs
+++ b/src/entry/entry_node.rs
@@ -1,7 +1,6 @@
 //! The lifecycle of an entry node: its background tasks, and draining when it stops.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use super::app::App;
@@ -10,18 +9,10 @@
 use super::ports::Ports;
 use super::usage::share_counts;
 use super::{leader, registration, takeover};
+use crate::decide::StopPlan;
 use crate::metrics::EntryMetrics;
 use crate::settings::EntrySettings;
 
-/// How many times the time to live of an address list some clients cache it for.
-const CLIENT_CACHE_FACTOR: u32 = 3;
-/// The handover of jobs and the deregistration may take this part of the grace period: one
-/// quarter, which allows for two calls that are not answered. Half of the grace period is for
-/// clients that still connect, and the rest for requests that have been read.
-const HANDOVER_GRACE_DIVISOR: u32 = 4;
-/// Extra time for a connection that a client opens just before its address list expires.
-const CONNECT_MARGIN: Duration = Duration::from_millis(200);
-
 /// A running entry node. Its tasks end when it is dropped.
 #[derive(Debug)]
 pub struct EntryNode {
@@ -70,27 +61,36 @@
     /// Drains the node: hands its jobs over and directs clients to other nodes. Returns once no
     /// client should connect any more; the listeners have to serve until then.
     pub async fn drain(&self) {
-        self.app.draining.store(true, Ordering::Relaxed);
-        tracing::info!(event = "process_draining", node = %self.app.settings.name);
-        self.app.stop.cancel();
-        if self.app.settings.client_address.is_none() {
+        let app = &self.app;
+        let address_ttl = Duration::from_secs(app.settings.ttl_secs);
+        let plan = StopPlan::new(app.now(), app.settings.stop_grace, address_ttl);
+        let plan = app.stop_plan.get_or_init(|| plan);
+        tracing::info!(
+            event = "process_draining",
+            node = %app.settings.name,
+            time_left_ms = self.time_left().as_millis() as u64
+        );
+        app.stop.cancel();
+        if app.settings.client_address.is_none() {
             return;
         }
-        let started = self.app.now();
-        let grace = self.app.settings.stop_grace;
         // During an outage of the store, other nodes take over the jobs and clients leave once the
         // lease ends.
         let handover = async {
-            self.app.hand_over().await;
-            self.app.deregister().await;
+            app.hand_over().await;
+            app.deregister().await;
         };
-        if tokio::time::timeout(grace / HANDOVER_GRACE_DIVISOR, handover).await.is_err() {
-            tracing::warn!(event = "handover_timed_out", node = %self.app.settings.name);
+        if tokio::time::timeout(plan.handover_timeout(), handover).await.is_err() {
+            tracing::warn!(event = "handover_timed_out", node = %app.settings.name);
         }
-        let cached =
-            Duration::from_secs(self.app.settings.ttl_secs) * CLIENT_CACHE_FACTOR + CONNECT_MARGIN;
-        let left = (grace / 2 + CONNECT_MARGIN).saturating_sub(self.app.now() - started);
-        tokio::time::sleep(cached.min(left)).await;
+        let now = app.now();
+        tokio::time::sleep(plan.closes_at(now).saturating_sub(now)).await;
+    }
+
+    /// Returns how long open requests may still take once the node is stopping; zero before.
+    pub fn time_left(&self) -> Duration {
+        let ends_at = self.app.stop_plan.get().map_or(Duration::ZERO, StopPlan::ends_at);
+        ends_at.saturating_sub(self.app.now())
     }
 }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -38,6 +38,7 @@
 mod sample;
 mod scale;
 mod score;
+mod service_times;
 mod shares;
 mod slots;
 mod stream;
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -10,6 +10,7 @@
 use super::late_runs::LateCall;
 use super::quarantine::{LostRun, RequestCheck, RequestContent};
 use super::response_body::{read_response, skip_response};
+use super::service_times::ResponseKind;
 use super::slots::SlotGuard;
 use super::stream;
 use crate::decide::failures::RunSent;
@@ -17,6 +18,7 @@
 use crate::decide::retry_after::DEFAULT_RETRY_AFTER;
 use crate::decide::{
     AttemptHistory, AttemptOutcome, AttemptRequest, Class, ReplicaOutcome, RetryPolicy, Route,
+    StopDecision, StoppingRequest,
 };
 use crate::edge::replica::{BodyStream, CallError, ReplicaCall, Reply};
 use crate::error::{Kind, Refusal};
@@ -276,19 +278,26 @@
         let Some(service) = state.route.pick_service(self.draw()).cloned() else {
             return RelayStep::Failed(refused(Kind::NoUpstream, "the route names no service"));
         };
+        let decision = self.stop_decision(state, &service);
+        if decision == StopDecision::Refuse {
+            return RelayStep::Failed(stopping());
+        }
         let wish = AttemptRequest {
             service: &service,
             weights: None,
             avoid: &state.avoid,
             length: TextLength::default(),
-            allow_full: true,
+            allow_full: decision == StopDecision::Send,
             apart: state.reward.as_ref().is_some_and(|reward| reward.apart),
         };
         let asked_at = self.now();
         let taken = if state.may_wait {
             self.wait_for_call_slot(&wish, || state.call_request()).await
         } else {
-            let refusal = || refused(Kind::NoUpstream, "no replica accepts work");
+            let refusal = || match decision {
+                StopDecision::Send => refused(Kind::NoUpstream, "no replica accepts work"),
+                StopDecision::SendToFree | StopDecision::Refuse => stopping(),
+            };
             self.take_slot(&wish).ok_or_else(refusal)
         };
         let mut slot = match taken {
@@ -298,6 +307,10 @@
         if state.reward.is_none() && self.now() >= state.response_deadline {
             return RelayStep::Failed(refused(Kind::DeadlinePassed, "the deadline has passed"));
         }
+        // The node may have begun to stop while the request waited.
+        if self.stop_decision(state, &service) == StopDecision::Refuse {
+            return RelayStep::Failed(stopping());
+        }
         if state.reward.is_some() {
             // No client waits for it: its sender would only make the same call again.
             state.response_deadline += self.now().saturating_sub(asked_at);
@@ -379,6 +392,8 @@
             state.check.survived(took);
         } else {
             state.check.succeeded();
+            let time = self.now().saturating_sub(state.started_at);
+            self.service_times.record(&service, ResponseKind::Whole, time);
         }
         if status == StatusCode::INTERNAL_SERVER_ERROR {
             state.failures += 1;
@@ -403,6 +418,22 @@
         RelayStep::Done(RelayResponse::Complete { status, headers, signature, body })
     }
 
+    /// Decides whether a request is sent to a replica, as far as the stop of this node is concerned.
+    /// Reward calls are sent: their jobs are handed over.
+    fn stop_decision(&self, state: &RequestState, service: &Name) -> StopDecision {
+        let Some(plan) = self.stop_plan.get().filter(|_| state.reward.is_none()) else {
+            return StopDecision::Send;
+        };
+        let streaming = state.route.streaming;
+        let kind = if streaming { ResponseKind::Stream } else { ResponseKind::Whole };
+        let request = StoppingRequest {
+            received_at: state.started_at,
+            deadline: state.end_of_response(),
+            usual_time: self.service_times.usual(service, kind),
+        };
+        plan.decide(&request, self.now())
+    }
+
     /// Starts forwarding a replica's stream to the client.
     fn open_stream(
         self: &Arc<Self>,
@@ -425,9 +456,13 @@
         }
     }
 
+    /// When the response has to be complete.
+    fn end_of_response(&self) -> Moment {
+        if self.route.streaming { self.client_deadline } else { self.response_deadline }
+    }
+
     /// The call to a replica, limited to the time that is left.
     pub(super) fn call(&self, now: Moment) -> ReplicaCall {
-        let ends = if self.route.streaming { self.client_deadline } else { self.response_deadline };
         ReplicaCall {
             id: self.request.id.clone(),
             method: self.request.method.clone(),
@@ -436,7 +471,7 @@
             organisation: self.request.organisation.clone(),
             headers: self.request.headers.clone(),
             body: self.request.body.clone(),
-            timeout: ends.saturating_sub(now),
+            timeout: self.end_of_response().saturating_sub(now),
             last_event: self.request.resume_after,
             priority: None,
         }
@@ -532,6 +567,11 @@
     Refusal::new(kind, detail).with_retry_after(DEFAULT_RETRY_AFTER)
 }
 
+/// The refusal of a request that would not end before this node does. Other nodes take it at once.
+fn stopping() -> Refusal {
+    Refusal::new(Kind::Draining, "the node is stopping").with_retry_after(Duration::ZERO)
+}
+
 /// Counts and logs a final response.
 fn log(app: &App, state: &RequestState, response: &RelayResponse) {
     let (id, attempts) = (&state.request.id, state.attempts);
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -13,6 +13,7 @@
 use super::app::App;
 use super::quarantine::RequestCheck;
 use super::relay::RequestState;
+use super::service_times::ResponseKind;
 use super::slots::SlotGuard;
 use crate::decide::job::EventReader;
 use crate::decide::load::TextLength;
@@ -42,6 +43,8 @@
     version: Option<u64>,
     /// The quarantine as it applies to the request.
     check: RequestCheck,
+    /// When the request arrived.
+    started_at: Moment,
     /// When the current attempt began, or the request with its first one.
     attempt_started_at: Moment,
 }
@@ -84,6 +87,7 @@
         last_event: state.request.resume_after,
         version: reply.version,
         check: state.check.fork(),
+        started_at: state.started_at,
         attempt_started_at: state.started_at,
         app: app.clone(),
     };
@@ -128,6 +132,10 @@
                     let took = app.now().saturating_sub(started_at);
                     current.set_end(ReplicaOutcome::Answered { duration: took, cost: 1 });
                     self.check.succeeded();
+                    if let Some(service) = &self.service {
+                        let time = app.now().saturating_sub(self.started_at);
+                        app.service_times.record(service, ResponseKind::Stream, time);
+                    }
                     drop(slot.take());
                     let _ = to.send(Piece::End).await;
                     return;
