A stream waits for its replica while nothing better is found

Streams that may be resumed lost their replica in the same way, and were broken off if no other one could be asked, or none answered.

Cause: a limit on silence (EVENT_TIMEOUT) ended the part of the stream that a replica sent, before it was known whether another one would go on, and also where none may.

Silence now only starts the search for another replica. The first one stays open meanwhile, and the replica that sends first is read from then on; the other is closed at once. A replica that answers others only pauses: its streams take no more than free slots elsewhere. The last attempt to resume has all the time that is left. A stream ends in silence only once it is overdue, by the client's deadline or the route's timeout, and nothing came for two seconds.

--- a/src/decide/fleet/fleet.rs
+++ b/src/decide/fleet/fleet.rs
@@ -296,6 +296,20 @@
         }
     }
 
+    /// Records that a replica has sent nothing of a response since a moment. Returns whether it has
+    /// answered other requests meanwhile. If not, and `count` is set, this counts as a failure.
+    pub fn record_silence(&mut self, id: &str, since: Moment, count: bool, now: Moment) -> bool {
+        let Some(replica) = self.replicas.get_mut(id) else { return false };
+        if replica.answered > since {
+            return true;
+        }
+        if count {
+            replica.failed(now);
+            self.update_excluded(id, now);
+        }
+        false
+    }
+
     /// When a replica last answered a request; none if it is not listed.
     pub fn last_answer(&self, id: &str) -> Option<Moment> {
         self.replicas.get(id).map(|replica| replica.answered)
@@ -490,19 +504,18 @@
                 replica.failures.unreachable();
                 replica.excluded_until = replica.failures.eject(now);
             }
-            ReplicaOutcome::Failed => {
-                replica.failures.failed();
-                if replica.failures.should_eject() {
-                    replica.excluded_until = replica.failures.eject(now);
-                }
-            }
+            ReplicaOutcome::Failed => replica.failed(now),
             ReplicaOutcome::Abandoned => {}
         }
-        if replica.excluded_until > now {
-            let over = |key: &ReplicaKey| {
-                self.replicas.by_key(*key).is_none_or(|r| r.excluded_until <= now)
-            };
-            self.excluded.retain(|key| !over(key));
+        self.update_excluded(id, now);
+    }
+
+    /// Adds a replica to the excluded ones if it is excluded now.
+    fn update_excluded(&mut self, id: &str, now: Moment) {
+        let is_excluded =
+            |key: &ReplicaKey| self.replicas.by_key(*key).is_some_and(|r| r.excluded_until > now);
+        if self.replicas.key(id).is_some_and(|key| is_excluded(&key)) {
+            self.excluded.retain(is_excluded);
             self.excluded.extend(self.replicas.key(id));
         }
     }
--- a/src/decide/fleet/replica.rs
+++ b/src/decide/fleet/replica.rs
@@ -103,6 +103,14 @@
         f64::from(self.running) + self.others.decayed(now)
     }
 
+    /// Records a failure, and excludes the replica if there were several in a row.
+    pub(super) fn failed(&mut self, now: Moment) {
+        self.failures.failed();
+        if self.failures.should_eject() {
+            self.excluded_until = self.failures.eject(now);
+        }
+    }
+
     /// Handles the end of an answer: a replica that has not reported its load by then never does.
     pub(super) fn answer_ended(&mut self) {
         if self.load_report == LoadReporting::Unknown {
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -42,6 +42,7 @@
 mod routes;
 mod sample_order;
 pub mod scale;
+mod silence;
 mod slow_engine;
 mod step;
 mod stop_plan;
@@ -94,6 +95,7 @@
 pub use sample_order::{
     NORMAL_PRIORITY, RAISED_PRIORITY, max_running, order_slots, sample_priority,
 };
+pub use silence::{SilenceDecision, SilentStream};
 pub use slow_engine::SlowEngineDetector;
 pub use step::{FillOutcome, Group, GroupSpec, Sample, Slot, Step, StepSpec};
 pub use stop_plan::{StopDecision, StopPlan, StoppingRequest};
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -33,6 +33,7 @@
 mod reported_capacity;
 mod response_body;
 mod results;
+mod resumption;
 mod retire;
 mod runner;
 mod sample;
--- a/src/entry/quarantine/request_check.rs
+++ b/src/entry/quarantine/request_check.rs
@@ -71,8 +71,8 @@
     silence: Silence,
     /// The run that was granted and is not sent.
     rerun: Option<CrashId>,
-    /// The run at a replica that has not ended.
-    in_flight: Option<InFlightRun>,
+    /// The runs at replicas that have not ended, in the order in which they were sent.
+    in_flight: Vec<InFlightRun>,
 }
 
 /// The attempts of a request that got no response in time.
@@ -110,7 +110,7 @@
             pending: Vec::new(),
             silence: Silence::None,
             rerun: None,
-            in_flight: None,
+            in_flight: Vec::new(),
         }
     }
 
@@ -141,7 +141,7 @@
             pending: Vec::new(),
             silence: Silence::None,
             rerun: None,
-            in_flight: self.in_flight.take(),
+            in_flight: std::mem::take(&mut self.in_flight),
         }
     }
 
@@ -237,7 +237,7 @@
         if self.owed {
             return;
         }
-        self.in_flight = Some(InFlightRun {
+        self.in_flight.push(InFlightRun {
             service: service.clone(),
             target: target.clone(),
             sent_at: self.quarantine.now(),
@@ -245,14 +245,19 @@
         });
     }
 
-    /// Records that the request did not reach the replica.
+    /// Records that the request that was sent last did not reach its replica.
     pub(in crate::entry) fn run_unsent(&mut self) {
-        self.rerun = self.in_flight.take().and_then(|run| run.rerun);
+        self.rerun = self.in_flight.pop().and_then(|run| run.rerun);
     }
 
-    /// Records that the replica responded that it did not run the request.
+    /// Records that the replica to which the request was sent last responded that it did not run it.
     pub(in crate::entry) fn run_declined(&mut self) {
-        self.in_flight = None;
+        self.in_flight.pop();
+    }
+
+    /// Records that the run at a replica has ended.
+    fn run_ended(&mut self, target: &Target) {
+        self.in_flight.retain(|run| run.target.id != target.id);
     }
 
     /// Records that the run that was granted is not sent.
@@ -276,7 +281,7 @@
     /// Records that the connection of an attempt broke after this time. The replica is checked in
     /// the background.
     pub(in crate::entry) fn broke(&mut self, service: &Name, target: &Target, ran: Duration) {
-        self.in_flight = None;
+        self.run_ended(target);
         if self.owed {
             self.lost = Some(self.quarantine.lost_run(service, target, ran));
             return;
@@ -292,7 +297,7 @@
     /// over some seconds, for which no response waits. With the second such attempt the request is a
     /// suspect: its replicas may all crash just after their attempts have ended.
     pub(in crate::entry) fn silent(&mut self, service: &Name, target: &Target, ran: Duration) {
-        self.in_flight = None;
+        self.run_ended(target);
         if self.owed {
             return;
         }
@@ -344,7 +349,7 @@
     pub(in crate::entry) fn succeeded(&mut self) {
         self.excused.store(true, Ordering::Relaxed);
         self.pending.clear();
-        self.in_flight = None;
+        self.in_flight.clear();
         if !self.applies() {
             return;
         }
@@ -363,7 +368,7 @@
 
     /// Records that a replica ran the request for this time and did not crash.
     pub(in crate::entry) fn survived(&mut self, ran: Duration) {
-        self.in_flight = None;
+        self.in_flight.clear();
         if self.applies() {
             let fingerprint = self.fingerprint();
             self.quarantine.state.lock().record_survival(fingerprint, ran, self.quarantine.now());
@@ -409,7 +414,7 @@
     /// replica.
     fn drop(&mut self) {
         self.withdraw();
-        if let Some(run) = self.in_flight.take() {
+        for run in std::mem::take(&mut self.in_flight) {
             self.watch_left(run);
         }
         if !self.pending.is_empty() && !self.excused.load(Ordering::Relaxed) {
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -1,5 +1,6 @@
 //! Forwarding a stream of events to a client. If the replica fails, the stream resumes at
-//! another one after the last complete event, if its route allows that.
+//! another one after the last complete event, if its route allows that. A replica that sends nothing
+//! is waited for, also while another one is asked.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,42 +12,36 @@
 use tokio_stream::wrappers::ReceiverStream;
 
 use super::app::App;
-use super::quarantine::RequestCheck;
 use super::relay::RequestState;
+use super::resumption::{Resumption, Source};
 use super::service_times::ResponseKind;
 use super::slots::SlotGuard;
+use crate::Moment;
 use crate::decide::job::EventReader;
-use crate::decide::load::TextLength;
-use crate::decide::{AttemptRequest, ReplicaOutcome, RetryPolicy};
-use crate::edge::replica::{BodyStream, CallError, ReplicaCall, Reply, Target};
-use crate::{Moment, Name};
+use crate::decide::{ReplicaOutcome, RetryPolicy, SilenceDecision, SilentStream};
+use crate::edge::replica::{BodyStream, Reply, Target};
 
-/// Timeout for the next event, and for the head of the response when a stream is resumed.
-const EVENT_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// How long a replica sends nothing of a stream before something is decided, each time anew. An event
+/// takes 35 ms usually, and four times that at a slow replica.
+const SILENCE_INTERVAL: Duration = Duration::from_millis(1_200);
+/// Clients wait at least this long for an event.
+const MIN_CLIENT_PATIENCE: Duration = Duration::from_secs(2);
+/// How often an event counts as a sign that the replica answers.
+const ANSWER_INTERVAL: Duration = Duration::from_millis(250);
 /// Number of events that are buffered for a client that reads slowly.
 const MAX_BUFFERED_EVENTS: usize = 16;
-/// The delay between two attempts to resume a stream.
-const RETRY_DELAY: Duration = Duration::from_millis(25);
-
 /// The state of a forwarded stream.
 struct StreamForwarder {
     app: Arc<App>,
-    call: ReplicaCall,
-    client_deadline: Moment,
-    service: Option<Name>,
-    avoid: Vec<Name>,
-    resume: bool,
-    attempts_left: u32,
+    resumption: Resumption,
     /// The id of the last event that was forwarded, or that the client had already.
     last_event: Option<u64>,
     /// The weight version of the last event.
     version: Option<u64>,
-    /// The quarantine as it applies to the request.
-    check: RequestCheck,
     /// When the request arrived.
     started_at: Moment,
-    /// When the current attempt began, or the request with its first one.
-    attempt_started_at: Moment,
+    /// The earlier of the client's deadline and the route's timeout.
+    overdue_at: Moment,
 }
 
 /// What the client gets next.
@@ -60,15 +55,27 @@
 }
 
 /// How the part of a stream that one replica sent ended.
-enum PartEnd {
+enum PartEnd<'a> {
     /// The stream is complete.
     Complete,
     /// The replica failed.
     Interrupted,
+    /// The stream goes on at another replica, as this one sent nothing.
+    Replaced(Box<Source<'a>>),
+    /// The replica sent nothing until the stream was overdue.
+    Overdue,
     /// The client has closed its connection.
     ClientLeft,
 }
 
+/// What comes next from a replica.
+enum Next<'a> {
+    /// A piece of the body, or its end.
+    Piece(Option<Result<Bytes, String>>),
+    /// The end of the part.
+    End(PartEnd<'a>),
+}
+
 /// Forwards a stream. The result ends in an error if the stream can't be completed.
 pub(super) fn forward(
     app: Arc<App>,
@@ -77,24 +84,30 @@
     reply: Reply,
 ) -> BodyStream {
     let service = app.slots.fleet.lock().get(&target.id).map(|l| l.service.clone());
-    let forward = StreamForwarder {
+    let attempts_left = match state.route.retry_policy {
+        RetryPolicy::Resume => state.max_attempts.saturating_sub(state.attempts),
+        RetryPolicy::Rerun | RetryPolicy::Never => 0,
+    };
+    let resumption = Resumption {
         call: state.call(app.now()),
         client_deadline: state.client_deadline,
         service,
         avoid: state.avoid.clone(),
-        resume: state.route.retry_policy == RetryPolicy::Resume,
-        attempts_left: state.max_attempts.saturating_sub(state.attempts),
+        attempts_left,
+        check: state.check.fork(),
+    };
+    let forward = StreamForwarder {
+        resumption,
         last_event: state.request.resume_after,
         version: reply.version,
-        check: state.check.fork(),
         started_at: state.started_at,
-        attempt_started_at: state.started_at,
+        overdue_at: state.response_deadline,
         app: app.clone(),
     };
     app.slots.fleet.lock().start_attempt(&target.id, app.now());
     let (sender, receiver) = mpsc::channel(MAX_BUFFERED_EVENTS);
     // The task ends when the client leaves: the next send fails once the receiver is dropped,
-    // and the select in `forward_part` notices that between events.
+    // and the selects in `next_piece` notice that between events.
     app.spawn(forward.run(target, reply, sender));
     until_end_marker(ReceiverStream::new(receiver).boxed())
 }
@@ -122,112 +135,141 @@
     /// client leaves.
     async fn run(mut self, target: Target, reply: Reply, to: mpsc::Sender<Piece>) {
         let app = self.app.clone();
-        let mut slot = Some(SlotGuard::started(&app, target));
-        let mut reply = Some(reply);
-        loop {
-            let (Some(current), Some(body)) = (slot.as_mut(), reply.take()) else { break };
-            let started_at = app.now();
-            match self.forward_part(body, &to).await {
+        let slot = SlotGuard::started(&app, target);
+        let mut next = Some(Source { slot, reply, started_at: self.started_at });
+        while let Some(Source { mut slot, reply, started_at }) = next.take() {
+            let forwarded_from = app.now();
+            let end = self.forward_part(&app, reply, &slot.target, &to).await;
+            let ran = app.now().saturating_sub(started_at);
+            match end {
                 PartEnd::Complete => {
-                    let took = app.now().saturating_sub(started_at);
-                    current.set_end(ReplicaOutcome::Answered { duration: took, cost: 1 });
-                    self.check.succeeded();
-                    if let Some(service) = &self.service {
-                        let time = app.now().saturating_sub(self.started_at);
-                        app.service_times.record(service, ResponseKind::Stream, time);
-                    }
-                    drop(slot.take());
+                    let duration = app.now().saturating_sub(forwarded_from);
+                    slot.set_end(ReplicaOutcome::Answered { duration, cost: 1 });
+                    drop(slot);
+                    self.record_completion();
                     let _ = to.send(Piece::End).await;
                     return;
                 }
                 // The run is still in flight.
                 PartEnd::ClientLeft => return,
-                PartEnd::Interrupted => current.set_end(ReplicaOutcome::Failed),
-            }
-            if let Some(service) = &self.service {
-                let ran = app.now().saturating_sub(self.attempt_started_at);
-                self.check.broke(service, &current.target, ran);
+                PartEnd::Interrupted => {
+                    slot.set_end(ReplicaOutcome::Failed);
+                    if let Some(service) = &self.resumption.service {
+                        self.resumption.check.broke(service, &slot.target, ran);
+                    }
+                    self.resumption.avoid.push(slot.target.id.clone());
+                    tracing::info!(event = "stream_interrupted", request = %self.resumption.call.id, replica = %slot.target.id, last = self.last_event);
+                    drop(slot);
+                    next = self.resumption.resume(&app, None, self.last_event, true).await;
+                }
+                PartEnd::Replaced(source) => {
+                    self.record_silent_run(&slot.target, ran);
+                    self.resumption.avoid.push(slot.target.id.clone());
+                    tracing::info!(event = "stream_resumed", request = %self.resumption.call.id, from = %slot.target.id, to = %source.slot.target.id, last = self.last_event);
+                    next = Some(*source);
+                }
+                PartEnd::Overdue => self.record_silent_run(&slot.target, ran),
             }
-            self.avoid.push(current.target.id.clone());
-            drop(slot.take());
-            tracing::info!(event = "stream_interrupted", request = %self.call.id, last = self.last_event);
-            (slot, reply) = self.resume_elsewhere(&app).await;
         }
-        self.check.notify_peers().await;
-        tracing::info!(event = "stream_aborted", request = %self.call.id, last = self.last_event);
+        self.resumption.check.notify_peers().await;
+        tracing::info!(event = "stream_aborted", request = %self.resumption.call.id, last = self.last_event);
         let _ = to.send(Piece::Aborted("the stream was interrupted")).await;
     }
 
-    /// Resumes the stream at another replica, within the attempts and the time that are left.
-    async fn resume_elsewhere<'a>(
+    /// Records that the stream is complete.
+    fn record_completion(&mut self) {
+        self.resumption.check.succeeded();
+        if let Some(service) = &self.resumption.service {
+            let time = self.app.now().saturating_sub(self.started_at);
+            self.app.service_times.record(service, ResponseKind::Stream, time);
+        }
+    }
+
+    /// Records that the run at a replica was given up after this time, as nothing came from it.
+    fn record_silent_run(&mut self, target: &Target, ran: Duration) {
+        if let Some(service) = &self.resumption.service {
+            self.resumption.check.silent(service, target, ran);
+        }
+    }
+
+    /// Waits for the next piece from a replica. While it sends nothing, the stream may be requested
+    /// elsewhere as well; the replica that sends first is the one that is read from then on.
+    async fn next_piece<'a>(
         &mut self,
         app: &'a App,
-    ) -> (Option<SlotGuard<'a>>, Option<Reply>) {
-        while self.resume && self.attempts_left > 0 {
-            self.attempts_left -= 1;
-            let time = self.client_deadline.saturating_sub(app.now());
-            if time.is_zero() || !self.check.may_rerun() {
-                break;
-            }
-            if self.check.permit(time).await.is_err() {
-                break;
+        body: &mut BodyStream,
+        target: &Target,
+        to: &mpsc::Sender<Piece>,
+    ) -> Next<'a> {
+        let silent_since = app.now();
+        let mut counted = false;
+        loop {
+            tokio::select! {
+                () = to.closed() => return Next::End(PartEnd::ClientLeft),
+                piece = body.next() => return Next::Piece(piece),
+                () = tokio::time::sleep(SILENCE_INTERVAL) => {}
             }
-            let Some(service) = self.service.clone() else { break };
-            let wish = AttemptRequest {
-                service: &service,
-                weights: None,
-                avoid: &self.avoid,
-                length: TextLength::default(),
-                apart: false,
-                allow_full: true,
+            let now = app.now();
+            let age = now.saturating_sub(silent_since);
+            let replica_answers =
+                app.slots.fleet.lock().record_silence(&target.id, silent_since, !counted, now);
+            counted = true;
+            let silent = SilentStream {
+                may_resume: self.resumption.attempts_left > 0,
+                replica_answers,
+                is_overdue: now >= self.overdue_at && age >= MIN_CLIENT_PATIENCE,
             };
-            let Some(slot) = app.take_slot(&wish) else { break };
-            let mut call = self.call.clone();
-            call.last_event = self.last_event;
-            call.timeout = time;
-            self.attempt_started_at = app.now();
-            self.check.run_sent(&service, &slot.target);
-            let sending = app.replicas.send(&slot.target, call);
-            match tokio::time::timeout(EVENT_TIMEOUT, sending).await {
-                Ok(Ok(reply)) if reply.status.is_success() => return (Some(slot), Some(reply)),
-                Ok(Err(CallError::Interrupted(_))) => {
-                    let ran = app.now().saturating_sub(self.attempt_started_at);
-                    self.check.broke(&service, &slot.target, ran);
-                }
-                Err(_) => {
-                    let ran = app.now().saturating_sub(self.attempt_started_at);
-                    self.check.silent(&service, &slot.target, ran);
-                }
-                Ok(Err(CallError::Unsent(_))) => self.check.run_unsent(),
-                Ok(Ok(_) | Err(CallError::NotRun(_) | CallError::WrongInstance)) => {
-                    self.check.run_declined();
+            let decision = silent.decide();
+            tracing::info!(event = "stream_silent", request = %self.resumption.call.id, replica = %target.id, age_ms = age.as_millis() as u64, replica_answers, ?decision);
+            let allow_full = match decision {
+                SilenceDecision::Wait => continue,
+                SilenceDecision::End => return Next::End(PartEnd::Overdue),
+                SilenceDecision::Resume { allow_full } => allow_full,
+            };
+            tokio::select! {
+                () = to.closed() => return Next::End(PartEnd::ClientLeft),
+                piece = body.next() => return Next::Piece(piece),
+                source = self.resumption.resume(app, Some(target), self.last_event, allow_full) => {
+                    match source {
+                        Some(source) => return Next::End(PartEnd::Replaced(Box::new(source))),
+                        None if silent.is_overdue => return Next::End(PartEnd::Overdue),
+                        None => {}
+                    }
                 }
             }
-            self.avoid.push(slot.target.id.clone());
-            tokio::time::sleep(RETRY_DELAY).await;
         }
-        (None, None)
     }
 
     /// Forwards the events of one response. If the weight version changes with the response and
     /// its first event does not state it, a line with the version is inserted before that event.
-    async fn forward_part(&mut self, reply: Reply, to: &mpsc::Sender<Piece>) -> PartEnd {
-        let field = self.app.replicas.version_field();
+    async fn forward_part<'a>(
+        &mut self,
+        app: &'a App,
+        reply: Reply,
+        target: &Target,
+        to: &mpsc::Sender<Piece>,
+    ) -> PartEnd<'a> {
+        let field = app.replicas.version_field();
         let mut reader = EventReader::new(field);
         let mut body = reply.body;
         let mut changed = (reply.version != self.version).then_some(reply.version).flatten();
+        let mut answer_recorded_at = app.now();
         self.version = reply.version;
         loop {
-            let piece = tokio::select! {
-                () = to.closed() => return PartEnd::ClientLeft,
-                piece = tokio::time::timeout(EVENT_TIMEOUT, body.next()) => piece,
+            let piece = match self.next_piece(app, &mut body, target, to).await {
+                Next::Piece(piece) => piece,
+                Next::End(end) => return end,
             };
             let bytes = match piece {
-                Err(_) | Ok(Some(Err(_))) => return PartEnd::Interrupted,
-                Ok(None) if reader.unfinished() => return PartEnd::Interrupted,
-                Ok(None) => return PartEnd::Complete,
-                Ok(Some(Ok(bytes))) => bytes,
+                Some(Err(_)) => return PartEnd::Interrupted,
+                None if reader.unfinished() => return PartEnd::Interrupted,
+                None => return PartEnd::Complete,
+                Some(Ok(bytes)) => bytes,
             };
+            if app.now().saturating_sub(answer_recorded_at) >= ANSWER_INTERVAL {
+                answer_recorded_at = app.now();
+                app.slots.fleet.lock().record_answer(&target.id, answer_recorded_at);
+            }
             let Ok(events) = reader.push(&bytes) else { return PartEnd::Interrupted };
             for event in events {
                 if self.last_event.is_some_and(|last| event.id != last + 1) {
@@ -243,11 +285,10 @@
                     }
                 }
                 // If memory is short, nothing is buffered for a client that reads slowly.
-                if self.app.memory.is_full() && to.reserve_many(MAX_BUFFERED_EVENTS).await.is_err()
-                {
+                if app.memory.is_full() && to.reserve_many(MAX_BUFFERED_EVENTS).await.is_err() {
                     return PartEnd::ClientLeft;
                 }
-                let raw = self.app.memory.hold(event.raw);
+                let raw = app.memory.hold(event.raw);
                 if to.send(Piece::Bytes(raw)).await.is_err() {
                     return PartEnd::ClientLeft;
                 }
--- a/standins/src/replicas/fleet.rs
+++ b/standins/src/replicas/fleet.rs
@@ -371,6 +371,14 @@
         }
     }
 
+    /// Waits while the streams of a replica pause after an event.
+    async fn unless_paused(&self, id: &str, event: u64) {
+        while matches!(self.with(id, |r| r.behaviour), Some(Behaviour::PausesAfter(n)) if event >= n)
+        {
+            tokio::time::sleep(HANG_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Checks and records an order, and starts the load if it is accepted.
     fn apply_order(&self, to: &Name, order: &WeightOrder) -> OrderOutcome {
         let outcome = self.with(to, |r| {
@@ -475,9 +483,13 @@
                 let Some(crashes) = fleet.with(&to, |r| r.crashes.subscribe()) else {
                     return reset;
                 };
+                let making = async {
+                    fleet.unless_paused(&to, last).await;
+                    tokio::time::sleep(interval).await;
+                };
                 tokio::select! {
                     () = Self::crashed(crashes) => return reset,
-                    () = tokio::time::sleep(interval) => {}
+                    () = making => {}
                 }
                 if breaks_at.is_some_and(|at| last >= at) {
                     return Some((Err("connection reset".to_owned()), total));
--- a/standins/src/replicas/replica.rs
+++ b/standins/src/replicas/replica.rs
@@ -23,6 +23,8 @@
     Unresponsive,
     /// It receives requests, and runs them once it behaves otherwise.
     Hangs,
+    /// Its streams pause after this event until it behaves otherwise.
+    PausesAfter(u64),
     /// It runs nothing and responds with 503.
     Full,
     /// Its streams break after this many events, and its plain bodies in the middle.
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -19,6 +19,7 @@
 mod route_versions;
 mod scale;
 mod shares;
+mod silent_streams;
 mod stale_reads;
 mod stopping;
 mod unanswered_runs;
