A client that leaves ends the attempts to resume its stream

While a stream whose replica had failed was requested elsewhere, nobody watched its client: after the client had left, the request was still sent to further replicas, as often as the route allows, each for up to 1.2 s and the last one now for all the time that is left. Replicas work for nobody.

The attempts now end with the connection of the client. The new test fails without this (three runs in place of two) where the replica breaks off; where it pauses, the wait for the next piece watches the client already.

--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -160,7 +160,10 @@
                     self.resumption.avoid.push(slot.target.id.clone());
                     tracing::info!(event = "stream_interrupted", request = %self.resumption.call.id, replica = %slot.target.id, last = self.last_event);
                     drop(slot);
-                    next = self.resumption.resume(&app, None, self.last_event, true).await;
+                    next = tokio::select! {
+                        () = to.closed() => return,
+                        source = self.resumption.resume(&app, None, self.last_event, true) => source,
+                    };
                 }
                 PartEnd::Replaced(source) => {
                     self.record_silent_run(&slot.target, ran);
--- a/tests/entry/silent_streams.rs
+++ b/tests/entry/silent_streams.rs
@@ -9,7 +9,7 @@
 use standins::replicas::Behaviour;
 use tokio::time::Instant;
 
-use crate::world::{Node, World, relay_request, route, sleep_ms};
+use crate::world::{Node, World, relay_request, route, sleep_ms, wait_until};
 
 const REPLICAS: [&str; 3] = ["e1", "e2", "e3"];
 /// The events of a text.
@@ -134,3 +134,22 @@
     let took = received.took.as_millis();
     assert!((4_000..5_500).contains(&took), "{took}");
 }
+
+/// Guards against attempts to resume a stream that go on after its client has left.
+#[tokio::test(start_paused = true)]
+async fn a_client_that_leaves_ends_the_attempts_to_resume_its_stream() {
+    for behaviour in [Behaviour::BreaksAfter(4), Behaviour::PausesAfter(4)] {
+        let world = World::new();
+        let node = world.node("a").await;
+        world.replicas.set_event_count("s1", EVENTS);
+        set_all(&world, behaviour);
+        let route = stream_route(RetryPolicy::Resume, 3);
+        let response = node.app().relay(&route.into(), relay_request("s1", "/text/x")).await;
+        let RelayResponse::Stream { body, .. } = response else { panic!("{response:?}") };
+        set_others(&world, Behaviour::Unresponsive);
+        wait_until(|| world.replicas.runs().len() == 2).await;
+        drop(body);
+        sleep_ms(5_000).await;
+        assert_eq!(world.replicas.runs().len(), 2, "{behaviour:?}");
+    }
+}
