A node that stops passes on the usage that it counted last

The process ended as soon as its last connection had, so that the requests of its last moments were in no report: replicas had run them for an organisation that was not charged.

After its listeners have closed, the node now waits until the collectors have acknowledged all counts, for at most half of the margin that the schedule of the stop keeps for the exit. Where nothing was counted since the last message, this takes no time.

--- a/src/decide/stop_plan.rs
+++ b/src/decide/stop_plan.rs
@@ -22,6 +22,8 @@
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
 /// The most of the grace period that [`EXIT_MARGIN`] may take.
 const EXIT_GRACE_DIVISOR: u32 = 10;
+/// The part of that margin that remains for the end of the process itself.
+const END_MARGIN_DIVISOR: u32 = 2;
 /// A request that arrives later than this is only sent if its time limit ends before the node does:
 /// clients that send it have had the time to learn of other nodes.
 const LATE_REQUEST_AGE: Duration = Duration::from_millis(2_800);
@@ -80,7 +82,16 @@
 
     /// Returns when open requests are broken off.
     pub fn ends_at(&self) -> Moment {
-        self.began + self.grace - EXIT_MARGIN.min(self.grace / EXIT_GRACE_DIVISOR)
+        self.began + self.grace - self.exit_margin()
+    }
+
+    /// Returns when the process exits, whatever is left.
+    pub fn exits_at(&self) -> Moment {
+        self.began + self.grace - self.exit_margin() / END_MARGIN_DIVISOR
+    }
+
+    fn exit_margin(&self) -> Duration {
+        EXIT_MARGIN.min(self.grace / EXIT_GRACE_DIVISOR)
     }
 
     /// Decides whether a request is sent to a replica now.
--- a/src/entry/entry_node.rs
+++ b/src/entry/entry_node.rs
@@ -87,6 +87,18 @@
         tokio::time::sleep(plan.closes_at(now).saturating_sub(now)).await;
     }
 
+    /// Waits until other nodes have what this one has counted, once no request is open any more.
+    pub async fn flush_usage(&self) {
+        let Some(usage) = &self.app.usage else { return };
+        usage.wait_until_acknowledged(self.exit_time_left()).await;
+    }
+
+    /// Returns how long the process may still take to exit; zero before it is stopping.
+    fn exit_time_left(&self) -> Duration {
+        let exits_at = self.app.stop_plan.get().map_or(Duration::ZERO, StopPlan::exits_at);
+        exits_at.saturating_sub(self.app.now())
+    }
+
     /// Returns how long open requests may still take once the node is stopping; zero before.
     pub fn time_left(&self) -> Duration {
         let ends_at = self.app.stop_plan.get().map_or(Duration::ZERO, StopPlan::ends_at);
--- a/src/entry/usage/meter.rs
+++ b/src/entry/usage/meter.rs
@@ -1,10 +1,11 @@
 //! Counts requests per organisation and time window.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::Name;
 use crate::decide::usage::{AgreedClock, Ledger, Meter, Windows};
@@ -21,6 +22,10 @@
     pub ledger: Mutex<Ledger>,
     /// Notified when a count of this node changes.
     pub changed: Notify,
+    /// The number of requests whose outcome this node has recorded.
+    settled: AtomicU64,
+    /// The value of `settled` up to which the collectors have acknowledged the counts.
+    acknowledged: watch::Sender<u64>,
     /// The clocks of this VM.
     clock: Arc<dyn Clock>,
     /// The time of day that the nodes agree on.
@@ -34,6 +39,8 @@
             meter: Mutex::default(),
             ledger: Mutex::default(),
             changed: Notify::new(),
+            settled: AtomicU64::new(0),
+            acknowledged: watch::Sender::new(0),
             clock,
             agreed: Mutex::default(),
         }
@@ -56,6 +63,25 @@
         self.windows.index_at(self.time())
     }
 
+    /// Returns the number of requests whose outcome this node has recorded.
+    pub(in crate::entry) fn settled(&self) -> u64 {
+        self.settled.load(Ordering::Relaxed)
+    }
+
+    /// Records that the collectors have the counts of this many requests.
+    pub(in crate::entry) fn record_acknowledged(&self, settled: u64) {
+        self.acknowledged.send_replace(settled);
+    }
+
+    /// Waits until the collectors have all counts of this node, for at most this time.
+    pub(in crate::entry) async fn wait_until_acknowledged(&self, timeout: Duration) {
+        let mut acknowledged = self.acknowledged.subscribe();
+        let all = acknowledged.wait_for(|count| *count >= self.settled());
+        if tokio::time::timeout(timeout, all).await.is_err() {
+            tracing::warn!(event = "usage_not_passed_on", settled = self.settled());
+        }
+    }
+
     /// Meters a request that is about to be sent. It counts in the window of this moment, unless
     /// it has no organisation or [`MeteredRequest::not_run`] is called.
     pub(in crate::entry) fn begin(self: &Arc<Self>, organisation: &Option<Name>) -> MeteredRequest {
@@ -94,6 +120,7 @@
     fn settle(self, ran: bool) {
         let ran = ran.then_some(&self.organisation);
         self.usage.meter.lock().request_settled(self.window, ran);
+        self.usage.settled.fetch_add(1, Ordering::Relaxed);
         self.usage.changed.notify_one();
     }
 }
--- a/src/entry/usage/sharing.rs
+++ b/src/entry/usage/sharing.rs
@@ -37,10 +37,12 @@
             () = tokio::time::sleep(left) => {}
         }
         tokio::time::sleep(BATCH_INTERVAL).await;
+        let settled = usage.settled();
         let mut notes = usage.meter.lock().window_notes(usage.current_window());
         app.record_counts(&usage, &app.incarnation, &notes);
         notes.retain(|note| !note.counts.is_empty());
         if notes.is_empty() {
+            usage.record_acknowledged(settled);
             continue;
         }
         let to = app.collectors();
@@ -69,6 +71,8 @@
         if failed {
             tokio::time::sleep(RETRY_DELAY).await;
             usage.changed.notify_one();
+        } else {
+            usage.record_acknowledged(settled);
         }
     }
 }
--- a/tests/entry/usage.rs
+++ b/tests/entry/usage.rs
@@ -267,3 +267,21 @@
     // One message with the count, and one at the end of its window, each to at most two nodes.
     assert!((2..=4).contains(&usage_messages()), "{}", usage_messages());
 }
+
+/// Guards against counts that are lost with a node that stops just after its last request.
+#[tokio::test(start_paused = true)]
+async fn the_last_requests_of_a_node_that_stops_are_reported() {
+    let world = World::new().with_usage(WINDOW);
+    let (mut nodes, leader) = start_three(&world).await;
+    let stopping = nodes.remove((leader + 1) % 3);
+    stopping.entry.drain().await;
+    for i in 0..5 {
+        assert!(send_request(&stopping, "x", &format!("r{i}")).await);
+    }
+    let began = tokio::time::Instant::now();
+    stopping.entry.flush_usage().await;
+    assert!(began.elapsed() < Duration::from_millis(250), "{:?}", began.elapsed());
+    drop(stopping);
+    wait_until_reported(&world).await;
+    assert_eq!(total_reported(&world), 5);
+}
--- a/tests/stop_plan.rs
+++ b/tests/stop_plan.rs
@@ -26,7 +26,7 @@
         let (closes, ends) = (plan.closes_at(BEGAN + grace / 4), plan.ends_at());
         assert!(closes > BEGAN && closes <= ends, "{grace:?}: {closes:?}, {ends:?}");
         assert!(ends >= BEGAN + grace * 5 / 6, "{grace:?}: {ends:?}");
-        assert!(ends < BEGAN + grace, "{grace:?}: {ends:?}");
+        assert!(ends < plan.exits_at() && plan.exits_at() < BEGAN + grace, "{grace:?}: {ends:?}");
         assert!(plan.handover_timeout() <= grace / 4);
     }
 }
