A replica that hangs is not taken for one that pauses

Whether a silent stream only pauses was judged by the answers of its replica since the stream's last event. Where a response of another request had arrived a moment after that event and the replica hung then, the stream counted as paused for good: it took no full replica elsewhere, and the replica did not count as failing.

The replica now counts as sending if anything came from it in the last 0.6 s: heads of responses, and events of streams and texts. Events are recorded apart from answers, by which late runs are judged. The new test fails without this: after 1.2 s the former check still found the answer.

--- a/src/decide/fleet/fleet.rs
+++ b/src/decide/fleet/fleet.rs
@@ -28,6 +28,10 @@
 /// usual loading time of 0.9 s, so that it is used soon after it is ready.
 const LOADING_EXCLUSION: Duration = Duration::from_millis(300);
 
+/// A replica that has sent something within this time is not hanging. It is half of the time after
+/// which the silence of a single response is noticed.
+const SENDING_TIME: Duration = Duration::from_millis(600);
+
 /// With more replicas than this, not all are considered for each attempt and each event: the
 /// first replica that is idle, in this node's availability zone and fast enough gets the attempt,
 /// and the typical event interval, which requires sorting, is computed once per
@@ -296,11 +300,19 @@
         }
     }
 
-    /// Records that a replica has sent nothing of a response since a moment. Returns whether it has
-    /// answered other requests meanwhile. If not, and `count` is set, this counts as a failure.
-    pub fn record_silence(&mut self, id: &str, since: Moment, count: bool, now: Moment) -> bool {
+    /// Records that an event of a replica's stream arrived.
+    pub fn record_event(&mut self, id: &str, now: Moment) {
+        if let Some(replica) = self.replicas.get_mut(id) {
+            replica.streamed = now;
+        }
+    }
+
+    /// Records that a replica has sent nothing of a response for a while. Returns whether it sends
+    /// other responses. If not, and `count` is set, this counts as a failure.
+    pub fn record_silence(&mut self, id: &str, count: bool, now: Moment) -> bool {
         let Some(replica) = self.replicas.get_mut(id) else { return false };
-        if replica.answered > since {
+        let last = replica.answered.max(replica.streamed);
+        if last > Moment::ZERO && now.saturating_sub(last) <= SENDING_TIME {
             return true;
         }
         if count {
--- a/src/decide/fleet/pace.rs
+++ b/src/decide/fleet/pace.rs
@@ -22,6 +22,7 @@
     /// now and then, and it measures the time between events, without waits and prompts.
     pub fn record_event_interval(&mut self, id: &str, seconds: f64, now: Moment) {
         let Some(replica) = self.replicas.get_mut(id) else { return };
+        replica.streamed = now;
         replica.event_interval.record(1, Duration::from_secs_f64(seconds.max(0.0)), now);
         let load = replica.load(now);
         replica.single_interval.record(seconds.max(0.0), load, now);
--- a/src/decide/fleet/replica.rs
+++ b/src/decide/fleet/replica.rs
@@ -46,6 +46,8 @@
     pub began: Moment,
     /// When it last answered a request.
     pub answered: Moment,
+    /// When an event of one of its streams last arrived, about four times a second.
+    pub streamed: Moment,
     /// Whether and when it reported its load.
     pub load_report: LoadReporting,
     /// Until when it gets no sample of a model, by model.
@@ -71,6 +73,7 @@
             full_until: Moment::ZERO,
             began: Moment::ZERO,
             answered: Moment::ZERO,
+            streamed: Moment::ZERO,
             load_report: LoadReporting::Unknown,
             loading: HashMap::new(),
         }
--- a/src/decide/silence.rs
+++ b/src/decide/silence.rs
@@ -10,7 +10,7 @@
 pub struct SilentStream {
     /// Whether it may go on at another replica, by its route and the attempts that are left.
     pub may_resume: bool,
-    /// Whether the replica has answered other requests meanwhile.
+    /// Whether the replica sends other responses.
     pub replica_answers: bool,
     /// Whether the client's deadline or the route's timeout has passed, and clients don't wait for an
     /// event for longer.
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -26,8 +26,8 @@
 const SILENCE_INTERVAL: Duration = Duration::from_millis(1_200);
 /// Clients wait at least this long for an event.
 const MIN_CLIENT_PATIENCE: Duration = Duration::from_secs(2);
-/// How often an event counts as a sign that the replica answers.
-const ANSWER_INTERVAL: Duration = Duration::from_millis(250);
+/// How often the arrival of an event is recorded.
+const RECORD_INTERVAL: Duration = Duration::from_millis(250);
 /// Number of events that are buffered for a client that reads slowly.
 const MAX_BUFFERED_EVENTS: usize = 16;
 /// The state of a forwarded stream.
@@ -214,8 +214,7 @@
             }
             let now = app.now();
             let age = now.saturating_sub(silent_since);
-            let replica_answers =
-                app.slots.fleet.lock().record_silence(&target.id, silent_since, !counted, now);
+            let replica_answers = app.slots.fleet.lock().record_silence(&target.id, !counted, now);
             counted = true;
             let silent = SilentStream {
                 may_resume: self.resumption.attempts_left > 0,
@@ -256,7 +255,7 @@
         let mut reader = EventReader::new(field);
         let mut body = reply.body;
         let mut changed = (reply.version != self.version).then_some(reply.version).flatten();
-        let mut answer_recorded_at = app.now();
+        let mut recorded_at = app.now();
         self.version = reply.version;
         loop {
             let piece = match self.next_piece(app, &mut body, target, to).await {
@@ -269,9 +268,9 @@
                 None => return PartEnd::Complete,
                 Some(Ok(bytes)) => bytes,
             };
-            if app.now().saturating_sub(answer_recorded_at) >= ANSWER_INTERVAL {
-                answer_recorded_at = app.now();
-                app.slots.fleet.lock().record_answer(&target.id, answer_recorded_at);
+            if app.now().saturating_sub(recorded_at) >= RECORD_INTERVAL {
+                recorded_at = app.now();
+                app.slots.fleet.lock().record_event(&target.id, recorded_at);
             }
             let Ok(events) = reader.push(&bytes) else { return PartEnd::Interrupted };
             for event in events {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -389,3 +389,31 @@
     (0..300).for_each(|i| *counts.entry(first(&format!("n{i}"))).or_default() += 1);
     assert!(counts.values().all(|count| *count <= 5), "{counts:?}");
 }
+
+/// Guards against a replica that is taken for one that pauses a single response, because another one
+/// had arrived from it just before it hung.
+#[test]
+fn a_replica_sends_while_any_response_has_arrived_of_late() {
+    let mut fleet = fleet(&["a", "b", "c"]);
+    assert!(!fleet.record_silence("a", false, NOW));
+    fleet.record_answer("a", NOW);
+    assert!(fleet.record_silence("a", false, NOW + Duration::from_millis(500)));
+    assert!(!fleet.record_silence("a", false, NOW + Duration::from_millis(1_200)));
+    fleet.record_event("a", NOW + Duration::from_millis(1_000));
+    assert!(fleet.record_silence("a", false, NOW + Duration::from_millis(1_200)));
+    assert!(!fleet.record_silence("gone", false, NOW));
+}
+
+#[test]
+fn a_replica_that_hangs_is_excluded_after_several_silences() {
+    let mut fleet = fleet(&["a", "b", "c"]);
+    for _ in 0..3 {
+        fleet.record_silence("a", true, NOW);
+    }
+    assert_eq!(fleet.free_slots(SERVICE, NOW), 16);
+    fleet.record_event("b", NOW);
+    for _ in 0..3 {
+        fleet.record_silence("b", true, NOW);
+    }
+    assert_eq!(fleet.free_slots(SERVICE, NOW), 16);
+}
