A text whose replica pauses keeps its slot while there is no other

With all slots taken it had given up its place for none, and its replica, which had only preempted it for a while, read its prompt again elsewhere. Trainers waited longer.

It now stays while its replica sends other responses and no other replica has a free slot for it, and looks again every 1.2 s. A replica that sends nothing at all is left as before.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures_util::StreamExt;
 use http::StatusCode;
 
@@ -12,8 +13,8 @@
 use crate::Moment;
 use crate::decide::job::{Event, EventReader, ItemSpec, JobSpec, StreamError, TextLimit};
 use crate::decide::load::TextLength;
-use crate::decide::{ReplicaOutcome, Route};
-use crate::edge::replica::{CallError, ReplicaCall, Reply};
+use crate::decide::{AttemptRequest, ReplicaOutcome, Route};
+use crate::edge::replica::{BodyStream, CallError, ReplicaCall, Reply};
 use crate::metrics::AttemptEnd;
 
 /// Timeout for the head of a response. The replica had a free slot, so that it only reads the
@@ -173,14 +174,16 @@
         let mut seen_version = None;
         let mut measure_start: Option<(Moment, u64)> = None;
         loop {
-            let piece = match tokio::time::timeout(EVENT_TIMEOUT, body.next()).await {
-                Err(_) => return Ok(ReadEnd::Silent),
-                Ok(Some(Err(_))) => return Ok(ReadEnd::Interrupted),
-                Ok(None) if reader.unfinished() || self.last_event() == 0 => {
+            let Some(piece) = self.next_piece(slot, &mut body).await else {
+                return Ok(ReadEnd::Silent);
+            };
+            let piece = match piece {
+                Some(Err(_)) => return Ok(ReadEnd::Interrupted),
+                None if reader.unfinished() || self.last_event() == 0 => {
                     return Ok(ReadEnd::Interrupted);
                 }
-                Ok(None) => return Ok(ReadEnd::Complete),
-                Ok(Some(Ok(bytes))) => bytes,
+                None => return Ok(ReadEnd::Complete),
+                Some(Ok(bytes)) => bytes,
             };
             let version = self.add_events(&reader.push(&piece)?)?;
             if version.is_some() || self.last_event() > 0 {
@@ -205,6 +208,49 @@
         }
     }
 
+    /// Waits for the next piece of a response, or its end. None if none came in time; a replica that
+    /// only pauses is waited for while no other one has room for the text.
+    async fn next_piece(
+        self,
+        slot: &SlotGuard<'_>,
+        body: &mut BodyStream,
+    ) -> Option<Option<Result<Bytes, String>>> {
+        let silent_since = self.app.now();
+        loop {
+            if let Ok(piece) = tokio::time::timeout(EVENT_TIMEOUT, body.next()).await {
+                return Some(piece);
+            }
+            let pauses = self.pauses(slot);
+            let age_ms = self.app.now().saturating_sub(silent_since).as_millis() as u64;
+            tracing::info!(event = "text_silent", item = %self.item.id, replica = %slot.target.id, age_ms, pauses);
+            if !pauses {
+                return None;
+            }
+        }
+    }
+
+    /// Whether a replica that has sent nothing of the text for a while sends other responses, and no
+    /// other replica has a free slot for the text.
+    fn pauses(self, slot: &SlotGuard<'_>) -> bool {
+        let now = self.app.now();
+        let mut fleet = self.app.slots.fleet.lock();
+        let current = &slot.target.id;
+        let Some(service) = fleet.get(current).map(|listed| listed.service.clone()) else {
+            return false;
+        };
+        let wish = AttemptRequest {
+            service: &service,
+            weights: self.spec.model.as_deref().map(|model| (model, self.spec.min_version)),
+            avoid: std::slice::from_ref(current),
+            length: TextLength { hint: self.item.length_hint, events: self.last_event() },
+            allow_full: false,
+            apart: false,
+        };
+        let has_room_elsewhere =
+            fleet.choose(&wish, now).is_some_and(|target| target.id != *current);
+        fleet.record_silence(current, false, now) && !has_room_elsewhere
+    }
+
     /// Adds events to the text and returns the weight version that generated the last one. An
     /// event of a version that the sample does not allow is an error.
     fn add_events(self, events: &[Event]) -> Result<Option<u64>, StreamError> {
--- a/tests/entry/silent_streams.rs
+++ b/tests/entry/silent_streams.rs
@@ -9,7 +9,7 @@
 use standins::replicas::Behaviour;
 use tokio::time::Instant;
 
-use crate::world::{Node, World, relay_request, route, sleep_ms, wait_until};
+use crate::world::{Node, World, assert_completed, relay_request, route, sleep_ms, wait_until};
 
 const REPLICAS: [&str; 3] = ["e1", "e2", "e3"];
 /// The events of a text.
@@ -153,3 +153,28 @@
         assert_eq!(world.replicas.runs().len(), 2, "{behaviour:?}");
     }
 }
+
+/// Guards against a text that leaves a replica that only pauses, and then waits for a slot elsewhere
+/// while all are taken.
+#[tokio::test(start_paused = true)]
+async fn a_paused_text_keeps_its_slot_while_all_others_are_taken() {
+    let world = World::new();
+    let node = world.node("a").await;
+    set_all(&world, Behaviour::PausesAfter(20));
+    world.replicas.set_event_count("long", 30);
+    let mut items = vec!["long".to_owned()];
+    for n in 0..300 {
+        let id = format!("i{n}");
+        world.replicas.set_event_count(&id, 15);
+        items.push(id);
+    }
+    let items: Vec<&str> = items.iter().map(String::as_str).collect();
+    node.submit("j", &items).await;
+    sleep_ms(4_000).await;
+    set_all(&world, Behaviour::Normal);
+    let results = node.read_all("j", items.len()).await;
+    let long = results.iter().find(|result| &*result.id == "long").unwrap();
+    assert_completed(long, 30);
+    let runs = world.replicas.runs();
+    assert_eq!(runs.iter().filter(|run| &*run.id == "long").count(), 1);
+}
