--- a/review/standins-3/lab.py
+++ b/review/standins-3/lab.py
@@ -407,6 +407,81 @@
                               self.load()], f"answer of {self.name} to {id}".encode())
 
 
+class ModelServer(PlainServer):
+    """A server of a model: it streams `events(item)` events, and resumes after `Last-Event-Id`. It
+    drops a run when its connection closes."""
+
+    def __init__(self, *args, model="daka", first_s=0.25, event_s=0.05, length=None, **more):
+        super().__init__(*args, **more)
+        self.model, self.version, self.sequence = model, 1, 0
+        self.first_s, self.event_s = first_s, event_s
+        self.length = length or (lambda id: 20)
+        self.at = {}  # request id: number of its runs here that go on
+        self.finished = {}  # request id: when it was complete
+        self.failed = {}  # request id: answers of 500 or 422
+        self.busy_at = []  # (time, running)
+
+    async def beat(self, state):
+        await self.lab.store.put(f"servers/{self.id}", {
+            "service": self.service, "address": f"{self.host}:{self.port}", "zone": self.zone,
+            "version": "v1", "slot_count": self.slots, "state": state, "cold_left_ms": 0,
+            "stage": "both", "models": [{"name": self.model, "version": self.version,
+                                         "adapters": []}], "sequence": self.sequence})
+
+    async def handle(self, request, reader):
+        if request.path == "/api/report":
+            value = {"stage": "both", "models": [{"name": self.model, "version": self.version,
+                                                  "adapters": []}],
+                     "busy": False, "sequence": self.sequence, "num_waiting": self.waiting,
+                     "num_running": self.running, "kv_used": 0, "kv_total": 90000, "handles": 0}
+            return response(200, [("Content-Type", "application/json")], json.dumps(value).encode())
+        if request.path == "/api/order":
+            return response(200)
+        return await super().handle(request, reader)
+
+    async def connection(self, reader, writer):
+        while (request := await read_request(reader)) is not None:
+            request.reader, request.writer = reader, writer
+            answer = await self.handle(request, reader)
+            if answer is None:
+                return
+            if answer:
+                writer.write(answer)
+                await writer.drain()
+
+    async def run(self, request, id):
+        """Streams the events. The result is empty if that is done, and none if the connection has
+        to end."""
+        reader, writer = request.reader, request.writer
+        self.at[id] = self.at.get(id, 0) + 1
+        left = asyncio.ensure_future(reader.read(1))
+        try:
+            total, last = self.length(id), int(request.header("last-event-id") or 0)
+            if (await asyncio.wait([left], timeout=self.first_s))[0]:
+                return None
+            head = ["HTTP/1.1 200 OK", f"Request-Id: {id}", f"Server-Stamp: stamp.{self.name}.{id}",
+                    f"Weight-Versions: {self.version}", "Content-Type: text/event-stream",
+                    "Transfer-Encoding: chunked", ": ".join(self.load())]
+            writer.write(("\r\n".join(head) + "\r\n\r\n").encode())
+            for number in range(last + 1, total + 1):
+                event = f"id: {number}\ndata: {id} {number}\n\n".encode()
+                writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+                await writer.drain()
+                if (await asyncio.wait([left], timeout=self.event_s))[0]:
+                    return None
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+            self.finished[id] = self.lab.record.now()
+            self.lab.record.note(f"server {self.name}: {id} is complete")
+            left.cancel()
+            await asyncio.gather(left, return_exceptions=True)
+            return b""
+        finally:
+            left.cancel()
+            self.at[id] -= 1
+            self.lab.record.note(f"server {self.name}: {id} has ended here")
+
+
 # --- The deployment -------------------------------------------------------------------------------
 
 
