Tests of clients that break the limits on what they may send

The tests start mulberry-platform and mulberryd as processes on loopback addresses, play a crowd at each listener, and check that the process lives, that its memory and descriptors stay within the limits of its settings, and that an ordinary request is answered.

--- a/standins/src/daemon.rs
+++ b/standins/src/daemon.rs
@@ -12,6 +12,7 @@
 use rustix::process::{Pid, Signal, WaitId, WaitIdOptions, kill_process, waitid};
 
 use crate::fleet::Fleet;
+use crate::misbehaving::ProcessUsage;
 
 /// Timeout of a request for the daemon's state.
 const STATE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -42,7 +43,7 @@
         platform: SocketAddr,
         folder: &Path,
     ) -> std::io::Result<Self> {
-        Self::spawn_with_seeds(exe, name, fleet, platform, folder, &[])
+        Self::start(exe, name, fleet, platform, folder, "")
     }
 
     /// Like [`Self::spawn`], with the addresses of peers to use when the platform is unreachable.
@@ -55,7 +56,29 @@
         seeds: &[SocketAddr],
     ) -> std::io::Result<Self> {
         let seeds: Vec<String> = seeds.iter().map(SocketAddr::to_string).collect();
-        let seeds = seeds.join(", ");
+        let section = format!("[peers]\nseeds = {}\n", seeds.join(", "));
+        Self::start(exe, name, fleet, platform, folder, &section)
+    }
+
+    /// Like [`Self::spawn`], with further sections of the settings.
+    pub fn spawn_with_sections(
+        exe: &str,
+        name: &str,
+        fleet: &Fleet,
+        folder: &Path,
+        sections: &str,
+    ) -> std::io::Result<Self> {
+        Self::start(exe, name, fleet, fleet.platform.address(), folder, sections)
+    }
+
+    fn start(
+        exe: &str,
+        name: &str,
+        fleet: &Fleet,
+        platform: SocketAddr,
+        folder: &Path,
+        sections: &str,
+    ) -> std::io::Result<Self> {
         let keys = fleet.signers.keys().iter();
         let keys: String = keys
             .map(|(n, k)| format!("{n} = {}\n", hex::encode(k.verifying_key().to_bytes())))
@@ -63,8 +86,8 @@
         let text = format!(
             "[node]\nname = {name}\nregion = trondheim\nzone = heimdal\n\
              callers = 127.0.0.1:0\npeers = 127.0.0.1:0\nadmin = 127.0.0.1:0\n\
-             [platform]\naddress = {platform}\n[peers]\nseeds = {seeds}\n[drain]\nttl = 200ms\nmargin = 100ms\n\
-             [operators]\n{keys}"
+             [platform]\naddress = {platform}\n[drain]\nttl = 200ms\nmargin = 100ms\n\
+             {sections}[operators]\n{keys}"
         );
         let path = folder.join(format!("{name}.ini"));
         std::fs::write(&path, text)?;
@@ -84,6 +107,11 @@
         Ok(Self { child, name: name.to_owned(), peer_address, client_address, admin_address })
     }
 
+    /// What the process uses. Fails if it has ended.
+    pub fn usage(&self) -> std::io::Result<ProcessUsage> {
+        ProcessUsage::of(self.child.id())
+    }
+
     /// The nodes that it knows, including itself; empty if it does not respond.
     pub async fn nodes(&self) -> Vec<NodeInfo> {
         JsonClient::default()
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod experiment;
 pub mod fleet;
 pub mod kv;
+pub mod misbehaving;
 pub mod plain;
 pub mod platform;
 pub mod proxy;
