--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -12,3 +12,6 @@
 pub mod upstream;
 
 mod acceptor;
+mod memory_budget;
+
+pub use memory_budget::{MemoryBudget, MemoryCharge};
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -21,7 +21,6 @@
 mod late_runs;
 mod leader;
 mod membership;
-mod memory_budget;
 mod owned_jobs;
 mod peer;
 mod ports;
@@ -50,7 +49,6 @@
 pub use app::App;
 pub use entry_node::EntryNode;
 pub use follow::{Feed, FeedReply, FeedUpdate, PackedRange, StoreContact};
-pub use memory_budget::{MemoryBudget, MemoryCharge};
 pub use peer::{
     FeedTopic, HttpPeers, PeerReply, PeerRequest, PeerResponder, PeerServer, Peers, StoreReply,
     StoreRequest,
--- a/src/entry/owned_jobs.rs
+++ b/src/entry/owned_jobs.rs
@@ -10,10 +10,10 @@
 use super::app::ByName;
 use super::keys::JobRecord;
 use super::membership::Stored;
-use super::memory_budget::MemoryCharge;
 use crate::Name;
 use crate::decide::failures::JobFailures;
 use crate::decide::job::{Job, JobOrder, JobSpec, SampleText, SavedProgress, TextDelta};
+use crate::edge::MemoryCharge;
 
 /// One save of unfinished texts takes one part in this many of the largest value.
 pub(super) const SAVED_TEXT_DIVISOR: usize = 2;
--- a/src/entry/response_body.rs
+++ b/src/entry/response_body.rs
@@ -11,7 +11,7 @@
 use http::HeaderMap;
 use http::header::CONTENT_LENGTH;
 
-use super::memory_budget::MemoryBudget;
+use crate::edge::MemoryBudget;
 use crate::edge::replica::BodyStream;
 
 /// The bytes of a response that are read whatever the node holds: most responses have no more.
--- a/src/entry/runner.rs
+++ b/src/entry/runner.rs
@@ -11,7 +11,6 @@
 use super::app::{App, ByName};
 use super::keys::{JobRecord, job_record_key};
 use super::membership::Stored;
-use super::memory_budget::MemoryCharge;
 use super::owned_jobs::{OwnedJob, OwnershipEvidence};
 use super::results::{drop_lost_job, flush, update_record, write_results};
 use super::sample;
@@ -21,6 +20,7 @@
 use crate::decide::failures::JobFailures;
 use crate::decide::job::{ItemResult, ItemSpec, Job, JobSpec, SampleText, SavedProgress};
 use crate::decide::load::{OpenStep, StepOrder};
+use crate::edge::MemoryCharge;
 use crate::edge::store::{Change, KeyValue, StoreError};
 use crate::metrics::JobEvent;
 
--- a/src/entry/submit.rs
+++ b/src/entry/submit.rs
@@ -9,13 +9,13 @@
 use super::app::App;
 use super::keys::{JobRecord, job_record_key, spec_part_key};
 use super::membership::Stored;
-use super::memory_budget::MemoryCharge;
 use super::peer::ForwardOutcome;
 use super::runner::RestoredJob;
 use super::takeover;
 use crate::Name;
 use crate::decide::job::JobSpec;
 use crate::decide::load::MemoryUse;
+use crate::edge::MemoryCharge;
 use crate::edge::store::{StoreError, Txn, TxnOutcome};
 use crate::metrics::JobEvent;
 
--- a/tests/memory_budget.rs
+++ b/tests/memory_budget.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use mulberrycourse::decide::load::{MemoryUse, NodeCapacity};
-use mulberrycourse::entry::MemoryBudget;
+use mulberrycourse::edge::MemoryBudget;
 use proptest::prelude::*;
 
 const WAIT: Duration = Duration::from_millis(100);
