Bound what an HTTP connection holds before it has a request

Callers saw processes end: a few hundred clients that sent long heads, heads or paths without end, or empty lines without end took them over the memory of their machine. While such clients only held their connections, ordinary callers got 503 for up to a minute.

Cause: nothing but the HTTP library's default bounded the buffer of a connection (408 KB), no listener counted it, and the limits of the configuration on heads and their time were not read. The number of connections followed from the descriptors alone. The listeners also spoke HTTP/2, where one connection holds a hundred requests. At the bound of connections, new ones were refused and the silent ones kept.

Why it works: a head has a largest size, from the configuration, and a time that counts from its first byte; both hold for each listener. The number of connections is bounded so that their buffers fit into a part of the memory, and heads larger than the first buffer reserve memory. Callers and operators speak HTTP/1.1 only. At the bound, the connection that has waited longest for a request is closed: first those that never had one.

--- a/src/decide/load/memory_use.rs
+++ b/src/decide/load/memory_use.rs
@@ -17,6 +17,10 @@
 /// The least that may be held for each purpose, in bytes: a job of a customer with all its texts
 /// takes about 2 MB.
 const MIN_LIMIT: usize = 4 << 20;
+/// The part of the rest for open connections, in percent.
+const CONNECTION_PERCENT: usize = 20;
+/// The least memory for open connections, in bytes: that of some hundreds.
+const MIN_CONNECTION_LIMIT: usize = 8 << 20;
 /// What a text of a job is expected to take at most times, in bytes: twice the usual 18 events of 62
 /// tokens at four bytes. The longest take four times as much.
 const EXPECTED_TEXT_BYTES: usize = 8 << 10;
@@ -49,6 +53,14 @@
         Self::call_limit(capacity)
     }
 
+    /// Returns the most that a machine may use for open connections and the heads of requests, in
+    /// bytes. None if its memory is unknown.
+    pub fn connection_limit(capacity: &NodeCapacity) -> Option<usize> {
+        let memory = capacity.memory_mb? as usize;
+        let rest = memory.saturating_sub(MEMORY_AT_REST_MB + ENDED_JOBS_MB) << 20;
+        Some((rest / 100 * CONNECTION_PERCENT).max(MIN_CONNECTION_LIMIT))
+    }
+
     /// Returns what a job takes at its owner, in bytes, given the size of its submission.
     pub fn of_job(submission: usize, samples: usize) -> usize {
         submission + samples * EXPECTED_TEXT_BYTES
--- a/src/decide/routes.rs
+++ b/src/decide/routes.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::load::HeadLimits;
 use super::scale::Autoscale;
 use super::{Caller, KeyDigest, Organisations, public_job};
 use crate::Name;
@@ -76,11 +77,13 @@
 pub struct RequestLimits {
     /// Maximum size of a body, in bytes.
     pub max_body: usize,
+    /// The limits on heads.
+    pub head: HeadLimits,
 }
 
 impl Default for RequestLimits {
     fn default() -> Self {
-        Self { max_body: 32 << 20 }
+        Self { max_body: 32 << 20, head: HeadLimits::default() }
     }
 }
 
--- a/src/edge/http/mod.rs
+++ b/src/edge/http/mod.rs
@@ -1,7 +1,9 @@
 //! HTTP with hyper: bodies, clients, connection pools and listeners.
 
+mod activity;
 mod body;
 mod collect;
+mod guarded_stream;
 mod json_client;
 mod pool;
 mod server;
--- a/src/edge/http/server.rs
+++ b/src/edge/http/server.rs
@@ -4,28 +4,38 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use http::{Request, Response};
 use hyper::body::Incoming;
+use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
-use hyper_util::server::conn::auto;
+use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::sync::Semaphore;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::activity::Activity;
+use super::guarded_stream::{BUFFER_FACTOR, GuardedStream};
 use super::{Body, WriteTimeout, problem_response};
+use crate::decide::load::HeadLimits;
 use crate::edge::acceptor::Acceptor;
+use crate::edge::{MemoryBudget, ReclaimList};
 use crate::error::{Kind, Refusal};
 use crate::settings::ConnectionSettings;
 
-/// The most connections over the limit that are sent a refusal at the same time. Others are closed
-/// without a response.
-const MAX_OPEN_REFUSALS: usize = 64;
+/// The most connections over the limit that are sent a refusal at the same time; others are closed
+/// without a response. Also the most that are accepted while others are being closed for them.
+const MAX_SPARE: usize = 64;
+/// The same as one part in this many of the limit, if that is less.
+const SPARE_DIVISOR: usize = 8;
+/// How long a connection that has to make room may take to end.
+const RECLAIM_TIMEOUT: Duration = Duration::from_secs(1);
+/// The smallest buffer that the HTTP library allows.
+const MIN_BUFFER_BYTES: usize = 8 << 10;
 /// How long sending a refusal may take.
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
 /// The time after which a refused client may try again.
@@ -40,7 +50,13 @@
         from: SocketAddr,
     ) -> impl Future<Output = Response<Body>> + Send;
 
-    /// Called for each connection that is refused because of the limit.
+    /// Returns the limits on the heads of a new connection's requests. `None` for those in the
+    /// settings of the listener.
+    fn head_limits(&self) -> Option<HeadLimits> {
+        None
+    }
+
+    /// Called for each connection that is refused or closed because of a limit.
     fn connection_refused(&self, _kind: Kind) {}
 }
 
@@ -55,6 +71,14 @@
     handler: Arc<H>,
     limits: ConnectionSettings,
     cancel: CancellationToken,
+    open: Arc<Semaphore>,
+    /// Permits of connections that were accepted while another one is being closed for them.
+    overflow: Arc<Semaphore>,
+    refusals: Arc<Semaphore>,
+    /// The connections without a request in progress.
+    waiting: ReclaimList,
+    /// For heads of requests that are larger than usual.
+    head_memory: MemoryBudget,
 }
 
 impl Listener {
@@ -78,17 +102,25 @@
         connections: &TaskTracker,
         cancel: CancellationToken,
     ) {
-        let shared = Arc::new(Shared { handler, limits, cancel });
+        let spare = (limits.max_open / SPARE_DIVISOR).clamp(1, MAX_SPARE);
+        let shared = Arc::new(Shared {
+            handler,
+            limits,
+            cancel,
+            open: Arc::new(Semaphore::new(limits.max_open)),
+            overflow: Arc::new(Semaphore::new(spare)),
+            refusals: Arc::new(Semaphore::new(spare)),
+            waiting: ReclaimList::default(),
+            head_memory: MemoryBudget::new(limits.head_memory),
+        });
         connections.spawn(accept(self.acceptor, shared, connections.clone()));
     }
 }
 
 /// Accepts connections and refuses those over the limit.
 async fn accept<H: Handler>(acceptor: Acceptor, shared: Arc<Shared<H>>, tracker: TaskTracker) {
-    let open = Arc::new(Semaphore::new(shared.limits.max_open));
-    let refusals = Arc::new(Semaphore::new(MAX_OPEN_REFUSALS));
     while let Some((stream, from)) = acceptor.accept(&shared.cancel).await {
-        if let Ok(permit) = open.clone().try_acquire_owned() {
+        if let Some(permit) = shared.admit() {
             let task = serve(stream, from, shared.clone());
             tracker.spawn(async move {
                 task.await;
@@ -98,7 +130,7 @@
         }
         shared.handler.connection_refused(Kind::TooManyConnections);
         tracing::warn!(event = "connection_refused", %from, most = shared.limits.max_open);
-        if let Ok(permit) = refusals.clone().try_acquire_owned() {
+        if let Ok(permit) = shared.refusals.clone().try_acquire_owned() {
             tracker.spawn(async move {
                 let _ = tokio::time::timeout(REFUSAL_TIMEOUT, refuse(stream)).await;
                 drop(permit);
@@ -107,46 +139,80 @@
     }
 }
 
+impl<H: Handler> Shared<H> {
+    /// Returns the limits on the heads of a new connection's requests, as far as the memory allows.
+    fn head_limits(&self) -> HeadLimits {
+        let limits = self.handler.head_limits().unwrap_or_else(|| self.limits.head_limits());
+        let most = self.head_memory.limit().map_or(usize::MAX, |limit| limit / BUFFER_FACTOR);
+        HeadLimits { max_bytes: limits.max_bytes.min(most).max(MIN_BUFFER_BYTES), ..limits }
+    }
+
+    /// Returns the permit for one more connection. At the limit, the connection that has been
+    /// without a request for longest is closed for it. `None` if all are in use.
+    fn admit(&self) -> Option<OwnedSemaphorePermit> {
+        if let Ok(permit) = self.open.clone().try_acquire_owned() {
+            return Some(permit);
+        }
+        let permit = self.overflow.clone().try_acquire_owned().ok()?;
+        self.waiting.reclaim().then_some(permit)
+    }
+}
+
 /// Serves one connection until it ends.
 async fn serve<H: Handler>(stream: TcpStream, from: SocketAddr, shared: Arc<Shared<H>>) {
-    let got_request = Arc::new(AtomicBool::new(false));
-    let (handler, received) = (shared.handler.clone(), got_request.clone());
+    let activity = Activity::new(shared.waiting.clone());
+    let limits = shared.head_limits();
+    let (handler, requests) = (shared.handler.clone(), activity.clone());
     let service = service_fn(move |request| {
-        received.store(true, Ordering::Relaxed);
-        let handler = handler.clone();
-        async move { Ok::<_, Infallible>(handler.handle(request, from).await) }
+        let (handler, open) = (handler.clone(), requests.begin());
+        async move {
+            let response = handler.handle(request, from).await;
+            Ok::<_, Infallible>(response.map(|body| open.track(body)))
+        }
     });
-    let mut builder = auto::Builder::new(TokioExecutor::new());
-    builder.http1().timer(TokioTimer::new()).header_read_timeout(shared.limits.head_timeout);
     let stream = WriteTimeout::new(stream, shared.limits.write_timeout);
+    let memory = shared.head_memory.clone();
+    let stream = GuardedStream::new(stream, activity.clone(), limits, memory);
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(limits.max_bytes).header_read_timeout(None);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    // hyper's own limit for the head begins once the protocol version is known. This one covers
-    // a client that does not send even that.
-    let head_timeout = tokio::time::sleep(shared.limits.head_timeout);
-    tokio::pin!(head_timeout);
-    let mut head_checked = false;
-    let ended = loop {
-        tokio::select! {
-            ended = connection.as_mut() => break ended,
-            () = shared.cancel.cancelled() => {
-                connection.as_mut().graceful_shutdown();
-                break connection.await;
-            }
-            () = head_timeout.as_mut(), if !head_checked => {
-                head_checked = true;
-                if !got_request.load(Ordering::Relaxed) {
-                    tracing::info!(event = "request_head_timeout", %from);
-                    return;
-                }
-            }
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = shared.cancel.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+        () = activity.reclaimed().cancelled() => {
+            tracing::info!(event = "connection_reclaimed", %from);
+            connection.as_mut().graceful_shutdown();
+            finish(connection, &activity).await
         }
     };
-    if let Err(e) = ended {
+    let Err(e) = ended else { return };
+    if e.is_parse_too_large() {
+        shared.handler.connection_refused(Kind::HeadTooLarge);
+        tracing::info!(event = "head_refused", %from, limit = limits.max_bytes);
+    } else {
         tracing::debug!(event = "connection_ended", %from, error = %e);
     }
 }
 
+/// Waits until a connection has ended that takes no more requests. One that only waits is given up
+/// after a time.
+async fn finish<C>(mut connection: Pin<&mut C>, activity: &Activity) -> hyper::Result<()>
+where
+    C: Future<Output = hyper::Result<()>>,
+{
+    loop {
+        match tokio::time::timeout(RECLAIM_TIMEOUT, connection.as_mut()).await {
+            Ok(ended) => return ended,
+            Err(_) if activity.awaited().is_some() => return Ok(()),
+            Err(_) => {}
+        }
+    }
+}
+
 /// Answers the first request of a connection with a refusal and closes the connection.
 async fn refuse(stream: TcpStream) {
     let service = service_fn(|_: Request<Incoming>| async {
@@ -154,7 +220,7 @@
             .with_retry_after(REFUSAL_RETRY_AFTER);
         Ok::<_, Infallible>(problem_response(&refusal))
     });
-    let mut builder = auto::Builder::new(TokioExecutor::new());
-    builder.http1().keep_alive(false);
+    let mut builder = http1::Builder::new();
+    builder.keep_alive(false).max_buf_size(MIN_BUFFER_BYTES).header_read_timeout(None);
     let _ = builder.serve_connection(TokioIo::new(stream), service).await;
 }
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -13,5 +13,7 @@
 
 mod acceptor;
 mod memory_budget;
+mod reclaim;
 
 pub use memory_budget::{MemoryBudget, MemoryCharge};
+pub use reclaim::{ReclaimEntry, ReclaimList, ReclaimRank};
--- /dev/null
+++ b/src/edge/reclaim.rs
@@ -0,0 +1,84 @@
+//! What may be ended to make room for others when a limit is reached.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+/// Who is ended first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReclaimRank {
+    /// Before all others.
+    First,
+    /// Only if no entry of the first rank may be ended.
+    Last,
+}
+
+/// Entries that may be ended to make room, the one that has waited longest first. Clones share it.
+///
+/// Load pattern: clients that hold connections or memory and never finish a request. Refusing
+/// everybody else until their time limits run out would let a few of them keep all others out.
+#[derive(Debug, Clone, Default)]
+pub struct ReclaimList {
+    entries: Arc<Mutex<Entries>>,
+}
+
+#[derive(Debug, Default)]
+struct Entries {
+    next_id: u64,
+    first: BTreeMap<Key, CancellationToken>,
+    last: BTreeMap<Key, CancellationToken>,
+}
+
+/// From when on the entry may be ended, and a unique id.
+type Key = (Instant, u64);
+
+/// An entry of a list. It is removed when this is dropped.
+#[derive(Debug)]
+pub struct ReclaimEntry {
+    list: ReclaimList,
+    rank: ReclaimRank,
+    key: Key,
+}
+
+impl ReclaimList {
+    /// Adds an entry that may be ended from `from` on. `end` is cancelled to end it.
+    pub fn add(&self, rank: ReclaimRank, from: Instant, end: CancellationToken) -> ReclaimEntry {
+        let mut entries = self.entries.lock();
+        entries.next_id += 1;
+        let key = (from, entries.next_id);
+        entries.ranked(rank).insert(key, end);
+        ReclaimEntry { list: self.clone(), rank, key }
+    }
+
+    /// Ends the entry that has waited longest. False if none may be ended yet.
+    pub fn reclaim(&self) -> bool {
+        let now = Instant::now();
+        let mut entries = self.entries.lock();
+        for rank in [ReclaimRank::First, ReclaimRank::Last] {
+            let oldest = entries.ranked(rank).first_entry();
+            if let Some(oldest) = oldest.filter(|entry| entry.key().0 <= now) {
+                oldest.remove().cancel();
+                return true;
+            }
+        }
+        false
+    }
+}
+
+impl Entries {
+    fn ranked(&mut self, rank: ReclaimRank) -> &mut BTreeMap<Key, CancellationToken> {
+        match rank {
+            ReclaimRank::First => &mut self.first,
+            ReclaimRank::Last => &mut self.last,
+        }
+    }
+}
+
+impl Drop for ReclaimEntry {
+    fn drop(&mut self) {
+        self.list.entries.lock().ranked(self.rank).remove(&self.key);
+    }
+}
--- a/src/edge/schema/schema.rs
+++ b/src/edge/schema/schema.rs
@@ -10,7 +10,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum Directive {
     /// The latest configuration.
-    Routes(Routes),
+    Routes(Box<Routes>),
     /// The latest version of a model's weights.
     Version {
         /// The model.
--- a/src/entry/follow/apply.rs
+++ b/src/entry/follow/apply.rs
@@ -133,7 +133,7 @@
                 if current.as_ref().is_none_or(|c| c.version < routes.version) {
                     let version = routes.version;
                     tracing::info!(event = "routes_adopted", version);
-                    *current = Some(Arc::new(routes));
+                    *current = Some(routes.into());
                     self.route_versions.record_known(version);
                 }
             }
--- a/src/error/kind.rs
+++ b/src/error/kind.rs
@@ -67,6 +67,8 @@
     Internal,
     /// The node holds as much memory for its callers as its machine allows.
     MemoryFull,
+    /// The head of the request is larger than the node accepts.
+    HeadTooLarge,
 }
 
 impl Kind {
@@ -101,6 +103,7 @@
         Self::TooManyConnections,
         Self::Internal,
         Self::MemoryFull,
+        Self::HeadTooLarge,
     ];
 
     /// The kind's name in responses, logs and metrics.
@@ -135,6 +138,7 @@
             Self::TooManyConnections => "too_many_connections",
             Self::Internal => "internal",
             Self::MemoryFull => "memory_full",
+            Self::HeadTooLarge => "head_too_large",
         }
     }
 }
--- a/src/error/response.rs
+++ b/src/error/response.rs
@@ -135,6 +135,12 @@
                 true,
                 "the node has no memory left for the request",
             ),
+            Self::HeadTooLarge => row(
+                S::REQUEST_HEADER_FIELDS_TOO_LARGE,
+                NotRun,
+                false,
+                "the head of the request is too large",
+            ),
             Self::Internal => row(S::INTERNAL_SERVER_ERROR, Unknown, false, "the node failed"),
         }
     }
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -8,6 +8,7 @@
 use super::{Document, Section, SettingsError};
 use crate::Name;
 use crate::bundle::Operators;
+use crate::decide::load::HeadLimits;
 
 /// Default timeout of a call to the platform.
 const DEFAULT_PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
@@ -24,6 +25,11 @@
 const DEFAULT_MAX_CONNECTIONS: usize = 2_048;
 /// Default time in which a client must send the head of a request.
 const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Default size limit of the head of a request, in bytes: twice what the HTTP servers in common use
+/// accept.
+const DEFAULT_MAX_HEAD: usize = 32 << 10;
+/// Smallest allowed size limit of a head: the first buffer of the HTTP library.
+const MIN_MAX_HEAD: usize = 8 << 10;
 /// Longest allowed timeout; a longer one of a platform call would delay a drain.
 const MAX_TIMEOUT: Duration = Duration::from_secs(60);
 /// Smallest number of operators, because two must sign a bundle.
@@ -99,6 +105,14 @@
     pub max_open: usize,
     /// `head`: how long a client may take to send the head of a request.
     pub head_timeout: Duration,
+    /// How long a connection may be without a request; as long as for a head if none. Not a key of
+    /// the settings.
+    pub idle_timeout: Option<Duration>,
+    /// `header`: the largest head of a request, in bytes.
+    pub max_head: usize,
+    /// The memory for the parts of heads beyond what each connection takes, in bytes; none for no
+    /// limit. Not a key of the settings.
+    pub head_memory: Option<usize>,
     /// How long a client may read nothing while a response waits for it; none for any time. Not a
     /// key of the settings.
     pub write_timeout: Option<Duration>,
@@ -129,11 +143,25 @@
     }
 }
 
+impl ConnectionSettings {
+    /// The limits on the heads of requests.
+    pub fn head_limits(&self) -> HeadLimits {
+        HeadLimits {
+            max_bytes: self.max_head,
+            timeout: self.head_timeout,
+            idle_timeout: self.idle_timeout.unwrap_or(self.head_timeout),
+        }
+    }
+}
+
 impl Default for ConnectionSettings {
     fn default() -> Self {
         Self {
             max_open: DEFAULT_MAX_CONNECTIONS,
             head_timeout: DEFAULT_HEAD_TIMEOUT,
+            idle_timeout: None,
+            max_head: DEFAULT_MAX_HEAD,
+            head_memory: None,
             write_timeout: None,
         }
     }
@@ -196,7 +224,8 @@
     let settings = ConnectionSettings {
         max_open: section.in_range("most", 1..=100_000, DEFAULT_MAX_CONNECTIONS)?,
         head_timeout: head,
-        write_timeout: None,
+        max_head: section.in_range("header", MIN_MAX_HEAD..=1 << 20, DEFAULT_MAX_HEAD)?,
+        ..ConnectionSettings::default()
     };
     check_timeout(&section, "head", head)?;
     section.finish()?;
--- a/tests/entry/world.rs
+++ b/tests/entry/world.rs
@@ -112,7 +112,7 @@
 
     /// Writes a configuration with these routes, followed by further routes as text.
     pub(crate) fn write_routes(&self, routes: Routes, extra_routes: &str) {
-        let directive = Directive::Routes(routes);
+        let directive = Directive::Routes(Box::new(routes));
         self.schema.write_padded_directive(&self.kv, "config", directive, extra_routes);
     }
 
@@ -130,7 +130,7 @@
         ];
         routes.extend(further.iter().map(|(prefix, priority)| batch(prefix, *priority)));
         let routes = Routes::new(version, RequestLimits::default(), routes);
-        self.schema.write_directive(&self.kv, "config", Directive::Routes(routes));
+        self.schema.write_directive(&self.kv, "config", Directive::Routes(Box::new(routes)));
     }
 
     /// Names a weight version, as a trainer does.
