Bound the connections and messages of other nodes

Callers saw processes end or run out of descriptors by what reached the listener for other nodes: messages without end, long heads of messages, and connections without requests.

Cause: that listener accepted any number of connections, streams and bytes in total. Only one message was limited, to 8 MiB, and a head by the HTTP/2 library's default of 16 MiB. Nothing had a time limit after the handshake.

Why it works: the number of connections follows from the descriptors, and at the bound one without an open request makes room, so that a silent crowd keeps no node out. Heads, streams and the bytes of messages being received have limits over all connections. Small messages need no reservation and pass while others fill the memory. Streams over the limit are refused with HTTP/2's own promise that they were not processed.

--- a/src/decide/load/connection_bounds.rs
+++ b/src/decide/load/connection_bounds.rs
@@ -29,8 +29,9 @@
 /// The memory of a client's connection with the first buffer of the HTTP library and its task, in
 /// bytes.
 const CONNECTION_BYTES: usize = 16 << 10;
-/// The memory of another node's connection, in bytes.
-const PEER_CONNECTION_BYTES: usize = 32 << 10;
+/// The connections of other nodes that are accepted whatever the memory: each node of the planned fleet
+/// opens one.
+const MIN_PEERS: usize = 400;
 /// The part of a listener's memory for the heads that are larger than that, as a divisor.
 const HEAD_DIVISOR: usize = 4;
 
@@ -82,7 +83,7 @@
                 .min(by_memory(ADDRESS_MEMORY_PERCENT, CONNECTION_BYTES)),
             status: status.min(by_memory(STATUS_MEMORY_PERCENT, CONNECTION_BYTES)),
             peers: descriptors(PEER_PERCENT)
-                .min(by_memory(PEER_MEMORY_PERCENT, PEER_CONNECTION_BYTES)),
+                .min(by_memory(PEER_MEMORY_PERCENT, CONNECTION_BYTES).max(MIN_PEERS)),
             client_heads: heads(CLIENT_MEMORY_PERCENT),
             address_heads: heads(ADDRESS_MEMORY_PERCENT),
             status_heads: heads(STATUS_MEMORY_PERCENT),
--- a/src/decide/load/memory_use.rs
+++ b/src/decide/load/memory_use.rs
@@ -61,6 +61,12 @@
         Some((rest / 100 * CONNECTION_PERCENT).max(MIN_CONNECTION_LIMIT))
     }
 
+    /// Returns the most that a machine may hold for messages of other nodes that are being received, in
+    /// bytes. None if its memory is unknown. `largest` is the size of the largest message.
+    pub fn message_limit(capacity: &NodeCapacity, largest: usize) -> Option<usize> {
+        Some(Self::job_limit(capacity)?.max(largest))
+    }
+
     /// Returns what a job takes at its owner, in bytes, given the size of its submission.
     pub fn of_job(submission: usize, samples: usize) -> usize {
         submission + samples * EXPECTED_TEXT_BYTES
--- a/src/edge/peer/codec.rs
+++ b/src/edge/peer/codec.rs
@@ -11,7 +11,7 @@
 pub const PROTOCOL_VERSION: &str = "11";
 
 /// The largest message. It bounds the memory that invalid input can make a node allocate.
-pub(super) const MAX_MESSAGE_BYTES: usize = 8 << 20;
+pub const MAX_MESSAGE_BYTES: usize = 8 << 20;
 /// The largest value that a message carries packed for itself, before compression: the list of
 /// twice the replicas that are planned for.
 const MAX_PACKED_BYTES: usize = 32 << 20;
--- a/src/edge/peer/server.rs
+++ b/src/edge/peer/server.rs
@@ -10,16 +10,32 @@
 use h2::{Reason, RecvStream};
 use http::{Response, StatusCode};
 use tokio::net::TcpStream;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use super::PeerMessage;
 use super::codec::{MAX_MESSAGE_BYTES, PROTOCOL_VERSION, pack, unpack};
+use super::message_reader::MessageReader;
+use super::open_requests::OpenRequests;
+use super::{PeerLimits, PeerMessage};
+use crate::edge::ReclaimList;
 use crate::edge::acceptor::Acceptor;
 use crate::metrics::Traffic;
 
 /// How long the HTTP/2 handshake may take. A peer sends its preface right after connecting.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
+/// The largest head of a message, in bytes. It has little more than the protocol version.
+const MAX_HEADER_BYTES: u32 = 4 << 10;
+/// The largest frame, in bytes: the least that HTTP/2 allows.
+const MAX_FRAME_BYTES: u32 = 16 << 10;
+/// The most open streams of one connection. A node waits before it opens more.
+const MAX_CONNECTION_STREAMS: u32 = 1_024;
+/// The most open streams of all connections. Each node of the planned fleet may wait for changes of
+/// every kind at one node. Further ones are refused.
+const MAX_STREAMS: usize = 4_096;
+/// At the limit, one part in this many more connections are accepted while others are being closed for
+/// them.
+const SPARE_DIVISOR: usize = 8;
 /// The header with the protocol version.
 pub(super) const VERSION_HEADER: &str = "mulberry-peer-version";
 
@@ -38,6 +54,21 @@
     fn traffic(&self, request: &Self::Request) -> Traffic;
 }
 
+/// What all connections of a listener share.
+struct Shared<H> {
+    handler: Arc<H>,
+    tracker: TaskTracker,
+    cancel: CancellationToken,
+    open: Arc<Semaphore>,
+    /// Permits of connections that were accepted while another one is being closed for them.
+    overflow: Arc<Semaphore>,
+    /// The open streams of all connections.
+    streams: Arc<Semaphore>,
+    /// The connections without an open stream.
+    waiting: ReclaimList,
+    messages: MessageReader,
+}
+
 /// A listener that is bound but does not accept connections yet.
 #[derive(Debug)]
 pub struct PeerListener {
@@ -60,33 +91,56 @@
     pub fn spawn<H: PeerHandler>(
         self,
         handler: Arc<H>,
+        limits: PeerLimits,
         connections: &TaskTracker,
         cancel: CancellationToken,
     ) {
-        let tracker = connections.clone();
+        let shared = Arc::new(Shared {
+            handler,
+            tracker: connections.clone(),
+            cancel,
+            open: Arc::new(Semaphore::new(limits.max_open)),
+            overflow: Arc::new(Semaphore::new((limits.max_open / SPARE_DIVISOR).max(1))),
+            streams: Arc::new(Semaphore::new(MAX_STREAMS)),
+            waiting: ReclaimList::default(),
+            messages: MessageReader::new(limits.message_memory),
+        });
         connections.spawn(async move {
-            while let Some((stream, from)) = self.acceptor.accept(&cancel).await {
-                tracker.spawn(serve(
-                    stream,
-                    from,
-                    handler.clone(),
-                    tracker.clone(),
-                    cancel.clone(),
-                ));
+            while let Some((stream, from)) = self.acceptor.accept(&shared.cancel).await {
+                let Some(permit) = shared.admit() else {
+                    tracing::warn!(event = "peer_refused", %from, most = limits.max_open);
+                    continue;
+                };
+                let connection = serve(stream, from, shared.clone());
+                shared.tracker.spawn(async move {
+                    connection.await;
+                    drop(permit);
+                });
             }
         });
     }
 }
 
+impl<H> Shared<H> {
+    /// Returns the permit for one more connection. At the limit, the connection that has been
+    /// without a request for longest is closed for it. `None` if all are in use.
+    fn admit(&self) -> Option<OwnedSemaphorePermit> {
+        if let Ok(permit) = self.open.clone().try_acquire_owned() {
+            return Some(permit);
+        }
+        let permit = self.overflow.clone().try_acquire_owned().ok()?;
+        self.waiting.reclaim().then_some(permit)
+    }
+}
+
 /// Serves one connection until it ends.
-async fn serve<H: PeerHandler>(
-    stream: TcpStream,
-    from: SocketAddr,
-    handler: Arc<H>,
-    tracker: TaskTracker,
-    cancel: CancellationToken,
-) {
-    let handshake = tokio::time::timeout(HANDSHAKE_TIMEOUT, h2::server::handshake(stream));
+async fn serve<H: PeerHandler>(stream: TcpStream, from: SocketAddr, shared: Arc<Shared<H>>) {
+    let mut builder = h2::server::Builder::new();
+    builder
+        .max_header_list_size(MAX_HEADER_BYTES)
+        .max_concurrent_streams(MAX_CONNECTION_STREAMS)
+        .max_frame_size(MAX_FRAME_BYTES);
+    let handshake = tokio::time::timeout(HANDSHAKE_TIMEOUT, builder.handshake(stream));
     let mut connection = match handshake.await {
         Ok(Ok(connection)) => connection,
         Ok(Err(e)) => {
@@ -98,19 +152,34 @@
             return;
         }
     };
+    let requests = OpenRequests::new(shared.waiting.clone());
     let mut closing = false;
     loop {
         let accepted = tokio::select! {
             accepted = connection.accept() => accepted,
-            () = cancel.cancelled(), if !closing => {
+            () = shared.cancel.cancelled(), if !closing => {
+                closing = true;
+                connection.graceful_shutdown();
+                continue;
+            }
+            () = requests.reclaimed().cancelled(), if !closing => {
+                tracing::info!(event = "peer_connection_reclaimed", %from);
                 closing = true;
                 connection.graceful_shutdown();
                 continue;
             }
         };
         match accepted {
-            Some(Ok((request, respond))) => {
-                tracker.spawn(serve_stream(request, respond, handler.clone()));
+            Some(Ok((request, mut respond))) => {
+                let Ok(permit) = shared.streams.clone().try_acquire_owned() else {
+                    respond.send_reset(Reason::REFUSED_STREAM);
+                    continue;
+                };
+                let (shared, open) = (shared.clone(), requests.begin());
+                shared.tracker.clone().spawn(async move {
+                    serve_stream(request, respond, &shared).await;
+                    drop((permit, open));
+                });
             }
             Some(Err(e)) => {
                 tracing::debug!(event = "peer_connection_ended", %from, error = %e);
@@ -125,7 +194,7 @@
 async fn serve_stream<H: PeerHandler>(
     request: http::Request<RecvStream>,
     mut respond: SendResponse<Bytes>,
-    handler: Arc<H>,
+    shared: &Shared<H>,
 ) {
     let version = request.headers().get(VERSION_HEADER).and_then(|v| v.to_str().ok());
     if version != Some(PROTOCOL_VERSION) {
@@ -137,14 +206,17 @@
         respond_with(&mut respond, StatusCode::UPGRADE_REQUIRED, Vec::new());
         return;
     }
-    let Some(bytes) = read_message(request.into_body()).await else {
+    let handler = shared.handler.clone();
+    let Some(message) = shared.messages.read(request.into_body()).await else {
         respond.send_reset(Reason::ENHANCE_YOUR_CALM);
         return;
     };
-    let (reply, traffic) = match unpack::<H::Request>(&bytes) {
+    let bytes = &message.bytes;
+    let (reply, traffic) = match unpack::<H::Request>(bytes) {
         Ok(request) => {
             let traffic = handler.traffic(&request);
             traffic.count_received(bytes.len());
+            drop(message);
             (handler.handle(request).await, traffic)
         }
         Err(e) => {
@@ -176,15 +248,6 @@
     }
 }
 
-/// Reads a whole message. Returns `None` if it is too large or cut off.
-async fn read_message(mut body: RecvStream) -> Option<BytesMut> {
-    let mut bytes = BytesMut::new();
-    while let Some(read) = read_piece(&mut body, &mut bytes).await {
-        read.ok()?;
-    }
-    Some(bytes)
-}
-
 /// Appends the next piece of a message and returns its size in bytes, or `None` after the last
 /// piece.
 pub(super) async fn read_piece(
--- a/src/entry/peer/server.rs
+++ b/src/entry/peer/server.rs
@@ -7,7 +7,8 @@
 use tokio_util::task::TaskTracker;
 
 use super::messages::{PeerReply, PeerRequest, StoreReply, StoreRequest};
-use crate::edge::peer::{PeerHandler, PeerListener};
+use crate::decide::load::{ConnectionBounds, MemoryUse};
+use crate::edge::peer::{MAX_MESSAGE_BYTES, PeerHandler, PeerLimits, PeerListener};
 use crate::edge::store::StoreError;
 use crate::entry::app::App;
 use crate::entry::submit::SubmitResult;
@@ -36,7 +37,12 @@
         let (connections, cancel) = (TaskTracker::new(), CancellationToken::new());
         let listener = PeerListener::bind(address).await?;
         let address = listener.address();
-        listener.spawn(Arc::new(PeerResponder { app }), &connections, cancel.clone());
+        let capacity = &app.settings.limits;
+        let limits = PeerLimits {
+            max_open: ConnectionBounds::new(capacity).peers,
+            message_memory: MemoryUse::message_limit(capacity, MAX_MESSAGE_BYTES),
+        };
+        listener.spawn(Arc::new(PeerResponder { app }), limits, &connections, cancel.clone());
         Ok(Self { address, connections, cancel })
     }
 
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -82,6 +82,7 @@
         admin.spawn(handler, ConnectionSettings::default(), &other_connections, app.cancel.clone());
         peer.spawn(
             Arc::new(PeerRequestHandler { app: app.clone() }),
+            app.settings.peer_limits(),
             &other_connections,
             app.cancel.clone(),
         );
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -9,6 +9,7 @@
 use crate::Name;
 use crate::bundle::Operators;
 use crate::decide::load::HeadLimits;
+use crate::edge::peer::{MAX_MESSAGE_BYTES, PeerLimits};
 
 /// Default timeout of a call to the platform.
 const DEFAULT_PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
@@ -35,6 +36,11 @@
 /// Smallest number of operators, because two must sign a bundle.
 const MIN_OPERATORS: usize = 2;
 
+/// Default maximum number of connections of other nodes: each node of the planned fleet opens one.
+const DEFAULT_MAX_PEERS: usize = 512;
+/// The memory for messages of other nodes that are being received, in bytes: four of the largest.
+const PEER_MESSAGE_MEMORY: usize = 4 * MAX_MESSAGE_BYTES;
+
 /// The contents of a node's settings file.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -81,10 +87,18 @@
 }
 
 /// How a node finds the others.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct PeerSettings {
     /// Peer addresses of some nodes, used when the platform does not answer.
     pub seeds: Vec<SocketAddr>,
+    /// `most`: maximum number of open connections of other nodes.
+    pub max_open: usize,
+}
+
+impl Default for PeerSettings {
+    fn default() -> Self {
+        Self { seeds: Vec::new(), max_open: DEFAULT_MAX_PEERS }
+    }
 }
 
 /// How a node drains before it stops.
@@ -143,6 +157,14 @@
     }
 }
 
+impl Settings {
+    /// The limits on what other nodes may send.
+    pub fn peer_limits(&self) -> PeerLimits {
+        let message_memory = Some(PEER_MESSAGE_MEMORY);
+        PeerLimits { max_open: self.peers.max_open, message_memory }
+    }
+}
+
 impl ConnectionSettings {
     /// The limits on the heads of requests.
     pub fn head_limits(&self) -> HeadLimits {
@@ -260,7 +282,10 @@
 }
 
 fn peers(section: Section<'_>) -> Result<PeerSettings, SettingsError> {
-    let settings = PeerSettings { seeds: section.list("seeds")? };
+    let settings = PeerSettings {
+        seeds: section.list("seeds")?,
+        max_open: section.in_range("most", 1..=100_000, DEFAULT_MAX_PEERS)?,
+    };
     section.finish()?;
     Ok(settings)
 }
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -155,7 +155,10 @@
                 address: self.platform.address(),
                 timeout: Duration::from_secs(1),
             },
-            peers: PeerSettings { seeds: self.nodes.iter().map(Node::peer_address).collect() },
+            peers: PeerSettings {
+                seeds: self.nodes.iter().map(Node::peer_address).collect(),
+                ..PeerSettings::default()
+            },
             drain: DrainSettings {
                 address_ttl: Duration::from_millis(300),
                 margin: Duration::from_millis(200),
