Bound the bodies that a node reads, and operators' connections

Callers of mulberryd saw it end: a crowd that sent bodies of 1 MB and never ended them took it to 395 MB, one that sent chunks without end to 1.7 GB. On the platform's machines bodies were counted, but clients that sent a byte of an unfinished body now and then kept the memory for good, and every other request got 503 memory_full.

Cause: mulberryd limited each body, not all of them together. Memory was given back only when a client had sent nothing for 30 s. The listener for operators accepted 2,048 connections, whatever [connections] most said.

Why it works: both programs read bodies with one reader, whose budget counts the capacity of the buffers, not their length. If it is used up, the body that has been read for longest, 2 s or more, gets 503, which promises that it did not run. [connections] memory sets the budget of mulberryd. Half of it is for the bodies, because their copies and the allocator took as much.

--- a/src/edge/http/mod.rs
+++ b/src/edge/http/mod.rs
@@ -2,6 +2,7 @@
 
 mod activity;
 mod body;
+mod body_reader;
 mod collect;
 mod guarded_stream;
 mod json_client;
@@ -13,6 +14,7 @@
     Body, BodyAborted, BodyError, BodySender, body_from_stream, empty_body, full_body,
     json_response, problem_response, read_body, streamed_body,
 };
+pub use body_reader::{BodyReader, MEMORY_WAIT, STALL_TIMEOUT, no_memory};
 pub use collect::{CollectError, collect_pieces, collect_while_received};
 pub use json_client::{JsonClient, JsonClientError};
 pub use pool::{ConnectionPool, ResponseBody, SendError};
--- a/src/entry/app.rs
+++ b/src/entry/app.rs
@@ -31,6 +31,7 @@
 use crate::decide::{Demand, Routes, StopPlan};
 use crate::edge::MemoryBudget;
 use crate::edge::duty::Duties;
+use crate::edge::http::BodyReader;
 use crate::edge::replica::Replicas;
 use crate::edge::schema::StoreSchema;
 use crate::edge::store::Store;
@@ -47,6 +48,8 @@
     pub tally: Arc<EntryMetrics>,
     /// The memory that the node holds for the bodies, responses and events of calls.
     pub memory: MemoryBudget,
+    /// Reads the bodies of requests within that memory.
+    pub bodies: BodyReader,
     /// The memory that the node holds for the jobs that it owns.
     pub(super) job_memory: MemoryBudget,
     /// The store, through another node if this node does not reach it. The same as
@@ -172,6 +175,7 @@
             settings,
             service_times: ServiceTimes::default(),
             calls: Calls::new(tally.clone()),
+            bodies: BodyReader::new(memory.clone()),
             memory,
             job_memory,
             tally,
--- a/src/node/app.rs
+++ b/src/node/app.rs
@@ -19,6 +19,8 @@
 use crate::Name;
 use crate::bundle::AdoptedBundle;
 use crate::decide::{EngineVersions, rendezvous_rank};
+use crate::edge::MemoryBudget;
+use crate::edge::http::BodyReader;
 use crate::edge::peer::{NodeInfo, NodeRequest, NodeState, PeerClient};
 use crate::edge::platform::PlatformClient;
 use crate::edge::upstream::{EngineClient, PlainClient};
@@ -36,6 +38,8 @@
     pub(super) peers: PeerClient,
     pub(super) engines: EngineClient,
     pub(super) plain: PlainClient,
+    /// Reads the bodies of requests.
+    pub(super) bodies: BodyReader,
     pub(super) bundles: Bundles,
     pub(super) members: Members,
     pub(super) upstreams: Upstreams,
@@ -63,6 +67,7 @@
             peers: counting_peer_client(metrics.clone()),
             engines: EngineClient::with_traffic(metrics.traffic(ControlPurpose::Order)),
             plain: PlainClient,
+            bodies: BodyReader::new(MemoryBudget::new(Some(settings.connections.body_memory))),
             bundles: Bundles::new(settings.operators.clone()),
             members: Members::new(&settings.node, &identity),
             upstreams: Upstreams::default(),
--- a/src/node/client_api.rs
+++ b/src/node/client_api.rs
@@ -19,11 +19,13 @@
 use crate::Name;
 use crate::bundle::Bundle;
 use crate::decide::{Call, Class};
-use crate::edge::http::{Body, Handler, json_response, problem_response, read_body};
+use crate::edge::http::{Body, Handler, json_response, problem_response};
 use crate::error::{Kind, Refusal};
 
 /// The maximum size of a request body, in bytes.
 const MAX_BODY_BYTES: usize = 16 << 20;
+/// The time after which a client may try again for whose body there was no memory.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// The header with the name of the caller.
 const CALLER_HEADER: &str = "mulberry-caller";
 /// The header with the time that the caller waits, in milliseconds.
@@ -75,25 +77,25 @@
         }
         ["v1", "completions"] => {
             require_method(&head, &Method::POST)?;
-            let completion = read_json(&head, body).await?;
+            let completion = read_json(app, &head, body).await?;
             handle_completion(app, &head, completion).await
         }
         ["v1", "services", service, ..] => {
-            let body = read_body(body, MAX_BODY_BYTES).await?;
+            let body = read_request_body(app, body).await?;
             let rest = path.trim_start_matches("/v1/services/").trim_start_matches(service);
             call_service(app, &head, service, rest, body).await
         }
         ["v1", "trainers", trainer, "steps", step] => {
             require_method(&head, &Method::PUT)?;
             let number = step_number(step)?;
-            let request = read_json(&head, body).await?;
+            let request = read_json(app, &head, body).await?;
             steps::submit_step(app, Name::from(*trainer), number, request)?;
             Ok(json_response(StatusCode::OK, &json!({ "step": number })))
         }
         ["v1", "trainers", trainer, "steps", step, "pull"] => {
             require_method(&head, &Method::POST)?;
             let number = step_number(step)?;
-            let request = read_json(&head, body).await?;
+            let request = read_json(app, &head, body).await?;
             let response = steps::pull_groups(app, Name::from(*trainer), number, request).await?;
             Ok(json_response(StatusCode::OK, &response))
         }
@@ -202,13 +204,25 @@
     text.parse().map_err(bad)
 }
 
-async fn read_json<T: DeserializeOwned>(head: &Parts, body: Incoming) -> Result<T, Refusal> {
+/// Reads the body of a request within the memory for bodies.
+async fn read_request_body(app: &App, body: Incoming) -> Result<bytes::Bytes, Refusal> {
+    app.bodies.read(body, MAX_BODY_BYTES).await.map_err(|refusal| match refusal.kind {
+        Kind::MemoryFull => refusal.with_retry_after(MEMORY_RETRY_AFTER),
+        _ => refusal,
+    })
+}
+
+async fn read_json<T: DeserializeOwned>(
+    app: &App,
+    head: &Parts,
+    body: Incoming,
+) -> Result<T, Refusal> {
     let content_type =
         head.headers.get(CONTENT_TYPE).and_then(|v| v.to_str().ok()).unwrap_or_default();
     if content_type.split(';').next().map(str::trim) != Some("application/json") {
         let detail = format!("expected application/json, not {content_type:?}");
         return Err(Refusal::new(Kind::UnsupportedMedia, detail));
     }
-    let bytes = read_body(body, MAX_BODY_BYTES).await?;
+    let bytes = read_request_body(app, body).await?;
     serde_json::from_slice(&bytes).map_err(|e| Refusal::new(Kind::BadRequest, e.to_string()))
 }
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -19,6 +19,8 @@
 use crate::metrics::ControlTask;
 use crate::settings::{ConnectionSettings, Settings};
 
+/// The most open connections of operators and of those who collect metrics.
+const MAX_ADMIN_CONNECTIONS: usize = 64;
 /// The time between two ticks of the dispatchers.
 const DISPATCHER_TICK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -79,7 +81,9 @@
         // drains.
         let other_connections = TaskTracker::new();
         let handler = Arc::new(AdminHandler { app: app.clone(), connections: connections.clone() });
-        admin.spawn(handler, ConnectionSettings::default(), &other_connections, app.cancel.clone());
+        let limits =
+            ConnectionSettings { max_open: MAX_ADMIN_CONNECTIONS, ..ConnectionSettings::default() };
+        admin.spawn(handler, limits, &other_connections, app.cancel.clone());
         peer.spawn(
             Arc::new(PeerRequestHandler { app: app.clone() }),
             app.settings.peer_limits(),
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -9,6 +9,7 @@
 use crate::Name;
 use crate::bundle::Operators;
 use crate::decide::load::HeadLimits;
+use crate::edge::http::STALL_TIMEOUT;
 use crate::edge::peer::{MAX_MESSAGE_BYTES, PeerLimits};
 
 /// Default timeout of a call to the platform.
@@ -31,6 +32,13 @@
 const DEFAULT_MAX_HEAD: usize = 32 << 10;
 /// Smallest allowed size limit of a head: the first buffer of the HTTP library.
 const MIN_MAX_HEAD: usize = 8 << 10;
+/// Default memory for the bodies of requests, in MB: sixteen of the largest bodies at once.
+const DEFAULT_BODY_MEMORY_MB: usize = 512;
+/// Smallest allowed memory for bodies, in MB: one of the largest, with what its request takes besides.
+const MIN_BODY_MEMORY_MB: usize = 34;
+/// The part of that memory that bodies may hold, as a divisor. The rest is for their copies and for
+/// the allocator, which returns memory late.
+const BODY_MEMORY_DIVISOR: usize = 2;
 /// Longest allowed timeout; a longer one of a platform call would delay a drain.
 const MAX_TIMEOUT: Duration = Duration::from_secs(60);
 /// Smallest number of operators, because two must sign a bundle.
@@ -127,6 +135,8 @@
     /// The memory for the parts of heads beyond what each connection takes, in bytes; none for no
     /// limit. Not a key of the settings.
     pub head_memory: Option<usize>,
+    /// `memory`: the most that bodies of requests may hold, in bytes; half of what the setting says.
+    pub body_memory: usize,
     /// How long a client may read nothing while a response waits for it; none for any time. Not a
     /// key of the settings.
     pub write_timeout: Option<Duration>,
@@ -184,7 +194,8 @@
             idle_timeout: None,
             max_head: DEFAULT_MAX_HEAD,
             head_memory: None,
-            write_timeout: None,
+            body_memory: (DEFAULT_BODY_MEMORY_MB << 20) / BODY_MEMORY_DIVISOR,
+            write_timeout: Some(STALL_TIMEOUT),
         }
     }
 }
@@ -243,7 +254,10 @@
 
 fn connections(section: Section<'_>) -> Result<ConnectionSettings, SettingsError> {
     let head = section.duration("head", DEFAULT_HEAD_TIMEOUT)?;
+    let body_memory =
+        section.in_range("memory", MIN_BODY_MEMORY_MB..=1 << 20, DEFAULT_BODY_MEMORY_MB)?;
     let settings = ConnectionSettings {
+        body_memory: (body_memory << 20) / BODY_MEMORY_DIVISOR,
         max_open: section.in_range("most", 1..=100_000, DEFAULT_MAX_CONNECTIONS)?,
         head_timeout: head,
         max_head: section.in_range("header", MIN_MAX_HEAD..=1 << 20, DEFAULT_MAX_HEAD)?,
--- a/tests/misbehaving_clients.rs
+++ b/tests/misbehaving_clients.rs
@@ -36,7 +36,7 @@
 /// Keeps a test from hanging. No check depends on it.
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// The limits of the process.
-const SECTIONS: &str = "[connections]\nmost = 400\n";
+const SECTIONS: &str = "[connections]\nmost = 400\nmemory = 34\n";
 
 /// Held by the test that runs: beside another one, neither would measure its own load.
 static TURN: Mutex<()> = Mutex::const_new(());
