A status that is not of a final response is no answer

A replica in trouble that answers with status 101, or 600 to 999, had its answer passed on to the caller as the response. A renewal of a lease that the store answered in this way counted as renewed. Status 000, which another system passed on, never was here: the HTTP library rejects it and all below 100.

Cause: the HTTP library lets 101 and every status up to 999 through, and nobody looked at the range.

Why it works: the pool of connections to replicas and to the store, and the client of plain services, take a status outside 200 to 599 for a broken response and close the connection. It may have run, so it is handled as any response that was cut off. mulberryd's client of engines already takes every status but 2xx for a failed attempt.

--- a/src/edge/http/mod.rs
+++ b/src/edge/http/mod.rs
@@ -4,6 +4,7 @@
 mod body;
 mod body_reader;
 mod collect;
+mod final_status;
 mod guarded_stream;
 mod json_client;
 mod pool;
@@ -16,6 +17,7 @@
 };
 pub use body_reader::{BodyReader, MEMORY_WAIT, STALL_TIMEOUT, no_memory};
 pub use collect::{CollectError, collect_pieces, collect_while_received};
+pub(crate) use final_status::check_final;
 pub use json_client::{JsonClient, JsonClientError};
 pub use pool::{ConnectionPool, ResponseBody, SendError};
 pub use server::{Handler, Listener};
--- a/src/edge/http/pool.rs
+++ b/src/edge/http/pool.rs
@@ -24,6 +24,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+use super::check_final;
+
 /// TCP keep-alive probes on a connection without traffic, so that a dead connection is detected
 /// while a watch waits on it.
 const TCP_KEEPALIVE: TcpKeepalive = TcpKeepalive::new()
@@ -192,7 +194,10 @@
     request: Request<Full<Bytes>>,
 ) -> Result<(Connection, Response<Incoming>), (SendError, UnsentRequest)> {
     match connection.sender.try_send_request(request).await {
-        Ok(response) => Ok((connection, response)),
+        Ok(response) => match check_final(response.status()) {
+            Ok(()) => Ok((connection, response)),
+            Err(reason) => Err((SendError::Interrupted(reason), None)),
+        },
         Err(mut e) => {
             let unsent = e.take_message().map(Box::new);
             let reason = e.into_error().to_string();
--- a/src/edge/upstream/plain.rs
+++ b/src/edge/upstream/plain.rs
@@ -19,7 +19,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::decide::AttemptOutcome;
-use crate::edge::http::{Body, read_body};
+use crate::edge::http::{Body, check_final, read_body};
 
 /// The largest response body.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
@@ -92,6 +92,7 @@
         let reason = format!("{to} did not respond: {}", e.into_error());
         if returned { unsent(reason) } else { unknown(reason) }
     })?;
+    check_final(response.status()).map_err(|e| unknown(format!("{to}: {e}")))?;
     let (head, body) = response.into_parts();
     let body = read_body(body, MAX_RESPONSE_BYTES)
         .await
