Reads of unknown jobs and long paths leave no memory behind

Clients that read jobs which do not exist made each node remember an entry with the id that they sent, of up to the size of a head, for minutes after its start. Paths that no route has were logged whole: the 4,096 lines that wait for a slow reader of the log could hold 64 MB and more.

Cause: the copy of another node's job was made before it was known whether there is such a job. Lines were bounded in number, not in length.

Evidence: jobs_that_do_not_exist_leave_nothing fails without the call of forget_unknown; the size of the log is calculated, not measured.

Why it works: a read that ends with "no such job" drops the empty copy, and what clients sent is cut to 200 bytes in log lines. The gauge mulberry_remote_jobs shows the copies.

--- a/src/entry/app.rs
+++ b/src/entry/app.rs
@@ -247,6 +247,7 @@
     /// Returns all counters and gauges as text.
     pub fn metrics(&self) -> String {
         self.tally.open_jobs.set(self.owned_jobs.all().len() as i64);
+        self.tally.remote_jobs.set(self.remote_jobs.len() as i64);
         self.tally.routes_version.set(self.routes().map_or(0, |r| r.version as i64));
         self.tally.over_share.set(self.slots.over_share() as i64);
         let invalid = self.membership.lock().invalid_capacity_count();
--- a/src/entry/read.rs
+++ b/src/entry/read.rs
@@ -72,6 +72,10 @@
             Err(e) => Err(e),
         };
         match read {
+            Ok(ReadResult::Unknown) => {
+                self.remote_jobs.forget_unknown(job);
+                ReadResult::Unknown
+            }
             Ok(read) => read,
             Err(e) => {
                 tracing::info!(event = "job_read_failed", job, error = %e);
@@ -265,7 +269,10 @@
         }
         let spec = match self.spec_of(job).await {
             Ok(Some(spec)) => spec,
-            Ok(None) => return Lookup::Unknown,
+            Ok(None) => {
+                self.remote_jobs.forget_unknown(job);
+                return Lookup::Unknown;
+            }
             Err(e) => {
                 tracing::info!(event = "job_read_failed", job, error = %e);
                 return Lookup::Unsure;
--- a/src/entry/remote_jobs.rs
+++ b/src/entry/remote_jobs.rs
@@ -76,6 +76,22 @@
         self.jobs.lock().remove(job);
     }
 
+    /// Drops the copy of a job of which nothing is known, as it does not exist.
+    pub(super) fn forget_unknown(&self, job: &str) {
+        let unknown = |remote: &RemoteJob| {
+            remote.state.lock().sample_count.is_none() && remote.spec.lock().is_none()
+        };
+        let mut jobs = self.jobs.lock();
+        if jobs.get(job).is_some_and(|remote| unknown(remote)) {
+            jobs.remove(job);
+        }
+    }
+
+    /// The number of copies.
+    pub(super) fn len(&self) -> usize {
+        self.jobs.lock().len()
+    }
+
     /// Returns the copy of a job, which is empty if the job was not read before.
     pub(super) fn get(&self, job: &str) -> Arc<RemoteJob> {
         let mut jobs = self.jobs.lock();
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -86,6 +86,17 @@
     builder.finish(std::io::stdout())
 }
 
+/// The most bytes of a text from a client in a log line. [`MAX_BUFFERED_LINES`] lines with whole paths
+/// could take more memory than a small machine has.
+const MAX_CLIENT_TEXT_BYTES: usize = 200;
+
+/// Shortens a text that a client has sent, for a log line.
+pub fn shortened(text: &str) -> &str {
+    let ends = text.char_indices().map(|(start, c)| start + c.len_utf8());
+    let end = ends.take_while(|end| *end <= MAX_CLIENT_TEXT_BYTES).last();
+    &text[..end.unwrap_or_default()]
+}
+
 /// A log filter that limits how many lines each call site logs per second.
 #[derive(Debug, Default)]
 pub struct RateLimit {
--- a/src/metrics/entry_metrics.rs
+++ b/src/metrics/entry_metrics.rs
@@ -248,6 +248,8 @@
     pub over_share: Gauge<i64, AtomicI64>,
     /// Jobs that this node runs.
     pub open_jobs: Gauge<i64, AtomicI64>,
+    /// The jobs of other nodes of which this node has a copy.
+    pub remote_jobs: Gauge<i64, AtomicI64>,
     /// The version of the active routes; 0 if there are none.
     pub routes_version: Gauge<i64, AtomicI64>,
     /// Load reports of replicas that count more requests than can be there.
@@ -298,6 +300,7 @@
             ignored_demand: Counter::default(),
             over_share: Gauge::default(),
             open_jobs: Gauge::default(),
+            remote_jobs: Gauge::default(),
             routes_version: Gauge::default(),
             ignored_load_reports: Counter::default(),
             invalid_capacities: Gauge::default(),
@@ -370,6 +373,8 @@
         let help = "Slots given to trainers beyond their shares so far";
         registry.register("over_share", help, self.over_share.clone());
         registry.register("open_jobs", "Jobs that run here", self.open_jobs.clone());
+        let help = "Jobs of other nodes of which this node has a copy";
+        registry.register("remote_jobs", help, self.remote_jobs.clone());
         registry.register("routes_version", "Configuration in force", self.routes_version.clone());
         let help = "Nodes whose published capacity is not plausible";
         registry.register("invalid_capacities", help, self.invalid_capacities.clone());
--- a/src/node/client_api.rs
+++ b/src/node/client_api.rs
@@ -21,6 +21,7 @@
 use crate::decide::{Call, Class};
 use crate::edge::http::{Body, Handler, json_response, problem_response};
 use crate::error::{Kind, Refusal};
+use crate::logs::shortened;
 
 /// The maximum size of a request body, in bytes.
 const MAX_BODY_BYTES: usize = 16 << 20;
@@ -52,7 +53,7 @@
         self.app.metrics.inflight.dec();
         result.unwrap_or_else(|refusal| {
             self.app.metrics.count_refusal(refusal.kind);
-            tracing::info!(event = "refused", kind = %refusal.kind, detail = refusal.detail);
+            tracing::info!(event = "refused", kind = %refusal.kind, detail = shortened(&refusal.detail));
             problem_response(&refusal)
         })
     }
--- a/tests/entry/reads.rs
+++ b/tests/entry/reads.rs
@@ -79,3 +79,20 @@
     a.store.set_faults(Faults { outage: Some(Outage::Refusing), ..Faults::default() });
     assert_eq!(a.app().read("j", 0, Duration::ZERO).await, ReadResult::Unsure);
 }
+
+/// Guards against clients that ask for jobs that don't exist, each of which the node remembered.
+#[tokio::test(start_paused = true)]
+async fn jobs_that_do_not_exist_leave_nothing() {
+    use std::time::Duration;
+
+    use mulberrycourse::entry::{Lookup, ReadResult};
+
+    let world = World::new();
+    let a = world.node("a").await;
+    for number in 0..20 {
+        let job = format!("unknown-{number}");
+        assert_eq!(a.app().read(&job, 0, Duration::ZERO).await, ReadResult::Unknown);
+        assert_eq!(a.app().sample_body(&job, "i").await, Lookup::Unknown);
+    }
+    assert!(a.app().metrics().contains("mulberry_remote_jobs 0\n"), "{}", a.app().metrics());
+}
--- a/tests/logs.rs
+++ b/tests/logs.rs
@@ -5,6 +5,8 @@
 use std::net::{SocketAddr, TcpStream};
 use std::process::{Command, Stdio};
 
+use mulberrycourse::logs::shortened;
+
 /// Splits a line into its pairs; panics if it is not made of pairs.
 fn pairs(line: &str) -> Vec<(String, String)> {
     let mut pairs = Vec::new();
@@ -83,3 +85,12 @@
     std::fs::remove_dir_all(&folder).unwrap();
     assert!(seen.iter().any(|s| s == "refused"), "{seen:?}");
 }
+
+/// Guards against lines as long as what a client may send, of which thousands are buffered.
+#[test]
+fn texts_of_clients_are_shortened() {
+    assert_eq!(shortened("/a/b"), "/a/b");
+    let long = "\u{fc}".repeat(10_000);
+    assert!((100..=200).contains(&shortened(&long).len()));
+    assert!(long.starts_with(shortened(&long)));
+}
