A connection whose client still reads a response does not make room for others

Why it works: the connection knows whether a write waits for the client, and is idle only without one. The limit on writes that do not proceed still holds.

--- a/src/edge/http/activity.rs
+++ b/src/edge/http/activity.rs
@@ -34,6 +34,8 @@
     /// The number of requests so far.
     requests: u64,
     in_progress: bool,
+    /// Whether bytes of a response wait for the client to read.
+    unsent: bool,
     waiting: Option<ReclaimEntry>,
 }
 
@@ -73,6 +75,17 @@
         OpenRequest { activity: self.clone(), number: state.requests }
     }
 
+    /// Records whether bytes of a response wait for the client to read.
+    pub(super) fn set_unsent(&self, unsent: bool) {
+        self.state.lock().unsent = unsent;
+    }
+
+    /// Whether no request is in progress and all responses are sent.
+    pub(super) fn is_idle(&self) -> bool {
+        let state = self.state.lock();
+        !state.in_progress && !state.unsent
+    }
+
     /// Returns the number of requests so far, or `None` while one is in progress.
     pub(super) fn awaited(&self) -> Option<u64> {
         let state = self.state.lock();
--- a/src/edge/http/guarded_stream.rs
+++ b/src/edge/http/guarded_stream.rs
@@ -3,7 +3,7 @@
 use std::io::{Error, ErrorKind, Result};
 use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::{Instant, Sleep};
@@ -99,7 +99,13 @@
             Poll::Ready(Err(e)) => Poll::Ready(Err(e)),
             // Bytes that have arrived count first: the process may have been paused.
             Poll::Pending => {
-                std::task::ready!(head.timer.as_mut().poll(cx));
+                ready!(head.timer.as_mut().poll(cx));
+                if !this.activity.is_idle() {
+                    // The client still reads the response before.
+                    head.timer.as_mut().reset(Instant::now() + this.limits.idle_timeout);
+                    let _ = head.timer.as_mut().poll(cx);
+                    return Poll::Pending;
+                }
                 tracing::info!(event = "request_head_timeout", received = head.received);
                 Poll::Ready(Err(Error::from(ErrorKind::TimedOut)))
             }
@@ -113,7 +119,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.activity.set_unsent(written.is_pending());
+        written
     }
 
     fn poll_write_vectored(
@@ -121,7 +129,9 @@
         cx: &mut Context<'_>,
         bufs: &[std::io::IoSlice<'_>],
     ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.activity.set_unsent(written.is_pending());
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/edge/http/server.rs
+++ b/src/edge/http/server.rs
@@ -207,7 +207,7 @@
     loop {
         match tokio::time::timeout(RECLAIM_TIMEOUT, connection.as_mut()).await {
             Ok(ended) => return ended,
-            Err(_) if activity.awaited().is_some() => return Ok(()),
+            Err(_) if activity.is_idle() => return Ok(()),
             Err(_) => {}
         }
     }
