Connections of silent clients keep making room for new ones

A node got no message through beside 1,500 connections to the listener for other nodes: once all connections and those accepted beyond the limit were held, no further one was closed. The HTTP listeners had the same fault, which the time limit of an idle connection ended after 15 s.

Cause: permits beyond the limit were held by new connections for their whole life, instead of by those that were being closed; and a connection that had to close waited for its client to answer.

Closing without waiting for the client alone did not mend it.

Why it works: a connection that has to close gives its permit to the new one and occupies one of those for closing, of which there are an eighth of the limit, until it has ended, at most a second later if it has no request. Both listeners share this (ConnectionSlots).

--- a/src/edge/http/activity.rs
+++ b/src/edge/http/activity.rs
@@ -12,7 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{Body, BodyAborted};
-use crate::edge::{ReclaimEntry, ReclaimList, ReclaimRank};
+use crate::edge::{ReclaimEntry, ReclaimList, ReclaimRank, Reclaimable};
 
 /// How long a new connection may be without a request before it may be closed in favour of another.
 const NEW_GRACE: Duration = Duration::from_secs(3);
@@ -24,8 +24,7 @@
 #[derive(Debug)]
 pub(super) struct Activity {
     list: ReclaimList,
-    /// Cancelled to close the connection.
-    reclaimed: CancellationToken,
+    slot: Arc<Reclaimable>,
     state: Mutex<State>,
 }
 
@@ -54,16 +53,15 @@
 
 impl Activity {
     /// A new connection.
-    pub(super) fn new(list: ReclaimList) -> Arc<Self> {
-        let reclaimed = CancellationToken::new();
-        let entry = list.add(ReclaimRank::First, Instant::now() + NEW_GRACE, reclaimed.clone());
+    pub(super) fn new(list: ReclaimList, slot: Arc<Reclaimable>) -> Arc<Self> {
+        let entry = list.add(ReclaimRank::First, Instant::now() + NEW_GRACE, slot.clone());
         let state = Mutex::new(State { waiting: Some(entry), ..State::default() });
-        Arc::new(Self { list, reclaimed, state })
+        Arc::new(Self { list, slot, state })
     }
 
     /// Cancelled when the connection has to make room for another.
     pub(super) fn reclaimed(&self) -> &CancellationToken {
-        &self.reclaimed
+        self.slot.end()
     }
 
     /// Records that the head of a request is complete.
@@ -109,8 +107,8 @@
         }
         state.in_progress = false;
         let from = Instant::now() + IDLE_GRACE;
-        state.waiting =
-            Some(activity.list.add(ReclaimRank::Last, from, activity.reclaimed.clone()));
+        let slot = activity.slot.clone();
+        state.waiting = Some(activity.list.add(ReclaimRank::Last, from, slot));
     }
 }
 
--- a/src/edge/http/body_reader.rs
+++ b/src/edge/http/body_reader.rs
@@ -6,10 +6,9 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use tokio::time::{Instant, timeout};
-use tokio_util::sync::CancellationToken;
 
 use super::BodyError;
-use crate::edge::{MemoryBudget, MemoryCharge, ReclaimList, ReclaimRank};
+use crate::edge::{MemoryBudget, MemoryCharge, ReclaimList, ReclaimRank, Reclaimable};
 use crate::error::{Kind, Refusal};
 
 /// What a request takes besides its body: its head, and its task.
@@ -46,12 +45,12 @@
         if body.size_hint().lower() > limit as u64 {
             return Err(BodyError::TooLarge(limit).into());
         }
-        let end = CancellationToken::new();
+        let reclaimable = Reclaimable::new(None);
         let from = Instant::now() + RECLAIM_GRACE;
-        let _entry = self.reading.add(ReclaimRank::First, from, end.clone());
+        let _entry = self.reading.add(ReclaimRank::First, from, reclaimable.clone());
         tokio::select! {
             read = self.read_counted(body, limit) => read,
-            () = end.cancelled() => {
+            () = reclaimable.end().cancelled() => {
                 tracing::info!(event = "body_reclaimed", held = self.memory.held());
                 Err(no_memory())
             }
--- a/src/edge/http/server.rs
+++ b/src/edge/http/server.rs
@@ -14,7 +14,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -23,15 +23,16 @@
 use super::{Body, WriteTimeout, problem_response};
 use crate::decide::load::HeadLimits;
 use crate::edge::acceptor::Acceptor;
-use crate::edge::{MemoryBudget, ReclaimList};
+use crate::edge::connection_slots::ConnectionSlots;
+use crate::edge::{MemoryBudget, Reclaimable};
 use crate::error::{Kind, Refusal};
 use crate::settings::ConnectionSettings;
 
-/// The most connections over the limit that are sent a refusal at the same time; others are closed
-/// without a response. Also the most that are accepted while others are being closed for them.
-const MAX_SPARE: usize = 64;
+/// The most connections over the limit that are sent a refusal at the same time. Others are closed
+/// without a response.
+const MAX_OPEN_REFUSALS: usize = 64;
 /// The same as one part in this many of the limit, if that is less.
-const SPARE_DIVISOR: usize = 8;
+const REFUSAL_DIVISOR: usize = 8;
 /// How long a connection that has to make room may take to end.
 const RECLAIM_TIMEOUT: Duration = Duration::from_secs(1);
 /// The smallest buffer that the HTTP library allows.
@@ -71,12 +72,8 @@
     handler: Arc<H>,
     limits: ConnectionSettings,
     cancel: CancellationToken,
-    open: Arc<Semaphore>,
-    /// Permits of connections that were accepted while another one is being closed for them.
-    overflow: Arc<Semaphore>,
+    slots: ConnectionSlots,
     refusals: Arc<Semaphore>,
-    /// The connections without a request in progress.
-    waiting: ReclaimList,
     /// For heads of requests that are larger than usual.
     head_memory: MemoryBudget,
 }
@@ -102,15 +99,13 @@
         connections: &TaskTracker,
         cancel: CancellationToken,
     ) {
-        let spare = (limits.max_open / SPARE_DIVISOR).clamp(1, MAX_SPARE);
+        let refusals = (limits.max_open / REFUSAL_DIVISOR).clamp(1, MAX_OPEN_REFUSALS);
         let shared = Arc::new(Shared {
             handler,
             limits,
             cancel,
-            open: Arc::new(Semaphore::new(limits.max_open)),
-            overflow: Arc::new(Semaphore::new(spare)),
-            refusals: Arc::new(Semaphore::new(spare)),
-            waiting: ReclaimList::default(),
+            slots: ConnectionSlots::new(limits.max_open),
+            refusals: Arc::new(Semaphore::new(refusals)),
             head_memory: MemoryBudget::new(limits.head_memory),
         });
         connections.spawn(accept(self.acceptor, shared, connections.clone()));
@@ -120,12 +115,8 @@
 /// Accepts connections and refuses those over the limit.
 async fn accept<H: Handler>(acceptor: Acceptor, shared: Arc<Shared<H>>, tracker: TaskTracker) {
     while let Some((stream, from)) = acceptor.accept(&shared.cancel).await {
-        if let Some(permit) = shared.admit() {
-            let task = serve(stream, from, shared.clone());
-            tracker.spawn(async move {
-                task.await;
-                drop(permit);
-            });
+        if let Some(slot) = shared.slots.admit() {
+            tracker.spawn(serve(stream, from, shared.clone(), slot));
             continue;
         }
         shared.handler.connection_refused(Kind::TooManyConnections);
@@ -146,21 +137,16 @@
         let most = self.head_memory.limit().map_or(usize::MAX, |limit| limit / BUFFER_FACTOR);
         HeadLimits { max_bytes: limits.max_bytes.min(most).max(MIN_BUFFER_BYTES), ..limits }
     }
-
-    /// Returns the permit for one more connection. At the limit, the connection that has been
-    /// without a request for longest is closed for it. `None` if all are in use.
-    fn admit(&self) -> Option<OwnedSemaphorePermit> {
-        if let Ok(permit) = self.open.clone().try_acquire_owned() {
-            return Some(permit);
-        }
-        let permit = self.overflow.clone().try_acquire_owned().ok()?;
-        self.waiting.reclaim().then_some(permit)
-    }
 }
 
 /// Serves one connection until it ends.
-async fn serve<H: Handler>(stream: TcpStream, from: SocketAddr, shared: Arc<Shared<H>>) {
-    let activity = Activity::new(shared.waiting.clone());
+async fn serve<H: Handler>(
+    stream: TcpStream,
+    from: SocketAddr,
+    shared: Arc<Shared<H>>,
+    slot: Arc<Reclaimable>,
+) {
+    let activity = Activity::new(shared.slots.waiting().clone(), slot);
     let limits = shared.head_limits();
     let (handler, requests) = (shared.handler.clone(), activity.clone());
     let service = service_fn(move |request| {
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -12,8 +12,9 @@
 pub mod upstream;
 
 mod acceptor;
+mod connection_slots;
 mod memory_budget;
 mod reclaim;
 
 pub use memory_budget::{MemoryBudget, MemoryCharge};
-pub use reclaim::{ReclaimEntry, ReclaimList, ReclaimRank};
+pub use reclaim::{ReclaimEntry, ReclaimList, ReclaimRank, Reclaimable};
--- a/src/edge/peer/message_reader.rs
+++ b/src/edge/peer/message_reader.rs
@@ -5,10 +5,9 @@
 use bytes::BytesMut;
 use h2::RecvStream;
 use tokio::time::Instant;
-use tokio_util::sync::CancellationToken;
 
 use super::server::read_piece;
-use crate::edge::{MemoryBudget, MemoryCharge, ReclaimList, ReclaimRank};
+use crate::edge::{MemoryBudget, MemoryCharge, ReclaimList, ReclaimRank, Reclaimable};
 
 /// The first bytes of a message, which need no reservation: most messages have no more, and they have
 /// to pass also while others fill the memory.
@@ -45,9 +44,9 @@
     /// Reads a whole message. Returns `None` if it is too large, cut off or late, or if there is no
     /// memory for it.
     pub(super) async fn read(&self, mut body: RecvStream) -> Option<Message> {
-        let end = CancellationToken::new();
+        let reclaimable = Reclaimable::new(None);
         let from = Instant::now() + RECLAIM_GRACE;
-        let _entry = self.reading.add(ReclaimRank::First, from, end.clone());
+        let _entry = self.reading.add(ReclaimRank::First, from, reclaimable.clone());
         let mut message = Message { bytes: BytesMut::new(), charge: None };
         let read = async {
             loop {
@@ -60,7 +59,7 @@
         };
         let complete = tokio::select! {
             read = read => read.is_some(),
-            () = end.cancelled() => false,
+            () = reclaimable.end().cancelled() => false,
         };
         complete.then_some(message)
     }
--- a/src/edge/peer/open_requests.rs
+++ b/src/edge/peer/open_requests.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::edge::{ReclaimEntry, ReclaimList, ReclaimRank};
+use crate::edge::{ReclaimEntry, ReclaimList, ReclaimRank, Reclaimable};
 
 /// How long a connection may be without a request before it may be closed in favour of another: before
 /// its first request, and after one.
@@ -19,8 +19,7 @@
 #[derive(Debug)]
 pub(super) struct OpenRequests {
     list: ReclaimList,
-    /// Cancelled to close the connection.
-    reclaimed: CancellationToken,
+    slot: Arc<Reclaimable>,
     state: Mutex<State>,
 }
 
@@ -38,16 +37,20 @@
 
 impl OpenRequests {
     /// A new connection.
-    pub(super) fn new(list: ReclaimList) -> Arc<Self> {
-        let reclaimed = CancellationToken::new();
-        let entry = list.add(ReclaimRank::First, Instant::now() + NEW_GRACE, reclaimed.clone());
+    pub(super) fn new(list: ReclaimList, slot: Arc<Reclaimable>) -> Arc<Self> {
+        let entry = list.add(ReclaimRank::First, Instant::now() + NEW_GRACE, slot.clone());
         let state = Mutex::new(State { open: 0, waiting: Some(entry) });
-        Arc::new(Self { list, reclaimed, state })
+        Arc::new(Self { list, slot, state })
     }
 
     /// Cancelled when the connection has to make room for another.
     pub(super) fn reclaimed(&self) -> &CancellationToken {
-        &self.reclaimed
+        self.slot.end()
+    }
+
+    /// Whether no request is open.
+    pub(super) fn is_idle(&self) -> bool {
+        self.state.lock().open == 0
     }
 
     /// Records a new request.
@@ -66,8 +69,8 @@
         state.open -= 1;
         if state.open == 0 {
             let from = Instant::now() + IDLE_GRACE;
-            let end = requests.reclaimed.clone();
-            state.waiting = Some(requests.list.add(ReclaimRank::Last, from, end));
+            let slot = requests.slot.clone();
+            state.waiting = Some(requests.list.add(ReclaimRank::Last, from, slot));
         }
     }
 }
--- a/src/edge/peer/server.rs
+++ b/src/edge/peer/server.rs
@@ -10,7 +10,8 @@
 use h2::{Reason, RecvStream};
 use http::{Response, StatusCode};
 use tokio::net::TcpStream;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::Semaphore;
+use tokio::time::{Instant, sleep_until};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -18,8 +19,9 @@
 use super::message_reader::MessageReader;
 use super::open_requests::OpenRequests;
 use super::{PeerLimits, PeerMessage};
-use crate::edge::ReclaimList;
+use crate::edge::Reclaimable;
 use crate::edge::acceptor::Acceptor;
+use crate::edge::connection_slots::ConnectionSlots;
 use crate::metrics::Traffic;
 
 /// How long the HTTP/2 handshake may take. A peer sends its preface right after connecting.
@@ -33,9 +35,9 @@
 /// The most open streams of all connections. Each node of the planned fleet may wait for changes of
 /// every kind at one node. Further ones are refused.
 const MAX_STREAMS: usize = 4_096;
-/// At the limit, one part in this many more connections are accepted while others are being closed for
-/// them.
-const SPARE_DIVISOR: usize = 8;
+/// How long a connection that makes room may take to end, unless it has open requests: its client may
+/// not answer.
+const RECLAIM_TIMEOUT: Duration = Duration::from_secs(1);
 /// The header with the protocol version.
 pub(super) const VERSION_HEADER: &str = "mulberry-peer-version";
 
@@ -59,13 +61,9 @@
     handler: Arc<H>,
     tracker: TaskTracker,
     cancel: CancellationToken,
-    open: Arc<Semaphore>,
-    /// Permits of connections that were accepted while another one is being closed for them.
-    overflow: Arc<Semaphore>,
+    slots: ConnectionSlots,
     /// The open streams of all connections.
     streams: Arc<Semaphore>,
-    /// The connections without an open stream.
-    waiting: ReclaimList,
     messages: MessageReader,
 }
 
@@ -99,42 +97,29 @@
             handler,
             tracker: connections.clone(),
             cancel,
-            open: Arc::new(Semaphore::new(limits.max_open)),
-            overflow: Arc::new(Semaphore::new((limits.max_open / SPARE_DIVISOR).max(1))),
+            slots: ConnectionSlots::new(limits.max_open),
             streams: Arc::new(Semaphore::new(MAX_STREAMS)),
-            waiting: ReclaimList::default(),
             messages: MessageReader::new(limits.message_memory),
         });
         connections.spawn(async move {
             while let Some((stream, from)) = self.acceptor.accept(&shared.cancel).await {
-                let Some(permit) = shared.admit() else {
+                let Some(slot) = shared.slots.admit() else {
                     tracing::warn!(event = "peer_refused", %from, most = limits.max_open);
                     continue;
                 };
-                let connection = serve(stream, from, shared.clone());
-                shared.tracker.spawn(async move {
-                    connection.await;
-                    drop(permit);
-                });
+                shared.tracker.spawn(serve(stream, from, shared.clone(), slot));
             }
         });
     }
 }
 
-impl<H> Shared<H> {
-    /// Returns the permit for one more connection. At the limit, the connection that has been
-    /// without a request for longest is closed for it. `None` if all are in use.
-    fn admit(&self) -> Option<OwnedSemaphorePermit> {
-        if let Ok(permit) = self.open.clone().try_acquire_owned() {
-            return Some(permit);
-        }
-        let permit = self.overflow.clone().try_acquire_owned().ok()?;
-        self.waiting.reclaim().then_some(permit)
-    }
-}
-
 /// Serves one connection until it ends.
-async fn serve<H: PeerHandler>(stream: TcpStream, from: SocketAddr, shared: Arc<Shared<H>>) {
+async fn serve<H: PeerHandler>(
+    stream: TcpStream,
+    from: SocketAddr,
+    shared: Arc<Shared<H>>,
+    slot: Arc<Reclaimable>,
+) {
     let mut builder = h2::server::Builder::new();
     builder
         .max_header_list_size(MAX_HEADER_BYTES)
@@ -152,8 +137,10 @@
             return;
         }
     };
-    let requests = OpenRequests::new(shared.waiting.clone());
+    let requests = OpenRequests::new(shared.slots.waiting().clone(), slot);
     let mut closing = false;
+    // When a connection that makes room is looked at again.
+    let mut closes_at = None;
     loop {
         let accepted = tokio::select! {
             accepted = connection.accept() => accepted,
@@ -165,9 +152,17 @@
             () = requests.reclaimed().cancelled(), if !closing => {
                 tracing::info!(event = "peer_connection_reclaimed", %from);
                 closing = true;
+                closes_at = Some(Instant::now() + RECLAIM_TIMEOUT);
                 connection.graceful_shutdown();
                 continue;
             }
+            () = sleep_until(closes_at.unwrap_or_else(Instant::now)), if closes_at.is_some() => {
+                if requests.is_idle() {
+                    return;
+                }
+                closes_at = Some(Instant::now() + RECLAIM_TIMEOUT);
+                continue;
+            }
         };
         match accepted {
             Some(Ok((request, mut respond))) => {
--- a/src/edge/reclaim.rs
+++ b/src/edge/reclaim.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use parking_lot::Mutex;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -16,6 +17,34 @@
     Last,
 }
 
+/// Something that may be ended.
+#[derive(Debug)]
+pub struct Reclaimable {
+    end: CancellationToken,
+    /// What it occupies.
+    permit: Mutex<Option<OwnedSemaphorePermit>>,
+}
+
+impl Reclaimable {
+    /// Creates one that occupies a permit until it is dropped.
+    pub fn new(permit: Option<OwnedSemaphorePermit>) -> Arc<Self> {
+        Arc::new(Self { end: CancellationToken::new(), permit: Mutex::new(permit) })
+    }
+
+    /// Cancelled when it has to end.
+    pub fn end(&self) -> &CancellationToken {
+        &self.end
+    }
+
+    /// Returns the permit, in whose place it occupies another until it has ended.
+    pub(super) fn replace_permit(
+        &self,
+        permit: OwnedSemaphorePermit,
+    ) -> Option<OwnedSemaphorePermit> {
+        self.permit.lock().replace(permit)
+    }
+}
+
 /// Entries that may be ended to make room, the one that has waited longest first. Clones share it.
 ///
 /// Load pattern: clients that hold connections or memory and never finish a request. Refusing
@@ -28,8 +57,8 @@
 #[derive(Debug, Default)]
 struct Entries {
     next_id: u64,
-    first: BTreeMap<Key, CancellationToken>,
-    last: BTreeMap<Key, CancellationToken>,
+    first: BTreeMap<Key, Arc<Reclaimable>>,
+    last: BTreeMap<Key, Arc<Reclaimable>>,
 }
 
 /// From when on the entry may be ended, and a unique id.
@@ -44,32 +73,38 @@
 }
 
 impl ReclaimList {
-    /// Adds an entry that may be ended from `from` on. `end` is cancelled to end it.
-    pub fn add(&self, rank: ReclaimRank, from: Instant, end: CancellationToken) -> ReclaimEntry {
+    /// Adds an entry that may be ended from `from` on.
+    pub fn add(
+        &self,
+        rank: ReclaimRank,
+        from: Instant,
+        reclaimable: Arc<Reclaimable>,
+    ) -> ReclaimEntry {
         let mut entries = self.entries.lock();
         entries.next_id += 1;
         let key = (from, entries.next_id);
-        entries.ranked(rank).insert(key, end);
+        entries.ranked(rank).insert(key, reclaimable);
         ReclaimEntry { list: self.clone(), rank, key }
     }
 
-    /// Ends the entry that has waited longest. False if none may be ended yet.
-    pub fn reclaim(&self) -> bool {
+    /// Ends the entry that has waited longest, and returns it. `None` if none may be ended yet.
+    pub fn reclaim(&self) -> Option<Arc<Reclaimable>> {
         let now = Instant::now();
         let mut entries = self.entries.lock();
         for rank in [ReclaimRank::First, ReclaimRank::Last] {
             let oldest = entries.ranked(rank).first_entry();
             if let Some(oldest) = oldest.filter(|entry| entry.key().0 <= now) {
-                oldest.remove().cancel();
-                return true;
+                let oldest = oldest.remove();
+                oldest.end.cancel();
+                return Some(oldest);
             }
         }
-        false
+        None
     }
 }
 
 impl Entries {
-    fn ranked(&mut self, rank: ReclaimRank) -> &mut BTreeMap<Key, CancellationToken> {
+    fn ranked(&mut self, rank: ReclaimRank) -> &mut BTreeMap<Key, Arc<Reclaimable>> {
         match rank {
             ReclaimRank::First => &mut self.first,
             ReclaimRank::Last => &mut self.last,
--- a/tests/reclaim.rs
+++ b/tests/reclaim.rs
@@ -3,9 +3,8 @@
 
 use std::time::Duration;
 
-use mulberrycourse::edge::{ReclaimList, ReclaimRank};
+use mulberrycourse::edge::{ReclaimList, ReclaimRank, Reclaimable};
 use tokio::time::Instant;
-use tokio_util::sync::CancellationToken;
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -15,8 +14,8 @@
 async fn the_longest_waiting_entry_of_the_first_rank_ends_first() {
     let list = ReclaimList::default();
     let add = |rank, delay| {
-        let end = CancellationToken::new();
-        (list.add(rank, Instant::now() + delay, end.clone()), end)
+        let entry = Reclaimable::new(None);
+        (list.add(rank, Instant::now() + delay, entry.clone()), entry)
     };
     let idle = add(ReclaimRank::Last, Duration::ZERO);
     let newer = add(ReclaimRank::First, 2 * SECOND);
@@ -24,16 +23,16 @@
     tokio::time::advance(3 * SECOND).await;
     let fresh = add(ReclaimRank::First, SECOND);
     for (ended, waiting) in [(&older, &newer), (&newer, &idle), (&idle, &fresh)] {
-        assert!(list.reclaim());
-        assert!(ended.1.is_cancelled() && !waiting.1.is_cancelled());
+        assert!(list.reclaim().is_some());
+        assert!(ended.1.end().is_cancelled() && !waiting.1.end().is_cancelled());
     }
-    assert!(!list.reclaim(), "an entry ended before its time");
+    assert!(list.reclaim().is_none(), "an entry ended before its time");
 }
 
 #[tokio::test(start_paused = true)]
 async fn a_dropped_entry_is_not_ended() {
     let list = ReclaimList::default();
-    let end = CancellationToken::new();
-    drop(list.add(ReclaimRank::First, Instant::now(), end.clone()));
-    assert!(!list.reclaim() && !end.is_cancelled());
+    let entry = Reclaimable::new(None);
+    drop(list.add(ReclaimRank::First, Instant::now(), entry.clone()));
+    assert!(list.reclaim().is_none() && !entry.end().is_cancelled());
 }
